--- /dev/null
+++ b/cucumber.js
@@ -0,0 +1,7 @@
+const configuration = {
+	import: ['test/features/steps/*.ts'],
+	paths: ['test/features/*.feature'],
+	format: ['progress'],
+};
+
+export default configuration;
--- /dev/null
+++ b/src/cli/client.ts
@@ -0,0 +1,67 @@
+/**
+Calls to a daemon's operator listener.
+*/
+import {Left, Right, type Either} from 'purify-ts';
+import {request} from 'undici';
+import {type ExitName} from './exit-codes.js';
+
+const CALL_TIMEOUT_MS = 15_000;
+
+export type Failure = {
+	readonly exit: ExitName;
+	readonly message: string;
+	readonly problem?: unknown;
+};
+
+type Problem = {
+	readonly name?: string;
+	readonly code?: string;
+	readonly title?: string;
+	readonly detail?: string;
+	readonly mistakes?: ReadonlyArray<{readonly path: string; readonly message: string}>;
+};
+
+const exitByProblem: Readonly<Record<string, ExitName>> = {
+	'version-conflict': 'conflict',
+	'patch-invalid': 'rejected',
+	'memory-exceeded': 'rejected',
+	'platform-unavailable': 'unavailable',
+	'patch-unresolved': 'unavailable',
+	'resource-unknown': 'unknown',
+};
+
+export class OperatorClient {
+	constructor(private readonly _address: string) {}
+
+	async get(path: string): Promise<Either<Failure, unknown>> {
+		return this._call('GET', path);
+	}
+
+	async post(path: string, body: unknown): Promise<Either<Failure, unknown>> {
+		return this._call('POST', path, body);
+	}
+
+	private async _call(method: 'GET' | 'POST', path: string, body?: unknown): Promise<Either<Failure, unknown>> {
+		try {
+			const response = await request(`${this._address}${path}`, {
+				method,
+				headers: body === undefined ? {} : {'content-type': 'application/json'},
+				body: body === undefined ? null : JSON.stringify(body),
+				signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+			});
+			const answer: unknown = await response.body.json();
+			return response.statusCode < 300 ? Right(answer) : Left(describe(answer as Problem));
+		} catch (error) {
+			return Left({exit: 'unreachable', message: `${this._address}: ${error instanceof Error ? error.message : String(error)}`});
+		}
+	}
+}
+
+function describe(problem: Problem): Failure {
+	const mistakes = problem.mistakes?.map(({path, message}) => `\n  ${path || '(document)'}: ${message}`) ?? [];
+	return {
+		exit: exitByProblem[problem.name ?? ''] ?? 'unreachable',
+		message: `${problem.code ?? ''} ${problem.title ?? 'unexpected answer'}${problem.detail ? `: ${problem.detail}` : ''}${mistakes.join('')}`.trim(),
+		problem,
+	};
+}
--- /dev/null
+++ b/src/core/log-events.ts
@@ -0,0 +1,46 @@
+/**
+Numbered log events. `docs/EVENTS.md` is the catalogue for operators, and a test
+keeps it equal to this table.
+*/
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+export type LogEvent = {
+	readonly number: number;
+	readonly level: LogLevel;
+};
+
+export const logEvents = {
+	'daemon-started': {number: 100, level: 'info'},
+	'daemon-draining': {number: 101, level: 'info'},
+	'daemon-stopped': {number: 102, level: 'info'},
+	'effect-failed': {number: 103, level: 'error'},
+	'request-refused': {number: 200, level: 'info'},
+	'try-failed': {number: 201, level: 'warn'},
+	'request-crash-refused': {number: 202, level: 'error'},
+	'answer-late': {number: 203, level: 'warn'},
+	'claim-ambiguous': {number: 210, level: 'warn'},
+	'claim-released': {number: 211, level: 'info'},
+	'record-deferred': {number: 212, level: 'warn'},
+	'target-suspected': {number: 300, level: 'warn'},
+	'target-recovered': {number: 301, level: 'info'},
+	'target-restarted': {number: 302, level: 'warn'},
+	'connection-silent': {number: 303, level: 'warn'},
+	'order-sent': {number: 400, level: 'info'},
+	'order-confirmed': {number: 401, level: 'info'},
+	'order-unresolved': {number: 402, level: 'warn'},
+	'entry-pinned': {number: 403, level: 'warn'},
+	'lease-taken': {number: 410, level: 'info'},
+	'lease-lost': {number: 411, level: 'warn'},
+	'journal-unavailable': {number: 412, level: 'warn'},
+	'configuration-adopted': {number: 500, level: 'info'},
+	'patch-accepted': {number: 501, level: 'info'},
+	'patch-rejected': {number: 502, level: 'info'},
+	'instance-joined': {number: 600, level: 'info'},
+	'instance-leaving': {number: 601, level: 'info'},
+	'instance-lost': {number: 602, level: 'warn'},
+	'platform-unreachable': {number: 700, level: 'warn'},
+	'platform-reachable': {number: 701, level: 'info'},
+} as const satisfies Record<string, LogEvent>;
+
+export type LogEventName = keyof typeof logEvents;
--- /dev/null
+++ b/src/core/peer/types.ts
@@ -0,0 +1,28 @@
+/**
+Facts that instances tell each other. Of two facts with the same kind and key the
+one with the larger version wins, the origin breaking ties, so that every
+instance arrives at the same value whatever the order of arrival.
+*/
+import {type Demand} from '../placement/types.js';
+import {type Instance, type InstanceId, type TargetId} from '../types.js';
+
+export type FactValue =
+	| {readonly kind: 'instance'; readonly instance: Instance}
+	| {readonly kind: 'configuration'; readonly version: number}
+	| {readonly kind: 'condemned'; readonly contentHash: string}
+	| {readonly kind: 'suspected'; readonly contentHash: string; readonly targetId: TargetId; readonly boot: string}
+	| {readonly kind: 'cleared'; readonly contentHash: string}
+	| {readonly kind: 'isolated'; readonly targetId: TargetId; readonly contentHash: string}
+	| {readonly kind: 'leaving-copy'; readonly targetId: TargetId; readonly model: string; readonly leaving: boolean}
+	| {readonly kind: 'lease'; readonly group: string; readonly holder: InstanceId; readonly epoch: number}
+	| {readonly kind: 'closed-epoch'; readonly group: string; readonly epoch: number}
+	| {readonly kind: 'demand'; readonly demand: readonly Demand[]};
+
+export type FactKind = FactValue['kind'];
+
+export type Fact = {
+	readonly key: string;
+	readonly origin: InstanceId;
+	readonly version: number;
+	readonly value: FactValue;
+};
--- /dev/null
+++ b/src/core/placement/ledger.ts
@@ -0,0 +1,119 @@
+/**
+The memory ledger of one target. What the table's row holds is an upper bound of
+what the engine holds or can come to hold, because an entry is journaled before
+its load order is sent, and leaves the row only when no load order for it can
+still take effect:
+
+- every load order sent for it was answered, and an unload after it was confirmed; or
+- the engine checks fences and confirmed an order with a higher one; or
+- the engine restarted after every sender of an unanswered order was known to have stopped.
+
+On an engine that ignores fences an entry whose load order went unanswered thus
+stays pinned until the engine restarts. `docs/design/0003-memory-ledger.md` has
+the argument.
+*/
+import {type ModelName} from '../types.js';
+import {type LedgerEntry, type LedgerRow} from './types.js';
+
+export type ModelCopy = {
+	readonly model: ModelName;
+	readonly version: number;
+	readonly memoryMb: number;
+};
+
+export function copyName({model, version}: {readonly model: ModelName; readonly version: number}): string {
+	return `${model}@${version}`;
+}
+
+/** Memory that is or may come to be occupied. */
+export function committedMb(row: LedgerRow): number {
+	return row.entries.reduce((sum, {memoryMb}) => sum + memoryMb, 0);
+}
+
+export function findEntry(row: LedgerRow, copy: {readonly model: ModelName; readonly version: number}): LedgerEntry | undefined {
+	return row.entries.find(entry => entry.model === copy.model && entry.version === copy.version);
+}
+
+/** The row with an entry for a load order of the present owner, undefined when the memory does not suffice. */
+export function withLoad(row: LedgerRow, copy: ModelCopy, memoryMb: number): LedgerRow | undefined {
+	const entry = findEntry(row, copy);
+	if (entry) {
+		return replaceEntry(row, {...entry, unansweredEpoch: row.epoch});
+	}
+
+	if (committedMb(row) + copy.memoryMb > memoryMb) {
+		return undefined;
+	}
+
+	return {
+		...row,
+		entries: [...row.entries, {...copy, unansweredEpoch: row.epoch, inheritedEpochs: []}],
+	};
+}
+
+/** The row with a copy that the engine reports though no order for it is known. */
+export function withFound(row: LedgerRow, copy: ModelCopy): LedgerRow {
+	return findEntry(row, copy)
+		? row
+		: {...row, entries: [...row.entries, {...copy, unansweredEpoch: 0, inheritedEpochs: []}]};
+}
+
+/** Every load order of the present owner for this copy was answered. */
+export function withAnswered(row: LedgerRow, copy: ModelCopy): LedgerRow {
+	const entry = findEntry(row, copy);
+	return entry ? replaceEntry(row, {...entry, unansweredEpoch: 0}) : row;
+}
+
+/** An engine that checks fences confirmed an order of the present owner: no earlier order can take effect. */
+export function withBarrier(row: LedgerRow): LedgerRow {
+	return {...row, entries: row.entries.map(entry => ({...entry, inheritedEpochs: []}))};
+}
+
+export function isSettled(entry: LedgerEntry): boolean {
+	return entry.unansweredEpoch === 0 && entry.inheritedEpochs.length === 0;
+}
+
+/** The row without a settled entry. An entry that is not settled stays. */
+export function withoutEntry(row: LedgerRow, copy: {readonly model: ModelName; readonly version: number}): LedgerRow {
+	return {
+		...row,
+		entries: row.entries.filter(entry => entry.model !== copy.model || entry.version !== copy.version || !isSettled(entry)),
+	};
+}
+
+/** The row as a new owner takes it over: whatever was unanswered may still take effect. */
+export function takenOver(row: LedgerRow, epoch: number): LedgerRow {
+	return {
+		...row,
+		epoch,
+		entries: row.entries.map(entry => ({
+			...entry,
+			unansweredEpoch: 0,
+			inheritedEpochs: entry.unansweredEpoch === 0 ? entry.inheritedEpochs : [...entry.inheritedEpochs, entry.unansweredEpoch],
+		})),
+	};
+}
+
+/**
+The row after the engine restarted, empty. Orders of the present owner died with
+the old process, to which they were connected. Those of earlier owners did so only
+if the owner had stopped sending by then.
+*/
+export function restarted(row: LedgerRow, boot: string, isClosed: (epoch: number) => boolean): LedgerRow {
+	return {
+		...row,
+		boot,
+		entries: row.entries.map(entry => ({
+			...entry,
+			unansweredEpoch: 0,
+			inheritedEpochs: entry.inheritedEpochs.filter(epoch => !isClosed(epoch)),
+		})),
+	};
+}
+
+function replaceEntry(row: LedgerRow, replacement: LedgerEntry): LedgerRow {
+	return {
+		...row,
+		entries: row.entries.map(entry => entry.model === replacement.model && entry.version === replacement.version ? replacement : entry),
+	};
+}
--- /dev/null
+++ b/src/core/placement/orders.ts
@@ -0,0 +1,296 @@
+/**
+Sends orders whose entries are journaled, and turns the engines' answers into
+changes of the ledger.
+*/
+import {log, type Context} from '../context.js';
+import {type EventOf} from '../event.js';
+import {publish} from '../peer/facts.js';
+import {noteResident} from '../request/reports.js';
+import {gatewayCapabilities} from './gateways.js';
+import {writeRow} from './journal.js';
+import {
+	copyName, findEntry, isSettled, withAnswered, withBarrier, withLoad, withoutEntry, type ModelCopy,
+} from './ledger.js';
+import {
+	closeEpoch, heldEpoch, holdsLease, zoneGroup,
+} from './lease.js';
+import {type Copy, type Ledger, type OpenOrder} from './state.js';
+import {type LedgerRow, type OrderKind, type OrderOutcome} from './types.js';
+
+const FENCES_PER_EPOCH = 2 ** 20;
+const NOT_SENT_RETRY_MS = 1000;
+const LOST_RETRY_MS = 5000;
+const BUSY_RETRY_MS = 1000;
+const REFUSED_RETRY_MS = 30_000;
+
+/** Time for requests to reach a copy that peers were told to leave, before it is unloaded. */
+const LEAVE_DELAY_MS = 3000;
+
+/** Journals a load; the order is sent when the table has confirmed the entry. */
+export function startLoad(context: Context, ledger: Ledger, copy: ModelCopy, reason: string): boolean {
+	const target = context.state.targets.get(ledger.targetId);
+	if (!target || !ledger.owned || ledger.writing) {
+		return false;
+	}
+
+	const row = withLoad(ledger.row, copy, target.memoryMb);
+	if (!row) {
+		return false;
+	}
+
+	const name = copyName(copy);
+	ledger.copies.set(name, {
+		status: 'ordering',
+		orderId: undefined,
+		unanswered: ledger.copies.get(name)?.unanswered ?? false,
+		retryAtMs: 0,
+		statusSinceMs: context.nowMs,
+		reason,
+	});
+	if (findEntry(ledger.row, copy)?.unansweredEpoch === ledger.row.epoch) {
+		sendPending(context, ledger);
+	} else {
+		writeRow(context, ledger, row);
+	}
+
+	return true;
+}
+
+/** Takes a copy out of routing; it is unloaded once requests had time to end elsewhere. */
+export function startUnload(context: Context, ledger: Ledger, name: string, reason: string): void {
+	const copy = ledger.copies.get(name);
+	if (copy?.status !== 'confirmed') {
+		return;
+	}
+
+	setStatus(context, copy, 'leaving');
+	copy.reason = reason;
+	copy.retryAtMs = context.nowMs + LEAVE_DELAY_MS;
+	setLeaving(context, ledger, name, true);
+}
+
+function setLeaving(context: Context, ledger: Ledger, name: string, leaving: boolean): void {
+	const {model} = parseName(name);
+	const target = context.state.targets.get(ledger.targetId);
+	if (leaving) {
+		target?.leavingCopies.add(model);
+	} else {
+		target?.leavingCopies.delete(model);
+	}
+
+	publish(context, `leaving-copy/${ledger.targetId}/${model}`, {
+		kind: 'leaving-copy', targetId: ledger.targetId, model, leaving,
+	});
+}
+
+export function parseName(name: string): {model: string; version: number} {
+	const at = name.lastIndexOf('@');
+	return {model: name.slice(0, at), version: Number(name.slice(at + 1))};
+}
+
+function setStatus(context: Context, copy: Copy, status: Copy['status']): void {
+	copy.status = status;
+	copy.statusSinceMs = context.nowMs;
+	copy.orderId = undefined;
+}
+
+/** Sends every order of a ledger that is due and may be sent. */
+export function sendPending(context: Context, ledger: Ledger): void {
+	if (!ledger.owned || !holdsLease(context)) {
+		return;
+	}
+
+	for (const [name, copy] of ledger.copies) {
+		if (copy.orderId !== undefined || copy.retryAtMs > context.nowMs) {
+			continue;
+		}
+
+		const entry = findEntry(ledger.row, parseName(name));
+		if (!entry) {
+			continue;
+		}
+
+		const isLoadable = copy.status === 'ordering' && entry.unansweredEpoch === ledger.row.epoch;
+		if (isLoadable && takeLoadToken(context)) {
+			sendOrder(context, ledger, copy, 'load-model', entry);
+		} else if (copy.status === 'leaving' || copy.status === 'unloading') {
+			copy.status = 'unloading';
+			sendOrder(context, ledger, copy, 'unload-model', entry);
+		}
+	}
+}
+
+function sendOrder(context: Context, ledger: Ledger, copy: Copy, kind: OrderKind, {model, version, memoryMb}: ModelCopy): void {
+	const {state, nowMs} = context;
+	const {placement} = state;
+	placement.orderCounter++;
+	const fence = (ledger.row.epoch * FENCES_PER_EPOCH) + placement.orderCounter;
+	const id = `${state.self.id}/${state.self.boot}/${placement.orderCounter}`;
+	copy.orderId = id;
+	const order = {
+		id, kind, model, version, memoryMb, fence,
+	};
+	placement.orders.set(id, {
+		targetId: ledger.targetId, order, epoch: ledger.row.epoch, sentAtMs: nowMs,
+	});
+	const validUntilMs = placement.leases.get(zoneGroup(state.self.zone))?.validUntilMs ?? 0;
+	context.effects.push({
+		kind: 'order', targetId: ledger.targetId, order, validUntilMs,
+	});
+	log(context, 'order-sent', {
+		orderId: id, kind, model, version, targetId: ledger.targetId, reason: copy.reason,
+	});
+}
+
+/**
+Keeps this zone within its share of the weight store's rate and of the loads that
+may be in progress at once. The shares are fixed, so that zones need not talk.
+*/
+function takeLoadToken({state, nowMs}: Context): boolean {
+	const {limits, targets} = state.configuration.configuration;
+	const zones = new Set(Object.values(targets).filter(({memoryMb}) => memoryMb > 0).map(({zone}) => zone)).size;
+	const {placement} = state;
+	const perSecond = limits.weightLoadsPerSecond / Math.max(1, zones);
+	const atOnce = Math.max(1, Math.floor(limits.weightLoadsAtOnce / Math.max(1, zones)));
+	const elapsedMs = nowMs - placement.loadTokensAtMs;
+	placement.loadTokens = Math.min(1, placement.loadTokens + ((elapsedMs / 1000) * perSecond));
+	placement.loadTokensAtMs = nowMs;
+	let loading = 0;
+	for (const {order} of placement.orders.values()) {
+		loading += order.kind === 'load-model' ? 1 : 0;
+	}
+
+	if (placement.loadTokens < 1 || loading >= atOnce) {
+		return false;
+	}
+
+	placement.loadTokens--;
+	return true;
+}
+
+export function handleOrderAnswered(context: Context, event: EventOf<'order-answered'>): void {
+	const {placement, self} = context.state;
+	const open = placement.orders.get(event.orderId);
+	placement.orders.delete(event.orderId);
+	closeEpoch(context, zoneGroup(self.zone));
+	const ledger = open && placement.ledgers.get(open.targetId);
+	if (!open || !ledger || heldEpoch(context) !== open.epoch) {
+		return;
+	}
+
+	const name = copyName(open.order);
+	const copy = ledger.copies.get(name);
+	if (copy?.orderId !== event.orderId) {
+		return;
+	}
+
+	copy.orderId = undefined;
+	const answer: Answered = {
+		ledger, copy, name, open,
+	};
+	answerHandlers[open.order.kind][event.outcome](context, answer);
+	sendPending(context, ledger);
+}
+
+type Answered = {
+	readonly ledger: Ledger;
+	readonly copy: Copy;
+	readonly name: string;
+	readonly open: OpenOrder;
+};
+
+type AnswerHandler = (context: Context, answered: Answered) => void;
+
+const answerHandlers: Readonly<Record<OrderKind, Readonly<Record<OrderOutcome, AnswerHandler>>>> = {
+	'load-model': {
+		done(context, answered) {
+			const {ledger, copy, open} = answered;
+			confirmMove(context, answered);
+			setStatus(context, copy, 'confirmed');
+			noteResident(context, ledger.targetId, answered.name);
+			rewrite(context, ledger, settledRow(context, answered, open.order));
+		},
+		refused(context, answered) {
+			const {ledger, copy, name, open} = answered;
+			ledger.refusedUntilMs.set(name, context.nowMs + REFUSED_RETRY_MS);
+			setStatus(context, copy, 'unloaded');
+			rewrite(context, ledger, withoutEntry(settledRow(context, answered, open.order), open.order));
+		},
+		'not-sent'(context, {copy}) {
+			copy.retryAtMs = context.nowMs + NOT_SENT_RETRY_MS;
+		},
+		lost(context, answered) {
+			noteLost(context, answered);
+		},
+	},
+	'unload-model': {
+		done(context, answered) {
+			const {ledger, copy, open, name} = answered;
+			confirmMove(context, answered);
+			setStatus(context, copy, 'unloaded');
+			setLeaving(context, ledger, name, false);
+			const row = withoutEntry(settledRow(context, answered, open.order), open.order);
+			if (findEntry(row, open.order)) {
+				log(context, 'entry-pinned', {targetId: ledger.targetId, model: open.order.model, memoryMb: open.order.memoryMb});
+			}
+
+			rewrite(context, ledger, row);
+		},
+		refused(context, {copy}) {
+			// The engine still runs requests on the copy.
+			copy.retryAtMs = context.nowMs + BUSY_RETRY_MS;
+		},
+		'not-sent'(context, {copy}) {
+			copy.retryAtMs = context.nowMs + NOT_SENT_RETRY_MS;
+		},
+		lost(context, answered) {
+			noteLost(context, answered);
+		},
+	},
+};
+
+function noteLost(context: Context, {ledger, copy, open}: Answered): void {
+	copy.unanswered ||= open.order.kind === 'load-model';
+	copy.retryAtMs = context.nowMs + LOST_RETRY_MS;
+	log(context, 'order-unresolved', {orderId: open.order.id, targetId: ledger.targetId, model: open.order.model});
+}
+
+/** The row after the engine answered an order: what can no longer take effect is marked as answered. */
+function settledRow(context: Context, {ledger, copy}: Answered, order: ModelCopy): LedgerRow {
+	const target = context.state.targets.get(ledger.targetId);
+	if (target && gatewayCapabilities[target.gateway].checksFencing) {
+		copy.unanswered = false;
+		return withAnswered(withBarrier(ledger.row), order);
+	}
+
+	return copy.unanswered ? ledger.row : withAnswered(ledger.row, order);
+}
+
+/** Journals a row that only frees room or doubt. If that fails, the next plan does it. */
+function rewrite(context: Context, ledger: Ledger, row: LedgerRow): void {
+	if (!ledger.writing) {
+		writeRow(context, ledger, row);
+	}
+}
+
+function confirmMove(context: Context, {ledger, copy, open}: Answered): void {
+	const {order} = open;
+	log(context, 'order-confirmed', {
+		orderId: order.id, kind: order.kind, model: order.model, targetId: ledger.targetId,
+	});
+	context.effects.push({kind: 'count', metric: 'placement.move', tags: {kind: order.kind}});
+	context.state.placement.noteMove({
+		atMs: Math.round(context.nowMs + context.state.wallOffsetMs),
+		kind: order.kind,
+		model: order.model,
+		version: order.version,
+		targetId: ledger.targetId,
+		reason: copy.reason,
+	});
+}
+
+/** Whether a copy's room could be given to another model after an unload. */
+export function isRemovable(ledger: Ledger, name: string): boolean {
+	const entry = findEntry(ledger.row, parseName(name));
+	return entry !== undefined && isSettled(entry);
+}
--- /dev/null
+++ b/src/core/request/admission.ts
@@ -0,0 +1,176 @@
+/**
+Admission: from an arrival to a place in the route's queue. A request is refused
+here only for its own mistakes, for a deadline that the queue cannot meet, or for
+having crashed targets before.
+*/
+import {callerOf} from '../configuration/index.js';
+import {LINGER_MS} from '../membership/drain.js';
+import {count, type Context} from '../context.js';
+import {type Arrival, type EventOf} from '../event.js';
+import {type Ran, type ResultName} from '../result-codes.js';
+import {requestClaim, startClaim} from './claims.js';
+import {refuse} from './closing.js';
+import {expectedWaitMs} from './queueing.js';
+import {dispatchRoute} from './dispatch.js';
+import {readKey, resolveRoute} from './resolve.js';
+import {holdSuspect, isCondemned} from './suspects.js';
+import {type Claim, type OpenRequest, type ResolvedRoute} from './types.js';
+
+const RETRY_EARNED_PER_REQUEST = 0.2;
+const RETRY_BUDGET_MAX = 100;
+const FIRST_JOIN_DELAY_MS = 100;
+
+export function handleArrival(context: Context, event: EventOf<'request-arrived'>): void {
+	const {state} = context;
+	const {arrival} = event;
+	if (isClosedToArrivals(context)) {
+		refuseArrival(context, arrival, {code: 'stopping'});
+		return;
+	}
+
+	const caller = callerId(context, arrival);
+	if (caller === undefined) {
+		refuseArrival(context, arrival, {code: 'caller-unknown'});
+		return;
+	}
+
+	resolveRoute(state.configuration, arrival).caseOf({
+		Left(refusal) {
+			refuseArrival(context, arrival, refusal);
+		},
+		Right(resolved) {
+			open(context, arrival, caller, resolved);
+		},
+	});
+}
+
+function open(context: Context, arrival: Arrival, caller: string, resolved: ResolvedRoute): void {
+	const {state, nowMs} = context;
+	if (isCondemned(context, arrival.contentHash)) {
+		refuseArrival(context, arrival, {code: 'crash-refused'});
+		return;
+	}
+
+	if (arrival.deadlineMs !== undefined && arrival.deadlineMs <= 0) {
+		refuseArrival(context, arrival, {code: 'deadline-impossible'});
+		return;
+	}
+
+	let claim: Claim | undefined;
+	if (resolved.key) {
+		const key = readKey(resolved.key, arrival);
+		if (key.isLeft()) {
+			refuseArrival(context, arrival, key.extract());
+			return;
+		}
+
+		claim = startClaim(context, caller, resolved.route, key.extract() as string);
+	}
+
+	const priority = arrival.priority ?? resolved.priority ?? callerOf(state.configuration.configuration, caller).priority;
+	const request: OpenRequest = {
+		id: arrival.id,
+		caller,
+		route: resolved.route,
+		model: resolved.model,
+		adapter: resolved.adapter,
+		stream: arrival.destination.kind === 'model' && arrival.destination.stream,
+		priority,
+		repeat: resolved.repeat,
+		answerRetentionMs: resolved.answerRetentionMs,
+		contentHash: arrival.contentHash,
+		prefixHash: arrival.prefixHash,
+		arrivedAtMs: nowMs,
+		deadlineAtMs: nowMs + (arrival.deadlineMs ?? state.configuration.configuration.limits.deadlineMs[priority]),
+		claim,
+		tries: [],
+		phase: 'claiming',
+		delivered: 0,
+		ran: 'no',
+		callerLeft: false,
+		enqueuedAtMs: nowMs,
+		round: 0,
+		timerSequence: 0,
+		joinDelayMs: FIRST_JOIN_DELAY_MS,
+	};
+	state.requests.open.set(request.id, request);
+	state.requests.retryBudget = Math.min(RETRY_BUDGET_MAX, state.requests.retryBudget + RETRY_EARNED_PER_REQUEST);
+	const route = state.requests.route(request.route);
+	route.arrivals++;
+	count(context, 'request.arrived', {priority});
+	state.timers.set(request.deadlineAtMs, {kind: 'deadline', requestId: request.id});
+	if (claim) {
+		requestClaim(context, request);
+	} else {
+		admit(context, request);
+	}
+}
+
+/** Puts a request that may run into its queue, or refuses it if it would wait past its deadline. */
+export function admit(context: Context, request: OpenRequest): void {
+	const {state, nowMs} = context;
+	if (holdSuspect(context, request)) {
+		return;
+	}
+
+	const route = state.requests.route(request.route);
+	const waitMs = expectedWaitMs(route, request.priority);
+	const remainingMs = request.deadlineAtMs - nowMs;
+	if (waitMs > 0 && waitMs + route.service.meanMs > remainingMs) {
+		refuse(context, request, {code: 'deadline-unreachable', retryAfterMs: waitMs});
+		return;
+	}
+
+	enqueue(context, request);
+	dispatchRoute(context, request.route);
+}
+
+function enqueue(context: Context, request: OpenRequest): void {
+	const {state, nowMs} = context;
+	const route = state.requests.route(request.route);
+	request.phase = 'queued';
+	request.enqueuedAtMs = nowMs;
+	request.timerSequence++;
+	route.queue.push(request, callerOf(state.configuration.configuration, request.caller).weight);
+	// Past this moment the answer would be late, so the caller is told at once.
+	const lastStartMs = request.deadlineAtMs - route.service.meanMs;
+	state.timers.set(Math.max(nowMs, lastStartMs), {kind: 'request', requestId: request.id, sequence: request.timerSequence});
+}
+
+/** A queued request whose last useful start has passed. */
+export function handleQueueTimeout(context: Context, request: OpenRequest): void {
+	if (request.phase !== 'queued') {
+		return;
+	}
+
+	const route = context.state.requests.route(request.route);
+	refuse(context, request, {
+		code: 'deadline-unreachable',
+		retryAfterMs: Math.max(expectedWaitMs(route, request.priority), route.service.meanMs),
+	});
+}
+
+function callerId({state}: Context, arrival: Arrival): string | undefined {
+	const {index} = state.configuration;
+	return arrival.tokenSha256 === undefined
+		? index.openCaller
+		: index.callersByToken.get(arrival.tokenSha256);
+}
+
+/** A leaving instance serves what still arrives until the balancer had time to take note. */
+function isClosedToArrivals({state, nowMs}: Context): boolean {
+	return state.lifecycle === 'stopped' || (state.lifecycle === 'draining' && nowMs - state.drainSinceMs >= LINGER_MS);
+}
+
+type ArrivalRefusal = {
+	readonly code: ResultName;
+	readonly detail?: string;
+	readonly ran?: Ran;
+};
+
+function refuseArrival(context: Context, arrival: Arrival, {code, detail, ran = 'no'}: ArrivalRefusal): void {
+	context.effects.push({
+		kind: 'refuse', requestId: arrival.id, code, ran, detail,
+	});
+	count(context, 'request.refused', {code});
+}
--- /dev/null
+++ b/src/core/request/claims.ts
@@ -0,0 +1,309 @@
+/**
+Claims on work that runs at most once. The claim is a row in the platform's table,
+inserted before anything is sent. Nobody takes over a claim that is open, so no
+pause, lease or clock can make the work run twice. A claim is taken again only
+after its row says `released`, which its holder writes when it is certain that
+nothing was sent and nothing will be.
+*/
+import {
+	jitter, log, uniqueToken, type Context,
+} from '../context.js';
+import {type EventOf} from '../event.js';
+import {startTable, type TableStepOf} from '../table-steps.js';
+import {type Row, type TableAnswer} from '../table.js';
+import {type RequestId, type RouteId} from '../types.js';
+import {admit} from './admission.js';
+import {refuse, replay} from './closing.js';
+import {type Claim, type ClaimRow, type OpenRequest} from './types.js';
+
+const RETRY_DELAY_MS = 100;
+const RETRY_DELAY_MAX_MS = 2000;
+const JOIN_DELAY_MAX_MS = 2000;
+const RECORD_MARGIN_MS = 60 * 60 * 1000;
+
+/** Draws the claim of an arriving request. `requestClaim` then writes it. */
+export function startClaim(context: Context, caller: string, route: RouteId, key: string): Claim {
+	return {
+		key: `claim/${caller}/${route}/${key}`,
+		token: uniqueToken(context),
+		revision: 0,
+		ambiguous: false,
+		inserting: false,
+		retries: 0,
+	};
+}
+
+/** Inserts the claim, or joins the request of this instance that holds it. */
+export function requestClaim(context: Context, request: OpenRequest): void {
+	const {localClaims} = context.state.requests;
+	const {claim} = request;
+	if (!claim) {
+		return;
+	}
+
+	const held = localClaims.get(claim.key);
+	if (held) {
+		joinLocal(context, request, held.holder);
+		return;
+	}
+
+	localClaims.set(claim.key, {holder: request.id, token: claim.token, joiners: new Set()});
+	request.phase = 'claiming';
+	insertClaim(context, request, 0);
+}
+
+function joinLocal(context: Context, request: OpenRequest, holder: RequestId): void {
+	const {requests} = context.state;
+	const open = requests.open.get(holder);
+	if (open && open.contentHash !== request.contentHash) {
+		refuse(context, request, {code: 'key-reused', ran: 'no'});
+		return;
+	}
+
+	request.phase = 'joining';
+	requests.localClaims.get(request.claim?.key ?? '')?.joiners.add(request.id);
+}
+
+/** Writes the claim on condition that the row still has the given revision. */
+function insertClaim(context: Context, request: OpenRequest, revision: number): void {
+	const claim = request.claim!;
+	claim.inserting = true;
+	startTable(context, {
+		kind: 'write',
+		conditions: [{key: claim.key, revision}],
+		puts: [{key: claim.key, value: openRow(context, request, claim), expiresAtMs: expiryMs(context, request)}],
+	}, {kind: 'claim-insert', requestId: request.id});
+}
+
+function openRow({state}: Context, request: OpenRequest, claim: Claim): ClaimRow {
+	return {
+		token: claim.token,
+		claimant: state.self.id,
+		claimantBoot: state.self.boot,
+		bodyHash: request.contentHash,
+		state: 'open',
+	};
+}
+
+/** Wall-clock time after which the platform may delete the claim's row. */
+export function expiryMs({state, nowMs}: Context, request: OpenRequest): number {
+	const longest = Math.max(request.answerRetentionMs, request.deadlineAtMs - request.arrivedAtMs) + RECORD_MARGIN_MS;
+	return Math.round(nowMs + state.wallOffsetMs + longest);
+}
+
+type ClaimAnswerHandlers = {
+	readonly [Kind in TableAnswer['kind']]: (context: Context, request: OpenRequest, answer: Extract<TableAnswer, {kind: Kind}>) => void;
+};
+
+const insertAnswers: ClaimAnswerHandlers = {
+	written(context, request, answer) {
+		const claim = request.claim!;
+		claim.revision = answer.revisions[claim.key] ?? 0;
+		admit(context, request);
+	},
+	conflict(context, request, answer) {
+		examine(context, request, answer.rows[0]);
+	},
+	lost(context, request) {
+		const claim = request.claim!;
+		claim.ambiguous = true;
+		log(context, 'claim-ambiguous', {requestId: request.id});
+		readClaim(context, request);
+	},
+	unavailable(context, request) {
+		retryLater(context, request);
+	},
+	rows() {
+		// A write is never answered with rows.
+	},
+};
+
+const readAnswers: ClaimAnswerHandlers = {
+	rows(context, request, answer) {
+		examine(context, request, answer.rows[0]);
+	},
+	written() {
+		// A read is never answered so.
+	},
+	conflict() {
+		// A read is never answered so.
+	},
+	lost(context, request) {
+		retryLater(context, request);
+	},
+	unavailable(context, request) {
+		retryLater(context, request);
+	},
+};
+
+export function handleClaimInsert(context: Context, step: TableStepOf<'claim-insert'>, event: EventOf<'table-answered'>): void {
+	const claim = context.state.requests.open.get(step.requestId)?.claim;
+	if (claim) {
+		claim.inserting = false;
+	}
+
+	dispatchAnswer(context, step.requestId, insertAnswers, event.answer);
+}
+
+export function handleClaimRead(context: Context, step: TableStepOf<'claim-read'>, event: EventOf<'table-answered'>): void {
+	dispatchAnswer(context, step.requestId, readAnswers, event.answer);
+}
+
+function dispatchAnswer(context: Context, requestId: RequestId, handlers: ClaimAnswerHandlers, answer: TableAnswer): void {
+	const request = context.state.requests.open.get(requestId);
+	if (request?.phase === 'claiming') {
+		const handler = handlers[answer.kind] as (context: Context, request: OpenRequest, answer: TableAnswer) => void;
+		handler(context, request, answer);
+	}
+}
+
+function readClaim(context: Context, request: OpenRequest): void {
+	const claim = request.claim!;
+	startTable(context, {kind: 'read', keys: [claim.key]}, {kind: 'claim-read', requestId: request.id});
+}
+
+/** Tries again after a while: a read first if a write may have taken effect. */
+function retryLater(context: Context, request: OpenRequest): void {
+	const claim = request.claim!;
+	claim.retries++;
+	request.timerSequence++;
+	const delayMs = Math.min(RETRY_DELAY_MAX_MS, RETRY_DELAY_MS * (2 ** Math.min(claim.retries, 10)));
+	context.state.timers.set(context.nowMs + jitter(context, delayMs), {
+		kind: 'claim-retry',
+		requestId: request.id,
+		sequence: request.timerSequence,
+	});
+}
+
+export function handleClaimRetry(context: Context, request: OpenRequest): void {
+	if (request.phase === 'joining') {
+		readJoined(context, request);
+		return;
+	}
+
+	if (request.phase !== 'claiming') {
+		return;
+	}
+
+	if (request.claim?.ambiguous) {
+		readClaim(context, request);
+	} else {
+		insertClaim(context, request, 0);
+	}
+}
+
+/** Decides by the claim's row as it stands in the table. */
+function examine(context: Context, request: OpenRequest, row: Row | undefined): void {
+	const claim = request.claim!;
+	const value = row?.value as ClaimRow | undefined;
+	if (!row || row.revision === 0 || !value) {
+		insertClaim(context, request, 0);
+		return;
+	}
+
+	if (value.token === claim.token && value.state === 'open') {
+		claim.revision = row.revision;
+		admit(context, request);
+		return;
+	}
+
+	if (value.bodyHash !== request.contentHash && value.state !== 'released') {
+		leaveClaim(context, request);
+		refuse(context, request, {code: 'key-reused', ran: 'no'});
+		return;
+	}
+
+	rowHandlers[value.state](context, request, row, value);
+}
+
+type RowHandler = (context: Context, request: OpenRequest, row: Row, value: ClaimRow) => void;
+
+const rowHandlers: Readonly<Record<ClaimRow['state'], RowHandler>> = {
+	open(context, request, _row, value) {
+		leaveClaim(context, request);
+		joinRemote(context, request, value);
+	},
+	done(context, request, _row, value) {
+		leaveClaim(context, request);
+		if (value.answer) {
+			replay(context, request, value.answer);
+		} else {
+			refuse(context, request, {code: 'outcome-unknown', ran: 'yes'});
+		}
+	},
+	released(context, request, row) {
+		insertClaim(context, request, row.revision);
+	},
+	unknown(context, request) {
+		leaveClaim(context, request);
+		refuse(context, request, {code: 'outcome-unknown', ran: 'unknown'});
+	},
+};
+
+/** Waits for another instance's run, unless that instance is gone and can no longer record it. */
+function joinRemote(context: Context, request: OpenRequest, value: ClaimRow): void {
+	if (context.state.membership.isGone(value.claimant, value.claimantBoot)) {
+		request.phase = 'joining';
+		refuse(context, request, {code: 'outcome-unknown', ran: 'unknown'});
+		return;
+	}
+
+	request.phase = 'joining';
+	request.joinDelayMs = Math.min(JOIN_DELAY_MAX_MS, request.joinDelayMs * 2);
+	request.timerSequence++;
+	context.state.timers.set(context.nowMs + jitter(context, request.joinDelayMs), {
+		kind: 'claim-retry',
+		requestId: request.id,
+		sequence: request.timerSequence,
+	});
+}
+
+function readJoined(context: Context, request: OpenRequest): void {
+	const claim = request.claim!;
+	startTable(context, {kind: 'read', keys: [claim.key]}, {kind: 'claim-join', requestId: request.id});
+}
+
+export function handleClaimJoin(context: Context, step: TableStepOf<'claim-join'>, event: EventOf<'table-answered'>): void {
+	const request = context.state.requests.open.get(step.requestId);
+	if (request?.phase !== 'joining') {
+		return;
+	}
+
+	if (event.answer.kind !== 'rows') {
+		retryLater(context, request);
+		return;
+	}
+
+	const row = event.answer.rows[0];
+	const value = row?.value as ClaimRow | undefined;
+	if (!row || !value || value.state === 'released') {
+		// The earlier run was given up before anything was sent: this one may run.
+		requestClaim(context, request);
+		return;
+	}
+
+	rowHandlers[value.state](context, request, row, value);
+}
+
+/** Stops holding the claim on this instance; those who joined go their own way. */
+export function leaveClaim(context: Context, request: OpenRequest): void {
+	const {localClaims} = context.state.requests;
+	const key = request.claim?.key ?? '';
+	const held = localClaims.get(key);
+	if (held?.holder !== request.id) {
+		return;
+	}
+
+	localClaims.delete(key);
+	wakeJoiners(context, held.joiners);
+}
+
+/** Lets requests that waited for a local holder look at the table for themselves. */
+export function wakeJoiners(context: Context, joiners: ReadonlySet<RequestId>): void {
+	for (const id of joiners) {
+		const request = context.state.requests.open.get(id);
+		if (request?.phase === 'joining') {
+			requestClaim(context, request);
+		}
+	}
+}
--- /dev/null
+++ b/src/core/request/closing.ts
@@ -0,0 +1,77 @@
+/**
+Ends requests: gives callers their final answer and forgets what was open.
+*/
+import {count, log, type Context} from '../context.js';
+import {type Ran, type ResultName} from '../result-codes.js';
+import {releaseClaim, settleUnknown} from './settlements.js';
+import {type ClosedRequest, type OpenRequest, type RecordedAnswer} from './types.js';
+
+export type RefusalOptions = {
+	readonly code: ResultName;
+	readonly retryAfterMs?: number;
+	readonly detail?: string;
+	readonly ran?: Ran;
+};
+
+/**
+Gives the caller a problem answer and closes the request. If nothing can have
+run, the claim is released, so that a repeat may run; otherwise the claim is
+settled as unknown.
+*/
+export function refuse(context: Context, request: OpenRequest, options: RefusalOptions): void {
+	const ran = options.ran ?? request.ran;
+	context.effects.push({
+		kind: 'refuse',
+		requestId: request.id,
+		code: options.code,
+		ran,
+		retryAfterMs: options.retryAfterMs,
+		detail: options.detail,
+	});
+	log(context, 'request-refused', {requestId: request.id, code: options.code, ran});
+	count(context, 'request.refused', {code: options.code});
+	const joining = request.phase === 'joining';
+	close(context, request, options.code, ran);
+	if (request.claim && !joining) {
+		if (ran === 'no') {
+			releaseClaim(context, request);
+		} else {
+			settleUnknown(context, request);
+		}
+	}
+}
+
+/** Gives the caller the recorded answer of an earlier run. */
+export function replay(context: Context, request: OpenRequest, answer: RecordedAnswer): void {
+	context.effects.push({kind: 'replay', requestId: request.id, answer});
+	close(context, request, 'replayed', 'yes');
+}
+
+/** Forgets a request whose caller has its final answer or is gone. */
+export function close(context: Context, request: OpenRequest, outcome: ClosedRequest['outcome'], ran: Ran): void {
+	const {requests} = context.state;
+	const wasQueued = request.phase === 'queued';
+	request.phase = 'detached';
+	if (wasQueued) {
+		requests.route(request.route).queue.forget(request);
+	}
+
+	requests.open.delete(request.id);
+	const key = request.claim?.key;
+	if (key !== undefined) {
+		requests.localClaims.get(key)?.joiners.delete(request.id);
+	}
+
+	count(context, 'request.closed', {outcome, priority: request.priority});
+	requests.closed.set(request.id, {
+		id: request.id,
+		route: request.route,
+		caller: request.caller,
+		priority: request.priority,
+		arrivedAtMs: request.arrivedAtMs,
+		closedAtMs: context.nowMs,
+		outcome,
+		ran,
+		tries: request.tries,
+	});
+}
--- /dev/null
+++ b/src/core/request/dispatch.ts
@@ -0,0 +1,78 @@
+/**
+Moves requests from queues to targets: after an arrival for one route, after a
+target gained room for all routes that it serves.
+*/
+import {type Context} from '../context.js';
+import {modelRoute, serviceRoute} from '../configuration/index.js';
+import {type RouteId} from '../types.js';
+import {priorities} from './fair-queue.js';
+import {noteDeparture} from './queueing.js';
+import {canTake, selectTarget} from './selection.js';
+import {type RouteState} from './state.js';
+import {isUsable, type Target} from './target.js';
+import {sendTry} from './tries.js';
+import {type OpenRequest} from './types.js';
+
+/** Serves one route's queue while there is room. */
+export function dispatchRoute(context: Context, id: RouteId): void {
+	const route = context.state.requests.route(id);
+	for (const priority of priorities) {
+		for (;;) {
+			const request = route.queue.peek(priority);
+			const target = request && selectTarget(context, request);
+			if (!target) {
+				break;
+			}
+
+			depart(context, route, request, target);
+		}
+	}
+}
+
+/** Fills one target from the queues of all routes that it serves, most urgent request first. */
+export function dispatchTarget(context: Context, target: Target): void {
+	while (isUsable(target)) {
+		const found = nextFor(context, target);
+		if (!found) {
+			return;
+		}
+
+		depart(context, found.route, found.request, target);
+	}
+}
+
+type Found = {
+	readonly route: RouteState;
+	readonly request: OpenRequest;
+};
+
+function nextFor({state}: Context, target: Target): Found | undefined {
+	for (const priority of priorities) {
+		let best: Found | undefined;
+		for (const id of routesOf(target)) {
+			const route = state.requests.routes.get(id);
+			const request = route && route.queue.waitingOf(priority) > 0 ? route.queue.peek(priority) : undefined;
+			if (route && request && canTake(target, request) && (!best || request.deadlineAtMs < best.request.deadlineAtMs)) {
+				best = {route, request};
+			}
+		}
+
+		if (best) {
+			return best;
+		}
+	}
+
+	return undefined;
+}
+
+function routesOf(target: Target): readonly RouteId[] {
+	return target.gateway === 'plain'
+		? [serviceRoute(target.service)]
+		: [...target.resident].map(copy => modelRoute(copy.slice(0, copy.lastIndexOf('@'))));
+}
+
+function depart(context: Context, route: RouteState, request: OpenRequest, target: Target): void {
+	route.queue.take(request.priority);
+	noteDeparture(route, context.nowMs);
+	sendTry(context, request, target, {kind: 'whole'});
+}
--- /dev/null
+++ b/src/core/request/estimate.ts
@@ -0,0 +1,41 @@
+/**
+Running estimate of a duration from samples: smoothed mean and deviation, as TCP
+estimates its round trip (RFC 6298, https://www.rfc-editor.org/rfc/rfc6298).
+*/
+
+const MEAN_GAIN = 1 / 8;
+const DEVIATION_GAIN = 1 / 4;
+const LIMIT_DEVIATIONS = 4;
+
+export type Estimate = {
+	samples: number;
+	meanMs: number;
+	deviationMs: number;
+};
+
+export function emptyEstimate(): Estimate {
+	return {samples: 0, meanMs: 0, deviationMs: 0};
+}
+
+export function addSample(estimate: Estimate, sampleMs: number): void {
+	estimate.samples++;
+	if (estimate.samples === 1) {
+		estimate.meanMs = sampleMs;
+		estimate.deviationMs = sampleMs / 2;
+		return;
+	}
+
+	const error = sampleMs - estimate.meanMs;
+	estimate.meanMs += MEAN_GAIN * error;
+	estimate.deviationMs += DEVIATION_GAIN * (Math.abs(error) - estimate.deviationMs);
+}
+
+/** A duration that a sample rarely exceeds, kept between the two bounds. */
+export function upperLimitMs(estimate: Estimate, bounds: {readonly leastMs: number; readonly mostMs: number}): number {
+	if (estimate.samples === 0) {
+		return bounds.mostMs;
+	}
+
+	const limitMs = estimate.meanMs + (LIMIT_DEVIATIONS * estimate.deviationMs);
+	return Math.min(bounds.mostMs, Math.max(bounds.leastMs, limitMs));
+}
--- /dev/null
+++ b/src/core/request/reports.ts
@@ -0,0 +1,153 @@
+/**
+What targets report of themselves, and what probes find: load, resident copies,
+restarts and health.
+*/
+import {log, type Context} from '../context.js';
+import {type EventOf} from '../event.js';
+import {type ModelName, type TargetId} from '../types.js';
+import {dispatchTarget} from './dispatch.js';
+import {continueIsolation} from './suspects.js';
+import {createTarget, estimatedTotal, type Target} from './target.js';
+import {resolveBroken, resolveSilent} from './tries.js';
+
+const UTILISATION_GAIN = 0.2;
+
+/** Brings the targets in line with the configuration in force. */
+export function reconcileTargets(context: Context): void {
+	const {state} = context;
+	const configured = state.configuration.configuration.targets;
+	for (const [id, wanted] of Object.entries(configured)) {
+		const target = state.targets.get(id);
+		if (target) {
+			const {zone, service, gateway, memoryMb, accelerators, slots} = wanted;
+			Object.assign(target, {
+				zone, service, gateway, memoryMb, accelerators, slots,
+			});
+		} else {
+			state.targets.set(id, createTarget(id, wanted));
+		}
+	}
+
+	for (const [id, target] of state.targets) {
+		if (!configured[id]) {
+			target.leaving = true;
+			if (target.inFlight.size === 0) {
+				setResident(context, target, new Set());
+				state.targets.delete(id);
+			}
+		}
+	}
+
+	for (const target of state.targets.values()) {
+		refreshRoutes(context, target);
+	}
+}
+
+export function handleReport(context: Context, event: EventOf<'target-reported'>): void {
+	const target = context.state.targets.get(event.targetId);
+	if (!target) {
+		return;
+	}
+
+	const {report} = event;
+	const hasRestarted = target.boot !== '' && report.boot !== '' && report.boot !== target.boot;
+	if (hasRestarted) {
+		log(context, 'target-restarted', {targetId: target.id});
+		resolveBroken(context, target, true);
+	}
+
+	target.boot = report.boot;
+	target.reportedAtMs = context.nowMs;
+	target.reportedTotal = report.running + report.waiting;
+	target.ownAtReport = target.inFlight.size;
+	target.adapters = new Set(report.adapters);
+	target.leaving = report.leaving ?? false;
+	target.utilisation += UTILISATION_GAIN * ((estimatedTotal(target) / target.slots) - target.utilisation);
+	setHealth(context, target, 'up');
+	setResident(context, target, new Set(report.models));
+	continueIsolation(context, target);
+	dispatchTarget(context, target);
+}
+
+/** No report came, on new connections too. */
+export function handleTargetSilent(context: Context, event: EventOf<'target-silent'>): void {
+	const target = context.state.targets.get(event.targetId);
+	if (target) {
+		setHealth(context, target, target.health === 'up' ? 'suspect' : 'down');
+	}
+}
+
+/**
+A probe on a new connection tells a connection at fault from a target at fault: a
+target that answers is not demoted, one that refuses connections has crashed.
+*/
+export function handleProbe(context: Context, event: EventOf<'probe-answered'>): void {
+	const target = context.state.targets.get(event.targetId);
+	if (!target) {
+		return;
+	}
+
+	target.probing = false;
+	const hasRestarted = event.boot !== undefined && target.boot !== '' && event.boot !== target.boot;
+	const hasCrashed = event.result === 'refused' || hasRestarted;
+	if (event.result !== 'answered') {
+		setHealth(context, target, event.result === 'refused' ? 'down' : 'suspect');
+	}
+
+	resolveBroken(context, target, hasCrashed);
+	resolveSilent(context, target, event.result === 'answered');
+	dispatchTarget(context, target);
+}
+
+function setHealth(context: Context, target: Target, health: Target['health']): void {
+	if (target.health === health) {
+		return;
+	}
+
+	log(context, health === 'up' ? 'target-recovered' : 'target-suspected', {targetId: target.id, health});
+	target.health = health;
+}
+
+/** An order was confirmed: the copy answers requests before the next report says so. */
+export function noteResident(context: Context, targetId: TargetId, name: string): void {
+	const target = context.state.targets.get(targetId);
+	if (target && !target.resident.has(name)) {
+		setResident(context, target, new Set([...target.resident, name]));
+		dispatchTarget(context, target);
+	}
+}
+
+function setResident(context: Context, target: Target, resident: ReadonlySet<string>): void {
+	const before = target.resident;
+	if (before.size === resident.size && [...resident].every(name => before.has(name))) {
+		return;
+	}
+
+	target.resident = resident;
+	refreshRoutes(context, target, before);
+}
+
+/** Renews the routes of all models that are or were resident on a target. */
+function refreshRoutes(context: Context, target: Target, before: ReadonlySet<string> = new Set()): void {
+	for (const name of new Set([...before, ...target.resident])) {
+		refreshModel(context, name.slice(0, name.lastIndexOf('@')));
+	}
+}
+
+/** Targets with the configured version serve a model; while there is none, any version does. */
+function refreshModel({state}: Context, model: ModelName): void {
+	const version = state.configuration.configuration.models[model]?.version;
+	const current: TargetId[] = [];
+	const other: TargetId[] = [];
+	const candidates = new Set([...state.residentTargets.get(model) ?? [], ...state.targets.keys()]);
+	for (const id of candidates) {
+		const resident = state.targets.get(id)?.resident;
+		if (resident?.has(`${model}@${version}`)) {
+			current.push(id);
+		} else if (resident && [...resident].some(name => name.startsWith(`${model}@`))) {
+			other.push(id);
+		}
+	}
+
+	state.residentTargets.set(model, (current.length > 0 ? current : other).toSorted((a, b) => a.localeCompare(b)));
+}
--- /dev/null
+++ b/src/core/request/selection.ts
@@ -0,0 +1,103 @@
+/**
+Chooses the target of a try. A few candidates are looked at, never all, so that
+the cost does not grow with their number and instances with the same lagging
+reports do not all choose the same target.
+*/
+import fnv1a from '@sindresorhus/fnv1a';
+import {randomBelow, type Context} from '../context.js';
+import {type State} from '../state.js';
+import {type TargetId} from '../types.js';
+import {estimatedTotal, hasRoom, type Target} from './target.js';
+import {type OpenRequest} from './types.js';
+
+const CHOICES = 3;
+
+/** Candidates looked at before a request is queued, however many serve its route. */
+const MAX_LOOKS = 8;
+
+/** Costs in shares of a target's slots: what a drawback must save in load to be worth it. */
+const OTHER_ZONE_COST = 0.25;
+const SUSPECT_COST = 1;
+const ADAPTER_TRANSFER_COST = 0.15;
+const PREFIX_GAIN = 0.3;
+
+/** A target whose share of slots in use is above this gains nothing from its prefix cache. */
+const PREFIX_LOAD_BOUND = 0.75;
+
+const noTargets: readonly TargetId[] = [];
+
+/** The targets that can serve the request's route. */
+export function routeTargets(state: State, request: OpenRequest): readonly TargetId[] {
+	const found = request.model === undefined
+		? state.configuration.index.targetsByService.get(request.route.slice('service:'.length))
+		: state.residentTargets.get(request.model);
+	return found ?? noTargets;
+}
+
+/**
+The best of a few candidates with room, undefined when none has any. Targets that
+failed an earlier try are taken only when every other one is without room.
+*/
+export function selectTarget(context: Context, request: OpenRequest): Target | undefined {
+	const candidates = routeTargets(context.state, request);
+	let best: Target | undefined;
+	let bestCost = Number.POSITIVE_INFINITY;
+	const consider = (index: number, gain: number) => {
+		const target = context.state.targets.get(candidates[index] ?? '');
+		if (!target || !canTake(target, request)) {
+			return;
+		}
+
+		const cost = targetCost(context, target, request) - (isLightlyLoaded(target) ? gain : 0);
+		if (cost < bestCost) {
+			best = target;
+			bestCost = cost;
+		}
+	};
+
+	if (request.prefixHash !== undefined && candidates.length > 0) {
+		consider(Number(fnv1a(request.prefixHash, {size: 32})) % candidates.length, PREFIX_GAIN);
+	}
+
+	const offset = randomBelow(context, candidates.length);
+	const looks = Math.min(candidates.length, MAX_LOOKS);
+	for (let step = 0; step < looks; step++) {
+		if (step >= CHOICES && best) {
+			break;
+		}
+
+		consider((offset + step) % candidates.length, 0);
+	}
+
+	return best;
+}
+
+export function canTake(target: Target, request: OpenRequest): boolean {
+	return hasRoom(target, request.priority)
+		&& (request.model === undefined || !target.leavingCopies.has(request.model));
+}
+
+function targetCost({state}: Context, target: Target, request: OpenRequest): number {
+	let cost = (estimatedTotal(target) + 1) / target.slots;
+	if (target.zone !== state.self.zone) {
+		cost += OTHER_ZONE_COST;
+	}
+
+	if (target.health === 'suspect') {
+		cost += SUSPECT_COST;
+	}
+
+	if (request.adapter !== undefined && !target.adapters.has(request.adapter)) {
+		cost += ADAPTER_TRANSFER_COST;
+	}
+
+	if (request.tries.some(earlier => earlier.targetId === target.id && earlier.ended !== 'silent')) {
+		cost += SUSPECT_COST;
+	}
+
+	return cost;
+}
+
+function isLightlyLoaded(target: Target): boolean {
+	return estimatedTotal(target) / target.slots <= PREFIX_LOAD_BOUND;
+}
--- /dev/null
+++ b/src/core/request/settlements.ts
@@ -0,0 +1,219 @@
+/**
+Settlements: the final state of a claim on its way into the table. The caller is
+not kept waiting for it. While the table cannot be reached, peers keep copies, so
+that the loss of one instance loses no answer and leaves no released key stuck.
+Writing a settlement twice, or by several instances, has the effect of once.
+*/
+import {jitter, log, type Context} from '../context.js';
+import {type EventOf, type Settlement} from '../event.js';
+import {startTable, type TableStepOf} from '../table-steps.js';
+import {type Row} from '../table.js';
+import {expiryMs, wakeJoiners} from './claims.js';
+import {refuse, replay} from './closing.js';
+import {type OpenSettlement} from './state.js';
+import {type ClaimRow, type OpenRequest, type RecordedAnswer} from './types.js';
+
+const RETRY_DELAY_MS = 250;
+const RETRY_DELAY_MAX_MS = 10_000;
+
+/** Peers that keep a settlement beside its owner while the table is out of reach. */
+const HOLDERS = 2;
+
+/** The run ended with a whole answer. */
+export function settleDone(context: Context, request: OpenRequest, answer: RecordedAnswer): void {
+	settle(context, request, 'done', answer);
+	for (const joiner of takeJoiners(context, request)) {
+		replay(context, joiner, answer);
+	}
+}
+
+/** The run may have taken place, and nobody will learn how it ended. */
+export function settleUnknown(context: Context, request: OpenRequest): void {
+	settle(context, request, 'unknown');
+	for (const joiner of takeJoiners(context, request)) {
+		refuse(context, joiner, {code: 'outcome-unknown', ran: 'unknown'});
+	}
+}
+
+/** Nothing was sent and nothing will be: a repeat may run. */
+export function releaseClaim(context: Context, request: OpenRequest): void {
+	const {claim} = request;
+	const {localClaims} = context.state.requests;
+	const held = claim && localClaims.get(claim.key);
+	if (!claim || held?.holder !== request.id) {
+		return;
+	}
+
+	localClaims.delete(claim.key);
+	// Without any write that may have taken effect there is no row to release.
+	if (claim.revision > 0 || claim.ambiguous || claim.inserting) {
+		settle(context, request, 'released');
+		log(context, 'claim-released', {requestId: request.id});
+	}
+
+	wakeJoiners(context, held.joiners);
+}
+
+function takeJoiners(context: Context, request: OpenRequest): OpenRequest[] {
+	const {requests} = context.state;
+	const key = request.claim?.key ?? '';
+	const held = requests.localClaims.get(key);
+	if (held?.holder !== request.id) {
+		return [];
+	}
+
+	requests.localClaims.delete(key);
+	return [...held.joiners]
+		.map(id => requests.open.get(id))
+		.filter(joiner => joiner?.phase === 'joining')
+		.filter(joiner => joiner !== undefined);
+}
+
+function settle(context: Context, request: OpenRequest, state: Settlement['state'], answer?: RecordedAnswer): void {
+	const {claim} = request;
+	if (!claim) {
+		return;
+	}
+
+	startSettlement(context, {
+		claimKey: claim.key,
+		token: claim.token,
+		state,
+		bodyHash: request.contentHash,
+		claimant: context.state.self.id,
+		answer,
+		expiresAtMs: expiryMs(context, request),
+	}, claim.revision);
+}
+
+/** Writes a settlement, of this instance or held for a peer. */
+export function startSettlement(context: Context, settlement: Settlement, revision = 0): void {
+	const {settlements} = context.state.requests;
+	if (settlements.has(settlement.token)) {
+		return;
+	}
+
+	settlements.set(settlement.token, {
+		settlement, revision, retries: 0, heldBy: new Set(),
+	});
+	if (revision > 0) {
+		writeSettlement(context, settlement, revision);
+	} else {
+		readSettlement(context, settlement);
+	}
+}
+
+function readSettlement(context: Context, settlement: Settlement): void {
+	startTable(context, {kind: 'read', keys: [settlement.claimKey]}, {kind: 'settle-read', settlement});
+}
+
+function writeSettlement(context: Context, settlement: Settlement, revision: number): void {
+	const value: ClaimRow = {
+		token: settlement.token,
+		claimant: settlement.claimant,
+		claimantBoot: '',
+		bodyHash: settlement.bodyHash,
+		state: settlement.state,
+		answer: settlement.answer,
+	};
+	startTable(context, {
+		kind: 'write',
+		conditions: [{key: settlement.claimKey, revision}],
+		puts: [{key: settlement.claimKey, value, expiresAtMs: settlement.expiresAtMs}],
+	}, {kind: 'settle-write', settlement});
+}
+
+export function handleSettleRead(context: Context, step: TableStepOf<'settle-read'>, event: EventOf<'table-answered'>): void {
+	const {answer} = event;
+	if (answer.kind === 'rows') {
+		settleAgainst(context, step.settlement, answer.rows[0]);
+	} else {
+		retryLater(context, step.settlement);
+	}
+}
+
+export function handleSettleWrite(context: Context, step: TableStepOf<'settle-write'>, event: EventOf<'table-answered'>): void {
+	const {answer} = event;
+	switch (answer.kind) {
+		case 'written': {
+			finish(context, step.settlement);
+			break;
+		}
+
+		case 'conflict': {
+			settleAgainst(context, step.settlement, answer.rows[0]);
+			break;
+		}
+
+		default: {
+			retryLater(context, step.settlement);
+		}
+	}
+}
+
+/**
+Decides by the row as it stands. An absent row is written too when the claim is
+released: the insert may still be under way, and must then find the row taken.
+*/
+function settleAgainst(context: Context, settlement: Settlement, row: Row | undefined): void {
+	const value = row?.value as ClaimRow | undefined;
+	if (!row || row.revision === 0 || !value) {
+		writeSettlement(context, settlement, 0);
+	} else if (value.token === settlement.token && value.state === 'open') {
+		writeSettlement(context, settlement, row.revision);
+	} else {
+		finish(context, settlement);
+	}
+}
+
+function finish(context: Context, settlement: Settlement): void {
+	context.state.requests.settlements.delete(settlement.token);
+}
+
+function retryLater(context: Context, settlement: Settlement): void {
+	const open = context.state.requests.settlements.get(settlement.token);
+	if (!open) {
+		return;
+	}
+
+	open.retries++;
+	if (open.retries === 1) {
+		log(context, 'record-deferred', {claimKey: settlement.claimKey, state: settlement.state});
+	}
+
+	shareSettlement(context, open);
+	const delayMs = Math.min(RETRY_DELAY_MAX_MS, RETRY_DELAY_MS * (2 ** Math.min(open.retries, 10)));
+	context.state.timers.set(context.nowMs + jitter(context, delayMs), {
+		kind: 'settle-retry',
+		claimKey: settlement.claimKey,
+		token: settlement.token,
+	});
+}
+
+/** Asks peers to keep the settlement too. */
+export function shareSettlement(context: Context, open: OpenSettlement): void {
+	const {settlement} = open;
+	if (settlement.claimant !== context.state.self.id || open.heldBy.size >= HOLDERS) {
+		return;
+	}
+
+	const peers = context.state.membership.pickPeers(context, HOLDERS - open.heldBy.size, open.heldBy);
+	if (peers.length > 0) {
+		context.effects.push({kind: 'hold-write', settlement, peers});
+	}
+}
+
+export function handleSettleRetry(context: Context, token: string): void {
+	const open = context.state.requests.settlements.get(token);
+	if (open) {
+		readSettlement(context, open.settlement);
+	}
+}
+
+export function handleWriteHeld(context: Context, event: EventOf<'write-held'>): void {
+	for (const open of context.state.requests.settlements.values()) {
+		if (open.settlement.claimKey === event.claimKey) {
+			open.heldBy.add(event.instanceId);
+		}
+	}
+}
--- /dev/null
+++ b/src/core/request/suspects.ts
@@ -0,0 +1,315 @@
+/**
+Requests that may crash the targets that run them. After a crash, everything that
+was in flight there is suspect, told by content hash, unless the same content has
+run to completion before. A suspect runs alone on a target of its own. It is
+cleared by completion and refused for good after a second crash, on this and
+every other instance.
+*/
+import {log, type Context} from '../context.js';
+import {publish} from '../peer/facts.js';
+import {type InstanceId, type RequestId, type TargetId} from '../types.js';
+import {admit} from './admission.js';
+import {refuse} from './closing.js';
+import {dispatchTarget} from './dispatch.js';
+import {routeTargets} from './selection.js';
+import {estimatedTotal, type Target} from './target.js';
+import {sendTry} from './tries.js';
+import {type OpenRequest} from './types.js';
+
+const CRASHES_TO_REFUSE = 2;
+const CONDEMNED_MS = 60 * 60 * 1000;
+const SUSPECT_MS = 10 * 60 * 1000;
+const INNOCENT_MS = 60 * 60 * 1000;
+
+/** A suspect is sent although others are still in flight at its target once this has passed. */
+const ISOLATION_WAIT_MS = 10_000;
+const ISOLATION_MAX_MS = 60_000;
+
+export type Suspect = {
+	readonly contentHash: string;
+	/** Targets that crashed with this content in flight. */
+	readonly targets: Set<TargetId>;
+	/** The crashes themselves as `target@boot`: several instances may report the same one. */
+	readonly crashes: Set<string>;
+	/** Instance that tests the suspect. */
+	tester: InstanceId | undefined;
+	/** Own request that is under test. */
+	testing: RequestId | undefined;
+	/** Own requests held until the verdict. */
+	readonly waiting: Set<RequestId>;
+	untilMs: number;
+};
+
+export function isCondemned({state, nowMs}: Context, contentHash: string): boolean {
+	const untilMs = state.requests.condemned.get(contentHash);
+	return untilMs !== undefined && untilMs > nowMs;
+}
+
+/** Holds a request whose content is suspect. Returns whether it was. */
+export function holdSuspect(context: Context, request: OpenRequest): boolean {
+	const suspect = context.state.requests.suspects.get(request.contentHash);
+	if (!suspect) {
+		return false;
+	}
+
+	request.phase = 'isolating';
+	suspect.waiting.add(request.id);
+	startIsolation(context, suspect);
+	return true;
+}
+
+/** A target crashed with these requests in flight. */
+export function noteCrash(context: Context, target: Target, requests: readonly OpenRequest[]): void {
+	const hashes = new Set(requests.map(({contentHash}) => contentHash));
+	for (const contentHash of hashes) {
+		if (!isInnocent(context, contentHash)) {
+			publish(context, `suspected/${contentHash}`, {
+				kind: 'suspected', contentHash, targetId: target.id, boot: target.boot,
+			});
+			suspectContent(context, {
+				contentHash, targetId: target.id, boot: target.boot, tester: context.state.self.id,
+			});
+		}
+	}
+
+	for (const request of requests) {
+		if (request.repeat === 'idempotent' && request.phase === 'verifying') {
+			holdSuspect(context, request);
+		}
+	}
+}
+
+type Suspicion = {
+	readonly contentHash: string;
+	readonly targetId: TargetId;
+	/** Boot of the target that crashed. */
+	readonly boot: string;
+	readonly tester: InstanceId;
+};
+
+/** Adds a crash to a content hash, from this instance or as told by a peer. */
+export function suspectContent(context: Context, {contentHash, targetId, boot, tester}: Suspicion): void {
+	const {suspects} = context.state.requests;
+	let suspect = suspects.get(contentHash);
+	if (!suspect) {
+		suspect = {
+			contentHash,
+			targets: new Set(),
+			crashes: new Set(),
+			tester: undefined,
+			testing: undefined,
+			waiting: new Set(),
+			untilMs: context.nowMs + SUSPECT_MS,
+		};
+		suspects.set(contentHash, suspect);
+	}
+
+	suspect.targets.add(targetId);
+	suspect.crashes.add(`${targetId}@${boot}`);
+	suspect.tester ??= tester;
+	if (suspect.crashes.size >= CRASHES_TO_REFUSE) {
+		condemn(context, contentHash);
+		publish(context, `condemned/${contentHash}`, {kind: 'condemned', contentHash});
+	}
+}
+
+/** Refuses this content from now on, and every request that waits with it. */
+export function condemn(context: Context, contentHash: string): void {
+	const {requests} = context.state;
+	if (isCondemned(context, contentHash)) {
+		return;
+	}
+
+	requests.condemned.set(contentHash, context.nowMs + CONDEMNED_MS);
+	log(context, 'request-crash-refused', {contentHash});
+	for (const request of releaseSuspect(context, contentHash)) {
+		refuse(context, request, {code: 'crash-refused'});
+	}
+}
+
+/** The content ran to completion: whatever waited for the verdict goes on. */
+export function clearSuspect(context: Context, contentHash: string): void {
+	if (!context.state.requests.suspects.has(contentHash)) {
+		return;
+	}
+
+	publish(context, `cleared/${contentHash}`, {kind: 'cleared', contentHash});
+	acceptCleared(context, contentHash);
+}
+
+export function acceptCleared(context: Context, contentHash: string): void {
+	for (const request of releaseSuspect(context, contentHash)) {
+		admit(context, request);
+	}
+}
+
+/** Tells a peer that suspects content which completed here. */
+export function vouch(context: Context, contentHash: string): boolean {
+	if (!isInnocent(context, contentHash)) {
+		return false;
+	}
+
+	publish(context, `cleared/${contentHash}`, {kind: 'cleared', contentHash});
+	return true;
+}
+
+function isInnocent({state, nowMs}: Context, contentHash: string): boolean {
+	const atMs = state.requests.innocent.get(contentHash);
+	return atMs !== undefined && nowMs - atMs < INNOCENT_MS;
+}
+
+function releaseSuspect(context: Context, contentHash: string): OpenRequest[] {
+	const {requests, targets} = context.state;
+	const suspect = requests.suspects.get(contentHash);
+	requests.suspects.delete(contentHash);
+	for (const targetId of suspect?.targets ?? []) {
+		const target = targets.get(targetId);
+		if (target?.isolation?.contentHash === contentHash && target.isolation.requestId === undefined) {
+			target.isolation = undefined;
+		}
+	}
+
+	return [...suspect?.waiting ?? []]
+		.map(id => requests.open.get(id))
+		.filter(request => request !== undefined)
+		.filter(request => request.phase === 'isolating' || request.phase === 'verifying');
+}
+
+/** Reserves a target for the suspect's next request, if this instance is the one that tests it. */
+function startIsolation(context: Context, suspect: Suspect): void {
+	const {state, nowMs} = context;
+	if (suspect.testing !== undefined || (suspect.tester !== undefined && suspect.tester !== state.self.id)) {
+		return;
+	}
+
+	const request = firstWaiting(context, suspect);
+	const target = request && isolationTarget(context, suspect, request);
+	if (!request || !target) {
+		return;
+	}
+
+	suspect.testing = request.id;
+	suspect.tester = state.self.id;
+	target.isolation = {
+		contentHash: suspect.contentHash,
+		by: state.self.id,
+		requestId: request.id,
+		sinceMs: nowMs,
+		untilMs: nowMs + ISOLATION_MAX_MS,
+	};
+	publish(context, `isolated/${target.id}`, {kind: 'isolated', targetId: target.id, contentHash: suspect.contentHash});
+	state.timers.set(nowMs + ISOLATION_WAIT_MS, {kind: 'isolation', targetId: target.id});
+	continueIsolation(context, target);
+}
+
+function firstWaiting({state}: Context, suspect: Suspect): OpenRequest | undefined {
+	for (const id of suspect.waiting) {
+		const request = state.requests.open.get(id);
+		if (request?.phase === 'isolating') {
+			return request;
+		}
+
+		suspect.waiting.delete(id);
+	}
+
+	return undefined;
+}
+
+/** The emptiest target that has not crashed with this suspect, at most a third of the route's targets at once. */
+function isolationTarget({state}: Context, suspect: Suspect, request: OpenRequest): Target | undefined {
+	const candidates = routeTargets(state, request)
+		.map(id => state.targets.get(id))
+		.filter(target => target !== undefined);
+	const isolated = candidates.filter(target => target.isolation !== undefined).length;
+	if (isolated >= Math.max(1, Math.floor(candidates.length / 3))) {
+		return undefined;
+	}
+
+	const usable = candidates.filter(target => target.health !== 'down' && !target.leaving && target.isolation === undefined);
+	const others = usable.filter(target => !suspect.targets.has(target.id));
+	return (others.length > 0 ? others : usable)
+		.toSorted((a, b) => estimatedTotal(a) - estimatedTotal(b))
+		.at(0);
+}
+
+/** Sends the suspect once its target is empty, or once the wait for that is over. */
+export function continueIsolation(context: Context, target: Target): void {
+	const {state, nowMs} = context;
+	const {isolation} = target;
+	const request = isolation?.requestId === undefined ? undefined : state.requests.open.get(isolation.requestId);
+	if (!isolation || request?.phase !== 'isolating') {
+		return;
+	}
+
+	const isEmpty = estimatedTotal(target) === 0;
+	if (isEmpty || nowMs - isolation.sinceMs >= ISOLATION_WAIT_MS) {
+		sendTry(context, request, target, {kind: 'whole'}, {freshConnection: true});
+	}
+}
+
+/** The isolated request's try ended or the request closed: the target is free for others. */
+export function endIsolation(context: Context, target: Target | undefined, request: OpenRequest): void {
+	if (target?.isolation?.requestId !== request.id) {
+		return;
+	}
+
+	target.isolation = undefined;
+	const suspect = context.state.requests.suspects.get(request.contentHash);
+	if (suspect?.testing === request.id) {
+		suspect.testing = undefined;
+		suspect.waiting.delete(request.id);
+	}
+}
+
+/** A peer reserved a target: no new requests go there until the verdict or the time limit. */
+export function acceptIsolation(context: Context, target: Target, by: InstanceId, contentHash: string): void {
+	if (target.isolation?.by === context.state.self.id) {
+		return;
+	}
+
+	target.isolation = {
+		contentHash,
+		by,
+		requestId: undefined,
+		sinceMs: context.nowMs,
+		untilMs: context.nowMs + ISOLATION_MAX_MS,
+	};
+}
+
+/** Lifts reservations that ran out, takes over tests whose instance fell silent, and starts waiting ones. */
+export function reviewSuspects(context: Context): void {
+	const {requests, targets, self} = context.state;
+	for (const target of targets.values()) {
+		const {isolation} = target;
+		if (!isolation) {
+			continue;
+		}
+
+		const own = isolation.requestId === undefined ? undefined : requests.open.get(isolation.requestId);
+		const isIdle = isolation.by === self.id ? own === undefined : isolation.untilMs <= context.nowMs || !requests.suspects.has(isolation.contentHash);
+		if (isIdle) {
+			target.isolation = undefined;
+			dispatchTarget(context, target);
+		} else {
+			continueIsolation(context, target);
+		}
+	}
+
+	for (const suspect of requests.suspects.values()) {
+		if (suspect.untilMs <= context.nowMs) {
+			acceptCleared(context, suspect.contentHash);
+			continue;
+		}
+
+		if (suspect.testing !== undefined && !requests.open.has(suspect.testing)) {
+			suspect.testing = undefined;
+		}
+
+		const isTesterGone = suspect.tester !== undefined && suspect.tester !== self.id && !context.state.membership.isLive(suspect.tester);
+		if (isTesterGone || (suspect.waiting.size > 0 && suspect.untilMs - context.nowMs < SUSPECT_MS - ISOLATION_MAX_MS)) {
+			suspect.tester = undefined;
+		}
+
+		startIsolation(context, suspect);
+	}
+}
--- /dev/null
+++ b/src/core/request/tries.ts
@@ -0,0 +1,416 @@
+/**
+The life of a try: sent to one target, watched for progress, ended by a whole
+answer or a failure. A table says what each failure proves; from that and the
+repeat rule follows whether the work may be sent again.
+*/
+import {count, log, type Context} from '../context.js';
+import {type Continuation} from '../effect.js';
+import {type EventOf} from '../event.js';
+import {gatewayCapabilities} from '../placement/gateways.js';
+import {type ResultName} from '../result-codes.js';
+import {close, refuse} from './closing.js';
+import {dispatchRoute, dispatchTarget} from './dispatch.js';
+import {addSample, upperLimitMs} from './estimate.js';
+import {releaseClaim, settleDone, settleUnknown} from './settlements.js';
+import {clearSuspect, endIsolation, noteCrash} from './suspects.js';
+import {type Target} from './target.js';
+import {
+	type Failure, type OpenRequest, type RecordedAnswer, type Try,
+} from './types.js';
+
+const MAX_TRIES = 4;
+const FIRST_BYTE_LIMIT = {leastMs: 2000, mostMs: 15_000};
+const WHOLE_ANSWER_LIMIT = {leastMs: 5000, mostMs: 60_000};
+const GAP_LIMIT = {leastMs: 3000, mostMs: 10_000};
+
+type FailureRule = {
+	/** Whether the target may have run the work. */
+	readonly mayHaveRun: boolean;
+	readonly code: ResultName;
+	/** Whether the target may have crashed, which a probe must find out before any retry. */
+	readonly verify: boolean;
+	readonly onTarget?: (target: Target) => void;
+};
+
+const failureRules: Readonly<Record<Failure, FailureRule>> = {
+	'not-written': {
+		mayHaveRun: false,
+		code: 'no-target',
+		verify: false,
+		onTarget(target) {
+			target.health = 'down';
+		},
+	},
+	refused: {
+		mayHaveRun: false,
+		code: 'no-target',
+		verify: false,
+		// A target that refuses is full, whatever its last report said.
+		onTarget(target) {
+			target.reportedTotal = target.ownAtReport + target.slots;
+		},
+	},
+	'target-error': {mayHaveRun: true, code: 'target-failed', verify: false},
+	reset: {mayHaveRun: true, code: 'target-failed', verify: true},
+	truncated: {mayHaveRun: true, code: 'answer-truncated', verify: true},
+	silent: {mayHaveRun: true, code: 'target-timeout', verify: false},
+	canceled: {mayHaveRun: true, code: 'target-timeout', verify: false},
+};
+
+export type SendOptions = {
+	readonly freshConnection?: boolean;
+};
+
+/** Sends a try. The caller has checked that the target may take it. */
+export function sendTry(context: Context, request: OpenRequest, target: Target, continuation: Continuation, options: SendOptions = {}): void {
+	const {state, nowMs, effects} = context;
+	const attempt: Try = {
+		number: request.tries.length + 1,
+		targetId: target.id,
+		startedAtMs: nowMs,
+		firstByteAtMs: undefined,
+		progressAtMs: nowMs,
+		ended: undefined,
+		probing: false,
+	};
+	request.tries.push(attempt);
+	request.phase = 'running';
+	target.inFlight.set(request.id, attempt.number);
+	effects.push({
+		kind: 'send-try',
+		requestId: request.id,
+		tryNumber: attempt.number,
+		targetId: target.id,
+		continuation: request.delivered > 0 && continuation.kind === 'whole' ? {kind: 'continue-text'} : continuation,
+		freshConnection: options.freshConnection ?? false,
+	});
+	state.timers.set(nowMs + silenceLimitMs(context, request, target, attempt), {kind: 'silence', requestId: request.id, tryNumber: attempt.number});
+}
+
+export function currentTry(request: OpenRequest): Try | undefined {
+	const last = request.tries.at(-1);
+	return last?.ended === undefined ? last : undefined;
+}
+
+export function handleProgress(context: Context, event: EventOf<'try-progressed'>): void {
+	const found = findTry(context, event);
+	if (!found) {
+		return;
+	}
+
+	const {request, attempt, target} = found;
+	if (attempt.firstByteAtMs === undefined) {
+		attempt.firstByteAtMs = context.nowMs;
+		if (target) {
+			addSample(target.firstByte, context.nowMs - attempt.startedAtMs);
+		}
+	} else if (target) {
+		addSample(target.gap, context.nowMs - attempt.progressAtMs);
+	}
+
+	attempt.progressAtMs = context.nowMs;
+	request.delivered = event.delivered;
+}
+
+export function handleCompleted(context: Context, event: EventOf<'try-completed'>): void {
+	const found = findTry(context, event);
+	if (!found) {
+		return;
+	}
+
+	const {request, attempt, target} = found;
+	endTry(context, found, 'completed');
+	request.ran = 'yes';
+	addSample(context.state.requests.route(request.route).service, context.nowMs - attempt.startedAtMs);
+	context.state.requests.innocent.set(request.contentHash, context.nowMs);
+	clearSuspect(context, request.contentHash);
+	if (request.claim && event.answer) {
+		settleDone(context, request, event.answer);
+	}
+
+	if (request.phase === 'detached') {
+		context.state.requests.open.delete(request.id);
+	} else {
+		context.effects.push({kind: 'deliver', requestId: request.id, tryNumber: attempt.number});
+		close(context, request, 'answered', 'yes');
+		if (context.nowMs > request.deadlineAtMs && !request.stream) {
+			log(context, 'answer-late', {requestId: request.id, lateMs: Math.round(context.nowMs - request.deadlineAtMs)});
+		}
+	}
+
+	afterTry(context, target);
+}
+
+export function handleFailed(context: Context, event: EventOf<'try-failed'>): void {
+	const found = findTry(context, event);
+	if (!found) {
+		return;
+	}
+
+	const {request, attempt, target} = found;
+	const rule = failureRules[event.failure];
+	request.delivered = Math.max(request.delivered, event.delivered);
+	endTry(context, found, event.failure);
+	log(context, 'try-failed', {
+		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, failure: event.failure,
+	});
+	count(context, 'try.failed', {failure: event.failure});
+	if (rule.mayHaveRun) {
+		request.ran = 'unknown';
+	}
+
+	if (target) {
+		rule.onTarget?.(target);
+	}
+
+	if (request.phase === 'detached') {
+		context.state.requests.open.delete(request.id);
+		if (request.ran === 'no') {
+			releaseClaim(context, request);
+		} else {
+			settleUnknown(context, request);
+		}
+	} else if (rule.verify && target) {
+		verify(context, request, target);
+	} else {
+		continueAfter(context, request, event.failure, event.answer);
+	}
+
+	afterTry(context, target);
+}
+
+/** Holds a request until a probe tells whether its target crashed. */
+function verify(context: Context, request: OpenRequest, target: Target): void {
+	request.phase = 'verifying';
+	target.broken.add(request.id);
+	if (!target.probing) {
+		target.probing = true;
+		context.effects.push({kind: 'probe', targetId: target.id});
+	}
+}
+
+/** The probe's verdict on a target: lets the requests that broke there go on, or treats them as suspects. */
+export function resolveBroken(context: Context, target: Target, crashed: boolean): void {
+	const broken = [...target.broken]
+		.map(id => context.state.requests.open.get(id))
+		.filter(request => request?.phase === 'verifying')
+		.filter(request => request !== undefined);
+	target.broken.clear();
+	if (crashed) {
+		noteCrash(context, target, broken);
+	}
+
+	for (const request of broken) {
+		if (request.phase === 'verifying') {
+			continueAfter(context, request, request.tries.at(-1)?.ended as Failure);
+		}
+	}
+}
+
+/** Sends the work again if the repeat rule, the tries and the budget allow it, or gives the final answer. */
+export function continueAfter(context: Context, request: OpenRequest, failure: Failure, answer?: RecordedAnswer): void {
+	const rule = failureRules[failure];
+	const {requests} = context.state;
+	const mayRepeat = request.repeat === 'idempotent' || request.ran === 'no';
+	const isFree = !rule.mayHaveRun;
+	const inTime = context.nowMs < request.deadlineAtMs || request.delivered > 0;
+	const affordable = isFree || (request.tries.length < MAX_TRIES && requests.retryBudget >= 1);
+	if (!mayRepeat || !inTime || !affordable) {
+		refuse(context, request, {code: rule.code, detail: answer ? `the target answered with status ${answer.status}` : undefined});
+		return;
+	}
+
+	if (!isFree) {
+		requests.retryBudget--;
+	}
+
+	if (!resume(context, request, failure)) {
+		requeue(context, request);
+	}
+}
+
+/** Resumes a stream on the target that holds it, unless that was tried before. */
+function resume(context: Context, request: OpenRequest, failure: Failure): boolean {
+	const last = request.tries.at(-1);
+	const target = last && context.state.targets.get(last.targetId);
+	if (!target || request.delivered === 0 || target.health === 'down' || failure === 'target-error' || failure === 'refused') {
+		return false;
+	}
+
+	const isRepeated = request.tries.at(-2)?.targetId === last.targetId;
+	if (!gatewayCapabilities[target.gateway].resumesStreams || isRepeated) {
+		return false;
+	}
+
+	sendTry(context, request, target, {kind: 'resume', from: request.delivered}, {freshConnection: true});
+	return true;
+}
+
+function requeue(context: Context, request: OpenRequest): void {
+	const {state, nowMs} = context;
+	const route = state.requests.route(request.route);
+	request.phase = 'queued';
+	request.timerSequence++;
+	route.queue.pushBack(request);
+	if (request.delivered === 0) {
+		const lastStartMs = Math.max(nowMs, request.deadlineAtMs - route.service.meanMs);
+		state.timers.set(lastStartMs, {kind: 'request', requestId: request.id, sequence: request.timerSequence});
+	}
+
+	dispatchRoute(context, request.route);
+}
+
+/** A try was quiet for longer than its target has shown: asks on a new connection who is at fault. */
+export function handleSilence(context: Context, requestId: string, tryNumber: number): void {
+	const request = context.state.requests.open.get(requestId);
+	const attempt = request && currentTry(request);
+	if (!request || attempt?.number !== tryNumber) {
+		return;
+	}
+
+	const target = context.state.targets.get(attempt.targetId);
+	if (!target) {
+		return;
+	}
+
+	const dueMs = attempt.progressAtMs + silenceLimitMs(context, request, target, attempt);
+	if (dueMs > context.nowMs) {
+		context.state.timers.set(dueMs, {kind: 'silence', requestId, tryNumber});
+		return;
+	}
+
+	attempt.probing = true;
+	if (!target.probing) {
+		target.probing = true;
+		context.effects.push({kind: 'probe', targetId: target.id});
+	}
+}
+
+/**
+The probe answered for a target with quiet tries. Idempotent work is tried again
+on a new connection. Work that runs at most once stays with its try.
+*/
+export function resolveSilent(context: Context, target: Target, reachable: boolean): void {
+	for (const [requestId, tryNumber] of target.inFlight) {
+		const request = context.state.requests.open.get(requestId);
+		const attempt = request && currentTry(request);
+		if (!request || attempt?.number !== tryNumber || !attempt.probing) {
+			continue;
+		}
+
+		attempt.probing = false;
+		if (request.repeat === 'once') {
+			continue;
+		}
+
+		log(context, 'connection-silent', {requestId, targetId: target.id, reachable});
+		context.effects.push({kind: 'cancel-try', requestId, tryNumber});
+		handleFailed(context, {
+			kind: 'try-failed',
+			nowMs: context.nowMs,
+			requestId,
+			tryNumber,
+			failure: 'silent',
+			delivered: request.delivered,
+		});
+	}
+}
+
+/** The deadline of a request passed. A stream that has begun goes on; it was in time. */
+export function handleDeadline(context: Context, request: OpenRequest): void {
+	const attempt = currentTry(request);
+	if (request.delivered > 0 || request.phase === 'detached') {
+		return;
+	}
+
+	if (attempt && request.repeat === 'once') {
+		detach(context, request);
+		return;
+	}
+
+	if (attempt) {
+		abandon(context, request, attempt);
+	}
+
+	const held = request.phase === 'claiming' ? 'claim-unavailable' : (request.phase === 'joining' ? 'run-in-progress' : 'target-timeout');
+	refuse(context, request, {
+		code: held,
+		ran: request.phase === 'joining' ? 'unknown' : request.ran,
+		retryAfterMs: 1000,
+	});
+}
+
+/** The caller gets its final answer now; the run goes on and its answer is recorded. */
+function detach(context: Context, request: OpenRequest): void {
+	context.effects.push({
+		kind: 'refuse', requestId: request.id, code: 'target-timeout', ran: 'unknown',
+	});
+	count(context, 'request.refused', {code: 'target-timeout'});
+	request.phase = 'detached';
+}
+
+export function handleCallerLeft(context: Context, requestId: string): void {
+	const request = context.state.requests.open.get(requestId);
+	if (!request || request.phase === 'detached') {
+		return;
+	}
+
+	const attempt = currentTry(request);
+	if (attempt && request.repeat === 'once') {
+		request.callerLeft = true;
+		request.phase = 'detached';
+		return;
+	}
+
+	if (attempt) {
+		abandon(context, request, attempt);
+	}
+
+	refuse(context, request, {code: 'target-timeout', ran: request.ran});
+}
+
+/** Cancels the try that is out. Its late answer is recognised by the try number and dropped. */
+function abandon(context: Context, request: OpenRequest, attempt: Try): void {
+	const target = context.state.targets.get(attempt.targetId);
+	context.effects.push({kind: 'cancel-try', requestId: request.id, tryNumber: attempt.number});
+	endTry(context, {request, attempt, target}, 'canceled');
+	request.ran = 'unknown';
+	afterTry(context, target);
+}
+
+type FoundTry = {
+	readonly request: OpenRequest;
+	readonly attempt: Try;
+	readonly target: Target | undefined;
+};
+
+/** The try that an event speaks of, undefined when the try was given up or the request closed. */
+function findTry({state}: Context, event: {readonly requestId: string; readonly tryNumber: number}): FoundTry | undefined {
+	const request = state.requests.open.get(event.requestId);
+	const attempt = request && currentTry(request);
+	return request && attempt?.number === event.tryNumber
+		? {request, attempt, target: state.targets.get(attempt.targetId)}
+		: undefined;
+}
+
+function endTry(context: Context, {request, attempt, target}: FoundTry, ended: Failure | 'completed'): void {
+	attempt.ended = ended;
+	target?.inFlight.delete(request.id);
+	endIsolation(context, target, request);
+}
+
+function afterTry(context: Context, target: Target | undefined): void {
+	if (target) {
+		dispatchTarget(context, target);
+	}
+}
+
+function silenceLimitMs({state}: Context, request: OpenRequest, target: Target, attempt: Try): number {
+	if (attempt.firstByteAtMs !== undefined) {
+		return upperLimitMs(target.gap, GAP_LIMIT);
+	}
+
+	return request.stream
+		? upperLimitMs(target.firstByte, FIRST_BYTE_LIMIT)
+		: upperLimitMs(state.requests.route(request.route).service, WHOLE_ANSWER_LIMIT);
+}
--- /dev/null
+++ b/src/core/state.ts
@@ -0,0 +1,86 @@
+/**
+The whole state of one daemon. Only the reducer changes it. The state dump is
+this object with secrets and bodies left out.
+*/
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {emptyConfiguration, indexConfiguration, type ConfigurationIndex} from './configuration/index.js';
+import {type Configuration} from './configuration/types.js';
+import {MembershipState} from './membership/state.js';
+import {PeerState} from './peer/state.js';
+import {PlacementState} from './placement/state.js';
+import {type PatchOperation} from './configuration/operations.js';
+import {type TableSteps} from './table-steps.js';
+import {RequestState} from './request/state.js';
+import {type Target} from './request/target.js';
+import {Timers} from './timers.js';
+import {type Instance, type ModelName, type TargetId} from './types.js';
+
+export type ConfigurationState = {
+	version: number;
+	configuration: Configuration;
+	index: ConfigurationIndex;
+	/** Largest version that any instance is known to hold. */
+	newestKnown: number;
+	readonly patches: Map<string, PatchOperation>;
+	polling: boolean;
+};
+
+export type State = {
+	self: Instance;
+	random: RandomGenerator;
+	tokenCounter: number;
+	/** Wall clock minus monotonic clock at the start, in milliseconds. */
+	wallOffsetMs: number;
+	lifecycle: 'starting' | 'serving' | 'draining' | 'stopped';
+	platformReachable: boolean;
+	/** When the drain began. */
+	drainSinceMs: number;
+	readonly configuration: ConfigurationState;
+	readonly requests: RequestState;
+	readonly targets: Map<TargetId, Target>;
+	/** Targets on which a copy of the model answers requests. */
+	readonly residentTargets: Map<ModelName, TargetId[]>;
+	readonly membership: MembershipState;
+	readonly peers: PeerState;
+	readonly placement: PlacementState;
+	readonly timers: Timers;
+	/** Table operations under way, and what to do with each answer. */
+	readonly tableSteps: Map<number, TableSteps>;
+	tableOperations: number;
+};
+
+export function createState(): State {
+	return {
+		self: {
+			id: '', boot: '', zone: '', address: '', state: 'live',
+		},
+		random: xoroshiro128plus(0),
+		tokenCounter: 0,
+		wallOffsetMs: 0,
+		lifecycle: 'starting',
+		platformReachable: true,
+		drainSinceMs: 0,
+		configuration: {
+			version: 0,
+			configuration: emptyConfiguration,
+			index: indexConfiguration(emptyConfiguration),
+			newestKnown: 0,
+			patches: new Map(),
+			polling: false,
+		},
+		requests: new RequestState(),
+		targets: new Map(),
+		residentTargets: new Map(),
+		membership: new MembershipState(),
+		peers: new PeerState(),
+		placement: new PlacementState(),
+		timers: new Timers(),
+		tableSteps: new Map(),
+		tableOperations: 0,
+	};
+}
+
+export function seedRandom(state: State, seed: number): void {
+	state.random = xoroshiro128plus(seed);
+}
--- /dev/null
+++ b/src/daemon/gateways/answers.ts
@@ -0,0 +1,71 @@
+/**
+Reads answers of targets: whole bodies up to a bound, and event streams event by
+event, so that a stream which breaks inside an event can be carried on.
+*/
+import {Buffer} from 'node:buffer';
+import {type Dispatcher} from 'undici';
+import {createParser} from 'eventsource-parser';
+import {type TrySink, type WholeAnswer} from './types.js';
+
+/** Answers up to this size are held back until they are whole, so that a failed try stays invisible. */
+const HELD_BYTES = 1024 * 1024;
+
+/** Ends an OpenAI event stream (https://platform.openai.com/docs/api-reference/streaming). */
+const STREAM_END = '[DONE]';
+
+type Body = Dispatcher.ResponseData['body'];
+
+export function contentTypeOf(headers: Dispatcher.ResponseData['headers']): string {
+	const value = headers['content-type'];
+	return (Array.isArray(value) ? value[0] : value) ?? 'application/octet-stream';
+}
+
+/** Reads a body to its end; larger ones go to the sink as they come and give no whole answer. */
+export async function readWhole(response: Dispatcher.ResponseData, sink: TrySink): Promise<WholeAnswer | undefined> {
+	const contentType = contentTypeOf(response.headers);
+	const chunks: Buffer[] = [];
+	let held = 0;
+	let isPassing = false;
+	for await (const chunk of response.body as AsyncIterable<Buffer>) {
+		if (isPassing) {
+			await sink.bytes(response.statusCode, contentType, chunk);
+			continue;
+		}
+
+		chunks.push(chunk);
+		held += chunk.length;
+		if (held > HELD_BYTES) {
+			isPassing = true;
+			await sink.bytes(response.statusCode, contentType, Buffer.concat(chunks));
+			chunks.length = 0;
+		}
+	}
+
+	return isPassing ? undefined : {status: response.statusCode, contentType, body: Buffer.concat(chunks)};
+}
+
+/** Passes whole events on. Resolves to whether the stream came to its proper end. */
+export async function readEvents(body: Body, sink: TrySink): Promise<boolean> {
+	let events: string[] = [];
+	let hasEnded = false;
+	const parser = createParser({
+		onEvent({data}) {
+			if (data === STREAM_END) {
+				hasEnded = true;
+			} else if (!hasEnded) {
+				events.push(data);
+			}
+		},
+	});
+	const decoder = new TextDecoder();
+	for await (const chunk of body as AsyncIterable<Buffer>) {
+		parser.feed(decoder.decode(chunk, {stream: true}));
+		if (events.length > 0) {
+			const taken = events;
+			events = [];
+			await sink.events(taken);
+		}
+	}
+
+	return hasEnded;
+}
--- /dev/null
+++ b/src/daemon/gateways/engine.ts
@@ -0,0 +1,62 @@
+/**
+Gateway to a model engine: OpenAI-style HTTP for work, JSON for reports and orders.
+*/
+import {type Send} from './connection.js';
+import {HttpGateway, type Protocol} from './http-gateway.js';
+import {type Gateway, type GatewayOptions, type TryRequest} from './types.js';
+
+type CompletionBody = {
+	messages?: Array<{role: string; content: unknown}>;
+	prompt?: string;
+	continue_final_message?: boolean;
+	add_generation_prompt?: boolean;
+};
+
+const engineProtocol: Protocol = {
+	reportPath: '/load',
+	orderPath: '/orders',
+	toSend(attempt) {
+		const {work, continuation} = attempt;
+		switch (continuation.kind) {
+			case 'whole': {
+				return {
+					method: work.method, path: work.path, headers: jsonHeaders(work.headers), body: work.body,
+				};
+			}
+
+			case 'resume': {
+				return {method: 'GET', path: `/v1/streams/${encodeURIComponent(work.requestId)}?from=${continuation.from}`, headers: work.headers};
+			}
+
+			case 'continue-text': {
+				return continueText(attempt);
+			}
+		}
+	},
+};
+
+/** The body was found to be JSON, whatever the caller called it. */
+function jsonHeaders(headers: Readonly<Record<string, string>>): Record<string, string> {
+	return {...headers, 'content-type': 'application/json'};
+}
+
+/** Asks for the rest of an answer whose beginning the caller already has. */
+function continueText({work, deliveredText}: TryRequest): Send {
+	const body = JSON.parse(work.body?.toString('utf8') ?? '{}') as CompletionBody;
+	const text = deliveredText();
+	if (body.messages) {
+		body.messages = [...body.messages, {role: 'assistant', content: text}];
+		body.continue_final_message = true;
+		body.add_generation_prompt = false;
+	} else {
+		body.prompt = `${body.prompt ?? ''}${text}`;
+	}
+
+	return {
+		method: work.method, path: work.path, headers: jsonHeaders(work.headers), body: JSON.stringify(body),
+	};
+}
+
+export function createEngineGateway(options: GatewayOptions): Gateway {
+	return new HttpGateway(engineProtocol, options);
+}
--- /dev/null
+++ b/src/daemon/history.ts
@@ -0,0 +1,41 @@
+/**
+Earlier versions of the configuration, read from the platform's table.
+*/
+import {emptyConfiguration} from '../core/configuration/index.js';
+import {applyPatch} from '../core/configuration/patch.js';
+import {
+	documentKey, patchKey, snapshotBefore, type DocumentRow, type PatchRow,
+} from '../core/configuration/rows.js';
+import {type NumberedConfiguration} from '../core/configuration/types.js';
+import {type Table} from './platform/types.js';
+
+/** All accepted patches, oldest first, undefined when the table cannot be read. */
+export async function readHistory(table: Table): Promise<PatchRow[] | undefined> {
+	const answer = await table.run({kind: 'scan', prefix: 'config/patch/'});
+	return answer.kind === 'rows' ? answer.rows.map(({value}) => value as PatchRow) : undefined;
+}
+
+/** One version as it was, rebuilt from the document before it and the patches since. */
+export async function readVersion(table: Table, version: number): Promise<NumberedConfiguration | undefined> {
+	if (version === 0) {
+		return {version, configuration: emptyConfiguration};
+	}
+
+	const snapshot = snapshotBefore(version);
+	const keys = [documentKey(snapshot)];
+	for (let next = snapshot + 1; next <= version; next++) {
+		keys.push(patchKey(next));
+	}
+
+	const answer = await table.run({kind: 'read', keys});
+	if (answer.kind !== 'rows' || answer.rows.some(({revision}) => revision === 0)) {
+		return undefined;
+	}
+
+	let {configuration} = answer.rows[0]?.value as DocumentRow;
+	for (const {value} of answer.rows.slice(1)) {
+		configuration = applyPatch(configuration, (value as PatchRow).patch).orDefault(configuration);
+	}
+
+	return {version, configuration};
+}
--- /dev/null
+++ b/src/daemon/listeners/operators.ts
@@ -0,0 +1,126 @@
+/**
+The listener for operators: configuration, views of the state, dump, drain, and
+the readiness that the platform's balancer asks for.
+*/
+import {randomUUID} from 'node:crypto';
+import {fastify, type FastifyInstance, type FastifyReply} from 'fastify';
+import * as z from 'zod';
+import {type PatchOutcome} from '../../core/effect.js';
+import {type ResultName} from '../../core/result-codes.js';
+import {type Daemon} from '../daemon.js';
+import {dumpState} from '../dump.js';
+import {readHistory, readVersion} from '../history.js';
+import {createProblem, type ProblemOptions} from '../problem.js';
+import {
+	explainRequest, viewInstances, viewModels, viewMoves, viewStatus, viewTargets,
+} from '../views.js';
+
+const patchSchema = z.strictObject({
+	base: z.number().int().min(0),
+	patch: z.union([z.array(z.unknown()), z.record(z.string(), z.unknown())]),
+	operator: z.string().min(1).max(100).default('unknown'),
+	patchId: z.string().min(1).max(100).optional(),
+});
+
+export function createOperatorListener(daemon: Daemon): FastifyInstance {
+	const server = fastify({forceCloseConnections: true, bodyLimit: 16 * 1024 * 1024});
+	server.setErrorHandler(async (error, request, reply) => problem(reply, 'bad-json', {detail: error instanceof Error ? error.message : undefined}));
+	server.setNotFoundHandler(async (request, reply) => problem(reply, 'path-unknown', {detail: `${request.method} ${request.url}`}));
+	addProbes(server, daemon);
+	addViews(server, daemon);
+	addConfiguration(server, daemon);
+	return server;
+}
+
+async function problem(reply: FastifyReply, code: ResultName, options: ProblemOptions = {}): Promise<FastifyReply> {
+	const {status, headers, body} = createProblem(code, options);
+	return reply.code(status).headers(headers).send(body);
+}
+
+function addProbes(server: FastifyInstance, daemon: Daemon): void {
+	server.get('/live', async () => ({live: true}));
+	server.get('/ready', async (request, reply) => reply.code(daemon.isReady ? 200 : 503).send({ready: daemon.isReady}));
+	server.post('/drain', async (request, reply) => {
+		daemon.drain('operator');
+		return reply.code(202).send({draining: true});
+	});
+}
+
+function addViews(server: FastifyInstance, daemon: Daemon): void {
+	server.get('/status', async () => viewStatus(daemon.state));
+	server.get('/models', async () => viewModels(daemon.state));
+	server.get('/targets', async () => viewTargets(daemon.state));
+	server.get('/instances', async () => viewInstances(daemon.state));
+	server.get('/moves', async () => viewMoves(daemon.state));
+	server.get('/dump', async (request, reply) => reply.type('application/json').send(dumpState(daemon.state)));
+	server.get<{Params: {id: string}}>('/requests/:id', async (request, reply) => {
+		const explained = explainRequest(daemon.state, request.params.id);
+		return explained ? reply.send(explained) : problem(reply, 'resource-unknown', {detail: `request ${request.params.id} is not known here`});
+	});
+}
+
+function addConfiguration(server: FastifyInstance, daemon: Daemon): void {
+	server.get('/configuration', async () => ({version: daemon.configuration.version, configuration: daemon.configuration.configuration}));
+	server.get('/configuration/history', async (request, reply) => {
+		const history = await readHistory(daemon.table);
+		return history ? reply.send(history) : problem(reply, 'platform-unavailable');
+	});
+	server.get<{Params: {version: string}}>('/configuration/versions/:version', async (request, reply) => {
+		const version = Number(request.params.version);
+		const numbered = Number.isSafeInteger(version) ? await readVersion(daemon.table, version) : undefined;
+		return numbered ? reply.send(numbered) : problem(reply, 'resource-unknown', {detail: `version ${request.params.version}`});
+	});
+	server.post('/configuration/patches', async (request, reply) => {
+		const parsed = patchSchema.safeParse(request.body);
+		if (!parsed.success) {
+			return problem(reply, 'patch-invalid', {
+				mistakes: parsed.error.issues.map(({path, message}) => ({path: path.join('.'), message})),
+			});
+		}
+
+		return answerPatch(reply, await submitPatch(daemon, parsed.data));
+	});
+}
+
+async function submitPatch(daemon: Daemon, submitted: z.output<typeof patchSchema>): Promise<PatchOutcome> {
+	const operationId = submitted.patchId ?? randomUUID();
+	return new Promise(resolve => {
+		daemon.patches.set(operationId, resolve);
+		daemon.dispatch({
+			kind: 'patch-submitted',
+			operationId,
+			base: submitted.base,
+			patch: submitted.patch,
+			operator: submitted.operator,
+			wallMs: daemon.clock.now().getTime(),
+		});
+	});
+}
+
+type OutcomeHandlers = {
+	readonly [Kind in PatchOutcome['kind']]: (reply: FastifyReply, outcome: Extract<PatchOutcome, {kind: Kind}>) => Promise<FastifyReply>;
+};
+
+const outcomeHandlers: OutcomeHandlers = {
+	async accepted(reply, {version}) {
+		return reply.send({version});
+	},
+	async conflict(reply, {version}) {
+		return problem(reply, 'version-conflict', {version, detail: `the version in force is ${version}`});
+	},
+	async rejected(reply, {version, mistakes}) {
+		const code = mistakes.every(mistake => mistake.code === 'memory-exceeded') ? 'memory-exceeded' : 'patch-invalid';
+		return problem(reply, code, {version, mistakes});
+	},
+	async unavailable(reply) {
+		return problem(reply, 'platform-unavailable', {retryAfterMs: 1000});
+	},
+	async unresolved(reply) {
+		return problem(reply, 'patch-unresolved', {detail: 'look into the history before you send the patch again', retryAfterMs: 1000});
+	},
+};
+
+async function answerPatch(reply: FastifyReply, outcome: PatchOutcome): Promise<FastifyReply> {
+	const handler = outcomeHandlers[outcome.kind] as (reply: FastifyReply, outcome: PatchOutcome) => Promise<FastifyReply>;
+	return handler(reply, outcome);
+}
--- /dev/null
+++ b/src/daemon/peer/server.ts
@@ -0,0 +1,50 @@
+/**
+The listener for other instances.
+*/
+import {type ConnectRouter} from '@connectrpc/connect';
+import {fastifyConnectPlugin} from '@connectrpc/connect-fastify';
+import {fastify, type FastifyInstance} from 'fastify';
+import {type NumberedConfiguration} from '../../core/configuration/types.js';
+import {type Settlement} from '../../core/event.js';
+import {type Fact} from '../../core/peer/types.js';
+import {type TableAnswer, type TableOperation} from '../../core/table.js';
+import {PeerService} from './gen/peer_pb.js';
+import {fromWire, toWire} from './wire.js';
+
+/** What the daemon answers to its peers. */
+export type PeerHandler = {
+	readonly instanceId: string;
+	exchange(from: string, facts: readonly Fact[]): readonly Fact[];
+	newestConfiguration(): NumberedConfiguration;
+	runTable(operation: TableOperation): Promise<TableAnswer>;
+	holdWrite(settlement: Settlement): void;
+};
+
+export async function createPeerServer(handler: PeerHandler): Promise<FastifyInstance> {
+	const server = fastify({forceCloseConnections: true});
+	await server.register(fastifyConnectPlugin, {
+		routes(router: ConnectRouter) {
+			router.service(PeerService, {
+				exchange({instanceId, facts}) {
+					const answer = handler.exchange(instanceId, facts.map(fact => fromWire(fact)));
+					return {instanceId: handler.instanceId, facts: answer.map(fact => toWire(fact))};
+				},
+				fetchConfiguration({afterVersion}) {
+					const {version, configuration} = handler.newestConfiguration();
+					return version > Number(afterVersion)
+						? {document: JSON.stringify(configuration), version: BigInt(version)}
+						: {document: '', version: 0n};
+				},
+				async relayTable({operation}) {
+					const answer = await handler.runTable(JSON.parse(operation) as TableOperation);
+					return {answer: JSON.stringify(answer)};
+				},
+				holdWrite({operation}) {
+					handler.holdWrite(JSON.parse(operation) as Settlement);
+					return {};
+				},
+			});
+		},
+	});
+	return server;
+}
--- /dev/null
+++ b/src/daemon/recorded-answers.ts
@@ -0,0 +1,44 @@
+/**
+Recorded answers: small ones stand in the claim's row, large ones in the object
+store, where they are put in the background until that succeeds.
+*/
+import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type RecordedAnswer} from '../core/request/types.js';
+import {type Daemon} from './daemon.js';
+import {type WholeAnswer} from './gateways/types.js';
+
+/** Largest body that a claim's row holds. */
+const ROW_BODY_BYTES = 16 * 1024;
+const UPLOAD_RETRY_MS = 1000;
+const UPLOAD_RETRY_MAX_MS = 30_000;
+const UPLOAD_TRIES = 50;
+
+export function recordAnswer(daemon: Daemon, requestId: string, answer: WholeAnswer): RecordedAnswer {
+	const {status, contentType, body} = answer;
+	if (body.length <= ROW_BODY_BYTES) {
+		return {status, contentType, body: body.toString('base64')};
+	}
+
+	const objectKey = `answers/${requestId}`;
+	void upload(daemon, objectKey, body);
+	return {status, contentType, objectKey};
+}
+
+async function upload(daemon: Daemon, objectKey: string, body: Buffer): Promise<void> {
+	let delayMs = UPLOAD_RETRY_MS;
+	for (let tries = 0; tries < UPLOAD_TRIES; tries++) {
+		if (await daemon.platform.objects.put(objectKey, body)) {
+			return;
+		}
+
+		await sleep(delayMs, undefined, {ref: false});
+		delayMs = Math.min(UPLOAD_RETRY_MAX_MS, delayMs * 2);
+	}
+}
+
+export async function readRecorded(daemon: Daemon, answer: RecordedAnswer): Promise<Buffer | undefined> {
+	return answer.objectKey === undefined
+		? Buffer.from(answer.body ?? '', 'base64')
+		: daemon.platform.objects.get(answer.objectKey);
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,66 @@
+/**
+Settings of one daemon: a YAML file, checked whole before anything starts. Every
+mistake is reported in one line with its path. `docs/SETTINGS.md` is the reference.
+*/
+import {readFileSync} from 'node:fs';
+import {Left, Right, type Either} from 'purify-ts';
+import * as yaml from 'yaml';
+import * as z from 'zod';
+
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+
+const listener = z.strictObject({
+	host: z.string().default('127.0.0.1'),
+	port: z.number().int().min(0).max(65_535),
+});
+
+const settingsSchema = z.strictObject({
+	instance: z.strictObject({
+		id: z.string().min(1).max(64),
+		zone: z.string().min(1).max(64),
+	}),
+	listen: z.strictObject({
+		callers: listener.prefault({port: 8080}),
+		operators: listener.prefault({port: 8090}),
+		peers: listener.prefault({port: 8070}),
+	}).prefault({}),
+	/** Base URL under which peers reach this instance; by default the peer listener's own. */
+	advertise: z.url({protocol: /^https?$/v}).optional(),
+	platform: z.strictObject({
+		table: z.url({protocol: /^https?$/v}),
+		objects: z.url({protocol: /^https?$/v}),
+		instances: z.url({protocol: /^https?$/v}),
+	}),
+	/** Peers to ask when the platform's list cannot be had at the start. */
+	seeds: z.array(z.url({protocol: /^https?$/v})).default([]),
+	limits: z.strictObject({
+		bodyBytes: z.number().int().positive().default(DEFAULT_BODY_BYTES),
+	}).prefault({}),
+	metrics: z.strictObject({
+		enabled: z.boolean().default(false),
+		host: z.string().default('127.0.0.1'),
+		port: z.number().int().min(1).max(65_535).default(8125),
+	}).prefault({}),
+	log: z.strictObject({
+		level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+	}).prefault({}),
+});
+
+export type Settings = z.output<typeof settingsSchema>;
+
+/** Parses settings. The left side holds one line per mistake. */
+export function parseSettings(document: unknown): Either<string[], Settings> {
+	const parsed = settingsSchema.safeParse(document);
+	return parsed.success
+		? Right(parsed.data)
+		: Left(parsed.error.issues.map(issue => `${issue.path.join('.') || '(top)'}: ${issue.message}`));
+}
+
+export function readSettings(file: string): Either<string[], Settings> {
+	try {
+		return parseSettings(yaml.parse(readFileSync(file, 'utf8')));
+	} catch (error) {
+		const message = error instanceof Error ? error.message.split('\n')[0] : undefined;
+		return Left([`${file}: ${message ?? 'cannot be read'}`]);
+	}
+}
--- /dev/null
+++ b/src/daemon/target-clients.ts
@@ -0,0 +1,108 @@
+/**
+The gateways of all configured targets, and the reports that are read from them.
+*/
+import {type Configuration} from '../core/configuration/types.js';
+import {type Order} from '../core/placement/types.js';
+import {type TargetId} from '../core/types.js';
+import {type Daemon} from './daemon.js';
+import {gatewayFactories} from './gateways/index.js';
+import {type Gateway} from './gateways/types.js';
+
+const REPORT_INTERVAL_MS = 500;
+
+type TargetClient = {
+	readonly address: string;
+	readonly kind: string;
+	readonly gateway: Gateway;
+	timer: NodeJS.Timeout | undefined;
+};
+
+export class TargetClients {
+	private readonly _clients = new Map<TargetId, TargetClient>();
+
+	constructor(private readonly _daemon: Daemon) {}
+
+	gateway(targetId: TargetId): Gateway | undefined {
+		return this._clients.get(targetId)?.gateway;
+	}
+
+	/** Opens, replaces and closes gateways so that they match the configuration. */
+	configure({targets}: Configuration): void {
+		for (const [id, client] of this._clients) {
+			const wanted = targets[id];
+			if (wanted?.address !== client.address || wanted.gateway !== client.kind) {
+				this._drop(id, client);
+			}
+		}
+
+		for (const [id, {address, gateway: kind}] of Object.entries(targets)) {
+			if (!this._clients.has(id)) {
+				const client: TargetClient = {
+					address,
+					kind,
+					gateway: gatewayFactories[kind]({address}),
+					timer: undefined,
+				};
+				this._clients.set(id, client);
+				void this._poll(id, client);
+			}
+		}
+	}
+
+	async probe(targetId: TargetId): Promise<void> {
+		const probe = await this.gateway(targetId)?.probe();
+		this._daemon.dispatch({
+			kind: 'probe-answered', targetId, result: probe?.result ?? 'silent', boot: probe?.boot,
+		});
+	}
+
+	/** Sends an order unless the lease has run out meanwhile, by this process's monotonic clock. */
+	async order(targetId: TargetId, order: Order, validUntilMs: number): Promise<void> {
+		const gateway = this.gateway(targetId);
+		const isValid = this._daemon.clock.monotonicMs() < validUntilMs;
+		const outcome = gateway && isValid ? await gateway.order(order) : 'not-sent';
+		queueMicrotask(() => {
+			this._daemon.dispatch({
+				kind: 'order-answered', orderId: order.id, targetId, outcome,
+			});
+		});
+	}
+
+	async close(): Promise<void> {
+		const clients = [...this._clients.values()];
+		this._clients.clear();
+		for (const client of clients) {
+			clearTimeout(client.timer);
+		}
+
+		await Promise.all(clients.map(async ({gateway}) => gateway.close()));
+	}
+
+	private _drop(id: TargetId, client: TargetClient): void {
+		this._clients.delete(id);
+		clearTimeout(client.timer);
+		// Requests in flight at a target that is no longer configured come to their end first.
+		const closeWhenIdle = () => {
+			const target = this._daemon.state.targets.get(id);
+			if (target && target.inFlight.size > 0) {
+				setTimeout(closeWhenIdle, REPORT_INTERVAL_MS).unref();
+			} else {
+				void client.gateway.close();
+			}
+		};
+
+		closeWhenIdle();
+	}
+
+	private async _poll(id: TargetId, client: TargetClient): Promise<void> {
+		const report = await client.gateway.report();
+		if (this._clients.get(id) !== client) {
+			return;
+		}
+
+		this._daemon.dispatch(report ? {kind: 'target-reported', targetId: id, report} : {kind: 'target-silent', targetId: id});
+		client.timer = setTimeout(() => {
+			void this._poll(id, client);
+		}, REPORT_INTERVAL_MS);
+	}
+}
--- /dev/null
+++ b/src/daemon/try-runner.ts
@@ -0,0 +1,106 @@
+/**
+Runs one try: takes what the gateway brings, passes stream events on to the
+caller, and tells the core how the try went.
+*/
+import {type EffectOf} from '../core/effect.js';
+import {type RecordedAnswer} from '../core/request/types.js';
+import {type Call} from './call.js';
+import {type Daemon} from './daemon.js';
+import {type TrySink, type WholeAnswer} from './gateways/types.js';
+import {recordAnswer} from './recorded-answers.js';
+
+export async function runTry(daemon: Daemon, effect: EffectOf<'send-try'>): Promise<void> {
+	const {requestId, tryNumber, targetId, continuation, freshConnection} = effect;
+	const call = daemon.calls.get(requestId);
+	const gateway = daemon.targets.gateway(targetId);
+	if (!call || !gateway) {
+		// The failure must come after the effect that asked for the try has been handled.
+		queueMicrotask(() => {
+			daemon.dispatch({
+				kind: 'try-failed',
+				requestId,
+				tryNumber,
+				failure: 'not-written',
+				delivered: 0,
+			});
+		});
+		return;
+	}
+
+	const signal = call.beginTry(tryNumber, continuation);
+	await gateway.send({
+		work: call.work,
+		continuation,
+		deliveredText: () => call.deliveredText(),
+		freshConnection,
+		signal,
+	}, createSink(daemon, call, tryNumber));
+}
+
+function createSink(daemon: Daemon, call: Call, tryNumber: number): TrySink {
+	const requestId = call.id;
+	const noteProgress = () => {
+		if (call.isProgressDue(daemon.clock.monotonicMs())) {
+			daemon.dispatch({
+				kind: 'try-progressed', requestId, tryNumber, delivered: call.delivered,
+			});
+		}
+	};
+
+	return {
+		async events(data) {
+			if (call.isCurrent(tryNumber)) {
+				const passed = call.passEvents(data);
+				noteProgress();
+				await passed;
+			}
+		},
+		async bytes(status, contentType, chunk) {
+			if (call.isCurrent(tryNumber)) {
+				const passed = call.passBytes(status, contentType, chunk);
+				noteProgress();
+				await passed;
+			}
+		},
+		completed(answer) {
+			if (call.isCurrent(tryNumber)) {
+				call.endTry(tryNumber);
+				call.hold(answer);
+				daemon.dispatch({
+					kind: 'try-completed',
+					requestId,
+					tryNumber,
+					status: answer?.status ?? 200,
+					answer: toRecord(daemon, call, answer),
+				});
+			}
+		},
+		failed(failure, answer) {
+			if (call.isCurrent(tryNumber)) {
+				call.endTry(tryNumber);
+				daemon.dispatch({
+					kind: 'try-failed',
+					requestId,
+					tryNumber,
+					failure,
+					delivered: call.delivered,
+					answer: answer && {status: answer.status, contentType: answer.contentType},
+				});
+			}
+
+			if (!daemon.state.requests.open.has(requestId)) {
+				daemon.calls.delete(requestId);
+			}
+		},
+	};
+}
+
+function toRecord(daemon: Daemon, call: Call, answer: WholeAnswer | undefined): RecordedAnswer | undefined {
+	if (!call.records) {
+		return undefined;
+	}
+
+	return answer
+		? recordAnswer(daemon, call.id, answer)
+		: {status: 200, contentType: 'application/octet-stream', objectKey: `answers/${call.id}`};
+}
--- /dev/null
+++ b/test/standins/engine-standin.ts
@@ -0,0 +1,235 @@
+/**
+A model engine over HTTP in the OpenAI style. It generates words that follow from
+the prompt alone, so that every whole answer can be checked, batches requests,
+keeps streams for resumption, and takes orders to load and unload models.
+*/
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fastify, type FastifyInstance, type FastifyReply} from 'fastify';
+import {type Order} from '../../src/core/placement/types.js';
+
+export type EngineOptions = {
+	readonly checksFencing?: boolean;
+	readonly memoryMb: number;
+	/** Words of an answer. */
+	readonly words?: number;
+	readonly wordDelayMs?: number;
+	readonly loadDelayMs?: number;
+	readonly slots?: number;
+	/** Copies that are resident from the start, as `name@version` with their size. */
+	readonly resident?: Readonly<Record<string, number>>;
+	readonly port?: number;
+};
+
+type Body = {
+	readonly model: string;
+	readonly stream?: boolean;
+	readonly messages?: ReadonlyArray<{role: string; content: string}>;
+	readonly prompt?: string;
+	readonly continue_final_message?: boolean;
+};
+
+/** A prompt that contains this ends the engine's process. */
+export const CRASH_WORD = 'crash-the-engine';
+
+/** The words that an engine answers a prompt with. */
+export function answerWords(prompt: string, words: number): string[] {
+	let seed = 7;
+	for (const character of prompt) {
+		seed = ((seed * 31) + (character.codePointAt(0) ?? 0)) % 9973;
+	}
+
+	return Array.from({length: words}, (_, index) => `w${(seed + index) % 1000} `);
+}
+
+export class EngineStandin {
+	readonly resident: Map<string, number>;
+	/** Prompts of requests in the order in which they began to run. */
+	readonly runs: string[] = [];
+	boot = randomUUID();
+	memoryMax = 0;
+	crashes = 0;
+	loads = 0;
+	unloads = 0;
+	isLeaving = false;
+	/** Breaks the connection of the next streams after this many words. */
+	breakAfterWords: number | undefined;
+	/** Goes silent in the next streams after this many words. */
+	silentAfterWords: number | undefined;
+	private readonly _streams = new Map<string, string[]>();
+	private _running = 0;
+	private _fence = 0;
+	private _server: FastifyInstance | undefined;
+	private _address = '';
+	private _port: number;
+
+	constructor(private readonly _options: EngineOptions) {
+		this.resident = new Map(Object.entries(_options.resident ?? {}));
+		this._port = _options.port ?? 0;
+	}
+
+	get address(): string {
+		return this._address;
+	}
+
+	get memoryMb(): number {
+		return [...this.resident.values()].reduce((sum, size) => sum + size, 0);
+	}
+
+	static async start(options: EngineOptions): Promise<EngineStandin> {
+		const engine = new EngineStandin(options);
+		await engine.open();
+		return engine;
+	}
+
+	async open(): Promise<void> {
+		const server = fastify({forceCloseConnections: true, bodyLimit: 64 * 1024 * 1024});
+		this._server = server;
+		server.post('/v1/chat/completions', async (request, reply) => this._complete(request.body as Body, String(request.headers['x-request-id']), reply));
+		server.post('/v1/completions', async (request, reply) => this._complete(request.body as Body, String(request.headers['x-request-id']), reply));
+		server.get<{Params: {id: string}; Querystring: {from: string}}>('/v1/streams/:id', async (request, reply) => {
+			const words = this._streams.get(request.params.id);
+			return words ? this._stream(words.slice(Number(request.query.from)), request.params.id, reply) : reply.code(404).send({});
+		});
+		server.get('/load', async () => ({
+			boot: this.boot,
+			running: this._running,
+			waiting: 0,
+			models: [...this.resident.keys()],
+			adapters: [],
+			leaving: this.isLeaving,
+		}));
+		server.post('/orders', async (request, reply) => this._order(request.body as Order, reply));
+		this._address = await server.listen({host: '127.0.0.1', port: this._port});
+		this._port = Number(new URL(this._address).port);
+	}
+
+	async close(): Promise<void> {
+		this._server?.server.closeAllConnections();
+		await this._server?.close();
+	}
+
+	/** Ends the process: all connections break, and the memory is empty afterwards. */
+	async crash(): Promise<void> {
+		this.crashes++;
+		this.resident.clear();
+		this._streams.clear();
+		this._running = 0;
+		this._fence = 0;
+		this.boot = randomUUID();
+		await this.close();
+	}
+
+	private async _complete(body: Body, id: string, reply: FastifyReply): Promise<FastifyReply> {
+		const {_options: options} = this;
+		const prompt = body.prompt ?? body.messages?.find(({role}) => role === 'user')?.content ?? '';
+		if (prompt.includes(CRASH_WORD)) {
+			void this.crash();
+			return reply;
+		}
+
+		if (options.slots !== undefined && this._running >= options.slots) {
+			return reply.code(429).send({});
+		}
+
+		this.runs.push(prompt);
+		const all = answerWords(prompt, options.words ?? 8);
+		const given = body.continue_final_message ? body.messages?.at(-1)?.content ?? '' : '';
+		const words = all.slice(given.split(' ').length - 1);
+		if (body.stream) {
+			this._streams.set(id, all);
+			return this._stream(words, id, reply);
+		}
+
+		this._running++;
+		await sleep(words.length * (options.wordDelayMs ?? 1));
+		this._running--;
+		return reply.send({
+			id,
+			object: 'chat.completion',
+			created: 0,
+			model: body.model,
+			choices: [{
+				index: 0,
+				message: {role: 'assistant', content: words.join('')},
+				text: words.join(''),
+				finish_reason: 'stop',
+			}],
+			usage: {prompt_tokens: 1, completion_tokens: words.length, total_tokens: words.length + 1},
+		});
+	}
+
+	private async _stream(words: readonly string[], id: string, reply: FastifyReply): Promise<FastifyReply> {
+		const {boot} = this;
+		const breakAfter = this.breakAfterWords;
+		const silentAfter = this.silentAfterWords;
+		this.breakAfterWords = undefined;
+		this.silentAfterWords = undefined;
+		void reply.hijack();
+		reply.raw.writeHead(200, {'content-type': 'text/event-stream'});
+		this._running++;
+		for (const [index, word] of words.entries()) {
+			if (index === breakAfter) {
+				reply.raw.destroy();
+				break;
+			}
+
+			if (index === silentAfter) {
+				return this._end(boot, reply);
+			}
+
+			const chunk = {
+				id,
+				object: 'chat.completion.chunk',
+				created: 0,
+				model: 'm',
+				choices: [{
+					index: 0,
+					delta: {content: word},
+					text: word,
+					finish_reason: null,
+				}],
+			};
+			reply.raw.write(`data: ${JSON.stringify(chunk)}\n\n`);
+			await sleep(this._options.wordDelayMs ?? 1);
+			if (reply.raw.destroyed) {
+				break;
+			}
+		}
+
+		reply.raw.end('data: [DONE]\n\n');
+		return this._end(boot, reply);
+	}
+
+	private _end(boot: string, reply: FastifyReply): FastifyReply {
+		if (boot === this.boot) {
+			this._running--;
+		}
+
+		return reply;
+	}
+
+	private async _order(order: Order, reply: FastifyReply): Promise<FastifyReply> {
+		if (this._options.checksFencing && order.fence <= this._fence) {
+			return reply.code(409).send({});
+		}
+
+		this._fence = Math.max(this._fence, order.fence);
+		const {boot} = this;
+		await sleep(this._options.loadDelayMs ?? 5);
+		if (boot !== this.boot) {
+			return reply;
+		}
+
+		const name = `${order.model}@${order.version}`;
+		if (order.kind === 'load-model') {
+			this.loads += this.resident.has(name) ? 0 : 1;
+			this.resident.set(name, order.memoryMb);
+			this.memoryMax = Math.max(this.memoryMax, this.memoryMb);
+		} else {
+			this.unloads += this.resident.delete(name) ? 1 : 0;
+		}
+
+		return reply.send({});
+	}
+}
--- /dev/null
+++ b/test/standins/fake-target.ts
@@ -0,0 +1,122 @@
+/**
+A target on a virtual clock: runs requests in slots, waits with the rest, holds
+models in memory, and can crash, restart, break answers or go silent.
+*/
+import {type TargetReport} from '../../src/core/event.js';
+import {type Order, type OrderOutcome} from '../../src/core/placement/types.js';
+
+export type FakeTargetOptions = {
+	readonly id: string;
+	readonly slots?: number;
+	readonly checksFencing?: boolean;
+	readonly resident?: Readonly<Record<string, number>>;
+};
+
+export type Job = {
+	readonly contentHash: string;
+	readonly serviceMs: number;
+	readonly priorityRank: number;
+	readonly onStart: () => void;
+	readonly onEnd: (crashed: boolean) => void;
+};
+
+export class FakeTarget {
+	readonly id: string;
+	readonly slots: number;
+	readonly resident: Map<string, number>;
+	boot = 1;
+	isUp = true;
+	/** Largest memory ever held at once. */
+	memoryMaxMb = 0;
+	loads = 0;
+	unloads = 0;
+	crashes = 0;
+	readonly running = new Set<Job>();
+	waiting: Job[] = [];
+	private readonly _checksFencing: boolean;
+	private _fence = 0;
+
+	constructor({id, slots = 8, checksFencing = false, resident = {}}: FakeTargetOptions) {
+		this.id = id;
+		this.slots = slots;
+		this.resident = new Map(Object.entries(resident));
+		this._checksFencing = checksFencing;
+		this._noteMemory();
+	}
+
+	get memoryMb(): number {
+		return [...this.resident.values()].reduce((sum, size) => sum + size, 0);
+	}
+
+	report(): TargetReport {
+		return {
+			boot: `${this.id}#${this.boot}`,
+			running: this.running.size,
+			waiting: this.waiting.length,
+			models: [...this.resident.keys()],
+			adapters: [],
+		};
+	}
+
+	/** Takes the next job that may start now, most urgent first. */
+	startNext(): Job | undefined {
+		if (this.running.size >= this.slots || this.waiting.length === 0) {
+			return undefined;
+		}
+
+		const rank = Math.min(...this.waiting.map(({priorityRank}) => priorityRank));
+		const index = this.waiting.findIndex(({priorityRank}) => priorityRank === rank);
+		const [job] = this.waiting.splice(index, 1);
+		if (job) {
+			this.running.add(job);
+		}
+
+		return job;
+	}
+
+	/** Ends the process with everything in it. */
+	crash(): void {
+		this.crashes++;
+		const jobs = [...this.running, ...this.waiting];
+		this.running.clear();
+		this.waiting = [];
+		this.resident.clear();
+		this.isUp = false;
+		this._fence = 0;
+		for (const job of jobs) {
+			job.onEnd(true);
+		}
+	}
+
+	restart(): void {
+		this.boot++;
+		this.isUp = true;
+	}
+
+	/** Carries out an order, however late it comes. */
+	take(order: Order): OrderOutcome {
+		if (!this.isUp) {
+			return 'not-sent';
+		}
+
+		if (this._checksFencing && order.fence <= this._fence) {
+			return 'refused';
+		}
+
+		this._fence = Math.max(this._fence, order.fence);
+		const name = `${order.model}@${order.version}`;
+		if (order.kind === 'load-model') {
+			this.loads += this.resident.has(name) ? 0 : 1;
+			this.resident.set(name, order.memoryMb);
+			this._noteMemory();
+		} else {
+			this.unloads += this.resident.delete(name) ? 1 : 0;
+		}
+
+		return 'done';
+	}
+
+	private _noteMemory(): void {
+		this.memoryMaxMb = Math.max(this.memoryMaxMb, this.memoryMb);
+	}
+}
--- /dev/null
+++ b/test/standins/service-standin.ts
@@ -0,0 +1,70 @@
+/**
+A plain service that keeps books: every POST is an entry, and how often each key
+was entered can be counted.
+*/
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fastify, type FastifyInstance} from 'fastify';
+
+export class ServiceStandin {
+	/** Entries made for each idempotency key. */
+	readonly entries = new Map<string, number>();
+	readonly boot = randomUUID();
+	delayMs = 5;
+	/** Size of an answer's filler, for answers too large for a row. */
+	fillerBytes = 0;
+	/** Breaks the connection after the entry was made, before the answer. */
+	breaksAfterEntry = false;
+	private readonly _server: FastifyInstance = fastify({forceCloseConnections: true});
+	private _running = 0;
+	private _address = '';
+
+	get address(): string {
+		return this._address;
+	}
+
+	static async start(port = 0): Promise<ServiceStandin> {
+		const service = new ServiceStandin();
+		await service._open(port);
+		return service;
+	}
+
+	async close(): Promise<void> {
+		this._server.server.closeAllConnections();
+		await this._server.close();
+	}
+
+	private async _open(port: number): Promise<void> {
+		const server = this._server;
+		server.get('/load', async () => ({
+			boot: this.boot,
+			running: this._running,
+			waiting: 0,
+			models: [],
+			adapters: [],
+		}));
+		server.get('/*', async request => ({path: request.url}));
+		server.post('/*', async (request, reply) => {
+			this._running++;
+			await sleep(this.delayMs);
+			this._running--;
+			const body = request.body as {trench?: string; order?: string} | undefined;
+			const key = String(request.headers['idempotency-key'] ?? body?.trench ?? body?.order ?? '');
+			const count = (this.entries.get(key) ?? 0) + 1;
+			this.entries.set(key, count);
+			if (this.breaksAfterEntry) {
+				void reply.hijack();
+				reply.raw.destroy();
+				return reply;
+			}
+
+			return {
+				key,
+				entry: count,
+				id: randomUUID(),
+				filler: 'x'.repeat(this.fillerBytes),
+			};
+		});
+		this._address = await server.listen({host: '127.0.0.1', port});
+	}
+}
--- /dev/null
+++ b/test/unit/catalogues.test.ts
@@ -0,0 +1,64 @@
+/**
+The documented tables are the tables in the code.
+*/
+import assert from 'node:assert/strict';
+import {readdirSync, readFileSync} from 'node:fs';
+import {test} from 'node:test';
+import {logEvents} from '../../src/core/log-events.js';
+import {resultCodes} from '../../src/core/result-codes.js';
+
+function documentedRows(file: string): string[][] {
+	return readFileSync(new URL(`../../docs/${file}`, import.meta.url), 'utf8')
+		.split('\n')
+		.filter(line => /^\| \d/v.test(line))
+		.map(line => line.split('|').slice(1, -1).map(cell => cell.trim()));
+}
+
+test('docs/ERRORS.md holds the result codes, each with advice', () => {
+	const rows = documentedRows('ERRORS.md');
+	assert.deepEqual(
+		rows.map(row => row.slice(0, 4)),
+		Object.entries(resultCodes).map(([name, {number, status, title}]) => [String(number), name, String(status), title]),
+	);
+	assert.ok(rows.every(row => (row[4]?.length ?? 0) > 0));
+});
+
+test('docs/EVENTS.md holds the log events, each with a meaning', () => {
+	const rows = documentedRows('EVENTS.md');
+	assert.deepEqual(
+		rows.map(row => row.slice(0, 3)),
+		Object.entries(logEvents).map(([name, {number, level}]) => [String(number), name, level]),
+	);
+	assert.ok(rows.every(row => (row[3]?.length ?? 0) > 0));
+});
+
+test('numbers are used once', () => {
+	for (const table of [resultCodes, logEvents]) {
+		const numbers = Object.values(table).map((row: {readonly number: number}) => row.number);
+		assert.equal(new Set(numbers).size, numbers.length);
+	}
+});
+
+const sourceRoot = new URL('../../src/', import.meta.url);
+
+function sources(): Array<{name: string; text: string}> {
+	return readdirSync(sourceRoot, {recursive: true, encoding: 'utf8'})
+		.filter(name => name.endsWith('.ts') && !name.includes('/gen/'))
+		.map(name => ({name, text: readFileSync(new URL(name, sourceRoot), 'utf8')}));
+}
+
+test('every code and event of the tables is used somewhere', () => {
+	const text = sources()
+		.filter(({name}) => !name.endsWith('result-codes.ts') && !name.endsWith('log-events.ts'))
+		.map(source => source.text)
+		.join('\n');
+	for (const name of [...Object.keys(resultCodes), ...Object.keys(logEvents)]) {
+		assert.ok(text.includes(`'${name}'`), `${name} is not used`);
+	}
+});
+
+test('the core imports neither the daemon nor I/O', () => {
+	for (const {name, text} of sources().filter(source => source.name.startsWith('core/') && !source.name.endsWith('.test.ts'))) {
+		assert.ok(!/from '(?:node:|\.\.\/\.\.\/daemon|\.\.\/daemon|undici|fastify)/v.test(text), `${name} imports beyond the core`);
+	}
+});
