Release a claim over rows that others released, so that no late write sticks

Cause: a takeover of a released claim whose answer is lost can land after its request was told 'not run' and its settlement had stopped at another request's released row; the key then stays open for ever. Change: a release is written over absent rows and over rows that others released; both move the revision that the late write requires. A property test drives claims through lost, late and refused table answers, cuts, pauses, deaths and broken targets. Conclusion: at most once and 'not run means not run' hold under these interleavings.

--- /dev/null
+++ b/src/core/request/claims.test.ts
@@ -0,0 +1,232 @@
+/**
+Work that runs at most once, under random interleavings of everything that the
+brief lets go wrong: answers of the table lost before and after the write,
+outages, cuts, instances that die or pause, targets that break connections.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {signOff, testConfiguration} from '../../../test/standins/configurations.js';
+import {World, type Node, type TryScript} from '../../../test/standins/world.js';
+import {type TableFault} from '../../../test/standins/table-store.js';
+
+const SEED = 78;
+const RUNS = 1500;
+const HEAL_MS = 40_000;
+const KEYS = ['trench-1', 'trench-2'];
+
+type Step =
+	| {readonly kind: 'arrive'; readonly node: number; readonly key: number; readonly deadlineMs: number}
+	| {readonly kind: 'table'; readonly faults: readonly TableFault[]}
+	| {readonly kind: 'kill' | 'pause' | 'resume' | 'cut' | 'join'; readonly node: number}
+	| {readonly kind: 'try'; readonly script: TryScript};
+
+const nodeIndex = fc.nat({max: 2});
+const step: fc.Arbitrary<Step> = fc.oneof(
+	{
+		weight: 6, arbitrary: fc.record({
+			kind: fc.constant('arrive' as const),
+			node: nodeIndex,
+			key: fc.nat({max: KEYS.length - 1}),
+			deadlineMs: fc.constantFrom(300, 2000, 8000),
+		}),
+	},
+	{
+		weight: 3, arbitrary: fc.record({
+			kind: fc.constant('table' as const),
+			faults: fc.array(fc.constantFrom<TableFault>('none', 'none', 'unavailable', 'lost-before', 'lost-after', 'late'), {minLength: 1, maxLength: 4}),
+		}),
+	},
+	{
+		weight: 3, arbitrary: fc.record({
+			kind: fc.constantFrom('pause' as const, 'resume' as const, 'cut' as const, 'join' as const, 'kill' as const),
+			node: nodeIndex,
+		}),
+	},
+	{
+		weight: 2, arbitrary: fc.record({
+			kind: fc.constant('try' as const),
+			script: fc.constantFrom<TryScript>(
+				{serviceMs: 100},
+				{serviceMs: 3000},
+				{serviceMs: 50, failure: 'reset', runs: true},
+				{serviceMs: 50, failure: 'reset', runs: false},
+				{serviceMs: 50, failure: 'refused'},
+				{serviceMs: 50, failure: 'not-written'},
+				{serviceMs: 50, silent: true},
+			),
+		}),
+	},
+);
+
+const plan = fc.array(fc.tuple(step, fc.constantFrom(0, 3, 6, 10, 150, 700, 2500)), {minLength: 2, maxLength: 25});
+
+type Told = {readonly key: string; readonly node: Node};
+
+class Session {
+	readonly told = new Map<string, Told>();
+	readonly world: World;
+	readonly nodes: Node[];
+	private _script: TryScript = {serviceMs: 100};
+	private readonly _cut = new Set<string>();
+
+	constructor() {
+		this.world = new World({seed: 5, tryScript: () => this._script});
+		this.world.addTarget({id: 'records-a'});
+		this.world.addTarget({id: 'records-b'});
+		this.nodes = [this.world.addNode('p1', 'plovdiv'), this.world.addNode('p2', 'plovdiv'), this.world.addNode('h1', 'haskovo')];
+		this.world.configure({
+			version: 1, configuration: testConfiguration({
+				targets: [{id: 'records-a', zone: 'plovdiv'}, {id: 'records-b', zone: 'haskovo'}],
+			}),
+		});
+		this.world.reaches = (from, to) => !(this._cut.has(from.id) && (to === 'platform' || this.world.nodes.has(to)));
+		this.world.run(100);
+	}
+
+	take(taken: Step): void {
+		const node = this.nodes['node' in taken ? taken.node : 0]!;
+		const actions: Readonly<Record<Step['kind'], () => void>> = {
+			arrive: () => {
+				if (taken.kind === 'arrive' && node.isAlive && !node.isPaused) {
+					this.arrive(node, KEYS[taken.key] ?? '', taken.deadlineMs);
+				}
+			},
+			table: () => {
+				let operations = 0;
+				this.world.table.fault = () => {
+					operations++;
+					return taken.kind === 'table' ? taken.faults[operations % taken.faults.length] ?? 'none' : 'none';
+				};
+			},
+			kill: () => {
+				// One instance is left to ask in the end.
+				if (node !== this.nodes[2]) {
+					this.world.kill(node);
+				}
+			},
+			pause() {
+				node.isPaused = true;
+			},
+			resume: () => {
+				this.world.resume(node);
+			},
+			cut: () => {
+				this._cut.add(node.id);
+			},
+			join: () => {
+				this._cut.delete(node.id);
+			},
+			try: () => {
+				this._script = taken.kind === 'try' ? taken.script : this._script;
+			},
+		};
+		actions[taken.kind]();
+	}
+
+	arrive(node: Node, key: string, deadlineMs: number): string {
+		const id = `r${this.told.size + 1}`;
+		this.told.set(id, {key, node});
+		this.world.arrive(node, signOff(id, key, {deadlineMs}));
+		return id;
+	}
+
+	heal(): void {
+		this.world.table.fault = () => 'none';
+		this._script = {serviceMs: 100};
+		this._cut.clear();
+		for (const node of this.nodes) {
+			this.world.resume(node);
+		}
+
+		this.world.run(HEAL_MS);
+	}
+}
+
+function checkRuns({world, told}: Session): void {
+	for (const [content, runs] of world.runs) {
+		assert.ok(runs <= 1, `${content} ran ${runs} times`);
+	}
+
+	for (const id of told.keys()) {
+		const outcome = world.outcomes.get(id);
+		if (outcome?.kind === 'refused' && outcome.ran === 'no') {
+			assert.ok(!world.ranRequests.has(id), `${id} was told that it did not run, but it did`);
+		}
+	}
+}
+
+/** Whether a run of this key may have taken place without its end being known. */
+function isDoubtful({world, told}: Session, key: string): boolean {
+	return [...told].some(([id, {key: toldKey, node}]) => {
+		const outcome = world.outcomes.get(id);
+		const isUnknown = outcome?.kind === 'refused' && outcome.ran !== 'no';
+		// An instance that died alone with an answer that it could not record leaves the key open for good.
+		const isLost = !node.isAlive && (outcome === undefined || node.state.requests.settlements.size > 0);
+		return toldKey === key && (isUnknown || isLost);
+	});
+}
+
+/** Two requests took one key in turn, and a late takeover of the released row landed after both had let go. */
+const lateTakeover: Array<[Step, number]> = [
+	[{
+		kind: 'arrive',
+		node: 0,
+		key: 1,
+		deadlineMs: 300,
+	}, 0],
+	[{kind: 'table', faults: ['late', 'none']}, 150],
+	[{
+		kind: 'arrive',
+		node: 0,
+		key: 0,
+		deadlineMs: 300,
+	}, 700],
+	[{
+		kind: 'arrive',
+		node: 0,
+		key: 0,
+		deadlineMs: 300,
+	}, 150],
+	[{
+		kind: 'arrive',
+		node: 0,
+		key: 1,
+		deadlineMs: 300,
+	}, 0],
+	[{
+		kind: 'arrive',
+		node: 0,
+		key: 1,
+		deadlineMs: 300,
+	}, 6],
+];
+
+test('work that runs at most once never runs twice, and "not run" is true, whatever goes wrong', () => {
+	fc.assert(fc.property(plan, steps => {
+		const session = new Session();
+		for (const [taken, pauseMs] of steps) {
+			session.take(taken);
+			session.world.run(pauseMs);
+			checkRuns(session);
+		}
+
+		session.heal();
+		checkRuns(session);
+		for (const [id, {node}] of session.told) {
+			assert.ok(!node.isAlive || session.world.outcomes.has(id), `${id} was never answered`);
+		}
+
+		for (const key of KEYS) {
+			const doubtful = isDoubtful(session, key);
+			const id = session.arrive(session.nodes[2]!, key, 8000);
+			session.world.run(10_000);
+			checkRuns(session);
+			const outcome = session.world.outcomes.get(id);
+			const isRunnable = outcome?.kind === 'answered' || outcome?.kind === 'replayed';
+			assert.ok(isRunnable || doubtful, `${key} is stuck: ${JSON.stringify(outcome)}`);
+		}
+	}), {
+		seed: SEED, numRuns: RUNS, includeErrorInReport: true, examples: [[lateTakeover]],
+	});
+});
--- a/src/core/request/settlements.ts
+++ b/src/core/request/settlements.ts
@@ -152,20 +152,27 @@
 }
 
 /**
-Decides by the row as it stands. An absent row is written too when the claim is
-released: the insert may still be under way, and must then find the row taken.
+Decides by the row as it stands. A write of the claim may still be under way, for
+an absent row or for one that somebody else released. A release is written over
+both, so that the late write finds another revision than it requires.
 */
 function settleAgainst(context: Context, settlement: Settlement, row: Row | undefined): void {
 	const value = row?.value as ClaimRow | undefined;
 	if (!row || row.revision === 0 || !value) {
 		writeSettlement(context, settlement, 0);
-	} else if (value.token === settlement.token && value.state === 'open') {
+	} else if (isOpenTo(settlement, value)) {
 		writeSettlement(context, settlement, row.revision);
 	} else {
 		finish(context, settlement);
 	}
 }
 
+function isOpenTo(settlement: Settlement, value: ClaimRow): boolean {
+	return value.token === settlement.token
+		? value.state === 'open'
+		: value.state === 'released' && settlement.state === 'released';
+}
+
 function finish(context: Context, settlement: Settlement): void {
 	context.state.requests.settlements.delete(settlement.token);
 }
--- a/test/standins/table-store.ts
+++ b/test/standins/table-store.ts
@@ -4,11 +4,16 @@
 */
 import {type Row, type TableAnswer, type TableOperation} from '../../src/core/table.js';
 
-export type TableFault = 'none' | 'unavailable' | 'lost-before' | 'lost-after';
+export type TableFault = 'none' | 'unavailable' | 'lost-before' | 'lost-after' | 'late';
 
 export class TableStore {
 	/** Decides the fault of each operation. */
 	fault: (operation: TableOperation) => TableFault = () => 'none';
+	/** Carries out an operation whose caller gave up on it. */
+	defer: (run: () => void) => void = run => {
+		run();
+	};
+
 	reads = 0;
 	writes = 0;
 	private readonly _rows = new Map<string, Row>();
@@ -20,6 +25,13 @@
 			return {kind: 'unavailable'};
 		}
 
+		if (fault === 'late') {
+			this.defer(() => {
+				this.apply(operation);
+			});
+			return failedAnswer(operation);
+		}
+
 		if (fault === 'lost-before') {
 			return failedAnswer(operation);
 		}
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -18,6 +18,7 @@
 const TABLE_DELAY_MS = 4;
 const TARGET_DELAY_MS = 2;
 const PEER_DELAY_MS = 3;
+const LATE_WRITE_MS = 3000;
 const REPORT_INTERVAL_MS = 500;
 const TICK_MS = 50;
 
@@ -77,6 +78,8 @@
 	readonly outcomes = new Map<string, Outcome>();
 	/** Runs of each content at any target. */
 	readonly runs = new Map<string, number>();
+	/** Requests whose work ran at any target. */
+	readonly ranRequests = new Set<string>();
 	readonly patches = new Map<string, EffectOf<'answer-patch'>['outcome']>();
 	readonly arrivals = new Map<string, Arrival>();
 	exchangeBytes = 0;
@@ -85,7 +88,11 @@
 	private readonly _queue = new TinyQueue<Entry>([], (a, b) => a.atMs - b.atMs || a.order - b.order);
 	private _order = 0;
 
-	constructor(private readonly _options: WorldOptions = {}) {}
+	constructor(private readonly _options: WorldOptions = {}) {
+		this.table.defer = run => {
+			this.after(LATE_WRITE_MS, run);
+		};
+	}
 
 	addNode(id: string, zone: string, boot = 'b1'): Node {
 		const node: Node = {
@@ -373,6 +380,7 @@
 			priorityRank: node.state.requests.open.get(requestId)?.priority === 'batch' ? 1 : 0,
 			onStart: () => {
 				this.runs.set(contentHash, (this.runs.get(contentHash) ?? 0) + 1);
+				this.ranRequests.add(requestId);
 				this.after(script.serviceMs, () => {
 					if (script.crashes && target.running.has(job)) {
 						target.crash();
