--- a/src/core/configuration/adoption.ts
+++ b/src/core/configuration/adoption.ts
@@ -9,7 +9,7 @@
 import {shareFact} from '../peer/facts.js';
 import {startTable, type TableStepOf} from '../table-steps.js';
 import {type Row} from '../table.js';
-import {type InstanceId} from '../types.js';
+import {type Instance, type InstanceId} from '../types.js';
 import {retryPatches} from './operations.js';
 import {applyPatch} from './patch.js';
 import {
@@ -49,12 +49,22 @@
 
 	if (state.platformReachable) {
 		pollHead(context);
-		return;
+	} else {
+		fetchFrom(context, state.membership.members.get(from)?.instance);
 	}
+}
 
-	const peer = state.membership.members.get(from)?.instance;
+function fetchFrom(context: Context, peer: Instance | undefined): void {
 	if (peer) {
-		context.effects.push({kind: 'fetch-configuration', peer, afterVersion: state.configuration.version});
+		context.effects.push({kind: 'fetch-configuration', peer, afterVersion: context.state.configuration.version});
+	}
+}
+
+/** The table cannot be read: if a newer version is known, any peer may have it. */
+function fetchInstead(context: Context): void {
+	const {configuration, membership} = context.state;
+	if (configuration.newestKnown > configuration.version) {
+		fetchFrom(context, membership.pickPeers(context, 1)[0]);
 	}
 }
 
@@ -62,6 +72,7 @@
 	const {configuration} = context.state;
 	configuration.polling = false;
 	if (event.answer.kind !== 'rows') {
+		fetchInstead(context);
 		return;
 	}
 
@@ -79,6 +90,7 @@
 	const {configuration} = context.state;
 	configuration.polling = false;
 	if (event.answer.kind !== 'rows') {
+		fetchInstead(context);
 		return;
 	}
 
--- a/src/core/placement/lease.ts
+++ b/src/core/placement/lease.ts
@@ -22,6 +22,9 @@
 const RENEW_INTERVAL_MS = 2500;
 const WATCH_INTERVAL_MS = 3000;
 
+/** While no target of the zone is configured, no table is asked. */
+const IDLE_INTERVAL_MS = 500;
+
 export function zoneGroup(zone: ZoneName): string {
 	return `zone/${zone}`;
 }
@@ -65,9 +68,14 @@
 export function runLease(context: Context): void {
 	const {state, nowMs} = context;
 	const lease = ownLease(context);
+	if (!hasTargets(context)) {
+		state.timers.set(nowMs + IDLE_INTERVAL_MS, {kind: 'periodic', duty: 'lease'});
+		return;
+	}
+
 	const intervalMs = lease.held ? RENEW_INTERVAL_MS : WATCH_INTERVAL_MS * (1 + rank(context, lease.group));
 	state.timers.set(nowMs + jitter(context, intervalMs), {kind: 'periodic', duty: 'lease'});
-	if (lease.busy || state.lifecycle !== 'serving' || !hasTargets(context)) {
+	if (lease.busy || state.lifecycle !== 'serving') {
 		return;
 	}
 
--- a/src/daemon/call.ts
+++ b/src/daemon/call.ts
@@ -5,7 +5,6 @@
 import {type Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
-import {type Continuation} from '../core/effect.js';
 import {type RecordedAnswer} from '../core/request/types.js';
 import {type Ran, type ResultName} from '../core/result-codes.js';
 import {type Work, type WholeAnswer} from './gateways/types.js';
@@ -61,13 +60,9 @@
 		return this._isStreaming;
 	}
 
-	beginTry(tryNumber: number, continuation: Continuation): AbortSignal {
+	beginTry(tryNumber: number): AbortSignal {
 		this._currentTry = tryNumber;
 		this._held = undefined;
-		if (continuation.kind === 'resume') {
-			this._events.length = continuation.from;
-		}
-
 		const abort = new AbortController();
 		this._aborts.set(tryNumber, abort);
 		return abort.signal;
--- a/src/daemon/try-runner.ts
+++ b/src/daemon/try-runner.ts
@@ -27,10 +27,11 @@
 		return;
 	}
 
-	const signal = call.beginTry(tryNumber, continuation);
+	const signal = call.beginTry(tryNumber);
 	await gateway.send({
 		work: call.work,
-		continuation,
+		// The core hears of progress now and then; the call knows what was passed on to the last event.
+		continuation: continuation.kind === 'resume' ? {kind: 'resume', from: call.delivered} : continuation,
 		deliveredText: () => call.deliveredText(),
 		freshConnection,
 		signal,
