--- a/src/core/peer/exchange.ts
+++ b/src/core/peer/exchange.ts
@@ -43,12 +43,15 @@
 	cleared(context, _fact, {contentHash}) {
 		acceptCleared(context, contentHash);
 	},
-	isolated(context, fact, {targetId, contentHash}) {
+	isolated(context, fact, {targetId, contentHash, isExclusive}) {
 		const target = context.state.targets.get(targetId);
-		if (target && context.state.requests.suspects.has(contentHash)) {
-			acceptIsolation(context, target, fact.origin, contentHash);
+		if (target) {
+			acceptIsolation(context, target, {by: fact.origin, contentHash, isExclusive});
 		}
 	},
+	'idle-zone'(context, _fact, {group, isIdle}) {
+		context.state.placement.idleZones.set(group, {isIdle, atMs: context.nowMs});
+	},
 	'leaving-copy'(context, _fact, {targetId, model, leaving}) {
 		const copies = context.state.targets.get(targetId)?.leavingCopies;
 		if (leaving) {
--- a/src/core/peer/facts.ts
+++ b/src/core/peer/facts.ts
@@ -31,13 +31,14 @@
 	suspected: 10 * 60 * 1000,
 	cleared: 10 * 60 * 1000,
 	isolated: 60 * 1000,
+	'idle-zone': 60 * 1000,
 	'leaving-copy': 10 * 60 * 1000,
 	lease: undefined,
 	'closed-epoch': 60 * 60 * 1000,
 	demand: 30 * 1000,
 };
 
-const urgentKinds: ReadonlySet<FactKind> = new Set(['configuration', 'condemned', 'suspected', 'cleared', 'isolated', 'instance', 'leaving-copy']);
+const urgentKinds: ReadonlySet<FactKind> = new Set(['configuration', 'condemned', 'suspected', 'cleared', 'isolated', 'idle-zone', 'instance', 'leaving-copy']);
 
 /** Makes a fact known to this instance and its peers. */
 export function publish(context: Context, key: string, value: FactValue): void {
--- a/src/core/peer/types.ts
+++ b/src/core/peer/types.ts
@@ -12,7 +12,8 @@
 	| {readonly kind: 'condemned'; readonly contentHash: string}
 	| {readonly kind: 'suspected'; readonly contentHash: string; readonly targetId: TargetId; readonly boot: string}
 	| {readonly kind: 'cleared'; readonly contentHash: string}
-	| {readonly kind: 'isolated'; readonly targetId: TargetId; readonly contentHash: string}
+	| {readonly kind: 'isolated'; readonly targetId: TargetId; readonly contentHash: string; readonly isExclusive: boolean}
+	| {readonly kind: 'idle-zone'; readonly group: string; readonly isIdle: boolean}
 	| {readonly kind: 'leaving-copy'; readonly targetId: TargetId; readonly model: string; readonly leaving: boolean}
 	| {readonly kind: 'lease'; readonly group: string; readonly holder: InstanceId; readonly epoch: number}
 	| {readonly kind: 'closed-epoch'; readonly group: string; readonly epoch: number}
--- a/src/core/placement/duty.ts
+++ b/src/core/placement/duty.ts
@@ -24,6 +24,7 @@
 } from './plan.js';
 import {type Copy, type Ledger} from './state.js';
 import {type Demand, type LedgerRow} from './types.js';
+import {loadsUnderWay, sayIdle} from './weight-store.js';
 
 const PLAN_INTERVAL_MS = 1000;
 const DEMAND_INTERVAL_MS = 2000;
@@ -47,6 +48,12 @@
 	}
 
 	carryOut(context);
+	sayIdle(context, !hasLoads(context));
+}
+
+function hasLoads(context: Context): boolean {
+	return loadsUnderWay(context) > 0
+		|| [...context.state.placement.ledgers.values()].some(({copies}) => [...copies.values()].some(({status}) => status === 'ordering'));
 }
 
 /** Opens ledgers of targets that were configured, or could not be read, since the lease was taken. */
--- a/src/core/placement/orders.ts
+++ b/src/core/placement/orders.ts
@@ -15,6 +15,7 @@
 	closeEpoch, epochClosedAtMs, heldEpoch, holdsLease, zoneGroup,
 } from './lease.js';
 import {type Copy, type Ledger, type OpenOrder} from './state.js';
+import {takeLoadToken} from './weight-store.js';
 import {type LedgerRow, type OrderKind, type OrderOutcome} from './types.js';
 
 const FENCES_PER_EPOCH = 2 ** 20;
@@ -152,32 +153,6 @@
 	return new Set(closed);
 }
 
-/**
-Keeps this zone within its share of the weight store's rate and of the loads that
-may be in progress at once. The shares are fixed, so that zones need not talk.
-*/
-function takeLoadToken({state, nowMs}: Context): boolean {
-	const {limits, targets} = state.configuration.configuration;
-	const zones = new Set(Object.values(targets).filter(({memoryMb}) => memoryMb > 0).map(({zone}) => zone)).size;
-	const {placement} = state;
-	const perSecond = limits.weightLoadsPerSecond / Math.max(1, zones);
-	const atOnce = Math.max(1, Math.floor(limits.weightLoadsAtOnce / Math.max(1, zones)));
-	const elapsedMs = nowMs - placement.loadTokensAtMs;
-	placement.loadTokens = Math.min(1, placement.loadTokens + ((elapsedMs / 1000) * perSecond));
-	placement.loadTokensAtMs = nowMs;
-	let loading = 0;
-	for (const {order} of placement.orders.values()) {
-		loading += order.kind === 'load-model' ? 1 : 0;
-	}
-
-	if (placement.loadTokens < 1 || loading >= atOnce) {
-		return false;
-	}
-
-	placement.loadTokens--;
-	return true;
-}
-
 export function handleOrderAnswered(context: Context, event: EventOf<'order-answered'>): void {
 	const {placement, self} = context.state;
 	const open = placement.orders.get(event.orderId);
--- a/src/core/placement/plan.ts
+++ b/src/core/placement/plan.ts
@@ -16,8 +16,9 @@
 /** Time before a second copy is added, so that the first copies of all models come first. */
 const SPREAD_DELAY_MS = 15_000;
 
-/** Plans in a row with pressure before a copy is added for demand. */
-const PRESSURE_PLANS = 3;
+/** Plans in a row with pressure before a copy is added for demand, into free room and into that of a spare copy. */
+const PRESSURE_PLANS = 5;
+const EVICTION_PLANS = 180;
 
 /** Share of slots in use above which a model's targets count as full, and below which another one helps. */
 const FULL_UTILISATION = 0.85;
@@ -305,7 +306,7 @@
 			return;
 		}
 
-		const victims = victimsFor(plan, target, entry);
+		const victims = entry.pressurePlans >= EVICTION_PLANS ? victimsFor(plan, target, entry) : [];
 		const isWorth = victims.every(victim => rateOf(plan, victim.entry) * 2 < rateOf(plan, copyOf(entry)));
 		if (victims.length > 0 && isWorth) {
 			for (const victim of victims) {
--- a/src/core/placement/state.ts
+++ b/src/core/placement/state.ts
@@ -79,6 +79,10 @@
 	readonly pressure = new Map<ModelName, number>();
 	readonly moves: Move[] = [];
 	orderCounter = 0;
+	/** Zones, as groups, that say that they have nothing to load, and when they said so. */
+	readonly idleZones = new Map<string, {readonly isIdle: boolean; readonly atMs: number}>();
+	/** What this zone last said, and when. */
+	saidIdle = {isIdle: false, atMs: Number.NEGATIVE_INFINITY};
 	/** Weight-store loads that this zone may start now. */
 	loadTokens = 1;
 	loadTokensAtMs = 0;
--- a/src/core/request/dispatch.ts
+++ b/src/core/request/dispatch.ts
@@ -46,13 +46,14 @@
 	readonly request: OpenRequest;
 };
 
-function nextFor({state}: Context, target: Target): Found | undefined {
+function nextFor(context: Context, target: Target): Found | undefined {
+	const {state} = context;
 	for (const priority of priorities) {
 		let best: Found | undefined;
 		for (const id of routesOf(target)) {
 			const route = state.requests.routes.get(id);
 			const request = route && route.queue.waitingOf(priority) > 0 ? route.queue.peek(priority) : undefined;
-			if (route && request && canTake(target, request) && (!best || request.deadlineAtMs < best.request.deadlineAtMs)) {
+			if (route && request && canTake(context, target, request) && (!best || request.deadlineAtMs < best.request.deadlineAtMs)) {
 				best = {route, request};
 			}
 		}
--- a/src/core/request/selection.ts
+++ b/src/core/request/selection.ts
@@ -44,7 +44,7 @@
 	let bestCost = Number.POSITIVE_INFINITY;
 	const consider = (index: number, gain: number) => {
 		const target = context.state.targets.get(candidates[index] ?? '');
-		if (!target || !canTake(target, request)) {
+		if (!target || !canTake(context, target, request)) {
 			return;
 		}
 
@@ -72,8 +72,9 @@
 	return best;
 }
 
-export function canTake(target: Target, request: OpenRequest): boolean {
-	return hasRoom(target, request.priority)
+export function canTake(context: Context, target: Target, request: OpenRequest): boolean {
+	const waitedShare = (context.nowMs - request.arrivedAtMs) / (request.deadlineAtMs - request.arrivedAtMs);
+	return hasRoom(target, request.priority, waitedShare)
 		&& (request.model === undefined || !target.leavingCopies.has(request.model));
 }
 
--- a/src/core/request/suspects.ts
+++ b/src/core/request/suspects.ts
@@ -1,9 +1,10 @@
 /**
 Requests that may crash the targets that run them. After a crash, everything that
 was in flight there is suspect, told by content hash, unless the same content has
-run to completion before. A suspect runs alone on a target of its own. It is
-cleared by completion and refused for good after a second crash, on this and
-every other instance.
+run to completion before. Suspects run apart from each other, one at a target, so
+that a second crash has one culprit; a target that is empty is kept to the suspect
+alone. A suspect is cleared by completion and refused for good after a second
+crash, on this and every other instance.
 */
 import {log, type Context} from '../context.js';
 import {publish} from '../peer/facts.js';
@@ -21,8 +22,8 @@
 const SUSPECT_MS = 10 * 60 * 1000;
 const INNOCENT_MS = 60 * 60 * 1000;
 
-/** A suspect is sent although others are still in flight at its target once this has passed. */
-const ISOLATION_WAIT_MS = 10_000;
+/** Time for a reservation to reach the other instances before the suspect is sent. */
+const ANNOUNCE_MS = 20;
 const ISOLATION_MAX_MS = 60_000;
 
 export type Suspect = {
@@ -191,15 +192,25 @@
 	suspect.testing = request.id;
 	suspect.tester = state.self.id;
 	target.isolation = {
+		isExclusive: estimatedTotal(target) === 0,
 		contentHash: suspect.contentHash,
 		by: state.self.id,
 		requestId: request.id,
 		sinceMs: nowMs,
 		untilMs: nowMs + ISOLATION_MAX_MS,
 	};
-	publish(context, `isolated/${target.id}`, {kind: 'isolated', targetId: target.id, contentHash: suspect.contentHash});
-	state.timers.set(nowMs + ISOLATION_WAIT_MS, {kind: 'isolation', targetId: target.id});
-	continueIsolation(context, target);
+	announceIsolation(context, target, suspect.contentHash);
+	state.timers.set(nowMs + ANNOUNCE_MS, {kind: 'isolation', targetId: target.id});
+}
+
+/** Tells peers which suspect a target runs; an empty hash frees it. */
+function announceIsolation(context: Context, target: Target, contentHash: string): void {
+	publish(context, `isolated/${target.id}`, {
+		kind: 'isolated',
+		targetId: target.id,
+		contentHash,
+		isExclusive: target.isolation?.isExclusive ?? false,
+	});
 }
 
 function firstWaiting({state}: Context, suspect: Suspect): OpenRequest | undefined {
@@ -215,65 +226,89 @@
 	return undefined;
 }
 
-/** The emptiest target that has not crashed with this suspect, at most a third of the route's targets at once. */
+/** The emptiest target without a suspect, if possible one that has not crashed with this one. */
 function isolationTarget({state}: Context, suspect: Suspect, request: OpenRequest): Target | undefined {
-	const candidates = routeTargets(state, request)
+	const usable = routeTargets(state, request)
 		.map(id => state.targets.get(id))
-		.filter(target => target !== undefined);
-	const isolated = candidates.filter(target => target.isolation !== undefined).length;
-	if (isolated >= Math.max(1, Math.floor(candidates.length / 3))) {
-		return undefined;
-	}
-
-	const usable = candidates.filter(target => target.health !== 'down' && !target.leaving && target.isolation === undefined);
+		.filter(target => target !== undefined)
+		.filter(target => target.health !== 'down' && !target.leaving && target.isolation === undefined);
 	const others = usable.filter(target => !suspect.targets.has(target.id));
 	return (others.length > 0 ? others : usable)
 		.toSorted((a, b) => estimatedTotal(a) - estimatedTotal(b))
 		.at(0);
 }
 
-/** Sends the suspect once its target is empty, or once the wait for that is over. */
+/** Sends the suspect once its reservation had time to spread. */
 export function continueIsolation(context: Context, target: Target): void {
 	const {state, nowMs} = context;
 	const {isolation} = target;
 	const request = isolation?.requestId === undefined ? undefined : state.requests.open.get(isolation.requestId);
-	if (!isolation || request?.phase !== 'isolating') {
+	if (!isolation || request?.phase !== 'isolating' || nowMs - isolation.sinceMs < ANNOUNCE_MS) {
 		return;
 	}
 
-	const isEmpty = estimatedTotal(target) === 0;
-	if (isEmpty || nowMs - isolation.sinceMs >= ISOLATION_WAIT_MS) {
-		sendTry(context, request, target, {kind: 'whole'}, {freshConnection: true});
-	}
+	sendTry(context, request, target, {kind: 'whole'}, {freshConnection: true});
 }
 
-/** The isolated request's try ended or the request closed: the target is free for others. */
+/** The isolated request's try ended or the request closed: the target may run another suspect. */
 export function endIsolation(context: Context, target: Target | undefined, request: OpenRequest): void {
 	if (target?.isolation?.requestId !== request.id) {
 		return;
 	}
 
 	target.isolation = undefined;
+	announceIsolation(context, target, '');
 	const suspect = context.state.requests.suspects.get(request.contentHash);
 	if (suspect?.testing === request.id) {
 		suspect.testing = undefined;
 		suspect.waiting.delete(request.id);
 	}
+
+	startWaiting(context);
+}
+
+/** Starts suspects that found no target before. */
+function startWaiting(context: Context): void {
+	for (const suspect of context.state.requests.suspects.values()) {
+		if (suspect.waiting.size > 0) {
+			startIsolation(context, suspect);
+		}
+	}
 }
 
-/** A peer reserved a target: no new requests go there until the verdict or the time limit. */
-export function acceptIsolation(context: Context, target: Target, by: InstanceId, contentHash: string): void {
-	if (target.isolation?.by === context.state.self.id) {
+type PeerIsolation = {
+	readonly by: InstanceId;
+	readonly contentHash: string;
+	readonly isExclusive: boolean;
+};
+
+/**
+A peer reserved a target, or freed it. Its fact has won over one of this instance
+for the same target, whose suspect then looks for another one, unless it was sent.
+*/
+export function acceptIsolation(context: Context, target: Target, {by, contentHash, isExclusive}: PeerIsolation): void {
+	const own = target.isolation?.requestId;
+	const request = own === undefined ? undefined : context.state.requests.open.get(own);
+	if (request?.phase === 'running') {
 		return;
 	}
 
-	target.isolation = {
-		contentHash,
-		by,
-		requestId: undefined,
-		sinceMs: context.nowMs,
-		untilMs: context.nowMs + ISOLATION_MAX_MS,
-	};
+	target.isolation = contentHash === ''
+		? undefined
+		: {
+			isExclusive,
+			contentHash,
+			by,
+			requestId: undefined,
+			sinceMs: context.nowMs,
+			untilMs: context.nowMs + ISOLATION_MAX_MS,
+		};
+	const suspect = request && context.state.requests.suspects.get(request.contentHash);
+	if (suspect && suspect.testing === own) {
+		suspect.testing = undefined;
+	}
+
+	startWaiting(context);
 }
 
 /** Lifts reservations that ran out, takes over tests whose instance fell silent, and starts waiting ones. */
@@ -286,7 +321,7 @@
 		}
 
 		const own = isolation.requestId === undefined ? undefined : requests.open.get(isolation.requestId);
-		const isIdle = isolation.by === self.id ? own === undefined : isolation.untilMs <= context.nowMs || !requests.suspects.has(isolation.contentHash);
+		const isIdle = isolation.by === self.id ? own === undefined : isolation.untilMs <= context.nowMs;
 		if (isIdle) {
 			target.isolation = undefined;
 			dispatchTarget(context, target);
--- a/src/core/request/target.ts
+++ b/src/core/request/target.ts
@@ -8,13 +8,24 @@
 } from '../types.js';
 import {emptyEstimate, type Estimate} from './estimate.js';
 
-/** Share of a target's slots that each priority may fill, so that more urgent work finds room at once. */
-const FILL_SHARE: Readonly<Record<Priority, number>> = {urgent: 1, normal: 0.9, batch: 0.6};
+/**
+How many requests, in multiples of a target's slots, may be at it for another one
+of each priority to be sent. Engines honour priorities, so urgent work is sent
+past what waits there; the rest keeps the slots filled between two reports and
+waits here, where it can still be refused early, cancelled or sent elsewhere.
+*/
+const FILL_FACTOR: Readonly<Record<Priority, number>> = {urgent: 6, normal: 1.5, batch: 1};
+
+/** Multiples of the slots that a request gains as it waits, until it has waited this share of its time. */
+const AGE_FACTOR = 3;
+const AGED_SHARE = 0.3;
 
 export type TargetHealth = 'up' | 'suspect' | 'down';
 
-/** A reservation of a target for one crash suspect. */
+/** The one crash suspect that a target may run at a time. */
 export type Isolation = {
+	/** Whether nothing else may run there meanwhile. */
+	readonly isExclusive: boolean;
 	readonly contentHash: string;
 	readonly by: InstanceId;
 	/** Request of this instance that runs or will run alone here. */
@@ -96,10 +107,17 @@
 }
 
 export function isUsable(target: Target): boolean {
-	return target.health !== 'down' && !target.leaving && target.isolation === undefined;
+	return target.health !== 'down' && !target.leaving && !target.isolation?.isExclusive;
 }
 
-export function hasRoom(target: Target, priority: Priority): boolean {
-	const limit = Math.max(1, Math.floor(target.slots * FILL_SHARE[priority]));
+/**
+Whether a request may be sent to a target now. The longer it has waited, as a share
+of its time, the more others may be there: instances do not know each other's
+queues, and without this one that has requests at a target would refill it for
+ever while the older requests of another wait.
+*/
+export function hasRoom(target: Target, priority: Priority, waitedShare: number): boolean {
+	const factor = FILL_FACTOR[priority] + (Math.min(waitedShare, AGED_SHARE) * AGE_FACTOR);
+	const limit = Math.max(1, Math.floor(target.slots * factor));
 	return isUsable(target) && estimatedTotal(target) < limit;
 }
--- a/src/core/request/tries.ts
+++ b/src/core/request/tries.ts
@@ -13,7 +13,7 @@
 import {addSample, upperLimitMs} from './estimate.js';
 import {releaseClaim, settleDone, settleUnknown} from './settlements.js';
 import {clearSuspect, endIsolation, noteCrash} from './suspects.js';
-import {type Target} from './target.js';
+import {estimatedTotal, type Target} from './target.js';
 import {
 	type Failure, type OpenRequest, type RecordedAnswer, type Try,
 } from './types.js';
@@ -410,7 +410,9 @@
 		return upperLimitMs(target.gap, GAP_LIMIT);
 	}
 
-	return request.stream
+	const limitMs = request.stream
 		? upperLimitMs(target.firstByte, FIRST_BYTE_LIMIT)
 		: upperLimitMs(state.requests.route(request.route).service, WHOLE_ANSWER_LIMIT);
+	// A request that waits in the engine's own queue is quiet too, for as many rounds as there are before it.
+	return limitMs * Math.max(1, estimatedTotal(target) / target.slots);
 }
--- a/test/standins/fake-target.ts
+++ b/test/standins/fake-target.ts
@@ -74,6 +74,12 @@
 		return job;
 	}
 
+	/** Takes a job back that its sender no longer wants. */
+	cancel(job: Job): void {
+		this.running.delete(job);
+		this.waiting = this.waiting.filter(other => other !== job);
+	}
+
 	/** Ends the process with everything in it. */
 	crash(): void {
 		this.crashes++;
