Bench the reducer, memory, control and overhead; bound control and make events cheaper

A profile showed the eviction of remembered hashes (searching the front of a map with many deletions) as a third of the time, and queue scans after every completion as a tenth. Change: remembered entries live in two generations; targets are not looked through while nothing waits; queue timers only for requests that wait; a fact's size is computed once; urgent facts are not answered; reports read per second are bounded and owners tell other zones what their targets hold; residents are indexed by model.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,38 @@
+/**
+`npm run bench [NAME ...]`: all benchmarks or the named ones. `--json` prints JSON.
+*/
+import process from 'node:process';
+import {Command} from 'commander';
+import {formatTable} from '../src/cli/table.js';
+import {benchControl} from './control.js';
+import {type Figure} from './figure.js';
+import {benchMemory} from './memory.js';
+import {benchOverhead} from './overhead.js';
+import {benchReducer} from './reducer.js';
+
+const benches: Readonly<Record<string, () => Figure[] | Promise<Figure[]>>> = {
+	memory: benchMemory,
+	reducer: benchReducer,
+	control: benchControl,
+	overhead: benchOverhead,
+};
+
+const program = new Command('bench')
+	.argument('[names...]', `which of ${Object.keys(benches).join(', ')}`)
+	.option('--json', 'print JSON', false)
+	.action(async (names: string[], {json}: {json: boolean}) => {
+		const figures: Figure[] = [];
+		for (const [name, bench] of Object.entries(benches)) {
+			if (names.length === 0 || names.includes(name)) {
+				figures.push(...await bench());
+			}
+		}
+
+		process.stdout.write(json
+			? `${JSON.stringify(figures)}\n`
+			: `${formatTable(figures.map(({value, goal, met, ...rest}) => ({
+				...rest, value: value.toPrecision(4), goal, met,
+			})))}\n`);
+	});
+
+await program.parseAsync();
--- a/src/core/peer/exchange.ts
+++ b/src/core/peer/exchange.ts
@@ -10,6 +10,7 @@
 import {
 	acceptCleared, acceptIsolation, condemn, suspectContent, vouch,
 } from '../request/suspects.js';
+import {acceptCopies} from '../request/reports.js';
 import {type InstanceId} from '../types.js';
 import {
 	publish, RELAY_PEERS, sendUrgent, store, takeFacts,
@@ -49,6 +50,9 @@
 			acceptIsolation(context, target, {by: fact.origin, contentHash, isExclusive});
 		}
 	},
+	copies(context, _fact, {targetId, models}) {
+		acceptCopies(context, targetId, models);
+	},
 	'idle-zone'(context, _fact, {group, isIdle}) {
 		context.state.placement.idleZones.set(group, {isIdle, atMs: context.nowMs});
 	},
--- a/src/core/peer/facts.ts
+++ b/src/core/peer/facts.ts
@@ -10,10 +10,10 @@
 import {type FactRecord} from './state.js';
 
 /** Largest size of the facts in one exchange, as JSON. */
-export const EXCHANGE_MAX_BYTES = 1200;
+export const EXCHANGE_MAX_BYTES = 800;
 
 /** Part of an exchange that the sweep may fill when there is little news. */
-const SWEEP_MAX_BYTES = 400;
+const SWEEP_MAX_BYTES = 300;
 
 /** Peers that hear an urgent fact from its origin at once. */
 const URGENT_PEERS = 16;
@@ -32,13 +32,14 @@
 	cleared: 10 * 60 * 1000,
 	isolated: 60 * 1000,
 	'idle-zone': 60 * 1000,
+	copies: 60 * 60 * 1000,
 	'leaving-copy': 10 * 60 * 1000,
 	lease: undefined,
 	'closed-epoch': 60 * 60 * 1000,
 	demand: 30 * 1000,
 };
 
-const urgentKinds: ReadonlySet<FactKind> = new Set(['configuration', 'condemned', 'suspected', 'cleared', 'isolated', 'idle-zone', 'instance', 'leaving-copy']);
+const urgentKinds: ReadonlySet<FactKind> = new Set(['configuration', 'condemned', 'suspected', 'cleared', 'isolated', 'idle-zone', 'instance', 'leaving-copy', 'copies']);
 
 /** Makes a fact known to this instance and its peers. */
 export function publish(context: Context, key: string, value: FactValue): void {
@@ -58,9 +59,14 @@
 	}
 }
 
+/** A zone's word that it is idle can wait; that it is no longer so cannot. */
+function isUrgent(value: FactValue): boolean {
+	return urgentKinds.has(value.kind) && !(value.kind === 'idle-zone' && value.isIdle);
+}
+
 /** Passes an urgent fact on at once, so that it reaches all instances in a few hops. */
 export function sendUrgent(context: Context, fact: Fact, peers: number): void {
-	if (!urgentKinds.has(fact.value.kind)) {
+	if (!isUrgent(fact.value)) {
 		return;
 	}
 
@@ -81,6 +87,7 @@
 		fact,
 		sendsLeft: Math.ceil(NEWS_FACTOR * Math.log2(context.state.membership.size + 2)),
 		receivedAtMs: context.nowMs,
+		bytes: factBytes(fact),
 	});
 	if (!held || held.sendsLeft === 0) {
 		news.push(fact.key);
@@ -111,7 +118,7 @@
 			continue;
 		}
 
-		const size = factBytes(held.fact);
+		const size = held.bytes;
 		if (bytes + size > EXCHANGE_MAX_BYTES) {
 			news.unshift(key);
 			break;
@@ -144,7 +151,7 @@
 			continue;
 		}
 
-		bytes += factBytes(held.fact);
+		bytes += held.bytes;
 		if (bytes > budgetBytes) {
 			return;
 		}
@@ -163,6 +170,6 @@
 	return isExpired;
 }
 
-export function factBytes(fact: Fact): number {
+function factBytes(fact: Fact): number {
 	return FACT_OVERHEAD_BYTES + fact.key.length + JSON.stringify(fact.value).length;
 }
--- a/src/core/peer/state.ts
+++ b/src/core/peer/state.ts
@@ -8,6 +8,8 @@
 	/** Exchanges in which the fact is still to be sent as news. */
 	sendsLeft: number;
 	readonly receivedAtMs: number;
+	/** Size in an exchange. */
+	readonly bytes: number;
 };
 
 export class PeerState {
--- a/src/core/peer/types.ts
+++ b/src/core/peer/types.ts
@@ -13,6 +13,7 @@
 	| {readonly kind: 'suspected'; readonly contentHash: string; readonly targetId: TargetId; readonly boot: string}
 	| {readonly kind: 'cleared'; readonly contentHash: string}
 	| {readonly kind: 'isolated'; readonly targetId: TargetId; readonly contentHash: string; readonly isExclusive: boolean}
+	| {readonly kind: 'copies'; readonly targetId: TargetId; readonly models: readonly string[]}
 	| {readonly kind: 'idle-zone'; readonly group: string; readonly isIdle: boolean}
 	| {readonly kind: 'leaving-copy'; readonly targetId: TargetId; readonly model: string; readonly leaving: boolean}
 	| {readonly kind: 'lease'; readonly group: string; readonly holder: InstanceId; readonly epoch: number}
--- a/src/core/placement/duty.ts
+++ b/src/core/placement/duty.ts
@@ -37,11 +37,12 @@
 export function runPlacement(context: Context): void {
 	const {state, nowMs} = context;
 	state.timers.set(nowMs + PLAN_INTERVAL_MS, {kind: 'periodic', duty: 'placement'});
-	noteAbsences(context);
 	if (!holdsLease(context) || state.lifecycle !== 'serving') {
 		return;
 	}
 
+	noteAbsences(context);
+
 	ensureLedgers(context);
 	for (const ledger of state.placement.ledgers.values()) {
 		maintain(context, ledger);
--- a/src/core/request/admission.ts
+++ b/src/core/request/admission.ts
@@ -121,20 +121,20 @@
 		return;
 	}
 
-	enqueue(context, request);
-	dispatchRoute(context, request.route);
-}
-
-function enqueue(context: Context, request: OpenRequest): void {
-	const {state, nowMs} = context;
-	const route = state.requests.route(request.route);
 	request.phase = 'queued';
 	request.enqueuedAtMs = nowMs;
 	request.timerSequence++;
 	route.queue.push(request, callerOf(state.configuration.configuration, request.caller).weight);
-	// Past this moment the answer would be late, so the caller is told at once.
-	const lastStartMs = request.deadlineAtMs - route.service.meanMs;
-	state.timers.set(Math.max(nowMs, lastStartMs), {kind: 'request', requestId: request.id, sequence: request.timerSequence});
+	dispatchRoute(context, request.route);
+	watchQueued(context, request);
+}
+
+/** Sets the timer of a request that found no room: past its last useful start the caller is told at once. */
+export function watchQueued({state, nowMs}: Context, request: OpenRequest): void {
+	if (request.phase === 'queued' && request.delivered === 0) {
+		const lastStartMs = request.deadlineAtMs - state.requests.route(request.route).service.meanMs;
+		state.timers.set(Math.max(nowMs, lastStartMs), {kind: 'request', requestId: request.id, sequence: request.timerSequence});
+	}
 }
 
 /** A queued request whose last useful start has passed. */
--- a/src/core/request/dispatch.ts
+++ b/src/core/request/dispatch.ts
@@ -31,7 +31,7 @@
 
 /** Fills one target from the queues of all routes that it serves, most urgent request first. */
 export function dispatchTarget(context: Context, target: Target): void {
-	while (isUsable(target)) {
+	while (context.state.requests.waiting.total > 0 && isUsable(target)) {
 		const found = nextFor(context, target);
 		if (!found) {
 			return;
--- a/src/core/request/fair-queue.ts
+++ b/src/core/request/fair-queue.ts
@@ -30,6 +30,11 @@
 	};
 }
 
+/** Requests that wait in any of several queues. */
+export type WaitingCount = {
+	total: number;
+};
+
 export class FairQueue {
 	private readonly _queues: Readonly<Record<Priority, PriorityQueue>> = {
 		urgent: emptyQueue(),
@@ -37,6 +42,8 @@
 		batch: emptyQueue(),
 	};
 
+	constructor(private readonly _count: WaitingCount) {}
+
 	get waiting(): number {
 		return this._queues.urgent.waiting + this._queues.normal.waiting + this._queues.batch.waiting;
 	}
@@ -64,6 +71,7 @@
 		queue.tags.set(request.caller, tag);
 		request.round = Math.floor(tag / ROUND_REQUESTS);
 		queue.waiting++;
+		this._count.total++;
 		queue.heap.push(request);
 	}
 
@@ -71,6 +79,7 @@
 	pushBack(request: OpenRequest): void {
 		const queue = this._queues[request.priority];
 		queue.waiting++;
+		this._count.total++;
 		queue.heap.push(request);
 	}
 
@@ -97,6 +106,7 @@
 		const queue = this._queues[priority];
 		queue.heap.pop();
 		queue.waiting--;
+		this._count.total--;
 		queue.virtualTime = Math.max(queue.virtualTime, first.round * ROUND_REQUESTS);
 		if (queue.waiting === 0) {
 			queue.tags.clear();
@@ -109,6 +119,7 @@
 	/** Takes note that a request left the queue without being served. Its phase must have changed. */
 	forget(request: OpenRequest): void {
 		this._queues[request.priority].waiting--;
+		this._count.total--;
 	}
 
 	toJSON(): Record<Priority, number> {
--- a/src/core/request/recent-map.ts
+++ b/src/core/request/recent-map.ts
@@ -1,44 +1,47 @@
 /**
-A map that keeps the newest entries up to a fixed number.
+A map that keeps the newest entries. Entries live in two generations: when the
+younger one is full it becomes the older one, and what that one held is dropped.
+Between half and all of the capacity is thus kept, and no entry is ever searched
+for eviction.
 */
 
 export class RecentMap<Value> {
-	private readonly _entries = new Map<string, Value>();
+	private _young = new Map<string, Value>();
+	private _old = new Map<string, Value>();
 
 	constructor(private readonly _capacity: number) {}
 
 	get size(): number {
-		return this._entries.size;
+		return this._young.size + this._old.size;
 	}
 
 	get(key: string): Value | undefined {
-		return this._entries.get(key);
+		return this._young.get(key) ?? this._old.get(key);
 	}
 
 	has(key: string): boolean {
-		return this._entries.has(key);
+		return this._young.has(key) || this._old.has(key);
 	}
 
 	set(key: string, value: Value): void {
-		this._entries.delete(key);
-		this._entries.set(key, value);
-		if (this._entries.size > this._capacity) {
-			const oldest = this._entries.keys().next();
-			if (!oldest.done) {
-				this._entries.delete(oldest.value);
-			}
+		this._old.delete(key);
+		this._young.set(key, value);
+		if (this._young.size * 2 >= this._capacity) {
+			this._old = this._young;
+			this._young = new Map();
 		}
 	}
 
 	delete(key: string): void {
-		this._entries.delete(key);
+		this._young.delete(key);
+		this._old.delete(key);
 	}
 
-	values(): IterableIterator<Value> {
-		return this._entries.values();
+	values(): Value[] {
+		return [...this._old.values(), ...this._young.values()];
 	}
 
 	toJSON(): Record<string, Value> {
-		return Object.fromEntries(this._entries);
+		return Object.fromEntries([...this._old, ...this._young]);
 	}
 }
--- a/src/core/request/reports.ts
+++ b/src/core/request/reports.ts
@@ -4,6 +4,8 @@
 */
 import {log, type Context} from '../context.js';
 import {type EventOf} from '../event.js';
+import {publish} from '../peer/facts.js';
+import {holdsLease} from '../placement/lease.js';
 import {type ModelName, type TargetId} from '../types.js';
 import {dispatchTarget} from './dispatch.js';
 import {continueIsolation} from './suspects.js';
@@ -126,29 +128,47 @@
 
 	target.resident = resident;
 	refreshRoutes(context, target, before);
+	if (target.zone === context.state.self.zone && holdsLease(context)) {
+		publish(context, `copies/${target.id}`, {kind: 'copies', targetId: target.id, models: [...resident]});
+	}
 }
 
 /** Renews the routes of all models that are or were resident on a target. */
 function refreshRoutes(context: Context, target: Target, before: ReadonlySet<string> = new Set()): void {
 	for (const name of new Set([...before, ...target.resident])) {
-		refreshModel(context, name.slice(0, name.lastIndexOf('@')));
+		refreshModel(context, name.slice(0, name.lastIndexOf('@')), target.id);
 	}
 }
 
-/** Targets with the configured version serve a model; while there is none, any version does. */
-function refreshModel({state}: Context, model: ModelName): void {
+/**
+Targets with the configured version serve a model; while there is none, any version
+does. Only the known holders and the changed target are looked at.
+*/
+function refreshModel({state}: Context, model: ModelName, changed: TargetId): void {
 	const version = state.configuration.configuration.models[model]?.version;
+	const holders = state.holders.get(model) ?? new Set();
+	state.holders.set(model, holders);
 	const current: TargetId[] = [];
 	const other: TargetId[] = [];
-	const candidates = new Set([...state.residentTargets.get(model) ?? [], ...state.targets.keys()]);
-	for (const id of candidates) {
+	for (const id of holders.add(changed)) {
 		const resident = state.targets.get(id)?.resident;
 		if (resident?.has(`${model}@${version}`)) {
 			current.push(id);
 		} else if (resident && [...resident].some(name => name.startsWith(`${model}@`))) {
 			other.push(id);
+		} else {
+			holders.delete(id);
 		}
 	}
 
 	state.residentTargets.set(model, (current.length > 0 ? current : other).toSorted((a, b) => a.localeCompare(b)));
 }
+
+/** The owner of another zone says what a target there holds; its own reports come too seldom to route by. */
+export function acceptCopies(context: Context, targetId: TargetId, models: readonly string[]): void {
+	const target = context.state.targets.get(targetId);
+	if (target && target.zone !== context.state.self.zone) {
+		setResident(context, target, new Set(models));
+		dispatchTarget(context, target);
+	}
+}
--- a/src/core/request/state.ts
+++ b/src/core/request/state.ts
@@ -4,7 +4,7 @@
 import {type RequestId, type RouteId} from '../types.js';
 import {type Settlement} from '../event.js';
 import {emptyEstimate, type Estimate} from './estimate.js';
-import {FairQueue} from './fair-queue.js';
+import {FairQueue, type WaitingCount} from './fair-queue.js';
 import {RecentMap} from './recent-map.js';
 import {type ClosedRequest, type OpenRequest} from './types.js';
 import {type Suspect} from './suspects.js';
@@ -55,6 +55,8 @@
 	/** Content hashes that ran to completion, which clears them of any crash. */
 	readonly innocent = new RecentMap<number>(INNOCENT_KEPT);
 	readonly closed = new RecentMap<ClosedRequest>(CLOSED_KEPT);
+	/** Requests queued on all routes. */
+	readonly waiting: WaitingCount = {total: 0};
 	/** Retries that may still be sent before new arrivals pay for more. */
 	retryBudget = 20;
 
@@ -63,7 +65,7 @@
 		if (!route) {
 			route = {
 				id,
-				queue: new FairQueue(),
+				queue: new FairQueue(this.waiting),
 				service: emptyEstimate(),
 				departure: emptyEstimate(),
 				lastDepartureMs: undefined,
--- a/src/core/request/tries.ts
+++ b/src/core/request/tries.ts
@@ -8,6 +8,7 @@
 import {type EventOf} from '../event.js';
 import {gatewayCapabilities} from '../placement/gateways.js';
 import {type ResultName} from '../result-codes.js';
+import {watchQueued} from './admission.js';
 import {close, refuse} from './closing.js';
 import {dispatchRoute, dispatchTarget} from './dispatch.js';
 import {addSample, upperLimitMs} from './estimate.js';
@@ -247,17 +248,11 @@
 }
 
 function requeue(context: Context, request: OpenRequest): void {
-	const {state, nowMs} = context;
-	const route = state.requests.route(request.route);
 	request.phase = 'queued';
 	request.timerSequence++;
-	route.queue.pushBack(request);
-	if (request.delivered === 0) {
-		const lastStartMs = Math.max(nowMs, request.deadlineAtMs - route.service.meanMs);
-		state.timers.set(lastStartMs, {kind: 'request', requestId: request.id, sequence: request.timerSequence});
-	}
-
+	context.state.requests.route(request.route).queue.pushBack(request);
 	dispatchRoute(context, request.route);
+	watchQueued(context, request);
 }
 
 /** A try was quiet for longer than its target has shown: asks on a new connection who is at fault. */
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -39,6 +39,8 @@
 	readonly configuration: ConfigurationState;
 	readonly requests: RequestState;
 	readonly targets: Map<TargetId, Target>;
+	/** Targets that hold any version of a model. */
+	readonly holders: Map<ModelName, Set<TargetId>>;
 	/** Targets on which a copy of the model answers requests. */
 	readonly residentTargets: Map<ModelName, TargetId[]>;
 	readonly membership: MembershipState;
@@ -71,6 +73,7 @@
 		},
 		requests: new RequestState(),
 		targets: new Map(),
+		holders: new Map(),
 		residentTargets: new Map(),
 		membership: new MembershipState(),
 		peers: new PeerState(),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,6 +11,7 @@
 import {logEvents, type LogEventName} from '../core/log-events.js';
 import {reduce} from '../core/reducer.js';
 import {createState, type State} from '../core/state.js';
+import {type Fact} from '../core/peer/types.js';
 import {type Instance} from '../core/types.js';
 import {type Call} from './call.js';
 import {createEffectHandlers, type EffectHandlers} from './effects.js';
@@ -48,6 +49,11 @@
 	readonly peers: string;
 };
 
+/** Whether an exchange brings its sender itself, who may be new and know nothing yet. */
+function isNewcomer(facts: readonly Fact[]): boolean {
+	return facts.some(({value}) => value.kind === 'instance');
+}
+
 export class Daemon {
 	readonly state: State = createState();
 	readonly calls = new Map<string, Call>();
@@ -205,7 +211,7 @@
 			instanceId: this.settings.instance.id,
 			exchange: (from, facts) => {
 				this.dispatch({kind: 'facts-received', from, facts});
-				return this.answerFacts();
+				return isNewcomer(facts) ? this.answerFacts() : [];
 			},
 			newestConfiguration: () => this.configuration,
 			runTable: async operation => this.table.runDirect(operation),
--- a/src/daemon/target-clients.ts
+++ b/src/daemon/target-clients.ts
@@ -10,6 +10,11 @@
 
 const REPORT_INTERVAL_MS = 500;
 
+/** Reports that this instance reads per second, from its own zone and from the others, however many targets there are. */
+const OWN_ZONE_REPORTS_PER_SECOND = 8;
+const OTHER_ZONE_REPORTS_PER_SECOND = 4;
+const MS_PER_SECOND = 1000;
+
 type TargetClient = {
 	readonly address: string;
 	readonly kind: string;
@@ -103,6 +108,16 @@
 		this._daemon.dispatch(report ? {kind: 'target-reported', targetId: id, report} : {kind: 'target-silent', targetId: id});
 		client.timer = setTimeout(() => {
 			void this._poll(id, client);
-		}, REPORT_INTERVAL_MS);
+		}, this._reportIntervalMs(id));
+	}
+
+	/** Spreads the allowed reports over the targets; requests in flight make up for what comes late. */
+	private _reportIntervalMs(id: TargetId): number {
+		const {state} = this._daemon;
+		const isOwn = (targetId: TargetId) => state.targets.get(targetId)?.zone === state.self.zone;
+		const isOwnZone = isOwn(id);
+		const sharing = [...this._clients.keys()].filter(other => isOwn(other) === isOwnZone).length;
+		const perSecond = isOwnZone ? OWN_ZONE_REPORTS_PER_SECOND : OTHER_ZONE_REPORTS_PER_SECOND;
+		return Math.max(REPORT_INTERVAL_MS, (sharing / perSecond) * MS_PER_SECOND);
 	}
 }
