--- a/bench/control.ts
+++ b/bench/control.ts
@@ -4,6 +4,7 @@
 */
 import {type Effect} from '../src/core/effect.js';
 import {testConfiguration} from '../test/standins/configurations.js';
+import {planMoves, type PlanInput} from '../src/core/placement/plan.js';
 import {World} from '../test/standins/world.js';
 import {
 	FilledCore, todaySize, twoYearSize, type CoreSize,
@@ -16,6 +17,7 @@
 const CONTROL_SECONDS = 200;
 const REPORTS_PER_SECOND = 12;
 const CPU_GOAL = 0.012;
+const PLAN_ROUNDS = 30;
 
 type Traffic = {
 	readonly exchangeBytes: number;
@@ -89,11 +91,70 @@
 	return median(shares);
 }
 
+/** Time of one plan for a zone of the two-year size in which all is well. */
+function planMs(): number {
+	const {models, targets, zones} = twoYearSize;
+	const ownTargets = targets / zones;
+	const input: PlanInput = {
+		zones,
+		ownedMs: 60_000,
+		models: Array.from({length: models}, (_, index) => ({
+			name: `m${index}`,
+			model: {
+				service: 'llm',
+				version: 1,
+				memoryMb: 10 + (index % 7),
+				adapters: {},
+			},
+			copies: 2,
+			otherCopies: 0,
+			zones: 2,
+			residentHere: index % 5 === 0,
+			zoneRank: index % zones,
+			absentMs: 0,
+			rate: index % 11,
+			waiting: index % 50 === 0 ? 3 : 0,
+			utilisation: 0.9,
+			pressurePlans: 0,
+		})),
+		targets: Array.from({length: ownTargets}, (_, index) => ({
+			id: `t${index}`,
+			service: 'llm',
+			memoryMb: 100,
+			committedMb: 95,
+			slots: 8,
+			utilisation: 0.5,
+			entries: Array.from({length: 6}, (__, entry) => ({
+				model: `m${(index + (entry * ownTargets)) % models}`,
+				version: 1,
+				memoryMb: 15,
+				resident: true,
+				removable: true,
+			})),
+			refused: new Set<string>(),
+		})),
+	};
+	const times: number[] = [];
+	for (let round = 0; round < PLAN_ROUNDS; round++) {
+		const startMs = performance.now();
+		planMoves(input);
+		times.push(performance.now() - startMs);
+	}
+
+	return median(times);
+}
+
 export function benchControl(): Figure[] {
 	const today = trafficOf(15, 3);
 	const larger = trafficOf(120, 10);
 	const share = controlShare(twoYearSize);
 	return [
+		{
+			bench: 'control',
+			figure: 'plan of a zone, two-year size, once a second',
+			value: planMs(),
+			unit: 'ms',
+		},
 		{
 			bench: 'control',
 			figure: 'exchange bytes per node and second, 15 instances',
--- a/src/core/configuration/adoption.ts
+++ b/src/core/configuration/adoption.ts
@@ -21,7 +21,7 @@
 const POLL_INTERVAL_MS = 2000;
 
 /** Reads of the head per second over all instances, as a bound on the table's load. */
-const POLLS_PER_SECOND = 100;
+const POLLS_PER_SECOND = 160;
 
 export function runPoll(context: Context): void {
 	const {state, nowMs} = context;
--- a/src/core/peer/exchange.ts
+++ b/src/core/peer/exchange.ts
@@ -20,6 +20,9 @@
 const EXCHANGE_INTERVAL_MS = 1000;
 const EXCHANGE_PEERS = 2;
 
+/** Above this number of members one exchange fills its bound, and a second one would not fit the node's budget. */
+const MANY_MEMBERS = 60;
+
 type FactHandlers = {
 	readonly [Kind in FactKind]: (context: Context, fact: Fact, value: Extract<FactValue, {kind: Kind}>, from: InstanceId) => void;
 };
@@ -110,7 +113,8 @@
 export function runExchange(context: Context): void {
 	const {state, nowMs} = context;
 	state.timers.set(nowMs + EXCHANGE_INTERVAL_MS, {kind: 'periodic', duty: 'exchange'});
-	for (const peer of state.membership.pickPeers(context, EXCHANGE_PEERS)) {
+	const peers = state.membership.size > MANY_MEMBERS ? 1 : EXCHANGE_PEERS;
+	for (const peer of state.membership.pickPeers(context, peers)) {
 		context.effects.push({kind: 'exchange', peer, facts: takeFacts(context)});
 	}
 }
--- a/src/core/placement/plan.ts
+++ b/src/core/placement/plan.ts
@@ -94,16 +94,21 @@
 		actions: [],
 	};
 	removeUnwanted(plan);
-	const byNeed = input.models.toSorted((a, b) => b.model.memoryMb - a.model.memoryMb || b.rate - a.rate);
-	for (const entry of byNeed) {
+	// Only models that lack something are sorted and looked at further.
+	const absent = input.models.filter(isAbsent);
+	for (const entry of absent.toSorted((a, b) => b.model.memoryMb - a.model.memoryMb || b.rate - a.rate)) {
 		keepReachable(plan, entry);
 	}
 
-	for (const entry of byNeed.toSorted((a, b) => b.rate - a.rate)) {
-		spread(plan, entry);
+	if (absent.length === 0 && input.ownedMs >= SPREAD_DELAY_MS) {
+		const narrow = input.models.filter(entry => isNarrow(plan, entry));
+		for (const entry of narrow.toSorted((a, b) => b.rate - a.rate)) {
+			spread(plan, entry);
+		}
 	}
 
-	for (const entry of byNeed.toSorted((a, b) => b.waiting - a.waiting)) {
+	const pressed = input.models.filter(isPressed);
+	for (const entry of pressed.toSorted((a, b) => b.waiting - a.waiting)) {
 		relieve(plan, entry);
 	}
 
@@ -275,12 +280,16 @@
 	}
 }
 
+/** Whether a model stands in too few zones and this one is to add a copy. */
+function isNarrow({input}: Plan, entry: PlanModel): boolean {
+	const wantedZones = Math.min(2, input.zones);
+	const isOwnTurn = entry.zoneRank <= entry.zones || input.ownedMs > SPREAD_DELAY_MS * (1 + entry.zoneRank);
+	return entry.zones < wantedZones && !entry.residentHere && isOwnTurn;
+}
+
 /** Adds a copy in a second zone while there is free room. */
 function spread(plan: Plan, entry: PlanModel): void {
-	const isEarly = plan.input.ownedMs < SPREAD_DELAY_MS || plan.input.models.some(isAbsent);
-	const wantedZones = Math.min(2, plan.input.zones);
-	const isOwnTurn = entry.zoneRank <= entry.zones || plan.input.ownedMs > SPREAD_DELAY_MS * (1 + entry.zoneRank);
-	if (isEarly || isAbsent(entry) || entry.zones >= wantedZones || entry.residentHere || isHeldHere(plan, entry) || !isOwnTurn) {
+	if (isHeldHere(plan, entry)) {
 		return;
 	}
 
@@ -290,13 +299,13 @@
 	}
 }
 
+/** Whether a model's own targets have been full for a while and requests wait. */
+function isPressed(entry: PlanModel): boolean {
+	return entry.pressurePlans >= PRESSURE_PLANS && entry.utilisation >= FULL_UTILISATION && !isAbsent(entry);
+}
+
 /** Adds a copy where slots are free, for a model whose own targets are full. */
 function relieve(plan: Plan, entry: PlanModel): void {
-	const isPressed = entry.pressurePlans >= PRESSURE_PLANS && entry.utilisation >= FULL_UTILISATION;
-	if (!isPressed || isAbsent(entry)) {
-		return;
-	}
-
 	const cool = candidates(plan, entry)
 		.filter(target => target.utilisation <= SPARE_UTILISATION && pays(entry, target))
 		.toSorted((a, b) => a.utilisation - b.utilisation);
