--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -15,6 +15,7 @@
 	'daemon-draining': {number: 101, level: 'info'},
 	'daemon-stopped': {number: 102, level: 'info'},
 	'effect-failed': {number: 103, level: 'error'},
+	'daemon-listening': {number: 104, level: 'info'},
 	'request-refused': {number: 200, level: 'info'},
 	'try-failed': {number: 201, level: 'warn'},
 	'request-crash-refused': {number: 202, level: 'error'},
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -189,6 +189,7 @@
 		const operators = await listen(createOperatorListener(this), wanted.operators, 'listen.operators');
 		this._listeners.push(operators);
 		this._addresses = {callers: callers.address, operators: operators.address, peers: peers.address};
+		this.log('daemon-listening', {...this._addresses});
 		const self: Instance = {
 			id: instance.id,
 			boot: this.boot,
