--- /dev/null
+++ b/src/core/request/adapter-transfers.test.ts
@@ -0,0 +1,44 @@
+/**
+Adapter transfers stay under their knee over all instances.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {prompt, testConfiguration} from '../../../test/standins/configurations.js';
+import {World, type Node} from '../../../test/standins/world.js';
+
+const AT_ONCE = 6;
+const REQUESTS = 60;
+
+test('adapter transfers in transit over all instances stay within the limit, and every request is answered', () => {
+	const world = new World({seed: 2, tryScript: () => ({serviceMs: 50})});
+	const targets = ['e0', 'e1', 'e2'].map(id => ({
+		id,
+		zone: 'z',
+		gateway: 'engine-unfenced' as const,
+		memoryMb: 1000,
+		slots: 32,
+	}));
+	for (const {id} of targets) {
+		world.addTarget({id, slots: 32, resident: {'m@1': 100}});
+	}
+
+	const nodes = ['p1', 'p2', 'p3'].map(id => world.addNode(id, 'z'));
+	const configuration = testConfiguration({targets, models: {m: 100}, limits: {adapterTransfersAtOnce: AT_ONCE}});
+	const model = configuration.models.m;
+	assert.ok(model);
+	world.configure({version: 1, configuration: {...configuration, models: {m: {...model, adapters: {clay: {version: 1, memoryMb: 0}}}}}});
+	world.run(1000);
+	for (let index = 0; index < REQUESTS; index++) {
+		world.arrive(nodes[index % nodes.length]!, prompt(`r${index}`, 'clay', {deadlineMs: 60_000}));
+	}
+
+	let most = 0;
+	for (let step = 0; step < 2000 && world.outcomes.size < REQUESTS; step++) {
+		most = Math.max(most, nodes.reduce((sum, {state}) => sum + state.requests.adapterTransfers.size, 0));
+		world.run(5);
+	}
+
+	assert.ok(most > 0 && most <= AT_ONCE, `${most} transfers in transit`);
+	assert.deepEqual(new Set([...world.outcomes.values()].map(({kind}) => kind)), new Set(['answered']));
+	assert.equal(world.outcomes.size, REQUESTS);
+});
--- a/src/core/request/selection.ts
+++ b/src/core/request/selection.ts
@@ -7,6 +7,7 @@
 import {randomBelow, type Context} from '../context.js';
 import {type State} from '../state.js';
 import {type TargetId} from '../types.js';
+import {mayTransfer, needsTransfer} from './adapter-transfers.js';
 import {estimatedTotal, hasRoom, type Target} from './target.js';
 import {type OpenRequest} from './types.js';
 
@@ -75,6 +76,7 @@
 export function canTake(context: Context, target: Target, request: OpenRequest): boolean {
 	const waitedShare = (context.nowMs - request.arrivedAtMs) / (request.deadlineAtMs - request.arrivedAtMs);
 	return hasRoom(target, request.priority, waitedShare)
+		&& (!needsTransfer(target, request) || mayTransfer(context.state))
 		&& (request.model === undefined || !target.leavingCopies.has(request.model));
 }
 
@@ -88,7 +90,7 @@
 		cost += SUSPECT_COST;
 	}
 
-	if (request.adapter !== undefined && !target.adapters.has(request.adapter)) {
+	if (needsTransfer(target, request)) {
 		cost += ADAPTER_TRANSFER_COST;
 	}
 
--- a/src/core/request/state.ts
+++ b/src/core/request/state.ts
@@ -55,6 +55,8 @@
 	/** Content hashes that ran to completion, which clears them of any crash. */
 	readonly innocent = new RecentMap<number>(INNOCENT_KEPT);
 	readonly closed = new RecentMap<ClosedRequest>(CLOSED_KEPT);
+	/** Requests at targets that are still fetching the adapter. */
+	readonly adapterTransfers = new Set<RequestId>();
 	/** Requests queued on all routes. */
 	readonly waiting: WaitingCount = {total: 0};
 	/** Retries that may still be sent before new arrivals pay for more. */
--- a/src/core/request/tries.ts
+++ b/src/core/request/tries.ts
@@ -8,6 +8,7 @@
 import {type EventOf} from '../event.js';
 import {gatewayCapabilities} from '../placement/gateways.js';
 import {type ResultName} from '../result-codes.js';
+import {endTransfer, noteTransfer} from './adapter-transfers.js';
 import {watchQueued} from './admission.js';
 import {close, refuse} from './closing.js';
 import {dispatchRoute, dispatchTarget} from './dispatch.js';
@@ -77,6 +78,7 @@
 	request.tries.push(attempt);
 	request.phase = 'running';
 	target.inFlight.set(request.id, attempt.number);
+	noteTransfer(state, target, request);
 	effects.push({
 		kind: 'send-try',
 		requestId: request.id,
@@ -102,6 +104,7 @@
 	const {request, attempt, target} = found;
 	if (attempt.firstByteAtMs === undefined) {
 		attempt.firstByteAtMs = context.nowMs;
+		finishTransfer(context, request);
 		if (target) {
 			addSample(target.firstByte, context.nowMs - attempt.startedAtMs);
 		}
@@ -390,9 +393,17 @@
 function endTry(context: Context, {request, attempt, target}: FoundTry, ended: Failure | 'completed'): void {
 	attempt.ended = ended;
 	target?.inFlight.delete(request.id);
+	finishTransfer(context, request);
 	endIsolation(context, target, request);
 }
 
+/** Another request of the same route may wait for the transfer that ended. */
+function finishTransfer(context: Context, request: OpenRequest): void {
+	if (endTransfer(context.state, request) && context.state.requests.waiting.total > 0) {
+		dispatchRoute(context, request.route);
+	}
+}
+
 function afterTry(context: Context, target: Target | undefined): void {
 	if (target) {
 		dispatchTarget(context, target);
