Give engines that check fences their copies back while the table is down

Ruled out: the same for engines that ignore fences; every entry there would be pinned at each death of an owner. Change: on engines that check fences an owner may order journaled entries again without a new mark; a new owner therefore holds all their entries in doubt until the earlier epoch is over and a later order was confirmed.

--- a/src/core/placement/duty.ts
+++ b/src/core/placement/duty.ts
@@ -8,13 +8,13 @@
 import {type Target} from '../request/target.js';
 import {type ModelName, type ZoneName} from '../types.js';
 import {
-	openLedger, openLedgers, retryRow, writeRow,
+	checksFencing, openLedger, openLedgers, retryRow, writeRow,
 } from './journal.js';
 import {
 	committedMb, copyName, findEntry, isSettled, restarted, withAnswered, withFound, withoutEntry, type ModelCopy,
 } from './ledger.js';
 import {
-	epochClosedAtMs, heldEpoch, holdsLease, zoneGroup,
+	epochClosedAtMs, heldEpoch, holdsLease, keepsLease, zoneGroup,
 } from './lease.js';
 import {
 	isRemovable, parseName, sendPending, startLoad, startUnload,
@@ -37,18 +37,24 @@
 export function runPlacement(context: Context): void {
 	const {state, nowMs} = context;
 	state.timers.set(nowMs + PLAN_INTERVAL_MS, {kind: 'periodic', duty: 'placement'});
-	if (!holdsLease(context) || state.lifecycle !== 'serving') {
+	if (!keepsLease(context) || state.lifecycle !== 'serving') {
 		return;
 	}
 
-	noteAbsences(context);
+	const isValid = holdsLease(context);
+	if (isValid) {
+		noteAbsences(context);
+		ensureLedgers(context);
+	}
 
-	ensureLedgers(context);
 	for (const ledger of state.placement.ledgers.values()) {
 		maintain(context, ledger);
 	}
 
-	carryOut(context);
+	if (isValid) {
+		carryOut(context);
+	}
+
 	sayIdle(context, !hasLoads(context));
 }
 
@@ -94,13 +100,37 @@
 	sendPending(context, ledger);
 }
 
-/** The engine is new to this ledger. What it lost is ordered again, into the room that is journaled for it. */
+/**
+The engine is new to this ledger. What it lost is ordered again, into the room that
+is journaled for it: at once where the engine checks fences, otherwise when the row
+is marked for it.
+*/
 function noteRestart(context: Context, ledger: Ledger, target: Target): void {
+	if (ledger.seenBoot !== target.boot) {
+		ledger.seenBoot = target.boot;
+		resetCopies(context, ledger);
+	}
+
 	const group = zoneGroup(context.state.self.zone);
-	const row = restarted(ledger.row, target.boot, epoch => {
+	writeRow(context, ledger, restarted(ledger.row, target.boot, epoch => {
 		const closedAtMs = epochClosedAtMs(context, group, epoch);
 		return closedAtMs !== undefined && closedAtMs + REPORT_SETTLE_MS <= target.earlierBootSeenMs;
-	});
+	}));
+	if (!checksFencing(context, target.id)) {
+		return;
+	}
+
+	for (const [name, copy] of ledger.copies) {
+		if (copy.status === 'confirmed' && !target.resident.has(name) && isWanted(context, name)) {
+			copy.status = 'ordering';
+			copy.reason = 'lost by a restart';
+		}
+	}
+
+	sendPending(context, ledger);
+}
+
+function resetCopies(context: Context, ledger: Ledger): void {
 	for (const copy of ledger.copies.values()) {
 		copy.unanswered = false;
 		copy.status = 'confirmed';
@@ -109,8 +139,11 @@
 		// Old enough that a report without the copy is believed at once.
 		copy.statusSinceMs = context.nowMs - REPORT_SETTLE_MS;
 	}
+}
 
-	writeRow(context, ledger, row);
+function isWanted(context: Context, name: string): boolean {
+	const {model, version} = parseName(name);
+	return context.state.configuration.configuration.models[model]?.version === version;
 }
 
 function compareReport(context: Context, ledger: Ledger, target: Target): void {
@@ -127,12 +160,11 @@
 
 function reload(context: Context, ledger: Ledger, name: string, copy: Copy): void {
 	const entry = findEntry(ledger.row, parseName(name));
-	const wanted = context.state.configuration.configuration.models[entry?.model ?? ''];
 	if (!entry) {
 		return;
 	}
 
-	if (wanted?.version === entry.version) {
+	if (isWanted(context, name)) {
 		startLoad(context, ledger, pickCopy(entry), 'missing from the report');
 	} else {
 		// The room is free only once the engine confirms an unload, whatever the report says.
--- a/src/core/placement/journal.ts
+++ b/src/core/placement/journal.ts
@@ -7,11 +7,17 @@
 import {startTable, type TableStepOf} from '../table-steps.js';
 import {type Row} from '../table.js';
 import {type TargetId, type ZoneName} from '../types.js';
+import {gatewayCapabilities} from './gateways.js';
 import {copyName, takenOver} from './ledger.js';
 import {sendPending} from './orders.js';
 import {type Ledger} from './state.js';
 import {type LedgerRow} from './types.js';
 
+export function checksFencing({state}: Context, targetId: TargetId): boolean {
+	const target = state.targets.get(targetId);
+	return target !== undefined && gatewayCapabilities[target.gateway].checksFencing;
+}
+
 function ledgerPrefix(zone: ZoneName): string {
 	return `ledger/${zone}/`;
 }
@@ -66,6 +72,7 @@
 		writing: undefined,
 		ambiguous: false,
 		owned: false,
+		seenBoot: held?.boot ?? '',
 		copies: new Map(),
 		strangers: new Map(),
 		refusedUntilMs: new Map(),
@@ -82,7 +89,7 @@
 	}
 
 	context.state.placement.ledgers.set(targetId, ledger);
-	writeRow(context, ledger, takenOver(ledger.row, epoch));
+	writeRow(context, ledger, takenOver(ledger.row, epoch, checksFencing(context, targetId)));
 }
 
 /** Starts writing a row. Only one write of a ledger is under way at a time. */
--- a/src/core/placement/lease.ts
+++ b/src/core/placement/lease.ts
@@ -60,6 +60,11 @@
 	return lease.held && context.nowMs < lease.validUntilMs;
 }
 
+/** Whether this instance knows of no other holder, though its lease may have run out meanwhile. */
+export function keepsLease(context: Context): boolean {
+	return ownLease(context).held;
+}
+
 export function heldEpoch(context: Context): number {
 	const lease = ownLease(context);
 	return lease.held ? lease.row?.epoch ?? 0 : 0;
--- a/src/core/placement/ledger.test.ts
+++ b/src/core/placement/ledger.test.ts
@@ -68,7 +68,7 @@
 		}),
 	},
 	{weight: 4, arbitrary: fc.record({kind: fc.constant('orders' as const), script: fc.constantFrom<OrderKind>('prompt', 'dropped', 'answer-lost', 'late', 'paused-owner')})},
-	{weight: 1, arbitrary: fc.record({kind: fc.constant('table' as const), fault: fc.constantFrom<TableFault>('none', 'none', 'unavailable', 'lost-after', 'late')})},
+	{weight: 2, arbitrary: fc.record({kind: fc.constant('table' as const), fault: fc.constantFrom<TableFault>('none', 'none', 'unavailable', 'lost-after', 'late')})},
 	{weight: 2, arbitrary: fc.record({kind: fc.constant('restart' as const), target: fc.nat({max: targets.length - 1})})},
 	{weight: 2, arbitrary: fc.record({kind: fc.constantFrom('kill' as const, 'pause' as const, 'resume' as const), node: fc.nat({max: 2})})},
 );
--- a/src/core/placement/ledger.ts
+++ b/src/core/placement/ledger.ts
@@ -89,16 +89,23 @@
 	};
 }
 
-/** The row as a new owner takes it over: whatever was unanswered may still take effect. */
-export function takenOver(row: LedgerRow, epoch: number): LedgerRow {
+/**
+The row as a new owner takes it over: whatever was unanswered may still take effect.
+On an engine that checks fences the earlier owner may have ordered any entry again
+without a mark in the journal, so every entry is in doubt until its epoch is over.
+*/
+export function takenOver(row: LedgerRow, epoch: number, checksFencing: boolean): LedgerRow {
 	return {
 		...row,
 		epoch,
-		entries: row.entries.map(entry => ({
-			...entry,
-			unansweredEpoch: 0,
-			inheritedEpochs: entry.unansweredEpoch === 0 ? entry.inheritedEpochs : [...entry.inheritedEpochs, entry.unansweredEpoch],
-		})),
+		entries: row.entries.map(entry => {
+			const isInDoubt = entry.unansweredEpoch !== 0 || (checksFencing && row.epoch !== epoch);
+			return {
+				...entry,
+				unansweredEpoch: 0,
+				inheritedEpochs: isInDoubt ? [...new Set([...entry.inheritedEpochs, row.epoch])] : entry.inheritedEpochs,
+			};
+		}),
 	};
 }
 
--- a/src/core/placement/orders.ts
+++ b/src/core/placement/orders.ts
@@ -6,13 +6,12 @@
 import {type EventOf} from '../event.js';
 import {publish} from '../peer/facts.js';
 import {noteResident} from '../request/reports.js';
-import {gatewayCapabilities} from './gateways.js';
-import {writeRow} from './journal.js';
+import {checksFencing, writeRow} from './journal.js';
 import {
 	copyName, findEntry, inheritedEpochs, isSettled, withAnswered, withLoad, withoutEntry, withoutEpochs, type ModelCopy,
 } from './ledger.js';
 import {
-	closeEpoch, epochClosedAtMs, heldEpoch, holdsLease, zoneGroup,
+	closeEpoch, epochClosedAtMs, heldEpoch, holdsLease, keepsLease, zoneGroup,
 } from './lease.js';
 import {type Copy, type Ledger, type OpenOrder} from './state.js';
 import {takeLoadToken} from './weight-store.js';
@@ -48,7 +47,8 @@
 		statusSinceMs: context.nowMs,
 		reason,
 	});
-	if (findEntry(ledger.row, copy)?.unansweredEpoch === ledger.row.epoch) {
+	const entry = findEntry(ledger.row, copy);
+	if (entry && (entry.unansweredEpoch === ledger.row.epoch || checksFencing(context, ledger.targetId))) {
 		sendPending(context, ledger);
 	} else {
 		writeRow(context, ledger, row);
@@ -95,9 +95,15 @@
 	copy.orderId = undefined;
 }
 
-/** Sends every order of a ledger that is due and may be sent. */
+/**
+Sends every order of a ledger that is due and may be sent. While the table cannot
+be reached and the lease has run out, engines that check fences may still be given
+back what they lost: a newer owner's orders shut these out.
+*/
 export function sendPending(context: Context, ledger: Ledger): void {
-	if (!ledger.owned || !holdsLease(context)) {
+	const isFenced = checksFencing(context, ledger.targetId);
+	const isValid = holdsLease(context);
+	if (!ledger.owned || !(isValid || (isFenced && keepsLease(context)))) {
 		return;
 	}
 
@@ -111,10 +117,10 @@
 			continue;
 		}
 
-		const isLoadable = copy.status === 'ordering' && entry.unansweredEpoch === ledger.row.epoch;
+		const isLoadable = copy.status === 'ordering' && (isFenced || entry.unansweredEpoch === ledger.row.epoch);
 		if (isLoadable && takeLoadToken(context)) {
 			sendOrder(context, ledger, copy, 'load-model', entry);
-		} else if (copy.status === 'leaving' || copy.status === 'unloading') {
+		} else if (isValid && (copy.status === 'leaving' || copy.status === 'unloading')) {
 			copy.status = 'unloading';
 			sendOrder(context, ledger, copy, 'unload-model', entry);
 		}
@@ -138,7 +144,9 @@
 		sentAtMs: nowMs,
 		closedEpochs: closedEpochs(context, ledger),
 	});
-	const validUntilMs = placement.leases.get(zoneGroup(state.self.zone))?.validUntilMs ?? 0;
+	// Orders to engines that check fences are safe past the lease.
+	const leaseEndMs = placement.leases.get(zoneGroup(state.self.zone))?.validUntilMs ?? 0;
+	const validUntilMs = checksFencing(context, ledger.targetId) ? Number.MAX_SAFE_INTEGER : leaseEndMs;
 	context.effects.push({
 		kind: 'order', targetId: ledger.targetId, order, validUntilMs,
 	});
@@ -242,8 +250,7 @@
 
 /** The row after the engine answered an order: what can no longer take effect is marked as answered. */
 function settledRow(context: Context, {ledger, copy, open}: Answered, order: ModelCopy): LedgerRow {
-	const target = context.state.targets.get(ledger.targetId);
-	if (target && gatewayCapabilities[target.gateway].checksFencing) {
+	if (checksFencing(context, ledger.targetId)) {
 		copy.unanswered = false;
 		// An engine forgets its fence when it restarts, so only epochs that were over before the order count.
 		return withAnswered(withoutEpochs(ledger.row, epoch => open.closedEpochs.has(epoch)), order);
--- a/src/core/placement/state.ts
+++ b/src/core/placement/state.ts
@@ -47,6 +47,8 @@
 	ambiguous: boolean;
 	/** Whether the row carries this owner's epoch in the table. */
 	owned: boolean;
+	/** Boot of the engine that the copies below refer to. */
+	seenBoot: string;
 	/** Keyed by `name@version`. */
 	readonly copies: Map<string, Copy>;
 	/** When a reported copy that the ledger does not know was first seen. */
--- a/src/core/placement/takeover.test.ts
+++ b/src/core/placement/takeover.test.ts
@@ -84,3 +84,49 @@
 		});
 	}
 }
+
+test('engine-fenced: a reload without the journal, sent late by a paused owner, finds its room', () => {
+	let pausing = false;
+	let paused: Node | undefined;
+	const world = new World({
+		seed: 3, orderScript(_world, node) {
+			const pausesSender = pausing;
+			if (pausing) {
+				paused = node;
+				pausing = false;
+			}
+
+			return {arrivesAfterMs: 5, answerLost: false, pausesSender};
+		},
+	});
+	const engine = world.addTarget({id: 'engine', checksFencing: true});
+	const nodes = [world.addNode('p1', 'plovdiv'), world.addNode('p2', 'plovdiv')];
+	const restart = () => {
+		engine.crash();
+		engine.restart();
+	};
+
+	configure(world, 'engine-fenced', 1, 'a');
+	assert.ok(world.runUntil(() => engine.resident.has('a@1'), 20_000));
+	world.run(PLAN_MS);
+	// The engine loses its copy while the table is down: the owner gives it back at once.
+	world.table.fault = () => 'unavailable';
+	world.run(15_000);
+	restart();
+	assert.ok(world.runUntil(() => engine.resident.has('a@1'), 10_000), 'reloaded without the table');
+	pausing = true;
+	restart();
+	assert.ok(world.runUntil(() => paused !== undefined, 10_000), 'the owner pauses over another reload');
+	world.table.fault = () => 'none';
+	world.run(TAKEOVER_MS);
+	const successor = nodes.find(node => node !== paused)!;
+	assert.ok(successor.state.placement.ledgers.size > 0, 'the other instance took over');
+	configure(world, 'engine-fenced', 2, 'b');
+	world.run(PLAN_MS);
+	restart();
+	world.resume(paused!);
+	world.run(PLAN_MS);
+	assert.ok(engine.memoryMaxMb <= MEMORY_MB, `the engine held ${engine.memoryMaxMb} MB`);
+	assert.ok(world.runUntil(() => engine.resident.has('b@1'), 60_000), 'the wanted model becomes resident in the end');
+	assert.ok(engine.memoryMaxMb <= MEMORY_MB);
+});
--- a/src/daemon/gateways/http-gateway.test.ts
+++ b/src/daemon/gateways/http-gateway.test.ts
@@ -89,7 +89,7 @@
 	await gateway.close();
 	server.close();
 	assert.equal(ended.length, 1, 'a try ends exactly once');
-	return ended[0] as Ended;
+	return ended[0]!;
 }
 
 const cases: ReadonlyArray<readonly [name: string, serve: Serve | 'nothing', expected: Failure | 'completed']> = [
--- a/xo.config.js
+++ b/xo.config.ts
@@ -1,5 +1,6 @@
-/** @type {import('xo').FlatXoConfig} */
-const configuration = [
+import {type FlatXoConfig} from 'xo';
+
+const configuration: FlatXoConfig = [
 	{ignores: ['dist/**', 'src/daemon/peer/gen/**', 'test/golden/**']},
 	{
 		files: ['**/*.ts', '**/*.js'],
