--- a/src/core/placement/duty.ts
+++ b/src/core/placement/duty.ts
@@ -2,34 +2,27 @@
 The placement duty of a zone's lease holder: keeps its ledgers true to what the
 engines report, and carries out the plan.
 */
-import fnv1a from '@sindresorhus/fnv1a';
 import {type Context} from '../context.js';
-import {publish} from '../peer/facts.js';
 import {type Target} from '../request/target.js';
-import {type ModelName, type ZoneName} from '../types.js';
 import {
 	checksFencing, openLedger, openLedgers, retryRow, writeRow,
 } from './journal.js';
 import {
-	committedMb, copyName, findEntry, isSettled, restarted, withAnswered, withFound, withoutEntry, type ModelCopy,
+	copyName, findEntry, isSettled, pickCopy, restarted, withAnswered, withFound, withoutEntry,
 } from './ledger.js';
 import {
 	epochClosedAtMs, heldEpoch, holdsLease, keepsLease, zoneGroup,
 } from './lease.js';
 import {
-	isRemovable, parseName, sendPending, startLoad, startUnload,
+	parseName, sendPending, startLoad, startUnload,
 } from './orders.js';
-import {
-	planMoves, type PlanAction, type PlanModel, type PlanTarget,
-} from './plan.js';
+import {planMoves, type PlanAction} from './plan.js';
+import {gatherPlanInput, noteAbsences} from './plan-input.js';
 import {type Copy, type Ledger} from './state.js';
-import {type Demand, type LedgerRow} from './types.js';
+import {type LedgerRow} from './types.js';
 import {loadsUnderWay, sayIdle} from './weight-store.js';
 
 const PLAN_INTERVAL_MS = 1000;
-const DEMAND_INTERVAL_MS = 2000;
-const DEMAND_GAIN = 0.3;
-const PEER_DEMAND_LIFETIME_MS = 15_000;
 
 /** Time after an order before a report that contradicts the ledger is believed. */
 const REPORT_SETTLE_MS = 10_000;
@@ -172,10 +165,6 @@
 	}
 }
 
-function pickCopy({model, version, memoryMb}: ModelCopy): ModelCopy {
-	return {model, version, memoryMb};
-}
-
 /** Takes copies into the ledger that the engine goes on reporting though nobody journaled them. */
 function noteStrangers(context: Context, ledger: Ledger, target: Target): void {
 	const {models} = context.state.configuration.configuration;
@@ -234,12 +223,7 @@
 		return;
 	}
 
-	const actions = planMoves({
-		models: planModels(context),
-		targets: planTargets(context),
-		zones: engineZones(context).length,
-		ownedMs: ownedMs(context),
-	});
+	const actions = planMoves(gatherPlanInput(context));
 	for (const action of actions) {
 		actionHandlers[action.kind](context, action);
 	}
@@ -259,142 +243,3 @@
 		}
 	},
 };
-
-function ownedMs(context: Context): number {
-	let oldest = context.nowMs;
-	for (const ledger of context.state.placement.ledgers.values()) {
-		oldest = Math.min(oldest, ledger.openedAtMs);
-	}
-
-	return context.nowMs - oldest;
-}
-
-function engineZones({state}: Context): ZoneName[] {
-	const zones = new Set<ZoneName>();
-	for (const target of state.targets.values()) {
-		if (target.memoryMb > 0) {
-			zones.add(target.zone);
-		}
-	}
-
-	return [...zones];
-}
-
-function planTargets(context: Context): PlanTarget[] {
-	const plans: PlanTarget[] = [];
-	for (const ledger of context.state.placement.ledgers.values()) {
-		const target = context.state.targets.get(ledger.targetId);
-		const isReady = target && target.health !== 'down' && !target.leaving && target.boot !== '' && target.boot === ledger.row.boot;
-		if (!isReady) {
-			continue;
-		}
-
-		plans.push({
-			id: target.id,
-			service: target.service,
-			memoryMb: target.memoryMb,
-			committedMb: committedMb(ledger.writing ?? ledger.row),
-			slots: target.slots,
-			utilisation: target.utilisation,
-			entries: (ledger.writing ?? ledger.row).entries.map(entry => ({
-				...pickCopy(entry),
-				resident: ledger.copies.get(copyName(entry))?.status === 'confirmed' && target.resident.has(copyName(entry)),
-				removable: isRemovable(ledger, copyName(entry)) || target.gateway === 'engine-fenced',
-			})),
-			refused: new Set([...ledger.refusedUntilMs].filter(([, untilMs]) => untilMs > context.nowMs).map(([name]) => name)),
-		});
-	}
-
-	return plans;
-}
-
-function planModels(context: Context): PlanModel[] {
-	const {state, nowMs} = context;
-	const zones = engineZones(context);
-	const demand = totalDemand(context);
-	return Object.entries(state.configuration.configuration.models).map(([name, model]) => {
-		const holders = (state.residentTargets.get(name) ?? [])
-			.map(id => state.targets.get(id))
-			.filter(target => target?.resident.has(`${name}@${model.version}`))
-			.filter(target => target !== undefined);
-		const utilisation = holders.length === 0 ? 0 : holders.reduce((sum, target) => sum + target.utilisation, 0) / holders.length;
-		const {rate, waiting} = demand.get(name) ?? {rate: 0, waiting: 0};
-		const pressurePlans = waiting > 0 ? (state.placement.pressure.get(name) ?? 0) + 1 : 0;
-		state.placement.pressure.set(name, pressurePlans);
-		return {
-			name,
-			model,
-			copies: holders.length,
-			otherCopies: (state.residentTargets.get(name)?.length ?? 0) - holders.length,
-			zones: new Set(holders.map(({zone}) => zone)).size,
-			residentHere: holders.some(({zone}) => zone === state.self.zone),
-			zoneRank: zoneRank(name, state.self.zone, zones),
-			absentMs: nowMs - (state.placement.absentSinceMs.get(name) ?? nowMs),
-			rate,
-			waiting,
-			utilisation,
-			pressurePlans,
-		};
-	});
-}
-
-/** A zone's place in a model's ranking, the same on every instance, different for every model. */
-export function zoneRank(model: ModelName, zone: ZoneName, zones: readonly ZoneName[]): number {
-	const weigh = (candidate: ZoneName) => fnv1a(`${model}/${candidate}`, {size: 32});
-	const own = weigh(zone);
-	return zones.filter(candidate => weigh(candidate) < own).length;
-}
-
-function noteAbsences({state, nowMs}: Context): void {
-	const {absentSinceMs} = state.placement;
-	for (const [name, {version}] of Object.entries(state.configuration.configuration.models)) {
-		const isResident = (state.residentTargets.get(name) ?? [])
-			.some(id => state.targets.get(id)?.resident.has(`${name}@${version}`));
-		if (isResident) {
-			absentSinceMs.delete(name);
-		} else if (!absentSinceMs.has(name)) {
-			absentSinceMs.set(name, nowMs);
-		}
-	}
-}
-
-/** Rates this instance's demand and tells peers. */
-export function runDemand(context: Context): void {
-	const {state, nowMs} = context;
-	state.timers.set(nowMs + DEMAND_INTERVAL_MS, {kind: 'periodic', duty: 'demand'});
-	const demand: Demand[] = [];
-	for (const [id, route] of state.requests.routes) {
-		const perSecond = (route.arrivals * 1000) / DEMAND_INTERVAL_MS;
-		route.arrivalRate += DEMAND_GAIN * (perSecond - route.arrivalRate);
-		route.arrivals = 0;
-		const {waiting} = route.queue;
-		if (id.startsWith('model:') && (route.arrivalRate > 0.01 || waiting > 0)) {
-			demand.push({model: id.slice('model:'.length), rate: Math.round(route.arrivalRate * 100) / 100, waiting});
-		}
-	}
-
-	const known = state.placement.peerDemand.get(state.self.id)?.demand ?? [];
-	state.placement.peerDemand.set(state.self.id, {demand, receivedAtMs: nowMs});
-	if (demand.length > 0 || known.length > 0) {
-		publish(context, `demand/${state.self.id}`, {kind: 'demand', demand});
-	}
-}
-
-function totalDemand({state, nowMs}: Context): Map<ModelName, {rate: number; waiting: number}> {
-	const totals = new Map<ModelName, {rate: number; waiting: number}>();
-	for (const [instanceId, {demand, receivedAtMs}] of state.placement.peerDemand) {
-		if (nowMs - receivedAtMs > PEER_DEMAND_LIFETIME_MS) {
-			state.placement.peerDemand.delete(instanceId);
-			continue;
-		}
-
-		for (const {model, rate, waiting} of demand) {
-			const total = totals.get(model) ?? {rate: 0, waiting: 0};
-			total.rate += rate;
-			total.waiting += waiting;
-			totals.set(model, total);
-		}
-	}
-
-	return totals;
-}
--- a/src/core/placement/ledger.ts
+++ b/src/core/placement/ledger.ts
@@ -25,6 +25,11 @@
 	return `${model}@${version}`;
 }
 
+/** The copy that an entry or a plan's entry is about, and nothing else of it. */
+export function pickCopy({model, version, memoryMb}: ModelCopy): ModelCopy {
+	return {model, version, memoryMb};
+}
+
 /** Memory that is or may come to be occupied. */
 export function committedMb(row: LedgerRow): number {
 	return row.entries.reduce((sum, {memoryMb}) => sum + memoryMb, 0);
--- a/src/core/reducer.ts
+++ b/src/core/reducer.ts
@@ -17,7 +17,8 @@
 import {announceSelf, handleInstancesListed, handlePeerAnswered} from './membership/instances.js';
 import {runHousekeeping} from './housekeeping.js';
 import {handleFacts, runExchange} from './peer/exchange.js';
-import {runDemand, runPlacement} from './placement/duty.js';
+import {runDemand} from './placement/demand.js';
+import {runPlacement} from './placement/duty.js';
 import {handleLedgerScan, handleLedgerWrite} from './placement/journal.js';
 import {handleLeaseRead, handleLeaseWrite, runLease} from './placement/lease.js';
 import {handleOrderAnswered} from './placement/orders.js';
@@ -30,9 +31,9 @@
 	handleSettleRead, handleSettleRetry, handleSettleWrite, handleWriteHeld, startSettlement,
 } from './request/settlements.js';
 import {continueIsolation} from './request/suspects.js';
-import {
-	handleCallerLeft, handleCompleted, handleDeadline, handleFailed, handleProgress, handleSilence,
-} from './request/tries.js';
+import {handleCallerLeft, handleDeadline} from './request/deadlines.js';
+import {handleSilence} from './request/silence.js';
+import {handleCompleted, handleFailed, handleProgress} from './request/tries.js';
 import {seedRandom, type State} from './state.js';
 import {type TableSteps, type TableStepOf} from './table-steps.js';
 import {type PeriodicDuty, type Timer} from './timers.js';
--- /dev/null
+++ b/src/core/request/deadlines.ts
@@ -0,0 +1,56 @@
+/**
+Requests that end before their answer is whole: the deadline passed, or the caller
+left. Work that runs at most once and is out at a target goes on, so that its
+answer can be recorded.
+*/
+import {count, type Context} from '../context.js';
+import {refuse} from './closing.js';
+import {abandonTry, currentTry} from './tries.js';
+import {type OpenRequest} from './types.js';
+
+/** The deadline of a request passed. A stream that has begun goes on; it was in time. */
+export function handleDeadline(context: Context, request: OpenRequest): void {
+	const attempt = currentTry(request);
+	if (request.delivered > 0 || request.phase === 'detached') {
+		return;
+	}
+
+	if (attempt && request.repeat === 'once') {
+		detach(context, request);
+		return;
+	}
+
+	abandonTry(context, request);
+	const held = request.phase === 'claiming' ? 'claim-unavailable' : (request.phase === 'joining' ? 'run-in-progress' : 'target-timeout');
+	refuse(context, request, {
+		code: held,
+		ran: request.phase === 'joining' ? 'unknown' : request.ran,
+		retryAfterMs: 1000,
+	});
+}
+
+/** The caller gets its final answer now; the run goes on and its answer is recorded. */
+function detach(context: Context, request: OpenRequest): void {
+	context.effects.push({
+		kind: 'refuse', requestId: request.id, code: 'target-timeout', ran: 'unknown',
+	});
+	count(context, 'request.refused', {code: 'target-timeout'});
+	request.phase = 'detached';
+}
+
+export function handleCallerLeft(context: Context, requestId: string): void {
+	const request = context.state.requests.open.get(requestId);
+	if (!request || request.phase === 'detached') {
+		return;
+	}
+
+	const attempt = currentTry(request);
+	if (attempt && request.repeat === 'once') {
+		request.callerLeft = true;
+		request.phase = 'detached';
+		return;
+	}
+
+	abandonTry(context, request);
+	refuse(context, request, {code: 'target-timeout', ran: request.ran});
+}
--- a/src/core/request/reports.ts
+++ b/src/core/request/reports.ts
@@ -10,7 +10,8 @@
 import {dispatchTarget} from './dispatch.js';
 import {continueIsolation} from './suspects.js';
 import {createTarget, estimatedTotal, type Target} from './target.js';
-import {resolveBroken, resolveSilent} from './tries.js';
+import {resolveSilent} from './silence.js';
+import {resolveBroken} from './tries.js';
 
 const UTILISATION_GAIN = 0.2;
 
--- a/src/core/request/tries.ts
+++ b/src/core/request/tries.ts
@@ -12,18 +12,16 @@
 import {watchQueued} from './admission.js';
 import {close, refuse} from './closing.js';
 import {dispatchRoute, dispatchTarget} from './dispatch.js';
-import {addSample, upperLimitMs} from './estimate.js';
+import {addSample} from './estimate.js';
 import {releaseClaim, settleDone, settleUnknown} from './settlements.js';
 import {clearSuspect, endIsolation, noteCrash} from './suspects.js';
-import {estimatedTotal, type Target} from './target.js';
+import {silenceLimitMs} from './silence.js';
+import {type Target} from './target.js';
 import {
 	type Failure, type OpenRequest, type RecordedAnswer, type Try,
 } from './types.js';
 
 const MAX_TRIES = 4;
-const FIRST_BYTE_LIMIT = {leastMs: 2000, mostMs: 15_000};
-const WHOLE_ANSWER_LIMIT = {leastMs: 5000, mostMs: 60_000};
-const GAP_LIMIT = {leastMs: 3000, mostMs: 10_000};
 
 type FailureRule = {
 	/** Whether the target may have run the work. */
@@ -258,109 +256,6 @@
 	watchQueued(context, request);
 }
 
-/** A try was quiet for longer than its target has shown: asks on a new connection who is at fault. */
-export function handleSilence(context: Context, requestId: string, tryNumber: number): void {
-	const request = context.state.requests.open.get(requestId);
-	const attempt = request && currentTry(request);
-	if (!request || attempt?.number !== tryNumber) {
-		return;
-	}
-
-	const target = context.state.targets.get(attempt.targetId);
-	if (!target) {
-		return;
-	}
-
-	const dueMs = attempt.progressAtMs + silenceLimitMs(context, request, target, attempt);
-	if (dueMs > context.nowMs) {
-		context.state.timers.set(dueMs, {kind: 'silence', requestId, tryNumber});
-		return;
-	}
-
-	attempt.probing = true;
-	if (!target.probing) {
-		target.probing = true;
-		context.effects.push({kind: 'probe', targetId: target.id});
-	}
-}
-
-/**
-The probe answered for a target with quiet tries. Idempotent work is tried again
-on a new connection. Work that runs at most once stays with its try.
-*/
-export function resolveSilent(context: Context, target: Target, reachable: boolean): void {
-	for (const [requestId, tryNumber] of target.inFlight) {
-		const request = context.state.requests.open.get(requestId);
-		const attempt = request && currentTry(request);
-		if (!request || attempt?.number !== tryNumber || !attempt.probing) {
-			continue;
-		}
-
-		attempt.probing = false;
-		if (request.repeat === 'once') {
-			continue;
-		}
-
-		log(context, 'connection-silent', {requestId, targetId: target.id, reachable});
-		context.effects.push({kind: 'cancel-try', requestId, tryNumber});
-		handleFailed(context, {
-			kind: 'try-failed',
-			nowMs: context.nowMs,
-			requestId,
-			tryNumber,
-			failure: 'silent',
-			delivered: request.delivered,
-		});
-	}
-}
-
-/** The deadline of a request passed. A stream that has begun goes on; it was in time. */
-export function handleDeadline(context: Context, request: OpenRequest): void {
-	const attempt = currentTry(request);
-	if (request.delivered > 0 || request.phase === 'detached') {
-		return;
-	}
-
-	if (attempt && request.repeat === 'once') {
-		detach(context, request);
-		return;
-	}
-
-	abandonTry(context, request);
-	const held = request.phase === 'claiming' ? 'claim-unavailable' : (request.phase === 'joining' ? 'run-in-progress' : 'target-timeout');
-	refuse(context, request, {
-		code: held,
-		ran: request.phase === 'joining' ? 'unknown' : request.ran,
-		retryAfterMs: 1000,
-	});
-}
-
-/** The caller gets its final answer now; the run goes on and its answer is recorded. */
-function detach(context: Context, request: OpenRequest): void {
-	context.effects.push({
-		kind: 'refuse', requestId: request.id, code: 'target-timeout', ran: 'unknown',
-	});
-	count(context, 'request.refused', {code: 'target-timeout'});
-	request.phase = 'detached';
-}
-
-export function handleCallerLeft(context: Context, requestId: string): void {
-	const request = context.state.requests.open.get(requestId);
-	if (!request || request.phase === 'detached') {
-		return;
-	}
-
-	const attempt = currentTry(request);
-	if (attempt && request.repeat === 'once') {
-		request.callerLeft = true;
-		request.phase = 'detached';
-		return;
-	}
-
-	abandonTry(context, request);
-	refuse(context, request, {code: 'target-timeout', ran: request.ran});
-}
-
 /** Cancels the try that is out, if any. Its late answer is recognised by the try number and dropped. */
 export function abandonTry(context: Context, request: OpenRequest): void {
 	const attempt = currentTry(request);
@@ -409,15 +304,3 @@
 		dispatchTarget(context, target);
 	}
 }
-
-function silenceLimitMs({state}: Context, request: OpenRequest, target: Target, attempt: Try): number {
-	if (attempt.firstByteAtMs !== undefined) {
-		return upperLimitMs(target.gap, GAP_LIMIT);
-	}
-
-	const limitMs = request.stream
-		? upperLimitMs(target.firstByte, FIRST_BYTE_LIMIT)
-		: upperLimitMs(state.requests.route(request.route).service, WHOLE_ANSWER_LIMIT);
-	// A request that waits in the engine's own queue is quiet too, for as many rounds as there are before it.
-	return limitMs * Math.max(1, estimatedTotal(target) / target.slots);
-}
