Drop pieces of a canceled try at once; do not take a slow caller for a silent target

Cause: a canceled try stayed current until the next one began, so a late piece could still reach the caller; and a caller that reads slowly made its target look silent, which canceled and resumed a healthy stream. Change: only a try that is out is current; while a write waits for the caller, progress is told every second; writes that do not wait cost no promise.

--- a/src/daemon/call.ts
+++ b/src/daemon/call.ts
@@ -70,7 +70,7 @@
 
 	/** Late pieces of a try that was given up are dropped by its number. */
 	isCurrent(tryNumber: number): boolean {
-		return tryNumber === this._currentTry && !this._aborts.get(tryNumber)?.signal.aborted;
+		return tryNumber === this._currentTry && this._aborts.has(tryNumber);
 	}
 
 	cancelTry(tryNumber: number): void {
@@ -88,19 +88,19 @@
 		this._aborts.delete(tryNumber);
 	}
 
-	/** Passes stream events on, as fast as the caller takes them. */
-	async passEvents(data: readonly string[]): Promise<void> {
+	/** Passes stream events on. Returns a promise only if the caller must first take in what was written. */
+	passEvents(data: readonly string[]): Promise<void> | undefined {
 		this._beginStream(200, 'text/event-stream; charset=utf-8');
 		this._delivered += data.length;
 		this._events.push(...data);
 		// One write for all events of a chunk.
-		await this._write(data.map(event => `data: ${event}\n\n`).join(''));
+		return this._write(data.map(event => `data: ${event}\n\n`).join(''));
 	}
 
-	async passBytes(status: number, contentType: string, chunk: Buffer): Promise<void> {
+	passBytes(status: number, contentType: string, chunk: Buffer): Promise<void> | undefined {
 		this._beginStream(status, contentType);
 		this._delivered += chunk.length;
-		await this._write(chunk);
+		return this._write(chunk);
 	}
 
 	/** Whether the core should hear of progress now. */
@@ -177,22 +177,22 @@
 		});
 	}
 
-	private async _write(chunk: Buffer | string): Promise<void> {
+	/** A caller that reads slowly holds the target back instead of filling memory. */
+	private _write(chunk: Buffer | string): Promise<void> | undefined {
 		const {raw} = this._reply;
-		if (raw.destroyed || raw.write(chunk)) {
-			return;
-		}
+		return raw.destroyed || raw.write(chunk) ? undefined : drained(raw);
+	}
+}
 
-		// A caller that reads slowly holds the target back instead of filling memory.
-		const settled = new AbortController();
-		const {signal} = settled;
-		try {
-			await Promise.race([once(raw, 'drain', {signal}), once(raw, 'close', {signal})]);
-		} catch {
-			// The response failed, which its close event reports.
-		} finally {
-			settled.abort();
-		}
+async function drained(raw: ServerResponse): Promise<void> {
+	const settled = new AbortController();
+	const {signal} = settled;
+	try {
+		await Promise.race([once(raw, 'drain', {signal}), once(raw, 'close', {signal})]);
+	} catch {
+		// The response failed, which its close event reports.
+	} finally {
+		settled.abort();
 	}
 }
 
--- a/src/daemon/try-runner.ts
+++ b/src/daemon/try-runner.ts
@@ -9,6 +9,9 @@
 import {type TrySink, type WholeAnswer} from './gateways/types.js';
 import {recordAnswer} from './recorded-answers.js';
 
+/** Shorter than any limit by which a quiet try is taken for silent. */
+const HELD_PROGRESS_MS = 1000;
+
 export async function runTry(daemon: Daemon, effect: EffectOf<'send-try'>): Promise<void> {
 	const {requestId, tryNumber, targetId, continuation, freshConnection} = effect;
 	const call = daemon.calls.get(requestId);
@@ -38,29 +41,44 @@
 	}, createSink(daemon, call, tryNumber));
 }
 
+/** Waits for a caller that reads slowly, and calls back every so often meanwhile. */
+export async function whileHeld(held: Promise<void>, onHeld: () => void, intervalMs = HELD_PROGRESS_MS): Promise<void> {
+	const timer = setInterval(onHeld, intervalMs);
+	try {
+		await held;
+	} finally {
+		clearInterval(timer);
+	}
+}
+
 function createSink(daemon: Daemon, call: Call, tryNumber: number): TrySink {
 	const requestId = call.id;
-	const noteProgress = () => {
+	const tellProgress = () => {
+		daemon.dispatch({
+			kind: 'try-progressed', requestId, tryNumber, delivered: call.delivered,
+		});
+	};
+
+	/** Tells of progress now and then, and goes on telling while the caller, not the target, is what is slow. */
+	const follow = async (held: Promise<void> | undefined) => {
 		if (call.isProgressDue(daemon.clock.monotonicMs())) {
-			daemon.dispatch({
-				kind: 'try-progressed', requestId, tryNumber, delivered: call.delivered,
-			});
+			tellProgress();
+		}
+
+		if (held) {
+			await whileHeld(held, tellProgress);
 		}
 	};
 
 	return {
 		async events(data) {
 			if (call.isCurrent(tryNumber)) {
-				const passed = call.passEvents(data);
-				noteProgress();
-				await passed;
+				await follow(call.passEvents(data));
 			}
 		},
 		async bytes(status, contentType, chunk) {
 			if (call.isCurrent(tryNumber)) {
-				const passed = call.passBytes(status, contentType, chunk);
-				noteProgress();
-				await passed;
+				await follow(call.passBytes(status, contentType, chunk));
 			}
 		},
 		completed(answer) {
