Forget calls whose caller had its answer before the run ended

Cause: a sign-off that outlasted its deadline, or whose caller left, completed without a last effect; its call with body and response stayed in memory for ever. Change: the try runner forgets the call when its request is closed. Conclusion: one leak less; the run's answer is recorded and replayed.

--- a/src/daemon/try-runner.ts
+++ b/src/daemon/try-runner.ts
@@ -93,6 +93,8 @@
 					answer: toRecord(daemon, call, answer),
 				});
 			}
+
+			forgetClosed(daemon, requestId);
 		},
 		failed(failure, answer) {
 			if (call.isCurrent(tryNumber)) {
@@ -107,13 +109,18 @@
 				});
 			}
 
-			if (!daemon.state.requests.open.has(requestId)) {
-				daemon.calls.delete(requestId);
-			}
+			forgetClosed(daemon, requestId);
 		},
 	};
 }
 
+/** Forgets a call whose request closed without a last effect, because its caller had its answer before or left. */
+function forgetClosed(daemon: Daemon, requestId: string): void {
+	if (!daemon.state.requests.open.has(requestId)) {
+		daemon.calls.delete(requestId);
+	}
+}
+
 function toRecord(daemon: Daemon, call: Call, answer: WholeAnswer | undefined): RecordedAnswer | undefined {
 	if (!call.records) {
 		return undefined;
--- a/test/features/callers.feature
+++ b/test/features/callers.feature
@@ -13,6 +13,13 @@
     Then both callers get the same answer
     And the service has one entry for it
 
+  Scenario: A sign-off that outlasts its deadline is still recorded
+    Given the service takes 800 ms
+    When a sign-off is sent with 300 ms to its deadline
+    Then its outcome is unknown to the caller at once
+    And a repeat gets the recorded answer of the one run
+    And no instance keeps anything of them
+
   Scenario: A large recorded answer is replayed from the object store
     Given the service gives large answers
     When one sign-off is sent to two instances, one after the other
--- a/test/features/steps/caller-steps.ts
+++ b/test/features/steps/caller-steps.ts
@@ -101,6 +101,26 @@
 	return state.running.services.reduce((sum, service) => sum + (service.entries.get(KEY) ?? 0), 0);
 }
 
+When('a sign-off is sent with {int} ms to its deadline', async function (this: ScenarioState, deadlineMs: number) {
+	this.answers.push(await signOff(this, 0, {'x-deadline-ms': String(deadlineMs)}));
+});
+
+Then('its outcome is unknown to the caller at once', function (this: ScenarioState) {
+	const problem = JSON.parse(this.answers[0]?.text ?? '{}') as {code: string; ran: string};
+	assert.deepEqual([problem.code, problem.ran], ['PA-1302', 'unknown']);
+});
+
+Then('a repeat gets the recorded answer of the one run', async function (this: ScenarioState) {
+	const answers = [await signOff(this, 1), await signOff(this, 0)];
+	assert.deepEqual(answers.map(({status}) => status), [200, 200]);
+	assert.equal(answers[0]?.text, answers[1]?.text);
+	assert.equal(entries(this), 1);
+});
+
+Then('no instance keeps anything of them', async function (this: ScenarioState) {
+	await this.running.until(() => this.running.daemons.every(({calls, state}) => calls.size === 0 && state.requests.open.size === 0 && state.requests.settlements.size === 0));
+});
+
 Then('both answers have an unknown outcome', function (this: ScenarioState) {
 	assert.deepEqual(this.answers.map(({text}) => (JSON.parse(text) as {ran: string}).ran), ['unknown', 'unknown']);
 });
--- a/test/features/steps/deployment-steps.ts
+++ b/test/features/steps/deployment-steps.ts
@@ -99,6 +99,12 @@
 	}
 });
 
+Given('the service takes {int} ms', function (this: ScenarioState, delayMs: number) {
+	for (const service of this.running.services) {
+		service.delayMs = delayMs;
+	}
+});
+
 Given('the service breaks connections after it made an entry', function (this: ScenarioState) {
 	for (const service of this.running.services) {
 		service.breaksAfterEntry = true;
