Load as fast as the weight store allows

Cause: a zone's token bucket held one load, so that what accrued between two plans a second apart was lost (0.5 of 0.75 loads a second), and each plan journaled one entry a target (1.0 of 1.5 for a zone that borrows). Change: the bucket keeps what accrues between plans; a plan's loads of one target, and the reloads after a restart, are journaled in one write.

--- a/src/core/placement/duty.ts
+++ b/src/core/placement/duty.ts
@@ -4,6 +4,7 @@
 */
 import {type Context} from '../context.js';
 import {type Target} from '../request/target.js';
+import {type TargetId} from '../types.js';
 import {
 	checksFencing, openLedger, openLedgers, retryRow, writeRow,
 } from './journal.js';
@@ -14,9 +15,9 @@
 	epochClosedAtMs, heldEpoch, holdsLease, keepsLease, zoneGroup,
 } from './lease.js';
 import {
-	parseName, sendPending, startLoad, startUnload,
+	parseName, sendPending, startLoads, startUnload, type WantedLoad,
 } from './orders.js';
-import {planMoves, type PlanAction} from './plan.js';
+import {planMoves} from './plan.js';
 import {gatherPlanInput, noteAbsences} from './plan-input.js';
 import {type Copy, type Ledger} from './state.js';
 import {type LedgerRow} from './types.js';
@@ -140,28 +141,26 @@
 }
 
 function compareReport(context: Context, ledger: Ledger, target: Target): void {
+	const missing: WantedLoad[] = [];
 	for (const [name, copy] of ledger.copies) {
 		const isOverdue = context.nowMs - copy.statusSinceMs >= REPORT_SETTLE_MS;
-		if (copy.status === 'confirmed' && isOverdue && !target.resident.has(name)) {
-			reload(context, ledger, name, copy);
-			return;
+		const entry = findEntry(ledger.row, parseName(name));
+		if (copy.status !== 'confirmed' || !isOverdue || target.resident.has(name) || !entry) {
+			continue;
 		}
-	}
-
-	noteStrangers(context, ledger, target);
-}
 
-function reload(context: Context, ledger: Ledger, name: string, copy: Copy): void {
-	const entry = findEntry(ledger.row, parseName(name));
-	if (!entry) {
-		return;
+		if (isWanted(context, name)) {
+			missing.push({copy: pickCopy(entry), reason: 'missing from the report'});
+		} else {
+			// The room is free only once the engine confirms an unload, whatever the report says.
+			startUnload(context, ledger, name, 'not configured');
+		}
 	}
 
-	if (isWanted(context, name)) {
-		startLoad(context, ledger, pickCopy(entry), 'missing from the report');
+	if (missing.length > 0) {
+		startLoads(context, ledger, missing);
 	} else {
-		// The room is free only once the engine confirms an unload, whatever the report says.
-		startUnload(context, ledger, name, 'not configured');
+		noteStrangers(context, ledger, target);
 	}
 }
 
@@ -223,23 +222,20 @@
 		return;
 	}
 
-	const actions = planMoves(gatherPlanInput(context));
-	for (const action of actions) {
-		actionHandlers[action.kind](context, action);
+	const loads = new Map<TargetId, WantedLoad[]>();
+	for (const action of planMoves(gatherPlanInput(context))) {
+		const ledger = ledgers.get(action.targetId);
+		if (action.kind === 'load') {
+			loads.set(action.targetId, [...loads.get(action.targetId) ?? [], {copy: pickCopy(action.copy), reason: action.reason}]);
+		} else if (ledger) {
+			startUnload(context, ledger, copyName(action.copy), action.reason);
+		}
 	}
-}
 
-const actionHandlers: Readonly<Record<PlanAction['kind'], (context: Context, action: PlanAction) => void>> = {
-	load(context, {targetId, copy, reason}) {
-		const ledger = context.state.placement.ledgers.get(targetId);
-		if (ledger) {
-			startLoad(context, ledger, pickCopy(copy), reason);
-		}
-	},
-	unload(context, {targetId, copy, reason}) {
-		const ledger = context.state.placement.ledgers.get(targetId);
+	for (const [targetId, wanted] of loads) {
+		const ledger = ledgers.get(targetId);
 		if (ledger) {
-			startUnload(context, ledger, copyName(copy), reason);
+			startLoads(context, ledger, wanted);
 		}
-	},
-};
+	}
+}
--- a/src/core/placement/orders.ts
+++ b/src/core/placement/orders.ts
@@ -23,38 +23,56 @@
 const BUSY_RETRY_MS = 1000;
 const REFUSED_RETRY_MS = 30_000;
 
+/** Entries that one write adds; more would take room that the next plan may want otherwise. */
+const LOADS_PER_WRITE = 6;
+
 /** Time for requests to reach a copy that peers were told to leave, before it is unloaded. */
 const LEAVE_DELAY_MS = 3000;
 
-/** Journals a load; the order is sent when the table has confirmed the entry. */
-export function startLoad(context: Context, ledger: Ledger, copy: ModelCopy, reason: string): boolean {
+export type WantedLoad = {
+	readonly copy: ModelCopy;
+	/** For people who look at the moves. */
+	readonly reason: string;
+};
+
+/** Journals loads of one target in one write; the orders are sent when the table has confirmed the entries. */
+export function startLoads(context: Context, ledger: Ledger, wanted: readonly WantedLoad[]): void {
 	const target = context.state.targets.get(ledger.targetId);
 	if (!target || !ledger.owned || ledger.writing) {
-		return false;
+		return;
 	}
 
-	const row = withLoad(ledger.row, copy, target.memoryMb);
-	if (!row) {
-		return false;
+	let {row} = ledger;
+	for (const {copy, reason} of wanted.slice(0, LOADS_PER_WRITE)) {
+		const next = withLoad(row, copy, target.memoryMb);
+		if (!next) {
+			continue;
+		}
+
+		row = needsMark(context, ledger, copy) ? next : row;
+		const name = copyName(copy);
+		ledger.copies.set(name, {
+			status: 'ordering',
+			orderId: undefined,
+			unanswered: ledger.copies.get(name)?.unanswered ?? false,
+			retryAtMs: 0,
+			statusSinceMs: context.nowMs,
+			reason,
+		});
 	}
 
-	const name = copyName(copy);
-	ledger.copies.set(name, {
-		status: 'ordering',
-		orderId: undefined,
-		unanswered: ledger.copies.get(name)?.unanswered ?? false,
-		retryAtMs: 0,
-		statusSinceMs: context.nowMs,
-		reason,
-	});
-	const entry = findEntry(ledger.row, copy);
-	if (entry && (entry.unansweredEpoch === ledger.row.epoch || checksFencing(context, ledger.targetId))) {
+	if (row === ledger.row) {
 		sendPending(context, ledger);
 	} else {
 		writeRow(context, ledger, row);
 	}
+}
 
-	return true;
+/** Whether the journal must be written before a load order: not where the entry says so already or a fence makes up for it. */
+function needsMark(context: Context, ledger: Ledger, copy: ModelCopy): boolean {
+	const entry = findEntry(ledger.row, copy);
+	return entry === undefined
+		|| (entry.unansweredEpoch !== ledger.row.epoch && !checksFencing(context, ledger.targetId));
 }
 
 /** Takes a copy out of routing; it is unloaded once requests had time to end elsewhere. */
--- a/src/core/placement/weight-store.ts
+++ b/src/core/placement/weight-store.ts
@@ -12,6 +12,9 @@
 /** How long a zone's word that it is idle counts. It is repeated twice as often. */
 const IDLE_LIFETIME_MS = 20_000;
 
+/** Loads are started once per plan, so what accrues between two plans must not be lost. */
+const PLAN_SECONDS = 1;
+
 type Share = {
 	readonly perSecond: number;
 	readonly atOnce: number;
@@ -24,7 +27,7 @@
 	sayIdle(context, false);
 	const {perSecond, atOnce} = shareOf(context);
 	const elapsedMs = nowMs - placement.loadTokensAtMs;
-	placement.loadTokens = Math.min(1, placement.loadTokens + ((elapsedMs / 1000) * perSecond));
+	placement.loadTokens = Math.min(1 + (perSecond * PLAN_SECONDS), placement.loadTokens + ((elapsedMs / 1000) * perSecond));
 	placement.loadTokensAtMs = nowMs;
 	if (placement.loadTokens < 1 || loadsUnderWay(context) >= atOnce) {
 		return false;
