--- a/bench/memory.ts
+++ b/bench/memory.ts
@@ -24,7 +24,7 @@
 	{figure: 'model with two copies, no adapters', size: {...BASE, adaptersPerModel: 0, models: 3200}, added: 3000},
 	{figure: 'adapter', size: {...BASE, adaptersPerModel: 23}, added: 4000},
 	{figure: 'target', size: {...BASE, targets: 2060}, added: 2000},
-	{figure: 'instance', size: {...BASE, instances: 2050}, added: 2000},
+	{figure: 'instance', size: {...BASE, instances: 20_050}, added: 20_000},
 	{figure: 'open request', size: {...BASE, openRequests: 3500}, added: 3000},
 ];
 
