Decide in one place whether a call runs once

Cause: the caller listener had its own copy of the rule for calls without a route; had one of the two changed, an answer would not have been recorded. Change: repeatRule in the core, used by both; unit tests of rules and keys. Conclusion: no change of behaviour.

--- /dev/null
+++ b/src/core/request/resolve.test.ts
@@ -0,0 +1,38 @@
+/**
+Which rule a call runs by, and where its key is read.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {signOff} from '../../../test/standins/configurations.js';
+import {type RouteRule} from '../configuration/types.js';
+import {findRule, readKey, repeatRule} from './resolve.js';
+
+const rules: readonly RouteRule[] = [
+	{method: 'POST', path: '/orders/checks', repeat: 'idempotent'},
+	{
+		method: 'POST', path: '/orders', repeat: 'once', key: {from: 'body', pointer: '/order/number'},
+	},
+	{method: '*', path: '/', repeat: 'idempotent'},
+];
+
+test('the longest path of whole segments wins, and a method must match', () => {
+	assert.equal(findRule(rules, 'POST', '/orders/checks/7')?.path, '/orders/checks');
+	assert.equal(findRule(rules, 'POST', '/orders?dry=1')?.path, '/orders');
+	assert.equal(findRule(rules, 'POST', '/orders-archive')?.path, '/');
+	assert.equal(findRule(rules, 'GET', '/orders')?.path, '/');
+});
+
+test('without a rule only safe methods may be repeated', () => {
+	assert.equal(repeatRule(undefined, 'GET'), 'idempotent');
+	assert.equal(repeatRule(undefined, 'POST'), 'once');
+	assert.equal(repeatRule(undefined, 'DELETE'), 'once');
+});
+
+test('keys are read from the header or the body, and neither may be empty', () => {
+	const body = {order: {number: 17}};
+	assert.equal(readKey({from: 'body', pointer: '/order/number'}, signOff('r', 'h', {keyBody: body})).extract(), '17');
+	assert.equal(readKey({from: 'header'}, signOff('r', 'h')).extract(), 'h');
+	assert.ok(readKey({from: 'body', pointer: '/order/number'}, signOff('r', 'h', {keyBody: {order: {}}})).isLeft());
+	assert.ok(readKey({from: 'header'}, signOff('r', '')).isLeft());
+	assert.ok(readKey({from: 'header'}, signOff('r', 'x'.repeat(256))).isLeft());
+});
--- a/src/core/request/resolve.ts
+++ b/src/core/request/resolve.ts
@@ -4,7 +4,7 @@
 import jsonpointer from 'jsonpointer';
 import {Left, Right, type Either} from 'purify-ts';
 import {modelRoute, serviceRoute} from '../configuration/index.js';
-import {type KeySource, type RouteRule} from '../configuration/types.js';
+import {type KeySource, type RepeatRule, type RouteRule} from '../configuration/types.js';
 import {type Arrival} from '../event.js';
 import {type ResultName} from '../result-codes.js';
 import {type ConfigurationState} from '../state.js';
@@ -55,7 +55,7 @@
 	}
 
 	const rule = findRule(rules, destination.method, destination.path);
-	const repeat = rule?.repeat ?? (safeMethods.has(destination.method) ? 'idempotent' : 'once');
+	const repeat = repeatRule(rule, destination.method);
 	return Right({
 		route: serviceRoute(destination.service),
 		model: undefined,
@@ -67,6 +67,11 @@
 	});
 }
 
+/** How often a call may run. Without a rule only safe methods may be repeated. */
+export function repeatRule(rule: RouteRule | undefined, method: string): RepeatRule {
+	return rule?.repeat ?? (safeMethods.has(method) ? 'idempotent' : 'once');
+}
+
 /** The first rule that matches. Rules are sorted, longest path first. */
 export function findRule(rules: readonly RouteRule[], method: string, path: string): RouteRule | undefined {
 	return rules.find(rule => (rule.method === '*' || rule.method === method) && isBelow(path, rule.path));
--- a/src/daemon/listeners/callers.ts
+++ b/src/daemon/listeners/callers.ts
@@ -9,7 +9,7 @@
 } from 'fastify';
 import {type Priority} from '../../core/configuration/types.js';
 import {type Arrival} from '../../core/event.js';
-import {findRule} from '../../core/request/resolve.js';
+import {findRule, repeatRule} from '../../core/request/resolve.js';
 import {type ResultName} from '../../core/result-codes.js';
 import {Call} from '../call.js';
 import {type Daemon} from '../daemon.js';
@@ -216,10 +216,9 @@
 	}
 }
 
-function runsOnce({state}: Daemon, destination: Extract<Arrival['destination'], {kind: 'service'}>): boolean {
-	const rules = state.configuration.index.rules.get(destination.service);
-	const rule = rules && findRule(rules, destination.method, destination.path);
-	return rule ? rule.repeat === 'once' : !['GET', 'HEAD', 'OPTIONS'].includes(destination.method);
+function runsOnce({state}: Daemon, {service, method, path}: Extract<Arrival['destination'], {kind: 'service'}>): boolean {
+	const rule = findRule(state.configuration.index.rules.get(service) ?? [], method, path);
+	return repeatRule(rule, method) === 'once';
 }
 
 function notRunStatuses({state}: Daemon, destination: Arrival['destination']): readonly number[] {
