Unload a copy only after what its requests have shown to take

Cause: a copy was unloaded three seconds after peers were told to leave it, whatever still ran there; an engine that does not refuse such an order would have cut requests off. Change: the wait follows what the model's requests have shown to take, 3 to 60 s, and the owner's own requests are waited for. Conclusion: a planned unload cuts nothing off unless a request exceeds all that its model has shown.

--- a/src/core/placement/orders.ts
+++ b/src/core/placement/orders.ts
@@ -3,8 +3,10 @@
 changes of the ledger.
 */
 import {log, type Context} from '../context.js';
+import {modelRoute} from '../configuration/index.js';
 import {type EventOf} from '../event.js';
 import {publish} from '../peer/facts.js';
+import {upperLimitMs} from '../request/estimate.js';
 import {noteResident} from '../request/reports.js';
 import {checksFencing, writeRow} from './journal.js';
 import {
@@ -26,8 +28,11 @@
 /** Entries that one write adds; more would take room that the next plan may want otherwise. */
 const LOADS_PER_WRITE = 6;
 
-/** Time for requests to reach a copy that peers were told to leave, before it is unloaded. */
-const LEAVE_DELAY_MS = 3000;
+/**
+Bounds of the time between telling peers to leave a copy and unloading it: long
+enough for what is on its way and for what the model's requests have shown to take.
+*/
+const LEAVE_BOUNDS = {leastMs: 3000, mostMs: 60_000};
 
 export type WantedLoad = {
 	readonly copy: ModelCopy;
@@ -84,10 +89,27 @@
 
 	setStatus(context, copy, 'leaving');
 	copy.reason = reason;
-	copy.retryAtMs = context.nowMs + LEAVE_DELAY_MS;
+	copy.retryAtMs = context.nowMs + leaveDelayMs(context, name);
 	setLeaving(context, ledger, name, true);
 }
 
+function leaveDelayMs({state}: Context, name: string): number {
+	const service = state.requests.routes.get(modelRoute(parseName(name).model))?.service;
+	return service === undefined || service.samples === 0 ? LEAVE_BOUNDS.leastMs : upperLimitMs(service, LEAVE_BOUNDS);
+}
+
+/** Whether requests of this instance still run on a copy. */
+function isInUse({state}: Context, ledger: Ledger, name: string): boolean {
+	const {model} = parseName(name);
+	for (const requestId of state.targets.get(ledger.targetId)?.inFlight.keys() ?? []) {
+		if (state.requests.open.get(requestId)?.model === model) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 function setLeaving(context: Context, ledger: Ledger, name: string, leaving: boolean): void {
 	const {model} = parseName(name);
 	const target = context.state.targets.get(ledger.targetId);
@@ -138,7 +160,7 @@
 		const isLoadable = copy.status === 'ordering' && (isFenced || entry.unansweredEpoch === ledger.row.epoch);
 		if (isLoadable && takeLoadToken(context)) {
 			sendOrder(context, ledger, copy, 'load-model', entry);
-		} else if (isValid && (copy.status === 'leaving' || copy.status === 'unloading')) {
+		} else if (isValid && (copy.status === 'leaving' || copy.status === 'unloading') && !isInUse(context, ledger, name)) {
 			copy.status = 'unloading';
 			sendOrder(context, ledger, copy, 'unload-model', entry);
 		}
