--- a/bench/control.ts
+++ b/bench/control.ts
@@ -21,14 +21,16 @@
 
 type Traffic = {
 	readonly exchangeBytes: number;
-	readonly tableOperations: number;
+	readonly tableReads: number;
+	readonly tableWrites: number;
 };
 
 /** Instances with a target and a model each five, all talking to each other and the table. */
 function trafficOf(instances: number, zones: number): Traffic {
 	let isMeasuring = false;
 	let bytes = 0;
-	let operations = 0;
+	let reads = 0;
+	let writes = 0;
 	const world = new World({
 		seed: 4, record(_node, _event, effects: readonly Effect[]) {
 			for (const effect of isMeasuring ? effects : []) {
@@ -37,7 +39,8 @@
 					const isAnswered = effect.facts.some(({value}) => value.kind === 'instance');
 					bytes += 2 * (JSON.stringify(effect.facts).length + CALL_BYTES + (isAnswered ? ANSWER_BYTES : 0));
 				} else if (effect.kind === 'table') {
-					operations++;
+					reads += effect.operation.kind === 'write' ? 0 : 1;
+					writes += effect.operation.kind === 'write' ? 1 : 0;
 				}
 			}
 		},
@@ -62,7 +65,7 @@
 	isMeasuring = true;
 	world.run(MEASURE_MS);
 	const nodeSeconds = (instances * MEASURE_MS) / 1000;
-	return {exchangeBytes: bytes / nodeSeconds, tableOperations: operations / nodeSeconds};
+	return {exchangeBytes: bytes / nodeSeconds, tableReads: reads / nodeSeconds, tableWrites: writes / nodeSeconds};
 }
 
 const ANSWER_BYTES = 350;
@@ -173,14 +176,26 @@
 		},
 		{
 			bench: 'control',
-			figure: 'table operations per node and second, 15 instances',
-			value: today.tableOperations,
+			figure: 'table reads per node and second, 15 instances',
+			value: today.tableReads,
 			unit: '1/s',
 		},
 		{
 			bench: 'control',
-			figure: 'table operations per node and second, 120 instances',
-			value: larger.tableOperations,
+			figure: 'table writes per node and second, 15 instances',
+			value: today.tableWrites,
+			unit: '1/s',
+		},
+		{
+			bench: 'control',
+			figure: 'table reads per node and second, 120 instances',
+			value: larger.tableReads,
+			unit: '1/s',
+		},
+		{
+			bench: 'control',
+			figure: 'table writes per node and second, 120 instances',
+			value: larger.tableWrites,
 			unit: '1/s',
 		},
 		{
