--- a/src/core/request/selection.ts
+++ b/src/core/request/selection.ts
@@ -63,7 +63,8 @@
 	const offset = randomBelow(context, candidates.length);
 	const looks = Math.min(candidates.length, MAX_LOOKS);
 	for (let step = 0; step < looks; step++) {
-		if (step >= CHOICES && best) {
+		// For an adapter it is worth looking on for a target that holds it.
+		if (step >= CHOICES && best && !needsTransfer(best, request)) {
 			break;
 		}
 
