Bundle the platform's program with V8's compiled form of it

Cause: a process took 1.3 s of processor time to start, most of it compiling hundreds of modules. Change: esbuild bundles platform/main.ts; a loader runs it from the compiled form.

--- /dev/null
+++ b/deploy/bundle.js
@@ -0,0 +1,38 @@
+/**
+Builds the program for the platform: one bundled file, and beside it V8's compiled
+form of it, so that a process that is started again serves sooner. Runs under the same
+flags as the program, because V8 takes a compiled form only under the flags that it was
+made with.
+*/
+import {readFileSync, writeFileSync} from 'node:fs';
+import {Script} from 'node:vm';
+import {build} from 'esbuild';
+
+const program = 'target/pollenarch.cjs';
+
+await build({
+	entryPoints: ['platform/main.ts'],
+	outfile: program,
+	bundle: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'cjs',
+	minifyWhitespace: true,
+	minifySyntax: true,
+	logLevel: 'error',
+});
+const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(program, 'utf8')}\n})`;
+writeFileSync('target/pollenarch.source.js', source);
+const script = new Script(source, {filename: program});
+writeFileSync('target/pollenarch.cache', script.createCachedData());
+writeFileSync('target/start.cjs', `'use strict';
+const {readFileSync} = require('node:fs');
+const {join} = require('node:path');
+const {Script} = require('node:vm');
+
+const script = new Script(readFileSync(join(__dirname, 'pollenarch.source.js'), 'utf8'), {
+	filename: join(__dirname, 'pollenarch.cjs'),
+	cachedData: readFileSync(join(__dirname, 'pollenarch.cache')),
+});
+script.runInThisContext()(exports, require, module, __filename, __dirname);
+`);
