Serve metrics, tell stories of requests from logs; place copies by pressure; move silent tries only where there is room

Change: a model gets copies from 30 % of its copies' slots on, also from a model whose copies do less than half as much; a silent try moves only to a target with room; tries that were never sent do not count.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -11,6 +11,7 @@
 import {OperatorClient, type Failure} from './client.js';
 import {exitCodes} from './exit-codes.js';
 import {formatStatus} from './status.js';
+import {tellStory, type Story} from './story.js';
 import {formatTable, type TableRow} from './table.js';
 
 type GlobalOptions = {
@@ -32,6 +33,12 @@
 	addViews(program);
 	addConfiguration(program);
 	addProcess(program);
+	program.command('story <request> [logs...]')
+		.description('what logs of instances tell of a request: files, or standard input')
+		.action((request: string, files: string[]) => {
+			const texts = (files.length > 0 ? files : [0]).map(file => readFileSync(file, 'utf8'));
+			printStory(tellStory(texts.join('\n'), request), request);
+		});
 	program.command('completion')
 		.description('print a completion script for bash')
 		.action(() => {
@@ -40,6 +47,19 @@
 	return program;
 }
 
+function printStory({lines, unreadable}: Story, request: string): void {
+	if (lines.length > 0) {
+		process.stdout.write(`${lines.join('\n')}\n`);
+	} else {
+		process.stderr.write(`no line names the request ${request}; it may have reached another instance, or its lines were left out (event 209)\n`);
+		process.exitCode = exitCodes.unknown;
+	}
+
+	if (unreadable > 0) {
+		process.stderr.write(`${unreadable} lines could not be read\n`);
+	}
+}
+
 const views = [
 	['models', 'models with their copies'],
 	['targets', 'targets with load and health'],
--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -5,7 +5,7 @@
 import {type ResultName} from '../result-codes.js';
 import {isCondemned} from './crash-suspects.js';
 import {findRoute, pickDestination} from './configuration.js';
-import {close, refuse, runningTry} from './closing.js';
+import {close, refuse} from './closing.js';
 import {noteArrival} from './demand.js';
 import {enqueue} from './dispatch.js';
 import {queueKeyOf, queueOf} from './queues.js';
@@ -16,8 +16,6 @@
 
 /** A request whose queue takes longer than this part of its time is sent away while it can still be served elsewhere. */
 const WAIT_SHARE = 0.7;
-/** Part of its time after which a request that nothing can serve is told when to come back, while it still can. */
-const PATIENCE_SHARE = 0.25;
 
 export function handleArrival(context: EntryContext, {arrival}: EntryEventOf<'request-arrived'>): void {
 	const {state, nowMs} = context;
@@ -72,11 +70,6 @@
 		atMs: request.deadlineAtMs, requestId: request.id, kind: 'deadline', tryNumber: 0,
 	});
 	enqueue(context, request);
-	if (runningTry(request) === undefined) {
-		state.due.push({
-			atMs: nowMs + (remainingMs * PATIENCE_SHARE), requestId: request.id, kind: 'patience', tryNumber: 0,
-		});
-	}
 }
 
 export function handleCallerLeft(context: EntryContext, {requestId}: EntryEventOf<'caller-left'>): void {
--- a/src/core/entry/dispatch.ts
+++ b/src/core/entry/dispatch.ts
@@ -11,10 +11,19 @@
 import {sendTry} from './send.js';
 import {type EntryRequest} from './types.js';
 
+/** Part of its time after which a request that nothing can serve is told so, while it can still be served elsewhere. */
+const PATIENCE_SHARE = 0.25;
+
 export function enqueue(context: EntryContext, request: EntryRequest): void {
 	request.phase = 'queued';
 	queueOf(context.state, request.queueKey).push(request);
 	dispatchQueue(context, request.queueKey);
+	const {state, nowMs} = context;
+	if (state.open.get(request.id)?.phase === 'queued') {
+		state.due.push({
+			atMs: nowMs + ((request.deadlineAtMs - nowMs) * PATIENCE_SHARE), requestId: request.id, kind: 'patience', tryNumber: request.tries.length,
+		});
+	}
 }
 
 export function dispatchAll(context: EntryContext): void {
--- a/src/core/entry/heavy-load.test.ts
+++ b/src/core/entry/heavy-load.test.ts
@@ -89,3 +89,14 @@
 	assert.equal(ofKind(core.pass(2000), 'stop').length, 1);
 	assert.ok(core.nowMs < 1000 + 4000);
 });
+
+test('pattern: all targets slow under load; a silent try is moved only where there is room', () => {
+	const core = new EntryCore().configure().list([engineEntry('e0', ['m0'], {slots: 4}), engineEntry('e1', ['m0'], {slots: 1, zone: 'south'})]);
+	core.state.targets.get('e1')!.avoidUntilMs = core.nowMs + 100;
+	core.arrive('r', '/ask/1', {model: 'm0', deadlineMs: 5000});
+	core.dispatch({kind: 'beacon-heard', beacon: beacon({loads: [['e1', 9]]})});
+	assert.equal(ofKind(core.pass(1000), 'cancel').length, 0, 'the other target is full');
+	core.arrive('s', '/ask/1', {model: 'm0', deadlineMs: 5000});
+	core.dispatch({kind: 'beacon-heard', beacon: beacon()});
+	assert.deepEqual(ofKind(core.pass(700), 'cancel').map(({requestId}) => requestId), ['s']);
+});
--- a/src/core/entry/placement.ts
+++ b/src/core/entry/placement.ts
@@ -14,7 +14,7 @@
 
 const PLAN_INTERVAL_MS = 200;
 /** Peers hear of a copy that is to go, and stop sending, before the unload is ordered. */
-const LEAVE_NOTICE_MS = 900;
+const LEAVE_NOTICE_MS = 350;
 /** A copy that is going gets nothing until the registry shows it gone. */
 const LEAVING_MS = 6000;
 /** Loads of the store that may run at once without slowing each other. */
--- /dev/null
+++ b/src/core/entry/plan.test.ts
@@ -0,0 +1,72 @@
+/**
+Patterns of demand and what they make of the copies.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {configuration} from '../../../test/standins/entry-core.js';
+import {planMove, type PlannedDemand, type PlannedTarget} from './plan.js';
+
+const engine = configuration().services.get('llm')!.engine!;
+
+function target(id: string, models: readonly string[], overrides: Partial<PlannedTarget> = {}): PlannedTarget {
+	return {
+		id, zone: id, slots: 10, copies: models.map(model => ({model, version: 1, adapters: []})), loading: [], leaving: [], isIdle: true, load: 0, inMemory: [], onDisk: [], ...overrides,
+	};
+}
+
+function demand(perSecond: number, open: number, overrides: Partial<PlannedDemand> = {}): PlannedDemand {
+	return {
+		perSecond, open, rank: 0, adapters: new Set(), ...overrides,
+	};
+}
+
+function plan(targets: readonly PlannedTarget[], demands: Record<string, PlannedDemand>, storeLoads = 2) {
+	return planMove({
+		engine, targets, demand: new Map(Object.entries(demands)), storeLoads,
+	});
+}
+
+test('pattern: a model without any copy goes before all else', () => {
+	const move = plan([target('a', ['m0', 'm1']), target('b', ['m2'])], {m0: demand(50, 20)});
+	assert.deepEqual([move?.kind, move?.targetId, move?.model], ['load', 'b', 'm3']);
+});
+
+test('pattern: demand moves to a model with one copy; a copy that stands idle makes way', () => {
+	const targets = [target('a', ['m0', 'm1']), target('b', ['m0', 'm2']), target('c', ['m3', 'm1'])];
+	const move = plan(targets, {m0: demand(0, 0), m1: demand(0.1, 0), m2: demand(40, 9)});
+	assert.equal(move?.kind, 'unload');
+	assert.ok(move?.model === 'm0' || move?.model === 'm1');
+});
+
+test('pattern: all copies are in use; one moves only where it carries much more', () => {
+	const targets = [target('a', ['m0', 'm1']), target('b', ['m0', 'm2']), target('c', ['m3', 'm1'])];
+	const close = plan(targets, {
+		m0: demand(9, 7), m1: demand(9, 7), m2: demand(9, 8), m3: demand(9, 2),
+	});
+	assert.equal(close, undefined);
+	const far = plan(targets, {
+		m0: demand(9, 2), m1: demand(9, 9), m2: demand(9, 12), m3: demand(9, 2),
+	});
+	assert.deepEqual([far?.kind, far?.model], ['unload', 'm0']);
+});
+
+test('the last copy of a model never makes way', () => {
+	const move = plan([target('a', ['m0', 'm1']), target('b', ['m2', 'm3'])], {m0: demand(100, 90)});
+	assert.equal(move, undefined);
+});
+
+test('pattern: more adapters in use than places; their model gets copies', () => {
+	const adapters = new Set(['a1', 'a2', 'a3']);
+	const move = plan([target('a', ['m0', 'm1']), target('b', ['m2', 'm3']), target('c', [])], {m0: demand(5, 1, {adapters})});
+	assert.deepEqual([move?.kind, move?.targetId, move?.model], ['load', 'c', 'm0']);
+});
+
+test('a copy that lies on a disk is loaded when the weight store allows nothing', () => {
+	const targets = [target('a', ['m0', 'm1']), target('b', ['m2', 'm3']), target('c', [], {onDisk: ['m1']})];
+	const move = plan(targets, {m0: demand(9, 9), m1: demand(5, 3)}, 0);
+	assert.deepEqual([move?.kind, move?.targetId, move?.model, move?.isFromStore], ['load', 'c', 'm1', false]);
+});
+
+test('a target that is busy gets no further order', () => {
+	assert.equal(plan([target('a', ['m0', 'm1']), target('b', ['m2'], {isIdle: false})], {}), undefined);
+});
--- a/src/core/entry/plan.ts
+++ b/src/core/entry/plan.ts
@@ -56,14 +56,21 @@
 	readonly storeLoads: number;
 };
 
-/** Part of the slots of its copies that a model may fill before it gets another copy. */
-const FULL_SHARE = 0.4;
+/**
+Part of the slots of its copies that a model may fill before it gets another copy. An engine reads prompts
+between the tokens of its streams; past this part the pauses of streams grow beyond what routes allow.
+*/
+const FULL_SHARE = 0.3;
 /** Ranks up to this one are urgent: their callers wait. */
 const URGENT_RANK = 1;
 /** A model asked for less often than this, per second, makes way. */
 const IDLE_PER_SECOND = 0.3;
 const DEMAND_FOR_SECOND_COPY = 0.5;
 const UNKNOWN_LOSS = 0.01;
+/** Open requests of a model from which a copy may be taken from another that is asked for. */
+const OPEN_FOR_RELIEF = 8;
+/** Requests per copy, as a multiple of the other model's, that make up for a load and an unload. */
+const RELIEF_FACTOR = 2;
 
 type Want = {
 	readonly model: EngineModel;
@@ -240,13 +247,19 @@
 		return UNKNOWN_LOSS / (1 + Math.max(0, copies.length - wanted));
 	}
 
-	if (want.reason !== 'no-copy' && copies.length <= copiesForAdapters(input, demand.adapters.size)) {
+	const isPressing = want.reason === 'no-copy' || want.reason === 'full';
+	if (!isPressing && copies.length <= copiesForAdapters(input, demand.adapters.size)) {
 		return Number.POSITIVE_INFINITY;
 	}
 
-	const slotsLeft = copies.slice(1).reduce((sum, {slots}) => sum + slots, 0);
 	const isIdle = demand.perSecond < IDLE_PER_SECOND;
-	const fitsWithout = demand.open < slotsLeft * FULL_SHARE / 2;
-	const isAllowed = want.reason === 'no-copy' || isIdle || (want.reason === 'full' && fitsWithout && copies.length > 1);
+	const isAllowed = want.reason === 'no-copy' || isIdle || isRelief(input, want, {open: demand.open, copiesLeft: copies.length - 1});
 	return isAllowed ? demand.perSecond + demand.open : Number.POSITIVE_INFINITY;
 }
+
+/** Whether a copy does much more for the wanted model than it does now. */
+function isRelief(input: PlanInput, want: Want, {open, copiesLeft}: {open: number; copiesLeft: number}): boolean {
+	const wanted = input.demand.get(want.model.name)?.open ?? 0;
+	const copies = copiesOf(input, want.model.name).length;
+	return wanted >= OPEN_FOR_RELIEF && wanted / copies > RELIEF_FACTOR * open / copiesLeft;
+}
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -69,7 +69,7 @@
 	return model === undefined || (holdsModel(target, model) && nowMs >= (target.leavingCopies.get(model) ?? 0));
 }
 
-function hasRoom(target: Target, request: EntryRequest, nowMs: number): boolean {
+export function hasRoom(target: Target, request: EntryRequest, nowMs: number): boolean {
 	const fill = request.arrival.model === undefined ? PLAIN_FILL : ENGINE_FILL;
 	const factor = fill[Math.min(request.route.rank, fill.length - 1)] ?? 1;
 	return estimatedLoad(target, nowMs) < target.entry.slots * factor;
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -13,7 +13,7 @@
 import {queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
 import {takeRepeat} from './repeats.js';
-import {canServe} from './selection.js';
+import {canServe, hasRoom} from './selection.js';
 import {logEvent, type Due, type EntryContext} from './state.js';
 import {noteStatedLoad, type Target} from './target.js';
 import {type EntryRequest, type EntryTry, type Outcome} from './types.js';
@@ -164,7 +164,7 @@
 	}
 
 	request.mayHaveRun ||= rule.mayHaveRun;
-	if (!rule.mayHaveRun) {
+	if (outcome === 'not-run') {
 		request.declined++;
 	}
 
@@ -251,14 +251,14 @@
 }
 
 function hasOtherTarget({state, nowMs}: EntryContext, request: EntryRequest, attempt: EntryTry): boolean {
-	return targetsOf(state, request).some(target => target.id !== attempt.targetId && canServe(target, request, nowMs));
+	return targetsOf(state, request).some(target => target.id !== attempt.targetId && canServe(target, request, nowMs) && hasRoom(target, request, nowMs));
 }
 
 /** A request that still waits, though nothing can serve it, is told when to come back. */
 export function handlePatience(context: EntryContext, due: Due): void {
 	const {state, nowMs} = context;
 	const request = state.open.get(due.requestId);
-	if (!request || request.phase === 'running' || request.tries.length > 0) {
+	if (!request || request.phase === 'running' || request.tries.length !== due.tryNumber) {
 		return;
 	}
 
@@ -269,6 +269,11 @@
 		return;
 	}
 
+	if (request.mayHaveRun) {
+		refuse(context, request, {code: 'target-failed', detail: 'no other target could take it'});
+		return;
+	}
+
 	refuse(context, request, {
 		code: 'no-target',
 		retryAfterMs: Math.min(remainingMs / 3, Math.max(COME_BACK_MS, queueOf(state, request.queueKey).expectedWaitMs())),
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -19,7 +19,9 @@
 import {type CallerLimits} from '../core/entry/configuration.js';
 import {Beacons} from './beacons.js';
 import {createEntryEffects, type EntryEffects} from './effects.js';
+import {countCalls} from './counted-store.js';
 import {EntryLog} from './entry-log.js';
+import {EntryMetrics} from './entry-metrics.js';
 import {Exchange} from './exchange.js';
 import {defaultLimits, Front} from './front.js';
 import {createEntryPeerServer, EntryPeers, type AdapterAnswer} from './peers.js';
@@ -64,6 +66,7 @@
 	private readonly _clock: Clock;
 	private readonly _effects: EntryEffects;
 	private readonly _connections = new TargetConnections();
+	private readonly _metrics: EntryMetrics;
 	private readonly _servers: FastifyInstance[] = [];
 	private _tick: NodeJS.Timeout | undefined;
 	private _isStopped = false;
@@ -79,8 +82,13 @@
 			this.dispatch(event);
 		};
 
+		const metrics = new EntryMetrics({state: this.state, monotonicMs: () => clock.monotonicMs(), linesLeftOut: () => this.log.leftOut});
+		this._metrics = metrics;
+		this.log.observe((event, fields) => {
+			metrics.note(event, fields);
+		});
 		this.watcher = new StoreWatcher({
-			deployment, log: this.log, clock, dispatch,
+			deployment: {...deployment, store: countCalls(deployment.store, metrics)}, log: this.log, clock, dispatch,
 		});
 		this.tries = new TryRunner({
 			dialect: deployment.dialect, connections: this._connections, monotonicMs: () => clock.monotonicMs(), dispatch,
@@ -189,6 +197,10 @@
 		await this._serve(peers, listen.peers);
 		await this.beacons.listen(splitEndpoint(listen.beacons));
 		await this._serve(this._readiness(), listen.readiness);
+		if (listen.metrics !== undefined) {
+			await this._serve(this._metricsServer(), listen.metrics);
+		}
+
 		const callers = splitEndpoint(listen.callers);
 		await this.front.listen(callers.host, callers.port);
 		this.log.write('daemon-listening', {...listen});
@@ -211,6 +223,15 @@
 		return server;
 	}
 
+	private _metricsServer(): FastifyInstance {
+		const server = fastify({forceCloseConnections: true});
+		server.get('/metrics', async (_request, reply) => {
+			const {registry} = this._metrics;
+			return reply.type(registry.contentType).send(await registry.metrics());
+		});
+		return server;
+	}
+
 	/** For looks at the state; effects have no place in them. */
 	private _context(): EntryContext {
 		return {
--- a/src/entry/entry-log.ts
+++ b/src/entry/entry-log.ts
@@ -14,6 +14,8 @@
 const HELD_BYTES_MAX = 512 * 1024;
 const BATCH_BYTES = 4096;
 
+type Fields = Readonly<Record<string, unknown>>;
+
 export type EntryLogOptions = {
 	readonly level: string;
 	readonly instanceId: string;
@@ -28,6 +30,8 @@
 	private _second = 0;
 	private _lines = 0;
 	private _leftOut = 0;
+	private _leftOutTotal = 0;
+	private _observe: (event: LogEventName, fields: Fields) => void = () => undefined;
 
 	constructor({level, instanceId, clock, destination}: EntryLogOptions) {
 		const standardOutput = destination
@@ -49,10 +53,22 @@
 		};
 	}
 
-	write(event: LogEventName, fields: Readonly<Record<string, unknown>>): void {
+	/** Lines left out since the start. */
+	get leftOut(): number {
+		return this._leftOutTotal;
+	}
+
+	/** Has every event seen before lines are left out. */
+	observe(observer: (event: LogEventName, fields: Fields) => void): void {
+		this._observe = observer;
+	}
+
+	write(event: LogEventName, fields: Fields): void {
+		this._observe(event, fields);
 		const {number, level} = logEvents[event];
 		if (!this._admits(level === 'info')) {
 			this._leftOut++;
+			this._leftOutTotal++;
 			return;
 		}
 
--- /dev/null
+++ b/src/entry/entry-metrics.test.ts
@@ -0,0 +1,60 @@
+/**
+Metrics are documented, and complete where the log leaves lines out.
+*/
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import {test} from 'node:test';
+import {createEntryState} from '../core/entry/state.js';
+import {EntryLog} from './entry-log.js';
+import {EntryMetrics} from './entry-metrics.js';
+
+function setUp(): {log: EntryLog; metrics: EntryMetrics; lines: string[]; pass: (milliseconds: number) => void} {
+	let nowMs = 0;
+	const lines: string[] = [];
+	const log = new EntryLog({
+		level: 'info',
+		instanceId: 'a',
+		clock: {now: () => new Date(nowMs), monotonicMs: () => nowMs},
+		destination: {
+			write(line: string) {
+				lines.push(line);
+			},
+		},
+	});
+	const metrics = new EntryMetrics({state: createEntryState(), monotonicMs: () => nowMs, linesLeftOut: () => log.leftOut});
+	log.observe((event, fields) => {
+		metrics.note(event, fields);
+	});
+	return {
+		log, metrics, lines, pass(milliseconds) {
+			nowMs += milliseconds;
+		},
+	};
+}
+
+test('docs/METRICS.md holds the metrics', () => {
+	const {metrics} = setUp();
+	const documented = readFileSync(new URL('../../docs/METRICS.md', import.meta.url), 'utf8').matchAll(/^\| (?<name>pollenarch_\w+) /gmv);
+	const names = [...documented].map(match => match.groups?.name ?? '');
+	assert.deepEqual(new Set(names), new Set(metrics.registry.getMetricsAsArray().map(({name}) => name)));
+	assert.equal(names.length, new Set(names).size);
+});
+
+test('pattern: far more lines than anybody reads; routine ones give way, warnings stay, the rest is counted', async () => {
+	const {log, metrics, lines, pass} = setUp();
+	for (let second = 0; second < 3; second++) {
+		for (let index = 0; index < 1000; index++) {
+			log.write(index % 20 === 0 ? 'request-ended' : 'request-answered', {
+				route: 'r', outcome: 'no-target', tookMs: 1, tries: [],
+			});
+		}
+
+		pass(1000);
+	}
+
+	log.write('daemon-stopped', {});
+	assert.ok(lines.length <= 3 * 152, `${lines.length} lines`);
+	assert.ok(lines.some(line => line.includes('lines-left-out')));
+	assert.ok(lines.filter(line => line.includes('request-ended')).length >= 3);
+	assert.match(await metrics.registry.metrics(), /pollenarch_requests_total\{outcome="answered",route="r"\} 2850/v);
+});
--- /dev/null
+++ b/src/entry/entry-metrics.ts
@@ -0,0 +1,112 @@
+/**
+Counters, histograms and gauges of an entry instance in the Prometheus text format.
+Counters follow the log's events before lines are left out, so they are complete.
+`docs/METRICS.md` lists them.
+*/
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import {type LogEventName} from '../core/log-events.js';
+import {isUsable} from '../core/entry/target.js';
+import {type EntryState} from '../core/entry/state.js';
+
+const SECONDS_PER_MS = 0.001;
+/** Around the objectives of today's routes, 150 ms to 4 s. */
+const DURATION_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 4, 8, 16];
+const TRY_BUCKETS = [0, 1, 2, 3, 4];
+
+export type EntryMetricsOptions = {
+	readonly state: EntryState;
+	readonly monotonicMs: () => number;
+	readonly linesLeftOut: () => number;
+};
+
+type Fields = Readonly<Record<string, unknown>>;
+
+export class EntryMetrics {
+	readonly registry = new Registry();
+	private readonly _requests = this._counter('pollenarch_requests_total', 'Requests by their final outcome.', ['outcome', 'route']);
+	private readonly _duration = this._histogram('pollenarch_request_seconds', 'Time from arrival to the final answer.', DURATION_BUCKETS, ['outcome']);
+	private readonly _tries = this._histogram('pollenarch_request_tries', 'Tries that a request took.', TRY_BUCKETS, ['outcome']);
+	private readonly _waited = this._histogram('pollenarch_try_wait_seconds', 'Time from arrival to the sending of a try.', DURATION_BUCKETS, []);
+	private readonly _failures = this._counter('pollenarch_failed_tries_total', 'Tries without a whole answer.', ['outcome', 'target']);
+	private readonly _orders = this._counter('pollenarch_engine_orders_total', 'Answers to orders to engines.', ['outcome']);
+	private readonly _moves = this._counter('pollenarch_moves_total', 'Copies planned to be loaded or unloaded.', ['kind', 'reason']);
+	private readonly _storeCalls = this._counter('pollenarch_store_calls_total', 'Calls to the platform\'s store.', ['kind', 'outcome']);
+	private readonly _events = this._counter('pollenarch_events_total', 'Log events, written or left out.', ['event']);
+
+	private readonly _handlers: Partial<Record<LogEventName, (fields: Fields) => void>> = {
+		'request-answered': fields => {
+			this._end('answered', fields);
+		},
+		'request-ended': fields => {
+			this._end(text(fields.outcome), fields);
+		},
+		'request-refused': fields => {
+			this._requests.inc({outcome: text(fields.code), route: ''});
+		},
+		'try-sent': fields => {
+			this._waited.observe(Number(fields.waitedMs) * SECONDS_PER_MS);
+		},
+		'try-ended': fields => {
+			this._failures.inc({outcome: text(fields.outcome), target: text(fields.targetId)});
+		},
+		'engine-order-answered': fields => {
+			this._orders.inc({outcome: text(fields.outcome)});
+		},
+		'move-planned': fields => {
+			this._moves.inc({kind: text(fields.kind), reason: text(fields.reason)});
+		},
+	};
+
+	constructor({state, monotonicMs, linesLeftOut}: EntryMetricsOptions) {
+		const gauges: ReadonlyArray<readonly [name: string, help: string, read: () => number]> = [
+			['pollenarch_open_requests', 'Requests without a final answer.', () => state.open.size],
+			['pollenarch_waiting_requests', 'Requests that wait for room at a target.', () => [...state.queues.values()].reduce((sum, {waiting}) => sum + waiting, 0)],
+			['pollenarch_usable_targets', 'Targets that requests may be sent to.', () => [...state.targets.values()].filter(target => isUsable(target, monotonicMs())).length],
+			['pollenarch_known_instances', 'Other instances that are known.', () => state.peers.size],
+			['pollenarch_configuration_version', 'Version of the configuration in force.', () => state.configuration?.version ?? 0],
+			['pollenarch_registry_age_seconds', 'Age of the copy of the registry.', () => Number.isFinite(state.registry.freshAtMs) ? (monotonicMs() - state.registry.freshAtMs) * SECONDS_PER_MS : -1],
+			['pollenarch_lease_held', 'Whether this instance gives orders to engines.', () => state.lease.held ? 1 : 0],
+			['pollenarch_lines_left_out', 'Log lines that were left out since the start.', linesLeftOut],
+		];
+		for (const [name, help, read] of gauges) {
+			const gauge: Gauge = new Gauge({
+				name, help, registers: [this.registry], collect() {
+					gauge.set(read());
+				},
+			});
+		}
+	}
+
+	note(event: LogEventName, fields: Fields): void {
+		this._events.inc({event});
+		this._handlers[event]?.(fields);
+	}
+
+	noteStoreCall(kind: string, outcome: string): void {
+		this._storeCalls.inc({kind, outcome});
+	}
+
+	private _end(outcome: string, fields: Fields): void {
+		this._requests.inc({outcome, route: text(fields.route)});
+		this._duration.observe({outcome}, Number(fields.tookMs) * SECONDS_PER_MS);
+		this._tries.observe({outcome}, Array.isArray(fields.tries) ? fields.tries.length : 0);
+	}
+
+	private _counter(name: string, help: string, labelNames: string[]): Counter {
+		return new Counter({
+			name, help, labelNames, registers: [this.registry],
+		});
+	}
+
+	private _histogram(name: string, help: string, buckets: number[], labelNames: string[]): Histogram {
+		return new Histogram({
+			name, help, buckets, labelNames, registers: [this.registry],
+		});
+	}
+}
+
+function text(value: unknown): string {
+	return typeof value === 'string' ? value : '';
+}
