--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -5,6 +5,8 @@
 made with.
 */
 import {readFileSync, writeFileSync} from 'node:fs';
+import {createRequire} from 'node:module';
+import process from 'node:process';
 import {Script} from 'node:vm';
 import {build} from 'esbuild';
 
@@ -24,6 +26,11 @@
 const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(program, 'utf8')}\n})`;
 writeFileSync('target/pollenarch.source.js', source);
 const script = new Script(source, {filename: program});
+// Functions that a start runs are part of the compiled form only once they have run. Without settings the program
+// says so and ends at once.
+delete process.env.POLLENARCH_SETTINGS;
+script.runInThisContext()({}, createRequire(import.meta.url), {exports: {}}, program, 'target');
+process.exitCode = 0;
 writeFileSync('target/pollenarch.cache', script.createCachedData());
 writeFileSync('target/start.cjs', `'use strict';
 const {readFileSync} = require('node:fs');
--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -51,6 +51,7 @@
 		queueKey: queueKeyOf(service, arrival.model),
 		arrivedAtMs: nowMs,
 		deadlineAtMs: nowMs + remainingMs,
+		patienceEndsAtMs: nowMs + Math.min(remainingMs, route.patienceMs),
 		tries: [],
 		phase: 'queued',
 		delivered: 0,
@@ -61,7 +62,7 @@
 	state.open.set(request.id, request);
 	noteArrival(context, request);
 	const waitMs = queueOf(state, request.queueKey).expectedWaitMs();
-	if (waitMs > remainingMs * WAIT_SHARE) {
+	if (waitMs > (request.patienceEndsAtMs - nowMs) * WAIT_SHARE) {
 		refuse(context, request, {code: 'deadline-unreachable', retryAfterMs: waitMs});
 		return;
 	}
--- a/src/core/entry/configuration.ts
+++ b/src/core/entry/configuration.ts
@@ -24,6 +24,8 @@
 	readonly objectiveMs: number;
 	/** Longest pause between two events of a stream that is still on time. */
 	readonly pauseMs: number;
+	/** Longest time that callers wait for the answer, for streams for the first or the next event. */
+	readonly patienceMs: number;
 	/** 0 is the most urgent. */
 	readonly rank: number;
 	/** Targets on which one request may run. */
--- a/src/core/entry/crash-suspects.ts
+++ b/src/core/entry/crash-suspects.ts
@@ -9,8 +9,8 @@
 
 /** The deployment allows three targets to be lost to one request. */
 const CRASHES_REFUSED = 3;
-/** A broken connection and the sign of a crash that are further apart have nothing to do with each other. */
-const PROOF_MS = 3000;
+/** A crash shows by a refused connection at once, and by the registry after three missed heartbeats and its lag. */
+const PROOF_MS = 6000;
 const SUSPECTS_MAX = 256;
 /** Several beacons, so that a lost one does no harm. */
 const TELL_MS = 1500;
--- a/src/core/entry/dispatch.ts
+++ b/src/core/entry/dispatch.ts
@@ -21,7 +21,10 @@
 	const {state, nowMs} = context;
 	if (state.open.get(request.id)?.phase === 'queued') {
 		state.due.push({
-			atMs: nowMs + ((request.deadlineAtMs - nowMs) * PATIENCE_SHARE), requestId: request.id, kind: 'patience', tryNumber: request.tries.length,
+			atMs: nowMs + Math.max(request.route.objectiveMs, (request.patienceEndsAtMs - nowMs) * PATIENCE_SHARE),
+			requestId: request.id,
+			kind: 'patience',
+			tryNumber: request.tries.length,
 		});
 	}
 }
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -41,8 +41,8 @@
 const RETRY_AFTER_LEAST_MS = 200;
 /** A copy is loaded or a target is back in about this time. */
 const COME_BACK_MS = 1500;
-/** Part of its time that a request keeps for another instance when it is sent away. */
-const LATEST_SHARE = 0.4;
+/** Part of its caller's patience before whose end a waiting request is sent away, so that the caller hears it. */
+const LATEST_SHARE = 0.3;
 
 const outcomeRules: Readonly<Record<FailedOutcome, OutcomeRule>> = {
 	'not-sent': {
@@ -263,9 +263,10 @@
 	}
 
 	const remainingMs = request.deadlineAtMs - nowMs;
+	const latestAtMs = request.patienceEndsAtMs - ((request.patienceEndsAtMs - request.arrivedAtMs) * LATEST_SHARE);
 	const canWait = request.phase === 'queued' && targetsOf(state, request).some(target => canServe(target, request, nowMs));
-	if (canWait && remainingMs > (request.deadlineAtMs - request.arrivedAtMs) * LATEST_SHARE) {
-		rearm(context, due, request.deadlineAtMs - ((request.deadlineAtMs - request.arrivedAtMs) * LATEST_SHARE));
+	if (canWait && nowMs < latestAtMs) {
+		rearm(context, due, latestAtMs);
 		return;
 	}
 
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -84,6 +84,8 @@
 	readonly arrivedAtMs: number;
 	/** The earlier of the caller's deadline and the route's timeout. */
 	readonly deadlineAtMs: number;
+	/** When its caller leaves if nothing has come. */
+	readonly patienceEndsAtMs: number;
 	readonly tries: EntryTry[];
 	phase: EntryPhase;
 	/** Events of a stream that reached the caller. */
--- a/test/standins/entry-core.ts
+++ b/test/standins/entry-core.ts
@@ -31,6 +31,7 @@
 		timeoutMs: 2000,
 		objectiveMs: 200,
 		pauseMs: 150,
+		patienceMs: 2000,
 		rank: 1,
 		maxAttempts: 2,
 		destinations: [{service: 'records', weight: 1}],
