Close connections that become idle while an instance stops, and take no new work on them

Ruled out: the balancer, which sent no new connection that late. Change: once the front is closed, connections are closed as soon as they are idle, and what still comes on one is refused as not run.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -16,9 +16,17 @@
 
 /** A request whose queue takes longer than this part of its time is sent away while it can still be served elsewhere. */
 const WAIT_SHARE = 0.7;
+/** Another instance takes the caller's next connection at once. */
+const STOPPING_RETRY_MS = 100;
 
 export function handleArrival(context: EntryContext, {arrival}: EntryEventOf<'request-arrived'>): void {
 	const {state, nowMs} = context;
+	if (state.isFrontClosed) {
+		// A kept connection that was busy until now; there is no time left for new work on it.
+		turnAway(context, arrival, {code: 'stopping', retryAfterMs: STOPPING_RETRY_MS});
+		return;
+	}
+
 	if (!state.configuration) {
 		turnAway(context, arrival, {code: 'no-configuration', retryAfterMs: 300});
 		return;
--- a/src/core/entry/heavy-load.test.ts
+++ b/src/core/entry/heavy-load.test.ts
@@ -85,8 +85,10 @@
 	assert.equal(ofKind(core.pass(1500), 'stop').length, 0, 'requests still come until the balancer has taken note');
 	assert.equal(ofKind(core.arrive('late'), 'send').length, 1);
 	core.end('late', 1, 'answered');
+	core.pass(1000);
+	assert.equal(ofKind(core.arrive('kept'), 'refuse')[0]?.code, 'stopping', 'a request on a connection that was busy for long');
 	core.end('r', 1, 'answered');
-	assert.equal(ofKind(core.pass(2000), 'stop').length, 1);
+	assert.equal(ofKind(core.pass(1000), 'stop').length, 1);
 	assert.ok(core.nowMs < 1000 + 4000);
 });
 
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -20,6 +20,8 @@
 /** Parsers keep whole headers in memory; the configured limit is checked below this one. */
 const HEADER_BYTES_MAX = 64 * 1024;
 const TIMEOUT_CHECK_MS = 500;
+/** A stopping instance looks for connections that became idle this often. */
+const CLOSE_IDLE_MS = 50;
 
 export type FrontOptions = {
 	readonly limits: () => CallerLimits;
@@ -31,6 +33,7 @@
 export class Front {
 	private readonly _app: FastifyInstance;
 	private _server: Server | undefined;
+	private _closing: NodeJS.Timeout | undefined;
 
 	constructor(private readonly _options: FrontOptions) {
 		this._app = fastify({
@@ -77,13 +80,17 @@
 		}
 	}
 
-	/** Takes no new connections and closes idle ones; those in use end with their answers. */
+	/** Takes no new connections, and closes those in use as soon as they are idle. */
 	closeIdle(): void {
 		this._server?.close();
 		this._server?.closeIdleConnections();
+		this._closing ??= setInterval(() => {
+			this._server?.closeIdleConnections();
+		}, CLOSE_IDLE_MS);
 	}
 
 	async close(): Promise<void> {
+		clearInterval(this._closing);
 		this._server?.closeAllConnections();
 		await this._app.close();
 	}
