Let models take turns where not all fit; hold the one that callers wait for

The plan never gave an only copy up, so the model without one was the most wanted, with 3,200 refusals. Change: an only copy gives way to a model that callers wait for far more, or, unused, to one for which three requests wait.

--- a/src/core/entry/plan.ts
+++ b/src/core/entry/plan.ts
@@ -69,6 +69,11 @@
 const UNKNOWN_LOSS = 0.01;
 /** Moving the only copy of a model elsewhere costs a load, more than any copy that can be spared. */
 const RELOCATION_LOSS = 1000;
+const SACRIFICE_LOSS = 1_000_000;
+/** Demand, as a multiple of another model's, that takes the place of its only copy. */
+const WORTH_FACTOR = 2;
+/** Requests that wait before a model takes its turn. */
+const WAITING_FOR_TURN = 3;
 /** Open requests of a model from which a copy may be taken from another that is asked for. */
 const OPEN_FOR_RELIEF = 8;
 /** Requests per copy, as a multiple of the other model's, that make up for a load and an unload. */
@@ -282,7 +287,22 @@
 	}
 
 	const refuge = input.targets.find(other => other !== target && other.isIdle && other.leaving.length === 0 && freeOf(input.engine, other) >= model.sizeMb);
-	return refuge && (input.storeLoads >= 1 || isStaged(refuge, name)) ? {model, loss: RELOCATION_LOSS, refuge} : undefined;
+	if (refuge) {
+		return input.storeLoads >= 1 || isStaged(refuge, name) ? {model, loss: RELOCATION_LOSS, refuge} : undefined;
+	}
+
+	return isWorthMore(input, want.model.name, name) ? {model, loss: SACRIFICE_LOSS + weightOf(input, name), refuge: undefined} : undefined;
+}
+
+/**
+Whether a model without a copy may take the place of another's only one. Where engines were lost, not all models fit
+at once; then those that callers wait for go first, and the others take turns while nobody uses them.
+*/
+function isWorthMore(input: PlanInput, wanted: string, held: string): boolean {
+	const waiting = input.demand.get(wanted)?.open ?? 0;
+	const used = input.demand.get(held)?.open ?? 0;
+	const isFarMore = weightOf(input, wanted) > WORTH_FACTOR * (1 + weightOf(input, held));
+	return waiting > 0 && (isFarMore || (waiting >= WAITING_FOR_TURN && used === 0));
 }
 
 function stepOf(want: Want, target: PlannedTarget, {model, refuge}: Removal): PlannedMove {
