--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -213,3 +213,16 @@
 	const effects = core.pass(400);
 	assert.equal(ofKind(effects, 'order').length, 0);
 });
+
+test('peers that asked for an adapter are all told when the lease is lost', () => {
+	const core = new EntryCore().configure().list([engineEntry('e0', ['m0'])]).holdLease();
+	for (const ticket of [1, 2]) {
+		core.dispatch({
+			kind: 'adapter-asked', ticket, targetId: 'e0', model: 'm0', adapter: 'a1',
+		});
+	}
+
+	const told = ofKind(core.pass(2500), 'tell-adapter');
+	assert.deepEqual(told.map(({ticket, isHeld}) => [ticket, isHeld]), [[1, false], [2, false]]);
+	assert.equal(core.state.desk.targets.size, 0);
+});
--- a/src/core/entry/orders.ts
+++ b/src/core/entry/orders.ts
@@ -4,31 +4,23 @@
 requests wait for them; models move only when a settled report tells what the engine
 holds.
 */
-import {type EntryEventOf} from './event.js';
 import {holdsLease} from './lease.js';
 import {
-	type AdapterTask, type Move, type Outstanding, type TargetDesk,
+	type AdapterTask, type Move, type TargetDesk,
 } from './order-desk.js';
 import {freeMemoryMb} from './plan.js';
 import {logEvent, type EntryContext} from './state.js';
-import {
-	adaptersOf, isListed, type Target, type TargetReport,
-} from './target.js';
+import {isListed, type Target} from './target.js';
 import {type EngineOrder} from './types.js';
 
 /** Reports lag behind by this much; one read sooner after an order may not show it. */
-const REPORT_LAG_MS = 450;
+export const REPORT_LAG_MS = 450;
 const REPORT_INTERVAL_MS = 250;
 const REPORT_TIMEOUT_MS = 1500;
 const RESEND_MS = 300;
 const TASK_LIFE_MS = 1000;
-const TASK_RETRY_MS = 80;
 /** An unreachable engine is left alone for a while. */
-const REST_MS = 500;
-/** Reports go before the registry for two heartbeats. */
-const REPORT_HOLDS_MS = 2500;
-/** Longest transfer of an adapter from the weight store below its knee. */
-const ADAPTER_TRANSFER_MS = 11;
+export const REST_MS = 500;
 
 export type AdapterQuestion = {
 	readonly targetId: string;
@@ -83,38 +75,34 @@
 	context.effects.push({kind: 'tell-adapter', ...told, sequence: desk?.sequence ?? 0});
 }
 
-function tellTask(context: EntryContext, target: Target, task: AdapterTask, {isHeld, delayMs}: {isHeld: boolean; delayMs: number}): void {
+export function tellTask(context: EntryContext, targetId: string, task: AdapterTask, {isHeld, delayMs}: {isHeld: boolean; delayMs: number}): void {
 	for (const ticket of task.tickets) {
 		tell(context, {
-			targetId: target.id, name: task.name, ticket, isHeld, delayMs,
+			targetId, name: task.name, ticket, isHeld, delayMs,
 		});
 	}
 }
 
 /** Goes on with what is to be ordered at every target. */
 export function runOrders(context: EntryContext): void {
-	const {state} = context;
-	if (!holdsLease(context)) {
-		if (state.desk.targets.size > 0) {
-			state.desk.clear();
-		}
-
-		return;
-	}
-
+	const {state, nowMs} = context;
+	const isHolder = holdsLease(context) !== undefined;
 	for (const [id, desk] of state.desk.targets) {
 		const target = state.targets.get(id);
-		if (target?.entry.incarnation === desk.incarnation && isListed(target, context.nowMs)) {
+		if (isHolder && target?.entry.incarnation === desk.incarnation && isListed(target, nowMs)) {
 			pump(context, target, desk);
-		} else {
-			for (const task of desk.tasks.splice(0)) {
-				tell(context, {
-					targetId: id, name: task.name, ticket: task.tickets[0], isHeld: false, delayMs: 0,
-				});
-			}
-
-			state.desk.forget(id);
+			continue;
 		}
+
+		for (const task of desk.tasks.splice(0)) {
+			tellTask(context, id, task, {isHeld: false, delayMs: 0});
+		}
+
+		state.desk.forget(id);
+	}
+
+	if (!isHolder) {
+		state.desk.clear();
 	}
 }
 
@@ -156,7 +144,7 @@
 function dropOldTasks(context: EntryContext, target: Target, desk: TargetDesk): void {
 	for (const task of desk.tasks.filter(({sinceMs}) => context.nowMs - sinceMs > TASK_LIFE_MS)) {
 		desk.tasks.splice(desk.tasks.indexOf(task), 1);
-		tellTask(context, target, task, {isHeld: false, delayMs: 0});
+		tellTask(context, target.id, task, {isHeld: false, delayMs: 0});
 	}
 }
 
@@ -260,166 +248,3 @@
 	desk.askedAtMs = nowMs;
 	context.effects.push({kind: 'read-report', targetId: target.id, address: target.entry.address});
 }
-
-export function handleOrderAnswer(context: EntryContext, event: EntryEventOf<'order-answered'>): void {
-	const {state, nowMs} = context;
-	const target = state.targets.get(event.targetId);
-	const desk = state.desk.targets.get(event.targetId);
-	const {outstanding} = desk ?? {};
-	if (!target || !desk || outstanding?.number !== event.orderNumber) {
-		return;
-	}
-
-	logEvent(context, 'engine-order-answered', {targetId: target.id, orderNumber: event.orderNumber, outcome: event.outcome});
-	if (event.outcome === 'lost') {
-		outstanding.isLost = true;
-		return;
-	}
-
-	desk.outstanding = undefined;
-	orderHandlers[event.outcome](context, target, desk, outstanding);
-	if (desk.sequence !== undefined) {
-		pump(context, target, desk);
-	}
-
-	if (event.outcome === 'not-sent') {
-		desk.restUntilMs = nowMs + REST_MS;
-	}
-}
-
-type OrderHandler = (context: EntryContext, target: Target, desk: TargetDesk, outstanding: Outstanding) => void;
-
-const orderHandlers: Readonly<Record<'accepted' | 'holds' | 'conflict' | 'declined' | 'not-sent', OrderHandler>> = {
-	accepted(context, target, desk, outstanding) {
-		const {order: {kind, model, adapter, expectedSequence}} = outstanding;
-		desk.otherSequence = undefined;
-		desk.acceptedAtMs = context.nowMs;
-		if (adapter !== undefined && kind === 'unload') {
-			// It is in use and keeps its place until its requests have ended; the next report tells.
-			desk.adapters.set(`${model}/${adapter}`, context.nowMs);
-			desk.sequence = undefined;
-			return;
-		}
-
-		desk.sequence = expectedSequence + 1;
-		carriedOut(context, target, desk, outstanding.order);
-	},
-	holds(context, target, desk, outstanding) {
-		const {order: {adapter, kind, expectedSequence}} = outstanding;
-		if (adapter !== undefined && kind === 'unload') {
-			// An idle adapter is unloaded at once, which counts; one that was gone already does not.
-			desk.sequence = expectedSequence + 1;
-			desk.otherSequence = expectedSequence;
-		}
-
-		carriedOut(context, target, desk, outstanding.order);
-	},
-	conflict(context, _, desk, outstanding) {
-		desk.sequence = desk.otherSequence;
-		desk.otherSequence = undefined;
-		if (desk.sequence !== undefined) {
-			return;
-		}
-
-		postpone(context, desk, outstanding.order);
-	},
-	declined(context, target, desk, {order: {adapter, model}}) {
-		const task = desk.tasks.find(({name}) => name === `${model}/${adapter}`);
-		if (task) {
-			desk.tasks.splice(desk.tasks.indexOf(task), 1);
-			tellTask(context, target, task, {isHeld: false, delayMs: 0});
-		}
-
-		if (adapter === undefined) {
-			desk.move = undefined;
-		}
-	},
-	'not-sent'(context, _, desk, outstanding) {
-		postpone(context, desk, outstanding.order);
-	},
-};
-
-function postpone(context: EntryContext, desk: TargetDesk, {adapter, model}: EngineOrder): void {
-	const task = desk.tasks.find(({name}) => name === `${model}/${adapter}`);
-	if (task) {
-		task.notBeforeMs = context.nowMs + TASK_RETRY_MS;
-	}
-}
-
-function carriedOut(context: EntryContext, target: Target, desk: TargetDesk, {kind, model, adapter}: EngineOrder): void {
-	const {nowMs} = context;
-	if (adapter === undefined) {
-		desk.moveDueMs = nowMs + (kind === 'load' ? desk.move?.takesMs ?? 0 : REPORT_LAG_MS);
-		return;
-	}
-
-	const name = `${model}/${adapter}`;
-	if (kind === 'unload') {
-		desk.adapters.delete(name);
-		target.adapters.delete(name);
-		return;
-	}
-
-	desk.otherSequence = undefined;
-
-	desk.adapters.set(name, nowMs);
-	target.adapters.set(name, desk.sequence ?? 0);
-	const task = desk.tasks.find(candidate => candidate.name === name);
-	if (task) {
-		desk.tasks.splice(desk.tasks.indexOf(task), 1);
-		tellTask(context, target, task, {isHeld: true, delayMs: ADAPTER_TRANSFER_MS});
-	}
-}
-
-export function handleReport(context: EntryContext, {targetId, report}: EntryEventOf<'report-read'>): void {
-	const {state, nowMs} = context;
-	const target = state.targets.get(targetId);
-	const desk = state.desk.targets.get(targetId);
-	if (!target || !desk) {
-		return;
-	}
-
-	desk.isReading = false;
-	if (!report) {
-		desk.restUntilMs = nowMs + REST_MS;
-		return;
-	}
-
-	if (report.incarnation !== desk.incarnation && report.incarnation !== 0) {
-		state.desk.forget(targetId);
-		return;
-	}
-
-	desk.report = report;
-	desk.reportedAtMs = desk.askedAtMs;
-	if (!desk.outstanding && (desk.sequence === undefined || report.sequence > desk.sequence)) {
-		desk.sequence = report.sequence;
-	}
-
-	if (report.sequence === desk.sequence) {
-		adoptReport(target, desk, report, nowMs);
-	}
-
-	pump(context, target, desk);
-}
-
-function adoptReport(target: Target, desk: TargetDesk, report: TargetReport, nowMs: number): void {
-	const held = new Set([...adaptersOf(report.copies), ...report.coming]);
-	for (const name of desk.adapters.keys()) {
-		if (!held.has(name)) {
-			desk.adapters.delete(name);
-			target.adapters.delete(name);
-		}
-	}
-
-	for (const name of held) {
-		if (!desk.adapters.has(name)) {
-			desk.adapters.set(name, Number.NEGATIVE_INFINITY);
-		}
-	}
-
-	target.entry = {
-		...target.entry, sequence: report.sequence, copies: report.copies, inMemory: report.inMemory, onDisk: report.onDisk,
-	};
-	target.reportHoldsUntilMs = nowMs + REPORT_HOLDS_MS;
-}
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -92,7 +92,7 @@
 			id: '', boot: '', zone: '', address: '', beaconAddress: '',
 		},
 		bounds: {
-			graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 0, loadWindowMs: 5000,
+			graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 0,
 		},
 		random: xoroshiro128plus(0),
 		lifecycle: 'starting',
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -29,8 +29,6 @@
 	readonly repeatShare: number;
 	readonly repeatWindowMs: number;
 	readonly repeatSlack: number;
-	/** Window and excess of the weight store's rate of loads. */
-	readonly loadWindowMs: number;
 };
 
 export type EntryArrival = {
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -31,7 +31,6 @@
 		repeatShare: z.number().min(0).max(10),
 		repeatWindowMs: z.number().positive(),
 		repeatSlack: z.number().nonnegative(),
-		loadWindowMs: z.number().positive(),
 	}),
 	log: z.strictObject({
 		level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
--- a/test/standins/entry-core.ts
+++ b/test/standins/entry-core.ts
@@ -133,7 +133,7 @@
 			kind: 'started',
 			self,
 			bounds: {
-				graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 100, loadWindowMs: 5000,
+				graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 100,
 			},
 			seed: 7,
 		});
--- a/test/unit/platform-daemon.test.ts
+++ b/test/unit/platform-daemon.test.ts
@@ -74,7 +74,7 @@
 				listen,
 				store: {address: storeAddress},
 				bounds: {
-					graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 1000, loadWindowMs: 5000,
+					graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 1000,
 				},
 			}),
 			deployment: {
