Log when the configuration's feed is lost and regained; drop fields that nothing reads

Cause, found while reading: a store that answers nobody was logged by the registry's reader alone, which on most instances is idle.

--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -40,9 +40,6 @@
 	readonly contentHash: string;
 	readonly model: string | undefined;
 	readonly adapter: string | undefined;
-	/** Prompt tokens and largest number of output tokens, 0 when not stated. */
-	readonly promptTokens: number;
-	readonly outputTokens: number;
 	/** Time that the caller will wait. */
 	readonly deadlineMs: number | undefined;
 };
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -296,8 +296,6 @@
 				contentHash: createHash('sha256').update(host).update('\0').update(request.url ?? '').update('\0').update(body).digest('base64url'),
 				model: head.model,
 				adapter: head.adapter,
-				promptTokens: head.promptTokens,
-				outputTokens: head.outputTokens,
 				deadlineMs: head.deadlineMs,
 			},
 		});
--- a/src/entry/services.ts
+++ b/src/entry/services.ts
@@ -70,8 +70,6 @@
 	readonly deadlineMs: number | undefined;
 	readonly model: string | undefined;
 	readonly adapter: string | undefined;
-	readonly promptTokens: number;
-	readonly outputTokens: number;
 	/** Last event that the caller has of an earlier answer, 0 for none. */
 	readonly lastEventId: number;
 };
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -44,6 +44,7 @@
 		const {store, records} = this._options.deployment;
 		let revision: number | undefined;
 		let pauseMs = PAUSE_FIRST_MS;
+		let isAway = false;
 		while (!this._isStopped) {
 			const page = revision === undefined
 				? await store.read(records.configurationTable)
@@ -51,6 +52,11 @@
 			if (page.isRight()) {
 				const {rows, revision: next} = page.unsafeCoerce();
 				pauseMs = PAUSE_FIRST_MS;
+				if (isAway) {
+					isAway = false;
+					this._options.log.write('platform-reachable', {what: 'configuration', revision: next});
+				}
+
 				revision = Math.max(revision ?? 0, next);
 				this._takeConfiguration(rows);
 				continue;
@@ -59,6 +65,9 @@
 			const failure = page.extract();
 			if (failure === 'history-lost') {
 				revision = undefined;
+			} else if (!isAway) {
+				isAway = true;
+				this._options.log.write('platform-unreachable', {what: 'configuration', failure, revision});
 			}
 
 			await delay(pauseMs * (0.5 + Math.random()));
--- a/test/standins/entry-core.ts
+++ b/test/standins/entry-core.ts
@@ -174,7 +174,7 @@
 		return this.dispatch({
 			kind: 'request-arrived',
 			arrival: {
-				id, host: 'a.example', path, contentHash: `hash ${id}`, model: undefined, adapter: undefined, promptTokens: 0, outputTokens: 0, deadlineMs: 2000, ...overrides,
+				id, host: 'a.example', path, contentHash: `hash ${id}`, model: undefined, adapter: undefined, deadlineMs: 2000, ...overrides,
 			},
 		});
 	}
