--- a/deploy/bundle.js
+++ b/deploy/bundle.ts
@@ -10,6 +10,9 @@
 import {Script} from 'node:vm';
 import {build} from 'esbuild';
 
+/** What a CommonJS file is wrapped in. */
+type Start = (exported: object, load: NodeJS.Require, self: object, file: string, folder: string) => void;
+
 const program = 'target/pollenarch.cjs';
 
 await build({
@@ -29,7 +32,8 @@
 // Functions that a start runs are part of the compiled form only once they have run. Without settings the program
 // says so and ends at once.
 delete process.env.POLLENARCH_SETTINGS;
-script.runInThisContext()({}, createRequire(import.meta.url), {exports: {}}, program, 'target');
+const start = script.runInThisContext() as Start;
+start({}, createRequire(import.meta.url), {exports: {}}, program, 'target');
 process.exitCode = 0;
 writeFileSync('target/pollenarch.cache', script.createCachedData());
 writeFileSync('target/start.cjs', `'use strict';
