Do not call a request not run whose adapter cannot be brought after another try may have run it

Cause, found while reading: a stream that broke at one engine and then waited for its adapter at another got 503, which promises that it did not run. Change: 502 where a try may have run. Comments put right.

--- a/src/core/entry/adapters.ts
+++ b/src/core/entry/adapters.ts
@@ -44,7 +44,8 @@
 
 		if (request.declined > FETCHES_MAX) {
 			logEvent(context, 'adapter-missing', {requestId, targetId: event.targetId, adapter: event.name});
-			refuse(context, request, {code: 'no-target', retryAfterMs: RETRY_AFTER_MS, detail: 'the adapter could not be loaded'});
+			const detail = 'the adapter could not be loaded';
+			refuse(context, request, request.mayHaveRun ? {code: 'target-failed', detail} : {code: 'no-target', retryAfterMs: RETRY_AFTER_MS, detail});
 		} else {
 			enqueue(context, request);
 		}
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -32,12 +32,13 @@
 /** First and longest time for which a target that failed gets nothing. */
 const AVOID_FIRST_MS = 150;
 const AVOID_MOST_MS = 1500;
-/** A target that declined was full; its load is taken for that until it says otherwise. */
+/** Weight of one outcome in a target's smoothed share of failures: some ten requests tell. */
 const FAILURE_GAIN = 0.15;
 /** Sends that targets may decline before the caller is told to come back. */
 const MAX_DECLINED = 2;
 /** Pauses, in multiples of the allowed one, after which a stream is taken for broken; callers leave after eight. */
 const PAUSE_FACTOR = 4;
+/** A place at a full target becomes free in about this time. */
 const RETRY_AFTER_LEAST_MS = 200;
 /** A copy is loaded or a target is back in about this time. */
 const COME_BACK_MS = 1500;
@@ -55,6 +56,7 @@
 	'not-run': {
 		mayHaveRun: false, isRepeat: true, code: 'no-target',
 		note({nowMs}, target, request) {
+			// It is full, whatever it said last, until it says otherwise.
 			noteStatedLoad(target, {running: target.entry.slots, waiting: target.entry.slots, slots: target.entry.slots}, nowMs);
 			const {model, adapter} = request.arrival;
 			if (adapter !== undefined) {
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -89,7 +89,7 @@
 	hasHead: boolean;
 	/** Whether any try may have run the work. */
 	mayHaveRun: boolean;
-	/** Sends that the target declined without running them. */
+	/** Sends that targets declined without running them, and adapters that could not be brought. */
 	declined: number;
 };
 
