Do not take a reset for the end of an answer without length

Ruled out: answers with a length or in chunks, whose ends the client checks. Change: errors of a connection are counted before the client sees them; an answer or stream without length that ends with one is broken. Test on stand-ins, 'unframed', which failed before.

--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -3,7 +3,9 @@
 not gets one of its own, so that no stale connection can lose its answer.
 */
 import {type Buffer} from 'node:buffer';
-import {Client, Pool, type Dispatcher} from 'undici';
+import {
+	buildConnector, Client, Pool, type Dispatcher,
+} from 'undici';
 import {type RawHeaders} from './services.js';
 
 /** Several round trips between zones; a target that takes longer is down or cut off. */
@@ -25,25 +27,37 @@
 	readonly status: number;
 	readonly headers: RawHeaders;
 	readonly body: Dispatcher.ResponseData['body'];
+	/** Whether a connection was reset since the head came. The client takes a reset for the end of an answer without length. */
+	readonly wasReset: () => boolean;
+};
+
+type Resets = {
+	count: number;
 };
 
 export class TargetConnections {
-	private readonly _pools = new Map<string, Pool>();
+	private readonly _pools = new Map<string, {readonly pool: Pool; readonly resets: Resets}>();
 
 	async request(address: string, request: TargetRequest): Promise<TargetResponse> {
-		return request.isFresh ? this._requestFresh(address, request) : send(this._pool(address, request.maxConnections), request);
+		if (request.isFresh) {
+			return this._requestFresh(address, request);
+		}
+
+		const {pool, resets} = this._pool(address, request.maxConnections);
+		return send(pool, request, resets);
 	}
 
 	async close(): Promise<void> {
-		const pools = [...this._pools.values()];
+		const pools = [...this._pools.values()].map(({pool}) => pool);
 		this._pools.clear();
 		await Promise.all(pools.map(async pool => pool.destroy()));
 	}
 
 	private async _requestFresh(address: string, request: TargetRequest): Promise<TargetResponse> {
-		const client = new Client(`http://${address}`, clientOptions);
+		const resets = {count: 0};
+		const client = new Client(`http://${address}`, {...clientOptions, connect: countingConnector(resets)});
 		try {
-			const response = await send(client, request);
+			const response = await send(client, request, resets);
 			// Closes once the answer has been read to its end.
 			void client.close();
 			return response;
@@ -53,20 +67,20 @@
 		}
 	}
 
-	private _pool(address: string, connections: number): Pool {
-		let pool = this._pools.get(address);
-		if (!pool) {
-			pool = new Pool(`http://${address}`, {...clientOptions, connections});
-			this._pools.set(address, pool);
+	private _pool(address: string, connections: number): {readonly pool: Pool; readonly resets: Resets} {
+		let known = this._pools.get(address);
+		if (!known) {
+			const resets = {count: 0};
+			known = {pool: new Pool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets};
+			this._pools.set(address, known);
 		}
 
-		return pool;
+		return known;
 	}
 }
 
 const clientOptions = {
 	pipelining: 1,
-	connect: {timeout: CONNECT_TIMEOUT_MS},
 	keepAliveTimeout: IDLE_MS,
 	keepAliveMaxTimeout: IDLE_MS,
 	// Silence is judged by the core, from what the target has shown.
@@ -74,7 +88,25 @@
 	bodyTimeout: 0,
 };
 
-async function send(dispatcher: Dispatcher, request: TargetRequest): Promise<TargetResponse> {
+const connectTarget = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+
+/** Counts errors of connections before the client sees them. */
+function countingConnector(resets: Resets): buildConnector.connector {
+	return (options, callback) => {
+		connectTarget(options, (...result) => {
+			const [error, socket] = result;
+			if (error === null) {
+				socket.on('error', () => {
+					resets.count++;
+				});
+			}
+
+			callback(...result);
+		});
+	};
+}
+
+async function send(dispatcher: Dispatcher, request: TargetRequest, resets: Resets): Promise<TargetResponse> {
 	const {statusCode, headers, body} = await dispatcher.request({
 		method: request.method,
 		path: request.path,
@@ -83,7 +115,10 @@
 		signal: request.signal,
 		responseHeaders: 'raw',
 	});
-	return {status: statusCode, headers: headers as unknown as string[], body};
+	const resetsBefore = resets.count;
+	return {
+		status: statusCode, headers: headers as unknown as string[], body, wasReset: () => resets.count > resetsBefore,
+	};
 }
 
 export {errorCode, isUnwritten} from '../daemon/gateways/connection.js';
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -107,6 +107,12 @@
 		}
 
 		const bytes = await readAll(body);
+		if (isCutShort(response)) {
+			return {
+				outcome: 'broken', status, load, reason: 'an answer without length was reset',
+			};
+		}
+
 		if (signal.aborted) {
 			return {outcome: 'canceled'};
 		}
@@ -159,6 +165,10 @@
 			exchange.beginStream(response.status, response.headers);
 		}
 
+		if (isCutShort(response)) {
+			return 'a stream without length was reset';
+		}
+
 		return splitter.isInEvent ? 'the stream ended in the middle of an event' : undefined;
 	}
 }
@@ -201,6 +211,11 @@
 	return hasEncoding(headers) ? 'the answer has an encoding that nobody asked for' : undefined;
 }
 
+/** An answer without length ends with its connection (RFC 9112, section 6.3), whole only if that was not reset. */
+function isCutShort({headers, wasReset}: TargetResponse): boolean {
+	return !hasLength(headers) && wasReset();
+}
+
 function hasEncoding(headers: readonly string[]): boolean {
 	return headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-encoding');
 }
--- a/test/standins/platform-world.ts
+++ b/test/standins/platform-world.ts
@@ -159,7 +159,7 @@
 }
 
 /** How a runner treats one request; the default answers it whole. */
-export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'hang';
+export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'hang';
 
 export type SeenRequest = {
 	readonly method: string;
@@ -266,9 +266,22 @@
 				break;
 			}
 
-			default: {if (behaviour !== 'hang') {
-				this._answer(behaviour, {request, response, headers});
+			case 'unframed': {
+				const lines = Object.entries(headers).map(([name, value]) => `${name}: ${String(value)}\r\n`).join('');
+				socket.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${lines}\r\npart of the an`, () => {
+					setTimeout(() => {
+						socket.resetAndDestroy();
+					}, 20);
+				});
+				break;
 			}
+
+			case 'hang': {
+				break;
+			}
+
+			default: {
+				this._answer(behaviour, {request, response, headers});
 			}
 		}
 	}
--- a/test/unit/platform-daemon.test.ts
+++ b/test/unit/platform-daemon.test.ts
@@ -139,7 +139,7 @@
 	assert.match(String(request.headers['x-pollenarch-target-instance']), /^i-[12]$/v);
 });
 
-for (const [behaviour, status] of [['reset', 502], ['truncate', 502], ['foreign', 502], ['unsigned', 502], ['error', 500]] as const) {
+for (const [behaviour, status] of [['reset', 502], ['truncate', 502], ['foreign', 502], ['unsigned', 502], ['unframed', 502], ['error', 500]] as const) {
 	test(`work that runs at most once is sent once when the runner's answer is: ${behaviour}`, async () => {
 		const before = seen();
 		for (const runner of runners) {
