--- a/src/core/entry/closing.ts
+++ b/src/core/entry/closing.ts
@@ -49,11 +49,20 @@
 		tries: request.tries.map(({targetId, outcome: ended}) => `${targetId}:${ended}`),
 		delivered: request.delivered,
 		tookMs: Math.round(nowMs - request.arrivedAtMs),
+		...paceOf(request),
 		objectiveMs: request.route.objectiveMs,
 		configurationVersion: state.configuration?.version,
 	});
 }
 
+/** Of a stream: time to its first event and its longest pause, by which the caller judges whether it was in time. */
+function paceOf({tries, arrivedAtMs}: EntryRequest): {firstEventMs?: number; longestPauseMs?: number} {
+	const first = tries.find(({firstEventAtMs}) => firstEventAtMs !== undefined)?.firstEventAtMs;
+	return first === undefined
+		? {}
+		: {firstEventMs: Math.round(first - arrivedAtMs), longestPauseMs: Math.round(Math.max(...tries.map(({longestPauseMs}) => longestPauseMs ?? 0)))};
+}
+
 export function runningTry(request: EntryRequest): EntryTry | undefined {
 	const last = request.tries.at(-1);
 	return last?.outcome === undefined ? last : undefined;
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -46,6 +46,9 @@
 		readonly load?: StatedLoad;
 		/** Why the answer was not taken for whole. */
 		readonly reason?: string;
+		/** When a stream's first event came, and the longest pause between two of its events. */
+		readonly firstEventAtMs?: number;
+		readonly longestPauseMs?: number;
 	}
 	| {readonly kind: 'report-read'; readonly targetId: TargetId; readonly report: TargetReport | undefined}
 	| {readonly kind: 'order-answered'; readonly targetId: TargetId; readonly orderNumber: number; readonly outcome: EngineOrderOutcome}
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -123,6 +123,8 @@
 
 	const target = state.targets.get(attempt.targetId);
 	request.delivered = Math.max(request.delivered, event.delivered);
+	attempt.firstEventAtMs = event.firstEventAtMs;
+	attempt.longestPauseMs = event.longestPauseMs;
 	endTry(context, request, attempt, event.outcome);
 	if (target && event.load) {
 		noteStatedLoad(target, event.load, nowMs);
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -64,6 +64,9 @@
 	progressAtMs: number;
 	hasBegun: boolean;
 	outcome: Outcome | undefined;
+	/** Of a stream: when its first event came, and the longest pause between two. */
+	firstEventAtMs?: number;
+	longestPauseMs?: number;
 };
 
 /** `queued`: waits for room. `fetching`: waits for its adapter. `running`: a try is out. */
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -29,6 +29,8 @@
 	private readonly _duration = this._histogram('pollenarch_request_seconds', 'Time from arrival to the final answer.', DURATION_BUCKETS, ['outcome']);
 	private readonly _tries = this._histogram('pollenarch_request_tries', 'Tries that a request took.', TRY_BUCKETS, ['outcome']);
 	private readonly _waited = this._histogram('pollenarch_try_wait_seconds', 'Time from arrival to the sending of a try.', DURATION_BUCKETS, []);
+	private readonly _firstEvent = this._histogram('pollenarch_first_event_seconds', 'Time from arrival to a stream\'s first event.', DURATION_BUCKETS, []);
+	private readonly _pause = this._histogram('pollenarch_longest_pause_seconds', 'Longest pause between two events of a stream.', DURATION_BUCKETS, []);
 	private readonly _failures = this._counter('pollenarch_failed_tries_total', 'Tries without a whole answer.', ['outcome', 'target']);
 	private readonly _orders = this._counter('pollenarch_engine_orders_total', 'Answers to orders to engines.', ['outcome']);
 	private readonly _moves = this._counter('pollenarch_moves_total', 'Copies planned to be loaded or unloaded.', ['kind', 'reason']);
@@ -92,6 +94,10 @@
 		this._requests.inc({outcome, route: text(fields.route)});
 		this._duration.observe({outcome}, Number(fields.tookMs) * SECONDS_PER_MS);
 		this._tries.observe({outcome}, Array.isArray(fields.tries) ? fields.tries.length : 0);
+		if (fields.firstEventMs !== undefined) {
+			this._firstEvent.observe(Number(fields.firstEventMs) * SECONDS_PER_MS);
+			this._pause.observe(Number(fields.longestPauseMs) * SECONDS_PER_MS);
+		}
 	}
 
 	private _counter(name: string, help: string, labelNames: string[]): Counter {
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -33,6 +33,20 @@
 	readonly status?: number;
 	readonly load?: AnswerHead['load'];
 	readonly reason?: string;
+	readonly pace?: StreamPace;
+};
+
+/** When the first event of a stream came, and the longest pause between two. */
+type StreamPace = {
+	firstEventAtMs: number | undefined;
+	longestPauseMs: number;
+};
+
+type Answering = {
+	readonly response: TargetResponse;
+	readonly head: AnswerHead;
+	readonly signal: AbortSignal;
+	readonly pace: StreamPace;
 };
 
 export class TryRunner {
@@ -41,11 +55,11 @@
 	async run(exchange: Exchange, effect: EntryEffectOf<'send'>): Promise<void> {
 		const {tryNumber} = effect;
 		const signal = exchange.beginTry(tryNumber);
-		const ended = await this._attempt(exchange, effect, signal);
+		const {pace, ...ended} = await this._attempt(exchange, effect, signal);
 		exchange.endTry(tryNumber);
 		if (!signal.aborted) {
 			this._options.dispatch({
-				kind: 'try-ended', requestId: exchange.id, tryNumber, delivered: exchange.delivered, ...ended,
+				kind: 'try-ended', requestId: exchange.id, tryNumber, delivered: exchange.delivered, ...ended, ...pace,
 			});
 		}
 	}
@@ -73,16 +87,21 @@
 		}
 
 		const head = dialect.readAnswer(response.status, response.headers);
+		const pace: StreamPace = {firstEventAtMs: undefined, longestPauseMs: 0};
 		try {
-			return await this._readAnswer(exchange, effect, {response, head, signal});
+			return {
+				...await this._readAnswer(exchange, effect, {
+					response, head, signal, pace,
+				}), pace,
+			};
 		} catch (error) {
 			return {
-				outcome: 'broken', status: response.status, load: head.load, reason: errorCode(error) || String(error),
+				outcome: 'broken', status: response.status, load: head.load, reason: errorCode(error) || String(error), pace,
 			};
 		}
 	}
 
-	private async _readAnswer(exchange: Exchange, effect: EntryEffectOf<'send'>, {response, head, signal}: {response: TargetResponse; head: AnswerHead; signal: AbortSignal}): Promise<Ended> {
+	private async _readAnswer(exchange: Exchange, effect: EntryEffectOf<'send'>, {response, head, signal, pace}: Answering): Promise<Ended> {
 		const {status, headers, body} = response;
 		const {load} = head;
 		const fault = faultOf(exchange, response, head);
@@ -100,7 +119,9 @@
 		}
 
 		if (status === 200 && effect.isStream) {
-			const reason = await this._passOn(exchange, effect, {response, head, signal});
+			const reason = await this._passOn(exchange, effect, {
+				response, head, signal, pace,
+			});
 			return {
 				outcome: reason === undefined ? 'answered' : 'broken', status, load, reason,
 			};
@@ -122,9 +143,10 @@
 	}
 
 	/** Passes a stream on event by event. Returns why it is not complete, undefined when it is. */
-	private async _passOn(exchange: Exchange, effect: EntryEffectOf<'send'>, {response, head, signal}: {response: TargetResponse; head: AnswerHead; signal: AbortSignal}): Promise<string | undefined> {
+	private async _passOn(exchange: Exchange, effect: EntryEffectOf<'send'>, {response, head, signal, pace}: Answering): Promise<string | undefined> {
 		const splitter = new EventSplitter();
 		let toldAtMs = Number.NEGATIVE_INFINITY;
+		let eventAtMs: number | undefined;
 		for await (const chunk of response.body) {
 			const events = splitter.push(chunk as Buffer);
 			if (signal.aborted) {
@@ -151,6 +173,9 @@
 			exchange.delivered += fresh.length;
 			exchange.lastEventId = fresh.findLast(({id}) => id !== undefined)?.id ?? exchange.lastEventId;
 			const nowMs = this._options.monotonicMs();
+			pace.firstEventAtMs ??= nowMs;
+			pace.longestPauseMs = Math.max(pace.longestPauseMs, nowMs - (eventAtMs ?? nowMs));
+			eventAtMs = nowMs;
 			if (nowMs - toldAtMs >= PROGRESS_INTERVAL_MS) {
 				toldAtMs = nowMs;
 				this._options.dispatch({
