Read an engine's report when an unload turns out not to have counted

Ruled out: lost or late orders (none before), models (one load since the start).

Test: orders.test.ts, 'an adapter that is still on its way', failed before.

--- a/src/core/entry/order-answers.ts
+++ b/src/core/entry/order-answers.ts
@@ -47,7 +47,6 @@
 const orderHandlers: Readonly<Record<'accepted' | 'holds' | 'conflict' | 'declined' | 'not-sent', OrderHandler>> = {
 	accepted(context, target, desk, outstanding) {
 		const {order: {kind, model, adapter, expectedSequence}} = outstanding;
-		desk.otherSequence = undefined;
 		desk.acceptedAtMs = context.nowMs;
 		if (adapter !== undefined && kind === 'unload') {
 			// It is in use and keeps its place until its requests have ended; the next report tells.
@@ -64,18 +63,13 @@
 		if (adapter !== undefined && kind === 'unload') {
 			// An idle adapter is unloaded at once, which counts; one that was gone already does not.
 			desk.sequence = expectedSequence + 1;
-			desk.otherSequence = expectedSequence;
 		}
 
 		carriedOut(context, target, desk, outstanding.order);
 	},
 	conflict(context, _, desk, outstanding) {
-		desk.sequence = desk.otherSequence;
-		desk.otherSequence = undefined;
-		if (desk.sequence !== undefined) {
-			return;
-		}
-
+		// Also where an unload that held proves not to have counted: its adapter may have been on its way, and arrive.
+		desk.sequence = undefined;
 		postpone(context, desk, outstanding.order);
 	},
 	declined(context, target, desk, {order: {adapter, model}}) {
@@ -115,8 +109,6 @@
 		return;
 	}
 
-	desk.otherSequence = undefined;
-
 	desk.adapters.set(name, nowMs);
 	target.adapters.set(name, desk.sequence ?? 0);
 	const task = desk.tasks.find(candidate => candidate.name === name);
--- a/src/core/entry/order-desk.ts
+++ b/src/core/entry/order-desk.ts
@@ -22,6 +22,8 @@
 export type Move = {
 	readonly kind: 'load' | 'unload';
 	readonly model: string;
+	/** The model to load, or the one that an unload makes room for. */
+	readonly wanted: string;
 	/** Time that the load is expected to take. */
 	readonly takesMs: number;
 	/** An unload waits until peers have stopped sending to the copy. */
@@ -44,8 +46,6 @@
 	reportedAtMs: number;
 	isReading: boolean;
 	askedAtMs: number;
-	/** The sequence to try when the present one, a conclusion from an answer, proves wrong. */
-	otherSequence: number | undefined;
 	/** When the last order was accepted. */
 	acceptedAtMs: number;
 	outstanding: Outstanding | undefined;
@@ -64,6 +64,8 @@
 const STORE_BURST = 2;
 const STORE_USED_PART = 0.95;
 const REFILL_MOST_MS = 2000;
+/** Demand that left a model often comes back within some seconds; its copies are missed that long. */
+const FADE_HALF_MS = 4000;
 
 export class OrderDesk {
 	readonly targets = new Map<TargetId, TargetDesk>();
@@ -72,6 +74,7 @@
 	/** Loads that the weight store may begin now, refilled at its rate. */
 	storeLoads = 0;
 	refilledAtMs = Number.NEGATIVE_INFINITY;
+	private readonly _recent = new Map<string, {readonly open: number; readonly atMs: number}>();
 
 	of(id: TargetId, incarnation: number): TargetDesk {
 		let desk = this.targets.get(id);
@@ -83,7 +86,6 @@
 				reportedAtMs: Number.NEGATIVE_INFINITY,
 				isReading: false,
 				askedAtMs: Number.NEGATIVE_INFINITY,
-				otherSequence: undefined,
 				acceptedAtMs: Number.NEGATIVE_INFINITY,
 				outstanding: undefined,
 				tasks: [],
@@ -98,12 +100,22 @@
 		return desk;
 	}
 
+	/** Open requests of a model, or what is left of more that were open lately. */
+	fade(key: string, open: number, nowMs: number): number {
+		const known = this._recent.get(key);
+		const faded = known ? known.open * (0.5 ** ((nowMs - known.atMs) / FADE_HALF_MS)) : 0;
+		const recent = Math.max(open, faded);
+		this._recent.set(key, {open: recent, atMs: nowMs});
+		return recent;
+	}
+
 	forget(id: TargetId): void {
 		this.targets.delete(id);
 	}
 
 	/** Forgets everything: another instance may have given orders since. */
 	clear(): void {
+		this._recent.clear();
 		this.targets.clear();
 		this.storeLoads = 0;
 		this.refilledAtMs = Number.NEGATIVE_INFINITY;
--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -15,6 +15,9 @@
 	sequence = 0;
 	readonly models: Set<string>;
 	readonly adapters = new Set<string>();
+	/** Adapters on their way; they take places, and an order to unload one finds it not there. */
+	readonly coming = new Set<string>();
+	hasTransit = false;
 	loading: string | undefined;
 	/** Orders that arrived and are carried out later. */
 	readonly late: Array<EntryEffectOf<'order'>> = [];
@@ -33,6 +36,10 @@
 			return 'conflict';
 		}
 
+		if (this.coming.has(name)) {
+			return 'holds';
+		}
+
 		const isHeld = order.adapter === undefined ? this.models.has(order.model) : this.adapters.has(name);
 		if (isHeld === (order.kind === 'load')) {
 			return 'holds';
@@ -45,7 +52,7 @@
 				return 'holds';
 			}
 
-			this.adapters.add(name);
+			(this.hasTransit ? this.coming : this.adapters).add(name);
 		} else if (order.kind === 'load') {
 			this.loading = order.model;
 		} else {
@@ -55,6 +62,14 @@
 		return 'accepted';
 	}
 
+	arrive(): void {
+		for (const name of this.coming) {
+			this.adapters.add(name);
+		}
+
+		this.coming.clear();
+	}
+
 	report(): TargetReport {
 		return {
 			incarnation: 1,
@@ -63,7 +78,7 @@
 			running: 0,
 			waiting: 0,
 			copies: [...this.models].map(model => ({model, version: 1, adapters: [...this.adapters].filter(name => name.startsWith(`${model}/`)).map(name => name.split('/')[1]!)})),
-			coming: [],
+			coming: [...this.coming],
 			inMemory: [],
 			onDisk: [],
 		};
@@ -141,6 +156,27 @@
 	assert.ok(all.engines.get('e0')!.adapters.has('m0/a4'));
 });
 
+test('an adapter that is still on its way is not taken for unloaded: no place is filled twice', () => {
+	const all = world([['m0', 'm1'], ['m2', 'm3']]);
+	run(all, 1000);
+	const engine = all.engines.get('e0')!;
+	engine.hasTransit = true;
+	let asked = 0;
+	run(all, 6000, {}, () => {
+		assert.ok(engine.adapters.size + engine.coming.size <= 2, [...engine.adapters, ...engine.coming].join(', '));
+		if (all.core.nowMs % 150 === 0) {
+			engine.arrive();
+		}
+
+		asked++;
+		const adapter = `a${(asked % 5) + 1}`;
+		const id = `r${asked}`;
+		all.core.arrive(id, '/ask/1', {model: 'm0', adapter});
+		all.core.dispatch({kind: 'caller-left', requestId: id});
+	});
+	assert.ok(all.core.state.desk.orders > 20, `${all.core.state.desk.orders} orders`);
+});
+
 test('a model without a copy is loaded, and one asked for urgently gets a second copy', () => {
 	const all = world([['m0'], ['m1']]);
 	run(all, 500);
