Weigh moves of models by the requests that they bring in time

Cause (trials, all lines logged): most late streams are late by their pauses. Demand of instances that had ended counted for a minute.

Change: a move's gain is what it takes off engines past their pace, for as long as demand usually lasts once it is done; against it stands what is missed where a copy makes way, by demand that fades over seconds. Room that is being made belongs to its model. Models that nobody asked for yet get free memory only. Urgent is whose callers wait less than a load from disk takes. A copy that has gone no longer bars its engine until its notice ends.

Ranks became objectives.

--- a/src/core/entry/demand.ts
+++ b/src/core/entry/demand.ts
@@ -9,9 +9,8 @@
 
 const RATE_MS = 500;
 const RATE_GAIN = 0.5;
-/** A rank seen longer ago does not count any more. */
-const RANK_VALID_MS = 5000;
-const LEAST_URGENT = 9;
+/** An objective seen longer ago does not count any more. */
+const OBJECTIVE_VALID_MS = 5000;
 /** An adapter used longer ago may make way. */
 const ADAPTER_IN_USE_MS = 2500;
 
@@ -24,12 +23,12 @@
 	let record = state.demand.get(request.queueKey);
 	if (!record) {
 		record = {
-			service: request.service, model, arrivals: 0, perSecond: 0, rank: LEAST_URGENT, ratedAtMs: nowMs, lastAtMs: nowMs, open: 0, adapters: new Map(),
+			service: request.service, model, arrivals: 0, perSecond: 0, objectiveMs: request.route.objectiveMs, ratedAtMs: nowMs, lastAtMs: nowMs, open: 0, adapters: new Map(),
 		};
 		state.demand.set(request.queueKey, record);
 	}
 
-	record.rank = nowMs - record.lastAtMs > RANK_VALID_MS ? request.route.rank : Math.min(record.rank, request.route.rank);
+	record.objectiveMs = nowMs - record.lastAtMs > OBJECTIVE_VALID_MS ? request.route.objectiveMs : Math.min(record.objectiveMs, request.route.objectiveMs);
 	record.arrivals++;
 	record.open++;
 	record.lastAtMs = nowMs;
@@ -63,7 +62,7 @@
 		arrivalsPerSecond: Math.round(record.perSecond * 10) / 10,
 		open: record.open,
 		waiting: queueOf(state, key).waiting,
-		rank: record.rank,
+		objectiveMs: record.objectiveMs,
 		adapters: [...record.adapters].filter(([, usedAtMs]) => nowMs - usedAtMs < ADAPTER_IN_USE_MS).map(([adapter]) => adapter),
 	}));
 }
--- a/src/core/entry/knowledge.ts
+++ b/src/core/entry/knowledge.ts
@@ -15,8 +15,8 @@
 	/** Requests that run or wait. */
 	readonly open: number;
 	readonly waiting: number;
-	/** Most urgent rank seen lately. */
-	readonly rank: number;
+	/** Shortest objective seen lately: how long callers are willing to wait. */
+	readonly objectiveMs: number;
 	/** Adapters asked for lately. */
 	readonly adapters: readonly string[];
 };
--- a/src/core/entry/placement.ts
+++ b/src/core/entry/placement.ts
@@ -15,6 +15,8 @@
 const PLAN_INTERVAL_MS = 200;
 /** Peers hear of a copy that is to go, and stop sending, before the unload is ordered. */
 const LEAVE_NOTICE_MS = 350;
+/** A peer that is not heard of for this long has gone, and its requests with it. */
+const DEMAND_VALID_MS = 2500;
 /** A copy that is going gets nothing until the registry shows it gone. */
 const LEAVING_MS = 6000;
 /** Loads of the store that may run at once without slowing each other. */
@@ -80,13 +82,15 @@
 function describe({state, nowMs}: EntryContext, target: Target): PlannedTarget {
 	const {entry} = target;
 	const desk = state.desk.of(target.id, entry.incarnation);
+	const copies = desk.report?.copies ?? entry.copies;
 	return {
 		id: target.id,
 		zone: entry.zone,
 		slots: entry.slots,
-		copies: desk.report?.copies ?? entry.copies,
-		loading: desk.move?.kind === 'load' ? [desk.move.model] : [],
-		leaving: [...target.leavingCopies].filter(([, untilMs]) => nowMs < untilMs).map(([model]) => model),
+		copies,
+		loading: desk.move ? [desk.move.wanted] : [],
+		// The notice outlives the copy, so that peers with an older registry do not send to it.
+		leaving: [...target.leavingCopies].filter(([model, untilMs]) => nowMs < untilMs && copies.some(copy => copy.model === model)).map(([model]) => model),
 		isIdle: desk.report !== undefined && !desk.move && desk.moveDueMs === undefined && !desk.report.isBusy,
 		load: estimatedLoad(target, nowMs) / entry.slots,
 		inMemory: entry.inMemory,
@@ -95,9 +99,10 @@
 }
 
 function totalDemand(context: EntryContext, service: string): Map<string, PlannedDemand> {
-	const {state} = context;
-	const total = new Map<string, PlannedDemand>();
-	const all = [ownDemand(context), ...[...state.peers.values()].map(({demand}) => demand)];
+	const {state, nowMs} = context;
+	const total = new Map<string, Omit<PlannedDemand, 'recentOpen'>>();
+	const heard = [...state.peers.values()].filter(({heardAtMs}) => nowMs - heardAtMs < DEMAND_VALID_MS);
+	const all = [ownDemand(context), ...heard.map(({demand}) => demand)];
 	for (const record of all.flat()) {
 		if (record.service !== service) {
 			continue;
@@ -107,12 +112,12 @@
 		total.set(record.model, {
 			perSecond: (known?.perSecond ?? 0) + record.arrivalsPerSecond,
 			open: (known?.open ?? 0) + record.open,
-			rank: Math.min(known?.rank ?? record.rank, record.rank),
+			objectiveMs: Math.min(known?.objectiveMs ?? record.objectiveMs, record.objectiveMs),
 			adapters: new Set([...known?.adapters ?? [], ...record.adapters]),
 		});
 	}
 
-	return total;
+	return new Map([...total].map(([model, demand]) => [model, {...demand, recentOpen: state.desk.fade(`${service} ${model}`, demand.open, nowMs)}]));
 }
 
 function begin(context: EntryContext, move: PlannedMove): void {
@@ -125,7 +130,11 @@
 	const desk = state.desk.of(target.id, target.entry.incarnation);
 	const isUnload = move.kind === 'unload';
 	desk.move = {
-		kind: move.kind, model: move.model, takesMs: move.takesMs, notBeforeMs: isUnload ? nowMs + LEAVE_NOTICE_MS : nowMs,
+		kind: move.kind,
+		model: move.model,
+		wanted: isUnload ? move.wanted : move.model,
+		takesMs: move.takesMs,
+		notBeforeMs: isUnload ? nowMs + LEAVE_NOTICE_MS : nowMs,
 	};
 	if (isUnload) {
 		target.leavingCopies.set(move.model, nowMs + LEAVING_MS);
--- a/src/core/entry/plan.ts
+++ b/src/core/entry/plan.ts
@@ -1,12 +1,13 @@
 /**
 Which copies of which models the engines of one service should hold, as a pure
-function of what they hold, what is asked for and what fits. Every model keeps a
-copy. Further copies follow, in this order: demand that the present copies cannot
-carry, a second place for what urgent requests ask for, and spare memory for models
-that may rise next. Only what nobody asks for makes way.
+function of what they hold, what is asked for and what fits. Free memory goes to
+models without a copy first. Beyond that a move is made only if it pays: what it
+gains, for as long as demand usually lasts after it is done, against what is missed
+from then on where copies make way.
 */
 import {type TargetId, type ZoneName} from '../types.js';
 import {type Engine, type EngineModel} from './configuration.js';
+import {Pressure} from './pressure.js';
 import {type ModelCopy} from './target.js';
 
 export type PlannedTarget = {
@@ -14,7 +15,7 @@
 	readonly zone: ZoneName;
 	readonly slots: number;
 	readonly copies: readonly ModelCopy[];
-	/** Models that an accepted or waiting order brings here. */
+	/** Models that an accepted or waiting order brings here, or that room is being made for. */
 	readonly loading: readonly string[];
 	/** Copies that are about to be unloaded. */
 	readonly leaving: readonly string[];
@@ -30,7 +31,10 @@
 	readonly perSecond: number;
 	/** Requests that run or wait, over all instances. */
 	readonly open: number;
-	readonly rank: number;
+	/** The most of these lately, fading. */
+	readonly recentOpen: number;
+	/** Shortest objective of the routes that ask for it. */
+	readonly objectiveMs: number;
 	/** Adapters in use. */
 	readonly adapters: ReadonlySet<string>;
 };
@@ -42,11 +46,14 @@
 	readonly takesMs: number;
 	/** Whether the load draws on the weight store. */
 	readonly isFromStore: boolean;
-	/** Why the move is worth making, for the log. */
+	/** The model for which the move is made: the one to load, or the one that needs the room. */
+	readonly wanted: string;
+	/** Why the move is worth making, and requests served in time that it is expected to bring, for the log. */
 	readonly reason: Reason;
+	readonly worth: number;
 };
 
-export type Reason = 'no-copy' | 'full' | 'urgent' | 'spare';
+export type Reason = 'no-copy' | 'full' | 'urgent';
 
 export type PlanInput = {
 	readonly engine: Engine;
@@ -56,36 +63,54 @@
 	readonly storeLoads: number;
 };
 
-/**
-Part of the slots of its copies that a model may fill before it gets another copy. An engine reads prompts
-between the tokens of its streams; past this part the pauses of streams grow beyond what routes allow.
-*/
-const FULL_SHARE = 0.3;
-/** Ranks up to this one are urgent: their callers wait. */
-const URGENT_RANK = 1;
-/** A model asked for less often than this, per second, makes way. */
-const IDLE_PER_SECOND = 0.3;
 const DEMAND_FOR_SECOND_COPY = 0.5;
+/** Open requests a copy from which a further copy takes a load over that is worth a move. */
+const FULL_PART = 2;
+/** Demand for a model that moved lasts about this long; a move that takes as long gains nothing. */
+const DEMAND_LASTS_MS = 10_000;
+/** Time until a copy that is to go has gone: the notice where nothing runs, else when its longest streams have ended. */
+const CLEARING_IDLE_MS = 1000;
+const CLEARING_USED_MS = 3000;
+/** Requests at a copy from which it counts as used. */
+const USED_OPEN = 0.5;
+/** Worth, in requests served in time, of having any copy of a model that nobody asks for now. */
+const REACHABLE_WORTH = 0.9;
+/** The same of a second copy of what urgent requests ask for. Less than what the loss of one counts, so that they never trade places. */
+const SECOND_COPY_WORTH = 0.5;
+const SECOND_COPY_LOSS = 0.6;
+/** The same of a second copy of a model that nobody asked for yet: demand moves to one of these. */
+const PROSPECT_WORTH = 0.3;
+const PROSPECT_LOSS = 0.4;
+/** The same of a copy on which adapters in use find places that they lack. */
+const ADAPTERS_WORTH = 2;
 const UNKNOWN_LOSS = 0.01;
-/** Moving the only copy of a model elsewhere costs a load, more than any copy that can be spared. */
-const RELOCATION_LOSS = 1000;
-const SACRIFICE_LOSS = 1_000_000;
-/** Demand, as a multiple of another model's, that takes the place of its only copy. */
-const WORTH_FACTOR = 2;
-/** Requests that wait before a model takes its turn. */
-const WAITING_FOR_TURN = 3;
-/** Open requests of a model from which a copy may be taken from another that is asked for. */
-const OPEN_FOR_RELIEF = 8;
-/** Requests per copy, as a multiple of the other model's, that make up for a load and an unload. */
-const RELIEF_FACTOR = 2;
+/** Moving the only copy of a model elsewhere costs a load. */
+const RELOCATION_LOSS = 0.3;
+/** What is missed at once weighs more than what is hoped for. */
+const LOSS_WEIGHT = 1.2;
+/** Least gain for which a copy that is used makes way: its engine takes no other order until its runs have ended. */
+const LEAST_GAIN_USED = 3;
+/** Least gain for which any copy makes way for a further one of a model that is past its pace. */
+const LEAST_GAIN_FULL = 2;
+/** Costs of a place, in requests: bytes between zones are spared, tight places are filled first. */
+const SAME_ZONE_COST = 0.2;
+const ROOM_LEFT_COST = 0.1;
 
 type Want = {
 	readonly model: EngineModel;
 	readonly reason: Reason;
-	readonly weight: number;
 };
 
-const reasonOrder: readonly Reason[] = ['no-copy', 'full', 'urgent', 'spare'];
+type Candidate = {
+	readonly move: PlannedMove;
+	/** Gain less losses. */
+	readonly net: number;
+};
+
+type Planning = {
+	readonly input: PlanInput;
+	readonly pressure: Pressure;
+};
 
 /** Memory that models and the room kept for adapters leave free. */
 export function freeMemoryMb(engine: Engine, copies: readonly ModelCopy[]): number {
@@ -104,49 +129,72 @@
 
 /** The next move worth making, undefined when there is none. */
 export function planMove(input: PlanInput): PlannedMove | undefined {
-	for (const want of wants(input)) {
-		const move = place(input, want);
-		if (move) {
-			return move;
-		}
-	}
-
-	return undefined;
+	const planning: Planning = {input, pressure: new Pressure(input.targets, input.demand)};
+	const wants = [...input.engine.models.values()]
+		.map(model => ({model, reason: wantOf(planning, model)}))
+		.filter((want): want is Want => want.reason !== undefined);
+	const absent = wants.filter(({reason}) => reason === 'no-copy');
+	return bestOf(planning, absent, intoFreeMemory)
+		?? bestOf(planning, wants, intoFreeMemory)
+		?? bestOf(planning, wants.filter(({model}) => !isProspect(planning, model)), afterClearing);
 }
 
-function wants(input: PlanInput): Want[] {
-	const list: Want[] = [];
-	for (const model of input.engine.models.values()) {
-		const reason = wantOf(input, model);
-		if (reason) {
-			list.push({model, reason, weight: weightOf(input, model.name)});
+type Place = (planning: Planning, want: Want, target: PlannedTarget) => Candidate | undefined;
+
+function bestOf(planning: Planning, wants: readonly Want[], place: Place): PlannedMove | undefined {
+	let best: Candidate | undefined;
+	for (const want of wants) {
+		const {name} = want.model;
+		for (const target of planning.input.targets) {
+			const mayLoad = target.isIdle && target.leaving.length === 0 && !planning.pressure.holders(name).includes(target)
+				&& (planning.input.storeLoads >= 1 || isStaged(target, name));
+			const candidate = mayLoad ? place(planning, want, target) : undefined;
+			if (candidate && candidate.net > (best?.net ?? 0)) {
+				best = candidate;
+			}
 		}
 	}
 
-	return list.sort((a, b) => reasonOrder.indexOf(a.reason) - reasonOrder.indexOf(b.reason) || b.weight - a.weight);
+	return best?.move;
 }
 
-function wantOf(input: PlanInput, model: EngineModel): Reason | undefined {
-	const demand = input.demand.get(model.name);
-	const copies = copiesOf(input, model.name);
-	if (copies.length === 0) {
+function wantOf({input, pressure}: Planning, model: EngineModel): Reason | undefined {
+	const {name} = model;
+	const demand = input.demand.get(name);
+	const holders = pressure.holders(name);
+	if (holders.length === 0) {
 		return 'no-copy';
 	}
 
-	const slots = copies.reduce((sum, target) => sum + target.slots, 0);
-	if (demand && demand.open > slots * FULL_SHARE) {
+	if (pressure.open(name, 'now') / holders.length >= FULL_PART && holders.some(target => pressure.isPastComfort(target))) {
 		return 'full';
 	}
 
-	if (demand && copies.length < copiesForAdapters(input, demand.adapters.size)) {
+	if (demand && holders.length < copiesForAdapters(input, demand.adapters.size)) {
 		return 'urgent';
 	}
 
-	if (copies.length > 1) {
+	if (holders.length > 1) {
 		return undefined;
 	}
 
-	return demand && demand.rank <= URGENT_RANK && demand.perSecond >= DEMAND_FOR_SECOND_COPY ? 'urgent' : 'spare';
+	const isWanted = !demand || demand.perSecond >= DEMAND_FOR_SECOND_COPY;
+	return isWanted && isAnyoneServed(input) && isUrgent(model, demand) ? 'urgent' : undefined;
+}
+
+/** Nobody asked for it yet: worth the memory that is free, but no copy that is held. */
+function isProspect({input, pressure}: Planning, {name}: EngineModel): boolean {
+	return !input.demand.has(name) && pressure.holders(name).length > 0;
+}
+
+/** Whether a load, even from disk, would come too late for callers. Of a model that nobody asked for yet that has to be assumed. */
+function isUrgent({diskLoadMs}: EngineModel, demand: PlannedDemand | undefined): boolean {
+	return !demand || demand.objectiveMs <= diskLoadMs;
+}
+
+/** Before anything was asked for, no model tells itself from the others. */
+function isAnyoneServed({demand}: PlanInput): boolean {
+	return demand.size > 0;
 }
 
 /** Copies on which a number of adapters finds places. */
@@ -154,39 +202,57 @@
 	return engine.adapterPlaces === 0 ? 1 : Math.ceil(adapters / engine.adapterPlaces);
 }
 
-/** Models that were never asked for go before those known to be asked for at leisure. */
-function weightOf({demand}: PlanInput, model: string): number {
-	const known = demand.get(model);
-	if (!known) {
-		return 0.1;
+/** Worth of one more copy beyond the load that it takes over. */
+function worthOf({input, pressure}: Planning, {model, reason}: Want): number {
+	if (reason === 'no-copy') {
+		return REACHABLE_WORTH;
 	}
 
-	return known.rank <= URGENT_RANK ? 1 + known.open + known.perSecond : 0;
-}
+	const demand = input.demand.get(model.name);
+	if (demand && pressure.holders(model.name).length < copiesForAdapters(input, demand.adapters.size)) {
+		return ADAPTERS_WORTH;
+	}
 
-function copiesOf({targets}: PlanInput, model: string): PlannedTarget[] {
-	return targets.filter(target => !target.leaving.includes(model)
-		&& (target.loading.includes(model) || target.copies.some(copy => copy.model === model)));
+	return demand ? SECOND_COPY_WORTH : PROSPECT_WORTH;
 }
 
-function place(input: PlanInput, want: Want): PlannedMove | undefined {
-	const {engine, storeLoads} = input;
-	const {name, sizeMb} = want.model;
-	const holders = copiesOf(input, name);
-	const zones = new Set(holders.map(({zone}) => zone));
-	const candidates = input.targets.filter(target => !holders.includes(target) && !target.leaving.includes(name));
-	const fitting = candidates
-		.filter(target => target.isIdle && freeOf(engine, target) >= sizeMb)
-		.filter(target => isStaged(target, name) || storeLoads >= 1)
-		.sort((a, b) => costOf(engine, a, want, zones) - costOf(engine, b, want, zones));
-	const best = fitting[0];
-	if (best) {
-		return {
-			kind: 'load', targetId: best.id, model: name, takesMs: takesMs(best, want.model), isFromStore: !isStaged(best, name), reason: want.reason,
-		};
+function intoFreeMemory(planning: Planning, want: Want, target: PlannedTarget): Candidate | undefined {
+	const {input: {engine}, pressure} = planning;
+	const {model} = want;
+	const left = freeOf(engine, target) - model.sizeMb;
+	if (left < 0) {
+		return undefined;
 	}
 
-	return want.reason === 'spare' ? undefined : makeRoom(input, want, candidates);
+	const takes = takesMs(target, model);
+	const gain = (Math.max(0, -pressure.costOf(target, {add: model.name, remove: []}, 'now')) + worthOf(planning, want)) * lasting(takes);
+	const isZoneServed = pressure.holders(model.name).some(({zone}) => zone === target.zone);
+	const placeCost = (isZoneServed ? SAME_ZONE_COST : 0) + (ROOM_LEFT_COST * left / engine.memoryMb);
+	// A place's cost decides between places, not whether to fill one.
+	const net = gain > 0 ? Math.max(Number.MIN_VALUE, gain * (1 - placeCost)) : 0;
+	return {net, move: loadMove(target, want, {model, worth: gain})};
+}
+
+/** Part of the time for which demand lasts that is left once a move is done. */
+function lasting(takes: number): number {
+	return Math.max(0.1, 1 - (takes / DEMAND_LASTS_MS));
+}
+
+function loadMove(target: PlannedTarget, want: Want, {model, worth}: {model: EngineModel; worth: number}): PlannedMove {
+	return {
+		kind: 'load',
+		targetId: target.id,
+		model: model.name,
+		takesMs: takesMs(target, model),
+		isFromStore: !isStaged(target, model.name),
+		wanted: want.model.name,
+		reason: want.reason,
+		worth: round(worth),
+	};
+}
+
+function round(worth: number): number {
+	return Math.round(worth * 10) / 10;
 }
 
 function freeOf(engine: Engine, target: PlannedTarget): number {
@@ -208,33 +274,6 @@
 	return onDisk.includes(model.name) ? model.diskLoadMs : model.loadMs;
 }
 
-/** Lower is better: quickly there, in a zone without a copy, little loaded, with little memory left over. */
-function costOf(engine: Engine, target: PlannedTarget, want: Want, zones: ReadonlySet<ZoneName>): number {
-	return (takesMs(target, want.model) / 1000)
-		+ (zones.has(target.zone) ? 1.5 : 0)
-		+ (target.load * 2)
-		+ ((freeOf(engine, target) - want.model.sizeMb) / engine.memoryMb);
-}
-
-type Clearance = {
-	readonly loss: number;
-	readonly step: PlannedMove;
-};
-
-/** The first step of the clearance that is missed least, of all targets that can be cleared for the wanted model. */
-function makeRoom(input: PlanInput, want: Want, candidates: readonly PlannedTarget[]): PlannedMove | undefined {
-	let best: Clearance | undefined;
-	for (const target of candidates) {
-		const mayLoad = want.reason === 'no-copy' || input.storeLoads >= 1 || isStaged(target, want.model.name);
-		const clearance = target.isIdle && target.leaving.length === 0 && mayLoad ? clear(input, want, target) : undefined;
-		if (clearance && clearance.loss < (best?.loss ?? Number.POSITIVE_INFINITY)) {
-			best = clearance;
-		}
-	}
-
-	return best?.step;
-}
-
 type Removal = {
 	readonly model: EngineModel;
 	readonly loss: number;
@@ -242,106 +281,107 @@
 	readonly refuge: PlannedTarget | undefined;
 };
 
-/** Takes copies off a target, those that are missed least first, until the wanted model fits. */
-function clear(input: PlanInput, want: Want, target: PlannedTarget): Clearance | undefined {
+/** Takes copies off a target, those that are missed least for the room they make, until the wanted model fits. */
+function afterClearing(planning: Planning, want: Want, target: PlannedTarget): Candidate | undefined {
+	const {input: {engine}, pressure} = planning;
 	const removals = target.copies
-		.map(copy => removalOf(input, want, {target, name: copy.model}))
-		.filter(removal => removal !== undefined)
-		.toSorted((a, b) => a.loss - b.loss);
-	let free = freeOf(input.engine, target);
-	let loss = 0;
-	const taken: Removal[] = [];
-	for (const removal of removals) {
-		if (free >= want.model.sizeMb) {
+		.map(copy => removalOf(planning, want, {target, name: copy.model}))
+		.filter(removal => removal !== undefined);
+	const lacking = want.model.sizeMb - freeOf(engine, target);
+	const taken = cheapestRoom(removals, lacking);
+	if (!taken) {
+		return undefined;
+	}
+
+	const names = taken.map(({model}) => model.name);
+	const loss = taken.reduce((sum, removal) => sum + removal.loss, 0);
+	// What nobody serves is refused, so that it goes before the pace of what the engine serves already.
+	const helps = want.reason === 'no-copy'
+		? pressure.absence(want.model.name, 'now')
+		: pressure.costOf(target, {remove: names}, 'now') - pressure.costOf(target, {add: want.model.name, remove: names}, 'now');
+	const isClearingUsed = taken.some(({model: {name}, refuge}) => !refuge && isUsed(planning, name));
+	const gain = (Math.max(0, helps) + worthOf(planning, want)) * lasting(clearingMs(planning, names) + takesMs(target, want.model));
+	const leastGain = Math.max(isClearingUsed ? LEAST_GAIN_USED : 0, want.reason === 'full' ? LEAST_GAIN_FULL : 0);
+	const net = gain - (LOSS_WEIGHT * loss) - leastGain;
+	return {net, move: stepOf(want, target, {removal: taken[0]!, worth: net})};
+}
+
+/** Expected time until copies are gone, from the chance that nothing runs there now. */
+function clearingMs({pressure}: Planning, models: readonly string[]): number {
+	const runs = models.reduce((sum, model) => sum + (pressure.open(model, 'now') / Math.max(1, pressure.present(model))), 0);
+	return CLEARING_IDLE_MS + ((CLEARING_USED_MS - CLEARING_IDLE_MS) * (1 - Math.exp(-runs)));
+}
+
+/** One copy that alone makes the room if that is missed no more than several smaller ones. */
+function cheapestRoom(removals: readonly Removal[], lackingMb: number): Removal[] | undefined {
+	const several: Removal[] = [];
+	let roomMb = 0;
+	for (const removal of removals.toSorted((a, b) => a.loss - b.loss)) {
+		if (roomMb >= lackingMb) {
 			break;
 		}
 
-		free += removal.model.sizeMb;
-		loss += removal.loss;
-		taken.push(removal);
+		roomMb += removal.model.sizeMb;
+		several.push(removal);
 	}
 
-	// A copy that alone makes the room spares the others.
-	const single = removals.find(({model}) => freeOf(input.engine, target) + model.sizeMb >= want.model.sizeMb);
-	const first = single && single.loss <= loss ? single : taken[0];
-	if (!first || free < want.model.sizeMb) {
-		return undefined;
+	const single = removals.filter(({model}) => model.sizeMb >= lackingMb).toSorted((a, b) => a.loss - b.loss)[0];
+	if (single && single.loss <= several.reduce((sum, {loss}) => sum + loss, 0)) {
+		return [single];
 	}
 
-	return {loss: first === single ? single.loss : loss, step: stepOf(want, target, first)};
+	return roomMb >= lackingMb ? several : undefined;
 }
 
-function removalOf(input: PlanInput, want: Want, {target, name}: {target: PlannedTarget; name: string}): Removal | undefined {
+function removalOf(planning: Planning, want: Want, {target, name}: {target: PlannedTarget; name: string}): Removal | undefined {
+	const {input, pressure} = planning;
 	const model = input.engine.models.get(name);
 	if (!model) {
 		return undefined;
 	}
 
-	const loss = lossOf(input, name, want);
-	if (Number.isFinite(loss)) {
-		return {model, loss, refuge: undefined};
+	if (pressure.present(name) > 1) {
+		return {model, loss: lossOf(planning, target, model), refuge: undefined};
 	}
 
-	if (want.reason !== 'no-copy' || copiesOf(input, name).length > 1) {
+	// The last copy of a model makes way only for one that has none.
+	if (want.reason !== 'no-copy') {
 		return undefined;
 	}
 
-	const refuge = input.targets.find(other => other !== target && other.isIdle && other.leaving.length === 0 && freeOf(input.engine, other) >= model.sizeMb);
-	if (refuge) {
-		return input.storeLoads >= 1 || isStaged(refuge, name) ? {model, loss: RELOCATION_LOSS, refuge} : undefined;
-	}
-
-	return isWorthMore(input, want.model.name, name) ? {model, loss: SACRIFICE_LOSS + weightOf(input, name), refuge: undefined} : undefined;
-}
-
-/**
-Whether a model without a copy may take the place of another's only one. Where engines were lost, not all models fit
-at once; then those that callers wait for go first, and the others take turns while nobody uses them.
-*/
-function isWorthMore(input: PlanInput, wanted: string, held: string): boolean {
-	const waiting = input.demand.get(wanted)?.open ?? 0;
-	const used = input.demand.get(held)?.open ?? 0;
-	const isFarMore = weightOf(input, wanted) > WORTH_FACTOR * (1 + weightOf(input, held));
-	return waiting > 0 && (isFarMore || (waiting >= WAITING_FOR_TURN && used === 0));
-}
-
-function stepOf(want: Want, target: PlannedTarget, {model, refuge}: Removal): PlannedMove {
+	const refuge = input.targets.find(other => other !== target && other.isIdle && other.leaving.length === 0
+		&& (input.storeLoads >= 1 || isStaged(other, name)) && freeOf(input.engine, other) >= model.sizeMb);
 	return refuge
-		? {
-			kind: 'load', targetId: refuge.id, model: model.name, takesMs: takesMs(refuge, model), isFromStore: !isStaged(refuge, model.name), reason: want.reason,
-		}
-		: {
-			kind: 'unload', targetId: target.id, model: model.name, takesMs: 0, isFromStore: false, reason: want.reason,
-		};
+		? {model, loss: RELOCATION_LOSS, refuge}
+		: {model, loss: REACHABLE_WORTH + pressure.costOf(target, {remove: [name]}, 'recent'), refuge: undefined};
 }
 
-/** Demand that loses a copy, infinite where the copy must stay. */
-function lossOf(input: PlanInput, model: string, want: Want): number {
-	const copies = copiesOf(input, model);
-	if (copies.length < 2) {
-		return Number.POSITIVE_INFINITY;
-	}
+/** Whether requests run at a model's copies now. */
+function isUsed({pressure}: Planning, model: string): boolean {
+	return pressure.open(model, 'now') / Math.max(1, pressure.present(model)) > USED_OPEN;
+}
 
-	const demand = input.demand.get(model);
+/** Requests in time that one of several copies brings. */
+function lossOf({input, pressure}: Planning, target: PlannedTarget, model: EngineModel): number {
+	const copies = pressure.present(model.name);
+	const demand = input.demand.get(model.name);
 	if (!demand) {
 		// Before anything was asked for, what has most copies beyond its adapters' needs goes first.
-		const wanted = Math.max(2, copiesForAdapters(input, input.engine.models.get(model)?.adapters ?? 0));
-		return UNKNOWN_LOSS / (1 + Math.max(0, copies.length - wanted));
-	}
-
-	const isPressing = want.reason === 'no-copy' || want.reason === 'full';
-	if (!isPressing && copies.length <= copiesForAdapters(input, demand.adapters.size)) {
-		return Number.POSITIVE_INFINITY;
+		const wanted = Math.max(2, copiesForAdapters(input, model.adapters));
+		return (copies === 2 && isAnyoneServed(input) ? PROSPECT_LOSS : 0) + (UNKNOWN_LOSS / (1 + Math.max(0, copies - wanted)));
 	}
 
-	const isIdle = demand.perSecond < IDLE_PER_SECOND;
-	const isAllowed = want.reason === 'no-copy' || isIdle || isRelief(input, want, {open: demand.open, copiesLeft: copies.length - 1});
-	return isAllowed ? demand.perSecond + demand.open : Number.POSITIVE_INFINITY;
+	const isSecond = copies === 2 && isUrgent(model, demand) && demand.perSecond >= DEMAND_FOR_SECOND_COPY;
+	const holdsAdapters = copies <= copiesForAdapters(input, demand.adapters.size);
+	return Math.max(0, pressure.costOf(target, {remove: [model.name]}, 'recent'))
+		+ (isSecond ? SECOND_COPY_LOSS : 0)
+		+ (holdsAdapters && copies > 1 && demand.adapters.size > 0 ? ADAPTERS_WORTH : 0);
 }
 
-/** Whether a copy does much more for the wanted model than it does now. */
-function isRelief(input: PlanInput, want: Want, {open, copiesLeft}: {open: number; copiesLeft: number}): boolean {
-	const wanted = input.demand.get(want.model.name)?.open ?? 0;
-	const copies = copiesOf(input, want.model.name).length;
-	return wanted >= OPEN_FOR_RELIEF && wanted / copies > RELIEF_FACTOR * open / copiesLeft;
+function stepOf(want: Want, target: PlannedTarget, {removal: {model, refuge}, worth}: {removal: Removal; worth: number}): PlannedMove {
+	return refuge
+		? loadMove(refuge, want, {model, worth})
+		: {
+			kind: 'unload', targetId: target.id, model: model.name, takesMs: 0, isFromStore: false, wanted: want.model.name, reason: want.reason, worth: round(worth),
+		};
 }
--- /dev/null
+++ b/src/core/entry/pressure.ts
@@ -0,0 +1,128 @@
+/**
+What copies are worth, in requests that are not served in time: an engine past the
+load at which it keeps pace makes its streams late, the more the further it is past,
+and a model without a copy serves nobody. Moves are weighed by what they change in
+this, as a pure function over present and recent demand.
+*/
+import {type TargetId} from '../types.js';
+import {type PlannedDemand, type PlannedTarget} from './plan.js';
+
+/**
+Part of an engine's slots up to which streams keep their pauses: measured on the users' engines, one stream in
+thirty is late below it, one in four at half of the slots.
+*/
+const COMFORT_SHARE = 0.3;
+/** Loads past comfort, as multiples of it, at which all streams would be late if that went on evenly. */
+const LATE_SPAN = 3;
+/** Requests for a model without a copy are refused, which is worse than late. */
+const ABSENT_WEIGHT = 2;
+/** Part of a second's arrivals that are open at least, where open ones are not told yet. */
+const OPEN_SHARE = 0.3;
+
+export type DemandView = 'now' | 'recent';
+
+export type Change = {
+	readonly add?: string;
+	readonly remove: readonly string[];
+};
+
+export class Pressure {
+	private readonly _holders = new Map<string, PlannedTarget[]>();
+	private readonly _loads: Readonly<Record<DemandView, Map<TargetId, number>>> = {now: new Map(), recent: new Map()};
+
+	constructor(targets: readonly PlannedTarget[], private readonly _demand: ReadonlyMap<string, PlannedDemand>) {
+		for (const target of targets) {
+			for (const model of new Set([...target.copies.map(copy => copy.model), ...target.loading])) {
+				if (!target.leaving.includes(model)) {
+					this._holders.set(model, [...this.holders(model), target]);
+				}
+			}
+		}
+
+		for (const [model, holders] of this._holders) {
+			for (const view of ['now', 'recent'] as const) {
+				const share = this.open(model, view) / holders.length;
+				for (const {id} of holders) {
+					this._loads[view].set(id, this.load(id, view) + share);
+				}
+			}
+		}
+	}
+
+	/** Targets that hold a copy or get one, without those whose copy is about to go. */
+	holders(model: string): readonly PlannedTarget[] {
+		return this._holders.get(model) ?? [];
+	}
+
+	/** Number of targets that hold a copy which stays; one that is still to come serves nobody. */
+	present(model: string): number {
+		return this.holders(model).filter(({copies}) => copies.some(copy => copy.model === model)).length;
+	}
+
+	/** Requests for a model that run or wait. */
+	open(model: string, view: DemandView): number {
+		const demand = this._demand.get(model);
+		if (!demand) {
+			return 0;
+		}
+
+		const open = Math.max(demand.open, demand.perSecond * OPEN_SHARE);
+		return view === 'now' ? open : Math.max(open, demand.recentOpen);
+	}
+
+	/** Requests at a target if each model's spread evenly over its copies. */
+	load(id: TargetId, view: DemandView): number {
+		return this._loads[view].get(id) ?? 0;
+	}
+
+	isPastComfort({id, slots}: PlannedTarget): boolean {
+		return this.load(id, 'now') > slots * COMFORT_SHARE;
+	}
+
+	/** What a change of one target's copies adds to the requests that are not served in time; negative where it helps. */
+	costOf(target: PlannedTarget, {add, remove}: Change, view: DemandView): number {
+		const shifts = new Map<PlannedTarget, number>([[target, 0]]);
+		const shift = (at: PlannedTarget, by: number) => {
+			shifts.set(at, (shifts.get(at) ?? 0) + by);
+		};
+
+		let cost = 0;
+		for (const model of remove) {
+			const open = this.open(model, view);
+			const others = this.holders(model).filter(holder => holder !== target);
+			shift(target, -open / (others.length + 1));
+			cost += others.length === 0 ? this.absence(model, view) : 0;
+			for (const other of others) {
+				shift(other, (open / others.length) - (open / (others.length + 1)));
+			}
+		}
+
+		if (add !== undefined) {
+			const open = this.open(add, view);
+			const others = this.holders(add);
+			shift(target, open / (others.length + 1));
+			cost -= others.length === 0 ? this.absence(add, view) : 0;
+			for (const other of others) {
+				shift(other, (open / (others.length + 1)) - (open / others.length));
+			}
+		}
+
+		for (const [{id, slots}, by] of shifts) {
+			const load = this.load(id, view);
+			cost += lateAt(load + by, slots) - lateAt(load, slots);
+		}
+
+		return cost;
+	}
+
+	/** Requests that nobody serves while a model has no copy. */
+	absence(model: string, view: DemandView): number {
+		return ABSENT_WEIGHT * Math.max(this.open(model, view), this._demand.get(model)?.perSecond ?? 0);
+	}
+}
+
+/** Requests that are late of a number that run at an engine at once. */
+function lateAt(load: number, slots: number): number {
+	const comfort = slots * COMFORT_SHARE;
+	return load * Math.max(0, load - comfort) / (LATE_SPAN * comfort);
+}
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -45,6 +45,7 @@
 		tryNumber: attempt.number,
 		targetId: target.id,
 		zone: target.entry.zone,
+		model: request.arrival.model,
 		inFlight: target.inFlight.size,
 		registryRevision: state.registry.revision,
 		registryAgeMs: Math.round(nowMs - state.registry.freshAtMs),
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -35,7 +35,7 @@
 	readonly model: string;
 	arrivals: number;
 	perSecond: number;
-	rank: number;
+	objectiveMs: number;
 	ratedAtMs: number;
 	lastAtMs: number;
 	open: number;
