--- a/src/core/entry/heavy-load.test.ts
+++ b/src/core/entry/heavy-load.test.ts
@@ -102,3 +102,20 @@
 	core.dispatch({kind: 'beacon-heard', beacon: beacon()});
 	assert.deepEqual(ofKind(core.pass(700), 'cancel').map(({requestId}) => requestId), ['s']);
 });
+
+test('pattern: a model asked for now and then; two requests at once are not taken for a queue that takes seconds', () => {
+	const core = new EntryCore().configure().list([engineEntry('e0', ['m0'], {slots: 1})]);
+	for (let index = 0; index < 10; index++) {
+		core.arrive(`r${index}`, '/digest/1', {model: 'm0'});
+		core.pass(100);
+		core.end(`r${index}`, 1, 'answered');
+		core.pass(900);
+	}
+
+	core.effects.length = 0;
+	for (let index = 0; index < 4; index++) {
+		core.arrive(`at-once${index}`, '/digest/1', {model: 'm0'});
+	}
+
+	assert.deepEqual(ofKind(core.effects, 'refuse').map(({code}) => code), []);
+});
--- a/src/core/entry/waiting-queue.ts
+++ b/src/core/entry/waiting-queue.ts
@@ -16,6 +16,8 @@
 	private _departureMs = 0;
 	private _departedAtMs = Number.NEGATIVE_INFINITY;
 	private _waiting = 0;
+	/** Whether others waited when the last one left: only then does the next departure tell a rate. */
+	private _isBacklog = false;
 
 	get waiting(): number {
 		return this._waiting;
@@ -42,9 +44,13 @@
 	shift(nowMs: number): void {
 		this._heap.pop();
 		this._waiting--;
-		const gapMs = Math.min(nowMs - this._departedAtMs, MAX_GAP_MS);
-		this._departureMs += (gapMs - this._departureMs) * GAP_GAIN;
+		if (this._isBacklog) {
+			const gapMs = Math.min(nowMs - this._departedAtMs, MAX_GAP_MS);
+			this._departureMs += (gapMs - this._departureMs) * GAP_GAIN;
+		}
+
 		this._departedAtMs = nowMs;
+		this._isBacklog = this._waiting > 0;
 	}
 
 	/** Counts a request out that was refused or whose caller left; the heap drops it later. */
