Give free memory to what gains most, and rare models their turn by the time they miss a copy

Cause: with moves weighed by requests in time, free memory still went to any model without a copy first.

Change: all wants compete for free memory by their gain; a model without a copy gains one request in time for each second that it has been asked for in vain. Lines of ended requests name model and adapter.

--- a/src/core/entry/closing.ts
+++ b/src/core/entry/closing.ts
@@ -44,6 +44,8 @@
 	logEvent(context, outcome === 'answered' ? 'request-answered' : 'request-ended', {
 		requestId: request.id,
 		route: request.route.name,
+		model: request.arrival.model,
+		adapter: request.arrival.adapter,
 		outcome,
 		detail,
 		tries: request.tries.map(({targetId, outcome: ended}) => `${targetId}:${ended}`),
--- a/src/core/entry/order-desk.ts
+++ b/src/core/entry/order-desk.ts
@@ -74,6 +74,7 @@
 	/** Loads that the weight store may begin now, refilled at its rate. */
 	storeLoads = 0;
 	refilledAtMs = Number.NEGATIVE_INFINITY;
+	private readonly _missingSince = new Map<string, number>();
 	private readonly _recent = new Map<string, {readonly open: number; readonly atMs: number}>();
 
 	of(id: TargetId, incarnation: number): TargetDesk {
@@ -109,6 +110,18 @@
 		return recent;
 	}
 
+	/** Time since a model was first asked for while no copy of it was held. */
+	missing(key: string, isHeld: boolean, nowMs: number): number {
+		if (isHeld) {
+			this._missingSince.delete(key);
+			return 0;
+		}
+
+		const sinceMs = this._missingSince.get(key) ?? nowMs;
+		this._missingSince.set(key, sinceMs);
+		return nowMs - sinceMs;
+	}
+
 	forget(id: TargetId): void {
 		this.targets.delete(id);
 	}
@@ -116,6 +129,7 @@
 	/** Forgets everything: another instance may have given orders since. */
 	clear(): void {
 		this._recent.clear();
+		this._missingSince.clear();
 		this.targets.clear();
 		this.storeLoads = 0;
 		this.refilledAtMs = Number.NEGATIVE_INFINITY;
--- a/src/core/entry/placement.ts
+++ b/src/core/entry/placement.ts
@@ -12,7 +12,9 @@
 import {type Engine} from './configuration.js';
 import {estimatedLoad, isUsable, type Target} from './target.js';
 
+/** Between two plans, for up to so many targets; a plan takes longer for more, and its share of time stays. */
 const PLAN_INTERVAL_MS = 200;
+const PLAN_TARGETS = 25;
 /** Peers hear of a copy that is to go, and stop sending, before the unload is ordered. */
 const LEAVE_NOTICE_MS = 350;
 /** A peer that is not heard of for this long has gone, and its requests with it. */
@@ -25,7 +27,8 @@
 export function runPlacement(context: EntryContext): void {
 	const {state, nowMs} = context;
 	const {desk, configuration} = state;
-	if (!holdsLease(context) || !configuration || nowMs - desk.plannedAtMs < PLAN_INTERVAL_MS) {
+	const intervalMs = PLAN_INTERVAL_MS * Math.max(1, state.targets.size / PLAN_TARGETS);
+	if (!holdsLease(context) || !configuration || nowMs - desk.plannedAtMs < intervalMs) {
 		return;
 	}
 
@@ -41,7 +44,8 @@
 function planService(context: EntryContext, service: string, engine: Engine): void {
 	const {state} = context;
 	const targets = [...state.targets.values()].filter(({entry}) => entry.service === service && entry.slots > 0);
-	const demand = totalDemand(context, service);
+	const held = new Set(targets.filter(target => isUsable(target, context.nowMs)).flatMap(({entry}) => entry.copies.map(({model}) => model)));
+	const demand = totalDemand(context, service, held);
 	noteAdapterUse(context, targets, demand);
 	for (const target of targets) {
 		// An engine is watched from the first look on, so that its first order does not wait for a report.
@@ -98,9 +102,10 @@
 	};
 }
 
-function totalDemand(context: EntryContext, service: string): Map<string, PlannedDemand> {
+/** What all instances ask for, and for how long without a copy anywhere. */
+function totalDemand(context: EntryContext, service: string, held: ReadonlySet<string>): Map<string, PlannedDemand> {
 	const {state, nowMs} = context;
-	const total = new Map<string, Omit<PlannedDemand, 'recentOpen'>>();
+	const total = new Map<string, Omit<PlannedDemand, 'recentOpen' | 'missingMs'>>();
 	const heard = [...state.peers.values()].filter(({heardAtMs}) => nowMs - heardAtMs < DEMAND_VALID_MS);
 	const all = [ownDemand(context), ...heard.map(({demand}) => demand)];
 	for (const record of all.flat()) {
@@ -117,7 +122,11 @@
 		});
 	}
 
-	return new Map([...total].map(([model, demand]) => [model, {...demand, recentOpen: state.desk.fade(`${service} ${model}`, demand.open, nowMs)}]));
+	return new Map([...total].map(([model, demand]) => [model, {
+		...demand,
+		recentOpen: state.desk.fade(`${service} ${model}`, demand.open, nowMs),
+		missingMs: state.desk.missing(`${service} ${model}`, held.has(model), nowMs),
+	}]));
 }
 
 function begin(context: EntryContext, move: PlannedMove): void {
--- a/src/core/entry/plan.ts
+++ b/src/core/entry/plan.ts
@@ -1,9 +1,9 @@
 /**
 Which copies of which models the engines of one service should hold, as a pure
-function of what they hold, what is asked for and what fits. Free memory goes to
-models without a copy first. Beyond that a move is made only if it pays: what it
-gains, for as long as demand usually lasts after it is done, against what is missed
-from then on where copies make way.
+function of what they hold, what is asked for and what fits. Free memory goes to what gains
+most. Copies make way only if that pays: what a move gains, for as long as demand
+usually lasts after it is done, against what is missed from then on. Models that do
+not all fit thus take turns where the ones asked for most leave room.
 */
 import {type TargetId, type ZoneName} from '../types.js';
 import {type Engine, type EngineModel} from './configuration.js';
@@ -33,6 +33,8 @@
 	readonly open: number;
 	/** The most of these lately, fading. */
 	readonly recentOpen: number;
+	/** Time since it was first asked for without a copy anywhere; 0 while there is one. */
+	readonly missingMs: number;
 	/** Shortest objective of the routes that ask for it. */
 	readonly objectiveMs: number;
 	/** Adapters in use. */
@@ -75,6 +77,8 @@
 const USED_OPEN = 0.5;
 /** Worth, in requests served in time, of having any copy of a model that nobody asks for now. */
 const REACHABLE_WORTH = 0.9;
+/** What each second without a copy adds to it, so that the rarest model has its turn after some ten seconds. */
+const MISSING_WORTH_PER_S = 1;
 /** The same of a second copy of what urgent requests ask for. Less than what the loss of one counts, so that they never trade places. */
 const SECOND_COPY_WORTH = 0.5;
 const SECOND_COPY_LOSS = 0.6;
@@ -96,9 +100,15 @@
 const SAME_ZONE_COST = 0.2;
 const ROOM_LEFT_COST = 0.1;
 
+/** Models, those that could gain most, and targets, those with the model at hand and the least loaded, that one plan looks at: its cost then grows little with the deployment. */
+const WANTS_CONSIDERED = 16;
+const TARGETS_CONSIDERED = 24;
+
 type Want = {
 	readonly model: EngineModel;
 	readonly reason: Reason;
+	/** What a copy could gain at best. */
+	readonly most: number;
 };
 
 type Candidate = {
@@ -131,11 +141,11 @@
 export function planMove(input: PlanInput): PlannedMove | undefined {
 	const planning: Planning = {input, pressure: new Pressure(input.targets, input.demand)};
 	const wants = [...input.engine.models.values()]
-		.map(model => ({model, reason: wantOf(planning, model)}))
-		.filter((want): want is Want => want.reason !== undefined);
-	const absent = wants.filter(({reason}) => reason === 'no-copy');
-	return bestOf(planning, absent, intoFreeMemory)
-		?? bestOf(planning, wants, intoFreeMemory)
+		.map(model => ({model, reason: wantOf(planning, model), most: mostGain(planning, model)}))
+		.filter((want): want is Want => want.reason !== undefined)
+		.sort((a, b) => b.most - a.most)
+		.slice(0, WANTS_CONSIDERED);
+	return bestOf(planning, wants, intoFreeMemory)
 		?? bestOf(planning, wants.filter(({model}) => !isProspect(planning, model)), afterClearing);
 }
 
@@ -144,11 +154,8 @@
 function bestOf(planning: Planning, wants: readonly Want[], place: Place): PlannedMove | undefined {
 	let best: Candidate | undefined;
 	for (const want of wants) {
-		const {name} = want.model;
-		for (const target of planning.input.targets) {
-			const mayLoad = target.isIdle && target.leaving.length === 0 && !planning.pressure.holders(name).includes(target)
-				&& (planning.input.storeLoads >= 1 || isStaged(target, name));
-			const candidate = mayLoad ? place(planning, want, target) : undefined;
+		for (const target of targetsFor(planning, want)) {
+			const candidate = place(planning, want, target);
 			if (candidate && candidate.net > (best?.net ?? 0)) {
 				best = candidate;
 			}
@@ -158,6 +165,25 @@
 	return best?.move;
 }
 
+function targetsFor({input: {targets, storeLoads}, pressure}: Planning, {model: {name}}: Want): PlannedTarget[] {
+	const able = targets.filter(target => target.isIdle && target.leaving.length === 0 && !pressure.holders(name).includes(target)
+		&& (storeLoads >= 1 || isStaged(target, name)));
+	return able.length <= TARGETS_CONSIDERED
+		? able
+		: able
+			.sort((a, b) => Number(isStaged(b, name)) - Number(isStaged(a, name)) || pressure.load(a.id, 'now') - pressure.load(b.id, 'now'))
+			.slice(0, TARGETS_CONSIDERED);
+}
+
+function reachableWorth(demand: PlannedDemand | undefined): number {
+	return REACHABLE_WORTH + ((demand?.missingMs ?? 0) * MISSING_WORTH_PER_S / 1000);
+}
+
+function mostGain({input, pressure}: Planning, {name}: EngineModel): number {
+	const copies = pressure.holders(name).length;
+	return copies === 0 ? pressure.absence(name, 'now') + reachableWorth(input.demand.get(name)) : pressure.open(name, 'now') / copies;
+}
+
 function wantOf({input, pressure}: Planning, model: EngineModel): Reason | undefined {
 	const {name} = model;
 	const demand = input.demand.get(name);
@@ -204,11 +230,11 @@
 
 /** Worth of one more copy beyond the load that it takes over. */
 function worthOf({input, pressure}: Planning, {model, reason}: Want): number {
+	const demand = input.demand.get(model.name);
 	if (reason === 'no-copy') {
-		return REACHABLE_WORTH;
+		return reachableWorth(demand);
 	}
 
-	const demand = input.demand.get(model.name);
 	if (demand && pressure.holders(model.name).length < copiesForAdapters(input, demand.adapters.size)) {
 		return ADAPTERS_WORTH;
 	}
@@ -225,7 +251,10 @@
 	}
 
 	const takes = takesMs(target, model);
-	const gain = (Math.max(0, -pressure.costOf(target, {add: model.name, remove: []}, 'now')) + worthOf(planning, want)) * lasting(takes);
+	const helps = want.reason === 'no-copy'
+		? pressure.absence(model.name, 'now')
+		: -pressure.costOf(target, {add: model.name, remove: []}, 'now');
+	const gain = (Math.max(0, helps) + worthOf(planning, want)) * lasting(takes);
 	const isZoneServed = pressure.holders(model.name).some(({zone}) => zone === target.zone);
 	const placeCost = (isZoneServed ? SAME_ZONE_COST : 0) + (ROOM_LEFT_COST * left / engine.memoryMb);
 	// A place's cost decides between places, not whether to fill one.
--- a/src/core/entry/pressure.ts
+++ b/src/core/entry/pressure.ts
@@ -34,7 +34,12 @@
 		for (const target of targets) {
 			for (const model of new Set([...target.copies.map(copy => copy.model), ...target.loading])) {
 				if (!target.leaving.includes(model)) {
-					this._holders.set(model, [...this.holders(model), target]);
+					const holders = this._holders.get(model);
+					if (holders) {
+						holders.push(target);
+					} else {
+						this._holders.set(model, [target]);
+					}
 				}
 			}
 		}
