--- /dev/null
+++ b/src/core/entry/engine-room.ts
@@ -0,0 +1,40 @@
+/**
+Memory of an engine, and how quickly a model is loaded into it.
+*/
+import {type Engine, type EngineModel} from './configuration.js';
+import {type PlannedTarget} from './plan-input.js';
+import {type ModelCopy} from './target.js';
+
+/** Memory that models and the room kept for adapters leave free. */
+export function freeMemoryMb(engine: Engine, copies: readonly ModelCopy[]): number {
+	let adapterMb = 0;
+	for (const {adapterMb: size} of engine.models.values()) {
+		adapterMb = Math.max(adapterMb, size);
+	}
+
+	let free = engine.memoryMb - (engine.adapterPlaces * adapterMb);
+	for (const {model} of copies) {
+		free -= engine.models.get(model)?.sizeMb ?? 0;
+	}
+
+	return free;
+}
+
+export function freeOf(engine: Engine, target: PlannedTarget): number {
+	const coming = target.loading
+		.filter(model => !target.copies.some(copy => copy.model === model))
+		.map(model => ({model, version: 0, adapters: []}));
+	return freeMemoryMb(engine, [...target.copies, ...coming]);
+}
+
+export function isStaged({inMemory, onDisk}: PlannedTarget, model: string): boolean {
+	return inMemory.includes(model) || onDisk.includes(model);
+}
+
+export function takesMs({inMemory, onDisk}: PlannedTarget, model: EngineModel): number {
+	if (inMemory.includes(model.name)) {
+		return model.memoryLoadMs;
+	}
+
+	return onDisk.includes(model.name) ? model.diskLoadMs : model.loadMs;
+}
--- a/src/core/entry/orders.ts
+++ b/src/core/entry/orders.ts
@@ -8,7 +8,7 @@
 import {
 	type AdapterTask, type Move, type TargetDesk,
 } from './order-desk.js';
-import {freeMemoryMb} from './plan.js';
+import {freeMemoryMb} from './engine-room.js';
 import {logEvent, type EntryContext} from './state.js';
 import {isListed, type Target} from './target.js';
 import {type EngineOrder} from './types.js';
--- a/src/core/entry/placement.ts
+++ b/src/core/entry/placement.ts
@@ -5,9 +5,8 @@
 import {ownDemand} from './demand.js';
 import {holdsLease} from './lease.js';
 import {pump, readReport} from './orders.js';
-import {
-	planMove, type PlannedDemand, type PlannedMove, type PlannedTarget,
-} from './plan.js';
+import {planMove} from './plan.js';
+import {type PlannedDemand, type PlannedMove, type PlannedTarget} from './plan-input.js';
 import {logEvent, type EntryContext} from './state.js';
 import {type Engine} from './configuration.js';
 import {estimatedLoad, isUsable, type Target} from './target.js';
--- a/src/core/entry/plan.test.ts
+++ b/src/core/entry/plan.test.ts
@@ -5,7 +5,8 @@
 import {test} from 'node:test';
 import {configuration} from '../../../test/standins/entry-core.js';
 import {type EngineModel} from './configuration.js';
-import {planMove, type PlannedDemand, type PlannedTarget} from './plan.js';
+import {planMove} from './plan.js';
+import {type PlannedDemand, type PlannedTarget} from './plan-input.js';
 
 const engine = configuration().services.get('llm')!.engine!;
 
--- a/src/core/entry/pressure.ts
+++ b/src/core/entry/pressure.ts
@@ -5,7 +5,7 @@
 this, as a pure function over present and recent demand.
 */
 import {type TargetId} from '../types.js';
-import {type PlannedDemand, type PlannedTarget} from './plan.js';
+import {type PlannedDemand, type PlannedTarget} from './plan-input.js';
 
 /**
 Part of an engine's slots up to which streams keep their pauses: measured on the users' engines, one stream in
