Leave out lines of requests that go well before those of targets, orders and the lease

Cause: all lines of level info had one limit, and lines that were left out counted towards the limit of the others. Test: entry-metrics.test.ts, the last one.

--- a/src/entry/entry-log.ts
+++ b/src/entry/entry-log.ts
@@ -1,15 +1,17 @@
 /**
 Structured log on standard output, bounded by construction: past a number of lines a
-second only warnings are written, past a second one nothing is, and what was left out
-is counted in a line of its own. Writing never waits for a reader.
+second those of requests that went well are left out, past a second one all are, and
+what was left out is counted in a line of its own. Writing never waits for a reader.
 */
 import {pino, type DestinationStream, type Logger} from 'pino';
 import {logEvents, type LogEventName} from '../core/log-events.js';
 import {type Clock} from '../core/clock.js';
 
-/** Lines a second up to which all are written, and up to which warnings and errors are. */
+/** Lines a second up to which all are written, and up to which those are that are not about a request that went well. */
 const ALL_LINES = 60;
-const WARNING_LINES = 150;
+const IMPORTANT_LINES = 150;
+/** One or two for each request; everything else is a failure or a change of what the instance believes. */
+const routineEvents: ReadonlySet<LogEventName> = new Set(['try-sent', 'request-answered']);
 /** Bytes held for a reader that does not read; more are dropped. */
 const HELD_BYTES_MAX = 512 * 1024;
 const BATCH_BYTES = 4096;
@@ -66,7 +68,7 @@
 	write(event: LogEventName, fields: Fields): void {
 		this._observe(event, fields);
 		const {number, level} = logEvents[event];
-		if (!this._admits(level === 'info')) {
+		if (!this._admits(routineEvents.has(event))) {
 			this._leftOut++;
 			this._leftOutTotal++;
 			return;
@@ -91,7 +93,11 @@
 			}
 		}
 
+		if (this._lines >= (isRoutine ? ALL_LINES : IMPORTANT_LINES)) {
+			return false;
+		}
+
 		this._lines++;
-		return this._lines <= (isRoutine ? ALL_LINES : WARNING_LINES);
+		return true;
 	}
 }
--- a/src/entry/entry-metrics.test.ts
+++ b/src/entry/entry-metrics.test.ts
@@ -58,3 +58,15 @@
 	assert.ok(lines.filter(line => line.includes('request-ended')).length >= 3);
 	assert.match(await metrics.registry.metrics(), /pollenarch_requests_total\{outcome="answered",route="r"\} 2850/v);
 });
+
+test('pattern: many answers a second; what the instance believes of targets and copies is still written', () => {
+	const {log, lines} = setUp();
+	for (let index = 0; index < 200; index++) {
+		log.write('try-sent', {requestId: `r${index}`, waitedMs: 0});
+		log.write('request-answered', {requestId: `r${index}`, tookMs: 1, tries: []});
+	}
+
+	log.write('target-leaving', {targetId: 't1'});
+	assert.ok(lines.some(line => line.includes('target-leaving')));
+	assert.ok(lines.length <= 61, `${lines.length} lines`);
+});
