Leave out of the bundle what undici loads and nothing here uses

Cause: a start takes 0.35 to 0.40 s of processor time on one idle core, twice that and more at an instance's share, and nothing is served meanwhile. A profile shows a fifth of it in undici's fetch, cookies and mocks and in the parts of Node.js that they touch.

Change: the bundle takes the five parts of undici that the program uses. The process test now runs the bundle with the deployment's flags.

--- a/deploy/bundle.ts
+++ b/deploy/bundle.ts
@@ -8,12 +8,36 @@
 import {createRequire} from 'node:module';
 import process from 'node:process';
 import {Script} from 'node:vm';
-import {build} from 'esbuild';
+import {build, type Plugin} from 'esbuild';
 
 /** What a CommonJS file is wrapped in. */
 type Start = (exported: object, load: NodeJS.Require, self: object, file: string, folder: string) => void;
 
-const program = 'target/pollenarch.cjs';
+/** Where the program is put. */
+const folder = process.argv[2] ?? 'target';
+const program = `${folder}/pollenarch.cjs`;
+
+/** What the program uses of undici. Its main module also loads a fetch, cookies, mocks and what of Node.js they need, a fifth of a start. */
+const undiciParts = `
+const Dispatcher = require('undici/lib/dispatcher/dispatcher.js');
+Object.assign(Dispatcher.prototype, require('undici/lib/api/index.js'));
+module.exports = {
+	Dispatcher,
+	Agent: require('undici/lib/dispatcher/agent.js'),
+	Client: require('undici/lib/dispatcher/client.js'),
+	Pool: require('undici/lib/dispatcher/pool.js'),
+	errors: require('undici/lib/core/errors.js'),
+	buildConnector: require('undici/lib/core/connect.js'),
+};
+`;
+
+const withUndiciParts: Plugin = {
+	name: 'undici-parts',
+	setup(bundler) {
+		bundler.onResolve({filter: /^undici$/}, () => ({path: 'undici-parts', namespace: 'undici-parts'}));
+		bundler.onLoad({filter: /.*/, namespace: 'undici-parts'}, () => ({contents: undiciParts, resolveDir: process.cwd()}));
+	},
+};
 
 await build({
 	entryPoints: ['platform/main.ts'],
@@ -25,18 +49,19 @@
 	minifyWhitespace: true,
 	minifySyntax: true,
 	logLevel: 'error',
+	plugins: [withUndiciParts],
 });
 const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(program, 'utf8')}\n})`;
-writeFileSync('target/pollenarch.source.js', source);
+writeFileSync(`${folder}/pollenarch.source.js`, source);
 const script = new Script(source, {filename: program});
 // Functions that a start runs are part of the compiled form only once they have run. Without settings the program
 // says so and ends at once.
 delete process.env.POLLENARCH_SETTINGS;
 const start = script.runInThisContext() as Start;
-start({}, createRequire(import.meta.url), {exports: {}}, program, 'target');
+start({}, createRequire(import.meta.url), {exports: {}}, program, folder);
 process.exitCode = 0;
-writeFileSync('target/pollenarch.cache', script.createCachedData());
-writeFileSync('target/start.cjs', `'use strict';
+writeFileSync(`${folder}/pollenarch.cache`, script.createCachedData());
+writeFileSync(`${folder}/start.cjs`, `'use strict';
 const {readFileSync} = require('node:fs');
 const {join} = require('node:path');
 const {Script} = require('node:vm');
--- a/test/unit/platform-process.test.ts
+++ b/test/unit/platform-process.test.ts
@@ -1,6 +1,6 @@
 /**
-The platform's daemon as a process of its own: its settings at the start, its log when
-nobody reads it, its metrics, and its end.
+The platform's daemon as the process that is deployed, bundled: its settings at the start,
+its log when nobody reads it, its metrics, and its end.
 */
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
@@ -20,11 +20,15 @@
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 const folder = mkdtempSync(path.join(tmpdir(), 'pollenarch-process-'));
+/** As in deploy/system.toml; the compiled form is only taken under the flags that it was made with. */
+const nodeOptions = ['--max-old-space-size=128', '--single-threaded', '--always-sparkplug'];
 const store = new StoreStandin();
 const runner = new RunnerStandin('i-1');
 let storeAddress = '';
 
 before(async () => {
+	const bundled = spawn(process.execPath, [...nodeOptions, '--import', 'tsx', 'deploy/bundle.ts', folder], {cwd: root, stdio: 'inherit'});
+	assert.deepEqual(await once(bundled, 'close'), [0, null]);
 	storeAddress = await store.start();
 	await runner.start();
 	store.put('servers', runner.id, runner.entry('records', 'north'));
@@ -73,7 +77,7 @@
 	files++;
 	const file = path.join(folder, `settings-${files}.yaml`);
 	writeFileSync(file, yaml.stringify(document));
-	return spawn(process.execPath, ['--import', 'tsx', 'platform/main.ts'], {cwd: root, env: {...process.env, POLLENARCH_SETTINGS: file}});
+	return spawn(process.execPath, [...nodeOptions, path.join(folder, 'start.cjs')], {cwd: root, env: {...process.env, POLLENARCH_SETTINGS: file}});
 }
 
 async function get(address: string, headers: Record<string, string> = {}): Promise<{status: number; text: string}> {
