--- a/src/core/entry/plan-moves.ts
+++ b/src/core/entry/plan-moves.ts
@@ -6,7 +6,7 @@
 import {freeOf, isStaged, takesMs} from './engine-room.js';
 import {type PlannedMove, type PlannedTarget} from './plan-input.js';
 import {
-	ADAPTERS_WORTH, copiesForAdapters, DEMAND_FOR_SECOND_COPY, isAnyoneServed, isUrgent, PROSPECT_LOSS, REACHABLE_WORTH, SECOND_COPY_LOSS, worthOf, type Planning, type Want,
+	ADAPTERS_WORTH, copiesForAdapters, DEMAND_FOR_SECOND_COPY, isAnyoneServed, isUrgent, UNASKED_LOSS, REACHABLE_WORTH, SECOND_COPY_LOSS, worthOf, type Planning, type Want,
 } from './plan-wants.js';
 
 /** Demand for a model that moved lasts about this long; a move that takes as long gains nothing. */
@@ -16,6 +16,7 @@
 const CLEARING_USED_MS = 3000;
 /** Requests at a copy from which it counts as used. */
 const USED_OPEN = 0.5;
+/** Loss of one of many copies of a model before anything was asked for: they differ only in number. */
 const UNKNOWN_LOSS = 0.01;
 /** Moving the only copy of a model elsewhere costs a load. */
 const RELOCATION_LOSS = 0.3;
@@ -149,7 +150,7 @@
 	if (!demand) {
 		// Before anything was asked for, what has most copies beyond its adapters' needs goes first.
 		const wanted = Math.max(2, copiesForAdapters(input, model.adapters));
-		return (copies === 2 && isAnyoneServed(input) ? PROSPECT_LOSS : 0) + (UNKNOWN_LOSS / (1 + Math.max(0, copies - wanted)));
+		return (copies === 2 && isAnyoneServed(input) ? UNASKED_LOSS : 0) + (UNKNOWN_LOSS / (1 + Math.max(0, copies - wanted)));
 	}
 
 	const isSecond = copies === 2 && isUrgent(model, demand) && demand.perSecond >= DEMAND_FOR_SECOND_COPY;
--- a/src/core/entry/plan-wants.ts
+++ b/src/core/entry/plan-wants.ts
@@ -18,8 +18,8 @@
 const SECOND_COPY_WORTH = 0.5;
 export const SECOND_COPY_LOSS = 0.6;
 /** The same of a second copy of a model that nobody asked for yet: demand moves to one of these. */
-const PROSPECT_WORTH = 0.3;
-export const PROSPECT_LOSS = 0.4;
+const UNASKED_WORTH = 0.3;
+export const UNASKED_LOSS = 0.4;
 /** The same of a copy on which adapters in use find places that they lack. */
 export const ADAPTERS_WORTH = 2;
 
@@ -43,7 +43,7 @@
 		return 'no-copy';
 	}
 
-	if (pressure.open(name, 'now') / holders.length >= FULL_PART && holders.some(target => pressure.isPastComfort(target))) {
+	if (pressure.open(name, 'now') / holders.length >= FULL_PART && holders.some(target => pressure.isOverloaded(target))) {
 		return 'full';
 	}
 
@@ -70,7 +70,7 @@
 		return ADAPTERS_WORTH;
 	}
 
-	return demand ? SECOND_COPY_WORTH : PROSPECT_WORTH;
+	return demand ? SECOND_COPY_WORTH : UNASKED_WORTH;
 }
 
 export function mostGain({input, pressure}: Planning, {name}: EngineModel): number {
@@ -83,7 +83,7 @@
 }
 
 /** Nobody asked for it yet: worth the memory that is free, but no copy that is held. */
-export function isProspect({input, pressure}: Planning, {name}: EngineModel): boolean {
+export function isUnasked({input, pressure}: Planning, {name}: EngineModel): boolean {
 	return !input.demand.has(name) && pressure.holders(name).length > 0;
 }
 
--- a/src/core/entry/plan.ts
+++ b/src/core/entry/plan.ts
@@ -9,7 +9,7 @@
 import {type PlanInput, type PlannedMove, type PlannedTarget} from './plan-input.js';
 import {afterClearing, intoFreeMemory, type Candidate} from './plan-moves.js';
 import {
-	isProspect, mostGain, wantOf, type Planning, type Want,
+	isUnasked, mostGain, wantOf, type Planning, type Want,
 } from './plan-wants.js';
 import {Pressure} from './pressure.js';
 
@@ -26,7 +26,7 @@
 		.sort((a, b) => b.most - a.most)
 		.slice(0, WANTS_CONSIDERED);
 	return bestOf(planning, wants, intoFreeMemory)
-		?? bestOf(planning, wants.filter(({model}) => !isProspect(planning, model)), afterClearing);
+		?? bestOf(planning, wants.filter(({model}) => !isUnasked(planning, model)), afterClearing);
 }
 
 type Place = (planning: Planning, want: Want, target: PlannedTarget) => Candidate | undefined;
--- a/src/core/entry/pressure.ts
+++ b/src/core/entry/pressure.ts
@@ -11,8 +11,8 @@
 Part of an engine's slots up to which streams keep their pauses: measured on the users' engines, one stream in
 thirty is late below it, one in four at half of the slots.
 */
-const COMFORT_SHARE = 0.3;
-/** Loads past comfort, as multiples of it, at which all streams would be late if that went on evenly. */
+const IN_TIME_SHARE = 0.3;
+/** Loads past that part, as multiples of it, at which all streams would be late if that went on evenly. */
 const LATE_SPAN = 3;
 /** Requests for a model without a copy are refused, which is worse than late. */
 const ABSENT_WEIGHT = 2;
@@ -80,8 +80,8 @@
 		return this._loads[view].get(id) ?? 0;
 	}
 
-	isPastComfort({id, slots}: PlannedTarget): boolean {
-		return this.load(id, 'now') > slots * COMFORT_SHARE;
+	isOverloaded({id, slots}: PlannedTarget): boolean {
+		return this.load(id, 'now') > slots * IN_TIME_SHARE;
 	}
 
 	/** What a change of one target's copies adds to the requests that are not served in time; negative where it helps. */
@@ -128,6 +128,6 @@
 
 /** Requests that are late of a number that run at an engine at once. */
 function lateAt(load: number, slots: number): number {
-	const comfort = slots * COMFORT_SHARE;
-	return load * Math.max(0, load - comfort) / (LATE_SPAN * comfort);
+	const inTime = slots * IN_TIME_SHARE;
+	return load * Math.max(0, load - inTime) / (LATE_SPAN * inTime);
 }
