Take only the last version of each row from the store's feed

An instance that reads for the first time in a while, because the zone's reader stopped, gets a target's last heartbeat and then its deletion in one page. The deletion was passed over for a key that the page also held as written, so the target came back to life, and stayed until the next whole copy.

Ruled out: the age of the copy; no request was sent on one older than 0.8 s.

--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -188,7 +188,13 @@
 		return;
 	}
 
-	target.missingSinceMs = undefined;
+	if (target.missingSinceMs !== undefined) {
+		target.missingSinceMs = undefined;
+		logEvent(context, 'target-listed', {
+			targetId: entry.id, service: entry.service, zone: entry.zone, revision: state.registry.revision,
+		});
+	}
+
 	if (entry.isLeaving && !target.entry.isLeaving) {
 		logEvent(context, 'target-leaving', {targetId: entry.id, revision: state.registry.revision});
 	}
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -96,13 +96,15 @@
 
 		const {rows, revision, storeMs} = page.unsafeCoerce();
 		this._registryRevision = Math.max(this._registryRevision, revision);
-		const entries = rows.map(row => this._decodeTarget(row)).filter(entry => entry !== undefined);
+		// The feed tells every change in order; a reader that was away for a while sees a row written and then deleted.
+		const latest = [...new Map(rows.map(row => [row.key, row])).values()];
+		const entries = latest.map(row => this._decodeTarget(row)).filter(entry => entry !== undefined);
 		const readable = new Set(entries.map(({id}) => id));
 		dispatch({
 			kind: 'registry-read',
 			revision,
 			entries,
-			removed: rows.filter(({key}) => !readable.has(key)).map(({key}) => key),
+			removed: latest.filter(({key}) => !readable.has(key)).map(({key}) => key),
 			isWhole,
 			askedAtMs,
 			storeMs,
