LIMIT: log and count the rate limits that targets name

Cause: what a target names was dropped with the other headers, so that neither logs nor metrics could tell an instance that reads a limit from one that does not. Change: the header is decoded; the core records it with the time up to which it is known to hold; events 308 and 309, limitPerSecond in 206, the gauge pollenarch_limited_targets. Responses overtake each other, so a limit ends only by a response to a request that was sent after it was last named. No decision reads it.

--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -6,7 +6,9 @@
 import {type EntryConfiguration} from './configuration.js';
 import {type EnabledMechanisms} from './mechanisms.js';
 import {type Beacon, type LoadAnnouncement, type StateTransfer} from './peer-messages.js';
-import {type TargetLoad, type TargetEntry, type TargetReport} from './target.js';
+import {
+	type StatedRateLimit, type TargetLoad, type TargetEntry, type TargetReport,
+} from './target.js';
 import {
 	type EngineOrderOutcome, type EntryArrival, type EntryBounds, type EntryInstance, type LeaseRecord, type TryOutcome,
 } from './types.js';
@@ -37,7 +39,15 @@
 	| {readonly kind: 'instances-read'; readonly instances: readonly EntryInstance[]}
 	| {readonly kind: 'request-arrived'; readonly arrival: EntryArrival}
 	| {readonly kind: 'caller-left'; readonly requestId: RequestId}
-	| {readonly kind: 'try-progressed'; readonly requestId: RequestId; readonly tryNumber: number; readonly delivered: number; readonly load?: TargetLoad}
+	| {
+		readonly kind: 'try-progressed';
+		readonly requestId: RequestId;
+		readonly tryNumber: number;
+		readonly delivered: number;
+		readonly load?: TargetLoad;
+		/** What the response's head states about the rate of requests; undefined without a head of the target's own. */
+		readonly rateLimit?: StatedRateLimit;
+	}
 	| {
 		readonly kind: 'try-ended';
 		readonly requestId: RequestId;
@@ -46,6 +56,7 @@
 		readonly delivered: number;
 		readonly status?: number;
 		readonly load?: TargetLoad;
+		readonly rateLimit?: StatedRateLimit;
 		/** For a declined request: whether the target does not hold the model or adapter that it needs. */
 		readonly isMissing?: boolean;
 		/** Why the response was considered incomplete. */
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -54,6 +54,7 @@
 		zone: target.entry.zone,
 		model: request.arrival.model,
 		inFlight: target.inFlight.size,
+		limitPerSecond: target.rateLimit?.perSecond,
 		registryRevision: state.registry.revision,
 		registryAgeMs: Math.round(nowMs - state.registry.freshAtMs),
 		waitedMs: Math.round(nowMs - request.arrivedAtMs),
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -57,6 +57,19 @@
 	readonly slots: number;
 };
 
+/** What the head of a target's response states about the rate of requests. */
+export type StatedRateLimit = {
+	/** Requests a second that it takes from all instances together, undefined if it names no limit. */
+	readonly perSecond: number | undefined;
+};
+
+export type RateLimit = {
+	/** Undefined once the target has lifted it. */
+	readonly perSecond: number | undefined;
+	/** Time up to which the target is known to have stated this. */
+	readonly statedAtMs: number;
+};
+
 export type PeerLoad = {
 	readonly inFlight: number;
 	/** Tokens of prompts that the peer sent and that the target has not read yet. */
@@ -99,6 +112,8 @@
 	readonly adapters: Map<string, number>;
 	/** Copies that get no new requests because they are about to be unloaded, with the time from which they may get some again. */
 	readonly leavingCopies: Map<string, number>;
+	/** Undefined until it names a limit. */
+	rateLimit: RateLimit | undefined;
 };
 
 /** The load sent by a target is used this long; after that only own and peers' requests count. */
@@ -129,6 +144,7 @@
 		firstByte: emptyEstimate(),
 		adapters: new Map(adaptersOf(entry.copies).map(name => [name, entry.sequence])),
 		leavingCopies: new Map(),
+		rateLimit: undefined,
 	};
 }
 
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -14,6 +14,7 @@
 import {type EntryEventOf} from './event.js';
 import {addReading, createReadingSpeed} from './reading-speed.js';
 import {takeRetry} from './retry-budgets.js';
+import {recordStatedLimit} from './rate-limit.js';
 import {canServe, hasCapacity} from './selection.js';
 import {
 	logEvent, type Timer, type EntryContext, type EntryState,
@@ -115,6 +116,10 @@
 			recordLoad(target, event.load, nowMs);
 		}
 
+		if (event.rateLimit) {
+			recordStatedLimit(context, target, attempt, event.rateLimit);
+		}
+
 		if (markRead(state, target, request.id)) {
 			dispatchTarget(context, target);
 		}
@@ -153,6 +158,10 @@
 	request.delivered = Math.max(request.delivered, event.delivered);
 	attempt.firstEventAtMs = event.firstEventAtMs;
 	attempt.longestPauseMs = event.longestPauseMs;
+	if (target && event.rateLimit && !attempt.hasBegun) {
+		recordStatedLimit(context, target, attempt, event.rateLimit);
+	}
+
 	endTry(context, request, attempt, event.outcome);
 	if (target && event.load) {
 		recordLoad(target, event.load, nowMs);
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -38,6 +38,8 @@
 	'target-leaving': {number: 305, level: 'info'},
 	'target-unlisted': {number: 306, level: 'info'},
 	'entry-unreadable': {number: 307, level: 'warn'},
+	'target-limited': {number: 308, level: 'warn'},
+	'target-limit-lifted': {number: 309, level: 'info'},
 	'order-sent': {number: 400, level: 'info'},
 	'order-confirmed': {number: 401, level: 'info'},
 	'order-unresolved': {number: 402, level: 'warn'},
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -97,6 +97,8 @@
 	/** Whether it did not run it since it is not the target, or does not hold the model or adapter, that the request needs. */
 	readonly isMissing: boolean;
 	readonly load: TargetLoad | undefined;
+	/** Requests a second that the target takes from all instances together, undefined if it names no limit. */
+	readonly requestsPerSecond: number | undefined;
 };
 
 /** Decodes and encodes the headers of callers and targets. */
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -66,6 +66,7 @@
 			['pollenarch_open_requests', 'Requests without a final answer.', () => state.open.size],
 			['pollenarch_waiting_requests', 'Requests that wait for room at a target.', () => [...state.queues.values()].reduce((sum, {waiting}) => sum + waiting, 0)],
 			['pollenarch_usable_targets', 'Targets that requests may be sent to.', () => [...state.targets.values()].filter(target => isUsable(target, monotonicMs())).length],
+			['pollenarch_limited_targets', 'Targets that name a limit on requests.', () => [...state.targets.values()].filter(({rateLimit}) => rateLimit?.perSecond !== undefined).length],
 			['pollenarch_known_instances', 'Other instances that are known.', () => state.peers.size],
 			['pollenarch_configuration_version', 'Version of the configuration in force.', () => state.configuration?.version ?? 0],
 			['pollenarch_registry_age_seconds', 'Age of the copy of the registry.', () => Number.isFinite(state.registry.freshAtMs) ? (monotonicMs() - state.registry.freshAtMs) * SECONDS_PER_MS : -1],
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {type EntryEffectOf} from '../core/entry/effect.js';
 import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
+import {type StatedRateLimit} from '../core/entry/target.js';
 import {type TryOutcome} from '../core/entry/types.js';
 import {type Exchange, withoutHopByHopHeaders} from './exchange.js';
 import {type ResponseMetadata, type HeaderCodec} from './deployment.js';
@@ -30,6 +31,7 @@
 	readonly outcome: TryOutcome;
 	readonly status?: number;
 	readonly load?: ResponseMetadata['load'];
+	readonly rateLimit?: StatedRateLimit;
 	readonly isMissing?: boolean;
 	readonly reason?: string;
 	readonly timing?: StreamTiming;
@@ -87,15 +89,18 @@
 
 		const metadata = headerCodec.parseResponse(response.status, response.headers);
 		const timing: StreamTiming = {firstEventAtMs: undefined, longestPauseMs: 0};
+		const rateLimit = {perSecond: metadata.requestsPerSecond};
 		try {
 			return {
+				rateLimit,
 				...await this._readResponse(exchange, effect, {
 					response, metadata, signal, timing,
-				}), timing,
+				}),
+				timing,
 			};
 		} catch (error) {
 			return {
-				outcome: 'broken', status: response.status, load: metadata.load, reason: errorCode(error) || String(error), timing,
+				outcome: 'broken', status: response.status, load: metadata.load, rateLimit, reason: errorCode(error) || String(error), timing,
 			};
 		}
 	}
@@ -108,7 +113,7 @@
 			body.on('error', () => undefined);
 			body.destroy();
 			return {
-				outcome: 'broken', status, load, reason: fault,
+				outcome: 'broken', status, load, rateLimit: undefined, reason: fault,
 			};
 		}
 
@@ -180,7 +185,7 @@
 			if (nowMs - progressSentAtMs >= PROGRESS_INTERVAL_MS) {
 				progressSentAtMs = nowMs;
 				this._options.dispatch({
-					kind: 'try-progressed', requestId: exchange.id, tryNumber: effect.tryNumber, delivered: exchange.delivered, load: metadata.load,
+					kind: 'try-progressed', requestId: exchange.id, tryNumber: effect.tryNumber, delivered: exchange.delivered, load: metadata.load, rateLimit: {perSecond: metadata.requestsPerSecond},
 				});
 			}
 
