--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -23,6 +23,7 @@
 import {type Pattern, type PatternEvent} from './pattern.js';
 import {RandomSource} from './random-source.js';
 import {Simulation} from './simulation.js';
+import {RateLimitMonitor} from './rate-limit-monitor.js';
 import {generateRequests} from './workload.js';
 
 const TICK_MS = 50;
@@ -68,7 +69,7 @@
 /** A try on its way to a target, and how its answers get back. */
 type TrySending = {
 	readonly tryNumber: number;
-	readonly respond: (event: Untimed) => void;
+	readonly respond: (event: Extract<Untimed, {kind: 'try-progressed' | 'try-ended'}>) => void;
 };
 
 /** State of the deployment at a moment, for plots. */
@@ -107,6 +108,13 @@
 	private readonly _targets = new Map<string, ModelTarget>();
 	private readonly _callers: Callers<Instance>;
 	private readonly _configuration: EntryConfiguration;
+	private readonly _rateLimits = new RateLimitMonitor({
+		simulation: this.simulation,
+		onViolation: text => {
+			this.violations.push(text);
+		},
+	});
+
 	private readonly _adapterCalls = new Map<string, (isHeld: boolean, sequence: number) => void>();
 	private readonly _holderByEngine = new Map<string, {holder: string; epoch: number}>();
 	private readonly _moved: Array<{atMs: number; kind: string; model: string; targetId: string}> = [];
@@ -489,18 +497,26 @@
 		}
 
 		const delayMs = this._delayTo(instance, target);
-		const respond = (event: Untimed) => {
+		const respond: TrySending['respond'] = event => {
+			const perSecond = this._rateLimits.limitOf(targetId);
 			this._later(instance, delayMs, () => {
-				this._dispatch(instance, event);
+				this._rateLimits.recordTold(instance.identity.id, targetId);
+				this._dispatch(instance, {...event, rateLimit: {perSecond}});
 			});
 		};
 
 		this.simulation.schedule(delayMs, () => {
 			if (!target?.isUp || !this._network.arrives(instance.zone, target.zone)) {
-				respond({
-					kind: 'try-ended', requestId, tryNumber, outcome: 'not-sent', delivered: attempt.events,
+				this._later(instance, delayMs, () => {
+					this._dispatch(instance, {
+						kind: 'try-ended', requestId, tryNumber, outcome: 'not-sent', delivered: attempt.events,
+					});
 				});
-			} else if (target.engine) {
+				return;
+			}
+
+			this._rateLimits.recordArrival(instance.identity.id, targetId);
+			if (target.engine) {
 				this._runOnEngine(attempt, target, {tryNumber, respond, delayMs});
 			} else {
 				this._runOnService(attempt, target, {tryNumber, respond});
@@ -653,6 +669,14 @@
 				});
 			}
 		},
+		'named-limit': ({forS, number, perSecond}) => {
+			for (const {id} of this._pickEngines(number)) {
+				this._rateLimits.name(id, perSecond);
+				this.simulation.schedule(forS * 1000, () => {
+					this._rateLimits.lift(id);
+				});
+			}
+		},
 		'instance-kill': ({forS, number, holder}) => {
 			const first = this._instances.filter(({state, isUp}) => isUp && holder && state.lease.held !== undefined);
 			const others = this._instances.filter(instance => instance.isUp && !first.includes(instance));
@@ -690,6 +714,7 @@
 
 	private _kill(instance: Instance, forMs: number): void {
 		instance.isUp = false;
+		this._rateLimits.forgetInstance(instance.identity.id);
 		this._callers.failAt(instance);
 
 		this.simulation.schedule(forMs, () => {
--- a/src/experiment/pattern.ts
+++ b/src/experiment/pattern.ts
@@ -84,6 +84,10 @@
 	z.strictObject({
 		kind: z.literal('engine-slow'), atS: seconds, forS: seconds, number: count.default(1), times: positive,
 	}),
+	/** Targets name a limit of that many requests a second from all instances together. */
+	z.strictObject({
+		kind: z.literal('named-limit'), atS: seconds, forS: seconds, number: count.default(1), perSecond: positive,
+	}),
 	/** Kills instances; `holder`: the one that holds the lease first. */
 	z.strictObject({
 		kind: z.literal('instance-kill'), atS: seconds, forS: seconds, number: count.default(1), holder: z.boolean().default(false),
