LIMIT: all instances together keep to the rate that a target names

What was seen: a target that had named 2.8 requests a second got 36 in 4 s (22 allowed), another 45; callers got answers of a target that was in need. Cause: nothing read the limit. Class: a limit that another party sets for all instances together, and that no instance keeps for the sum. Ruled out: a limit kept by each instance for itself (arrivals would have fallen to 0.8 of 2.8 a second each; they did not change at 8.0 s), and surplus by retries (tryNumber is 1 in the lines of the targets concerned). Change: limits travel with beacons; the lease holder spreads permits over time at the named rate, and a request to a limited target needs one. While no holder answers, an instance keeps to an equal share. Other copies come first; what the limit keeps out past its caller's patience is refused at once with the true time.

--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -9,6 +9,7 @@
 	type Beacon, type ComingCopy, type LeavingCopy, type Peer, type ReportedCopies,
 } from './peer-messages.js';
 import {holdsLease} from './lease.js';
+import {announcedLimits} from './rate-limit.js';
 import {PEER_SILENT_MS} from './peers.js';
 import {canReadStore} from './registry.js';
 import {randomFraction, type EntryContext} from './state.js';
@@ -133,6 +134,7 @@
 		comingCopies: held ? comingCopies(context) : [],
 		adapters: [...state.adaptersToAnnounce.values()].map(({adapter}) => adapter),
 		crashes: [...state.crashesToAnnounce.keys()].map(contentHash => ({contentHash, crashes: state.crashes.get(contentHash) ?? 0})),
+		rateLimits: announcedLimits(context),
 	};
 }
 
--- a/src/core/entry/dispatch.ts
+++ b/src/core/entry/dispatch.ts
@@ -8,6 +8,7 @@
 import {isLeaseVacant, leaseReturnMs} from './lease.js';
 import {queueKeyOf, queueOf} from './queues.js';
 import {type EntryContext} from './state.js';
+import {askForPermits} from './rate-permits.js';
 import {chooseTarget} from './selection.js';
 import {type Target} from './target.js';
 import {refuseOrWait} from './patience.js';
@@ -51,6 +52,11 @@
 	const {nowMs} = context;
 	for (let request = queue.peek(nowMs); request; request = queue.peek(nowMs)) {
 		const choice = chooseTarget(context, request, targetsOf(context.state, request.service));
+		const isPermitted = choice.permitFrom !== undefined && askForPermits(context, choice.permitFrom, choice.kind === 'full' ? queue.waiting : 1);
+		if (choice.kind === 'full' && isPermitted) {
+			continue;
+		}
+
 		if (choice.kind === 'none' || choice.kind === 'full') {
 			return;
 		}
--- a/src/core/entry/effect.ts
+++ b/src/core/entry/effect.ts
@@ -6,7 +6,9 @@
 import {type ResultName} from '../result-codes.js';
 import {type RequestId, type TargetId} from '../types.js';
 import {type EntryConfiguration} from './configuration.js';
-import {type Beacon, type KnownVersions, type LoadAnnouncement} from './peer-messages.js';
+import {
+	type Beacon, type KnownVersions, type LoadAnnouncement, type PermitGrant, type PermitRequest,
+} from './peer-messages.js';
 import {type EngineOrder, type EntryInstance, type LeaseRecord} from './types.js';
 
 export type EntryEffect =
@@ -51,6 +53,8 @@
 	| {readonly kind: 'write-lease'; readonly expectedRevision: number; readonly record: LeaseRecord}
 	| {readonly kind: 'beacon'; readonly addresses: readonly string[]; readonly beacon: Beacon}
 	| {readonly kind: 'announce-load'; readonly addresses: readonly string[]; readonly announcement: LoadAnnouncement}
+	| {readonly kind: 'ask-permits'; readonly address: string; readonly request: PermitRequest}
+	| {readonly kind: 'grant-permits'; readonly address: string; readonly grant: PermitGrant}
 	/** Requests whatever is newer at a peer. */
 	| {readonly kind: 'pull'; readonly address: string; readonly known: KnownVersions}
 	| {readonly kind: 'adopt-configuration'; readonly configuration: EntryConfiguration}
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -5,7 +5,9 @@
 import {type RequestId, type TargetId} from '../types.js';
 import {type EntryConfiguration} from './configuration.js';
 import {type EnabledMechanisms} from './mechanisms.js';
-import {type Beacon, type LoadAnnouncement, type StateTransfer} from './peer-messages.js';
+import {
+	type Beacon, type LoadAnnouncement, type PermitGrant, type PermitRequest, type StateTransfer,
+} from './peer-messages.js';
 import {
 	type StatedRateLimit, type TargetLoad, type TargetEntry, type TargetReport,
 } from './target.js';
@@ -72,6 +74,8 @@
 	| {readonly kind: 'lease-request-completed'; readonly result: LeaseResult; readonly sentAtMs: number; readonly sentAtWallMs: number}
 	| {readonly kind: 'beacon-received'; readonly beacon: Beacon}
 	| {readonly kind: 'load-announced'; readonly announcement: LoadAnnouncement}
+	| {readonly kind: 'permits-requested'; readonly request: PermitRequest}
+	| {readonly kind: 'permits-granted'; readonly grant: PermitGrant}
 	| {readonly kind: 'pull-completed'; readonly transfer: StateTransfer}
 	| {readonly kind: 'drain-requested'};
 
--- a/src/core/entry/expected-wait.ts
+++ b/src/core/entry/expected-wait.ts
@@ -8,10 +8,13 @@
 import {holdsLease} from './lease.js';
 import {queueOf} from './queues.js';
 import {liveInstances} from './peers.js';
+import {permitWaitMs} from './rate-permits.js';
 import {msPerToken, tokensToRead} from './reading-speed.js';
 import {canServe} from './selection.js';
 import {type EntryContext} from './state.js';
-import {isUsable, unreadTokens, type Target} from './target.js';
+import {
+	isLimited, isUsable, unreadTokens, type Target,
+} from './target.js';
 import {type EntryRequest} from './types.js';
 import {targetsOf} from './targets.js';
 
@@ -26,7 +29,7 @@
 	readonly waitMs: number;
 	/** When a caller that is refused now should return: once its targets are relieved by the next copy, if one is on its way. */
 	readonly returnMs: number;
-	readonly reason: 'no target holds what it needs' | 'its targets are full';
+	readonly reason: 'no target holds what it needs' | 'its targets are full' | 'its targets limit the rate of requests';
 	/** Whether the time is known from a load under way or the queue's rate, not only assumed. */
 	readonly isKnown: boolean;
 };
@@ -34,11 +37,12 @@
 export function expectedWait(context: EntryContext, request: EntryRequest): ExpectedWait {
 	const {state, nowMs} = context;
 	const serving = targetsOf(state, request.service).filter(target => canServe(target, request, nowMs));
-	const queueMs = Math.max(queueOf(state, request.queueKey).expectedWaitMs(), readingQueueMs(context, request, serving));
+	const limitMs = rateLimitMs(context, request, serving);
+	const queueMs = Math.max(queueOf(state, request.queueKey).expectedWaitMs(), readingQueueMs(context, request, serving), limitMs);
 	const comingMs = comingCopyMs(context, request);
 	if (serving.length > 0) {
 		return {
-			waitMs: queueMs, returnMs: Math.max(queueMs, comingMs ?? 0), reason: 'its targets are full', isKnown: true,
+			waitMs: queueMs, returnMs: Math.max(queueMs, comingMs ?? 0), reason: limitMs > 0 ? 'its targets limit the rate of requests' : 'its targets are full', isKnown: true,
 		};
 	}
 
@@ -62,6 +66,18 @@
 	return (unread + (waiting * meanTokens)) * msPerToken(state.readingSpeeds.get(queueKey)) / (serving.length * READING_TIME_SHARE);
 }
 
+/** Time until the rate limits of all targets that serve it let the request and those before it pass; 0 if one has no limit. */
+function rateLimitMs({state, nowMs}: EntryContext, {queueKey}: EntryRequest, serving: readonly Target[]): number {
+	if (serving.length === 0 || serving.some(target => !isLimited(target))) {
+		return 0;
+	}
+
+	const perSecond = serving.reduce((sum, {rateLimit}) => sum + (rateLimit?.perSecond ?? 0), 0);
+	const nextMs = Math.min(...serving.map(target => permitWaitMs(target, nowMs)));
+	const before = Math.max(0, queueOf(state, queueKey).waiting - 1);
+	return nextMs + (before * 1000 / Math.max(perSecond, Number.MIN_VALUE));
+}
+
 /** Time until a copy that is being loaded serves, undefined if none is known. */
 function comingCopyMs(context: EntryContext, {service, arrival: {model}}: EntryRequest): number | undefined {
 	const {state, nowMs} = context;
--- a/src/core/entry/order-tracker.ts
+++ b/src/core/entry/order-tracker.ts
@@ -114,6 +114,8 @@
 	/** Rounds of beacons to all zones that are due since a move was started; the second covers a lost datagram. */
 	announceRounds = 0;
 	plannedAtMs = Number.NEGATIVE_INFINITY;
+	/** When each target that names a rate limit takes the next request that nobody has a permit for. */
+	readonly permitsDueMs = new Map<TargetId, number>();
 	/** Token buckets of loads that may start from the weight store, by service, since each service has a rate of its own. */
 	private readonly _storeLoads = new Map<string, StoreLoads>();
 	private readonly _missingSince = new Map<string, number>();
@@ -186,6 +188,7 @@
 
 	forget(id: TargetId): void {
 		this.targets.delete(id);
+		this.permitsDueMs.delete(id);
 	}
 
 	/** Drops everything: another instance may have sent orders since. */
@@ -193,6 +196,7 @@
 		this._missingSince.clear();
 		this._recentDemand.clear();
 		this.targets.clear();
+		this.permitsDueMs.clear();
 		this._storeLoads.clear();
 	}
 
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -78,6 +78,33 @@
 	readonly loads: readonly AnnouncedLoad[];
 };
 
+/** A target's rate limit, or that it has lifted one. */
+export type AnnouncedLimit = {
+	readonly targetId: TargetId;
+	readonly incarnation: number;
+	/** Absent once it is lifted. */
+	readonly perSecond?: number;
+	/** Time since the target stated it. */
+	readonly statedAgoMs: number;
+};
+
+/** Asks the lease holder for permits to send requests to a target that names a rate limit. */
+export type PermitRequest = AnnouncedLimit & {
+	readonly from: InstanceId;
+	/** Host and port that receives the grant. */
+	readonly replyTo: string;
+	readonly perSecond: number;
+	readonly wanted: number;
+};
+
+export type PermitGrant = {
+	readonly targetId: TargetId;
+	/** Time until each permit may be used; fewer than wanted if the next ones are far off. */
+	readonly inMs: readonly number[];
+	/** Time until the target takes a request that nobody has a permit for. */
+	readonly freeInMs: number;
+};
+
 export type Beacon = {
 	readonly from: EntryInstance;
 	readonly isLeaving: boolean;
@@ -101,6 +128,8 @@
 	readonly comingCopies?: readonly ComingCopy[];
 	readonly adapters: readonly HeldAdapter[];
 	readonly crashes: readonly CrashCount[];
+	/** Undefined from instances of an earlier release. */
+	readonly rateLimits?: readonly AnnouncedLimit[];
 };
 
 /** Versions that an instance holds when it pulls. */
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -9,6 +9,7 @@
 import {
 	type Beacon, type KnownVersions, type LeaseStatus, type StateTransfer,
 } from './peer-messages.js';
+import {adoptAnnouncedLimits} from './rate-limit.js';
 import {adoptRegistry, updateFreshness} from './registry.js';
 import {leaseStatus} from './beacon-sender.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
@@ -35,6 +36,7 @@
 	confirmRegistry(context, beacon);
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
+	adoptAnnouncedLimits(context, beacon.rateLimits ?? []);
 	for (const {contentHash, crashes} of beacon.crashes) {
 		mergeCrashCount(context, contentHash, crashes);
 	}
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -20,6 +20,7 @@
 import {runPlacement} from './placement.js';
 import {handleRegistryRead, handleRegistryReadFailure, refreshRegistry} from './registry.js';
 import {announceLoads, handleLoadAnnouncement} from './load-announcements.js';
+import {handlePermitGrant, handlePermitRequest} from './rate-permits.js';
 import {handleBeacon, handlePullCompleted, addPeers} from './peer-sync.js';
 import {sendBeacons} from './beacon-sender.js';
 import {
@@ -64,6 +65,8 @@
 	'lease-request-completed': handleLeaseResult,
 	'beacon-received': handleBeacon,
 	'load-announced': handleLoadAnnouncement,
+	'permits-requested': handlePermitRequest,
+	'permits-granted': handlePermitGrant,
 	'pull-completed': handlePullCompleted,
 	'drain-requested': beginDrain,
 };
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -5,10 +5,11 @@
 number of slots and otherwise wait here, where they can still be sent elsewhere.
 */
 import fnv1a from '@sindresorhus/fnv1a';
+import {canAskForPermit, maySend} from './rate-permits.js';
 import {msPerToken, tokensToRead} from './reading-speed.js';
 import {randomFraction, type EntryContext} from './state.js';
 import {
-	estimatedLoad, holdsModel, isUsable, unreadTokens, type Target,
+	estimatedLoad, holdsModel, isLimited, isUsable, unreadTokens, type Target,
 } from './target.js';
 import {type EntryRequest} from './types.js';
 
@@ -29,14 +30,18 @@
 /** Maximum random cost, which keeps instances with the same view from all choosing the same target. */
 const JITTER_COST = 0.08;
 
-export type Choice =
+export type Choice = (
 	| {readonly kind: 'send'; readonly target: Target}
 	/** The adapter has to be loaded on the target first. */
 	| {readonly kind: 'fetch'; readonly target: Target}
 	/** Targets could serve it, but none has capacity. */
 	| {readonly kind: 'full'}
 	/** No target can serve it now. */
-	| {readonly kind: 'none'};
+	| {readonly kind: 'none'}
+) & {
+	/** A target that names a rate limit and would be the better choice with a permit. */
+	readonly permitFrom?: Target;
+};
 
 export function chooseTarget(context: EntryContext, request: EntryRequest, candidates: readonly Target[]): Choice {
 	const usable = candidates.filter(target => canServe(target, request, context.nowMs));
@@ -50,15 +55,26 @@
 		return {kind: 'full'};
 	}
 
-	if (adapter === undefined) {
-		return {kind: 'send', target: cheapest(context, request, withCapacity)};
+	const name = `${request.arrival.model}/${adapter}`;
+	const holding = adapter === undefined ? withCapacity : withCapacity.filter(target => target.adapters.has(name));
+	const best = cheapest(context, request, holding.filter(target => maySend(target, context.nowMs)));
+	const permitFrom = targetToAsk(context, request, holding, best);
+	if (best) {
+		return {kind: 'send', target: best, permitFrom};
 	}
 
-	const name = `${request.arrival.model}/${adapter}`;
-	const holding = withCapacity.filter(target => target.adapters.has(name));
-	return holding.length > 0
-		? {kind: 'send', target: cheapest(context, request, holding)}
-		: {kind: 'fetch', target: rendezvousTarget(name, preferAccepting(context, withCapacity))};
+	const unlimited = withCapacity.filter(target => !isLimited(target));
+	const loadable = unlimited.length > 0 ? unlimited : withCapacity;
+	return adapter === undefined || loadable.some(target => holding.includes(target))
+		? {kind: 'full', permitFrom}
+		: {kind: 'fetch', target: rendezvousTarget(name, preferAccepting(context, loadable)), permitFrom};
+}
+
+/** The best target that lacks only a permit, if it is better than the one that the request can be sent to now. */
+function targetToAsk(context: EntryContext, request: EntryRequest, targets: readonly Target[], best: Target | undefined): Target | undefined {
+	const limited = targets.filter(target => isLimited(target) && !maySend(target, context.nowMs) && canAskForPermit(target, context.nowMs));
+	const preferred = limited.length === 0 ? undefined : cheapest(context, request, best ? [best, ...limited] : limited);
+	return preferred === best ? undefined : preferred;
 }
 
 /** The targets that take orders for adapters now; all of them if none does. */
@@ -99,8 +115,8 @@
 	return unread === 0 || (unread + tokensToRead(arrival.promptTokens)) * msPerToken(state.readingSpeeds.get(queueKey)) <= limitMs;
 }
 
-function cheapest(context: EntryContext, request: EntryRequest, targets: readonly Target[]): Target {
-	let best = targets[0]!;
+function cheapest(context: EntryContext, request: EntryRequest, targets: readonly Target[]): Target | undefined {
+	let [best] = targets;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const target of targets) {
 		const cost = costOf(context, request, target);
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -2,6 +2,7 @@
 Sends a try to its target and sets the timer that detects a silent one.
 */
 import {upperLimitMs} from '../request/estimate.js';
+import {takePermit} from './rate-permits.js';
 import {tokensToRead} from './reading-speed.js';
 import {logEvent, type EntryContext} from './state.js';
 import {ownUnreadTokens, type Target} from './target.js';
@@ -27,6 +28,7 @@
 	const isRetry = request.tries.length > 0;
 	request.tries.push(attempt);
 	request.phase = 'running';
+	takePermit(target, nowMs);
 	target.inFlight.set(request.id, attempt.number);
 	if (request.arrival.model !== undefined) {
 		target.unread.set(request.id, tokensToRead(request.arrival.promptTokens));
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -70,6 +70,20 @@
 	readonly statedAtMs: number;
 };
 
+/** Permits of this instance to send requests to a target that names a rate limit. */
+export type PermitPool = {
+	/** Times from which each may be used, ascending. */
+	readonly usableFromMs: number[];
+	/** When permits were last asked for, undefined once the answer has come. */
+	askedAtMs: number | undefined;
+	/** None are asked for before this time. */
+	askAgainAtMs: number;
+	/** When the target takes a request that nobody has a permit for yet, as far as this instance knows. */
+	freeAtMs: number;
+	/** When this instance's own share of the limit allows the next request; undefined until that is needed. */
+	shareDueMs: number | undefined;
+};
+
 export type PeerLoad = {
 	readonly inFlight: number;
 	/** Tokens of prompts that the peer sent and that the target has not read yet. */
@@ -114,6 +128,7 @@
 	readonly leavingCopies: Map<string, number>;
 	/** Undefined until it names a limit. */
 	rateLimit: RateLimit | undefined;
+	readonly permits: PermitPool;
 };
 
 /** The load sent by a target is used this long; after that only own and peers' requests count. */
@@ -145,6 +160,9 @@
 		adapters: new Map(adaptersOf(entry.copies).map(name => [name, entry.sequence])),
 		leavingCopies: new Map(),
 		rateLimit: undefined,
+		permits: {
+			usableFromMs: [], askedAtMs: undefined, askAgainAtMs: Number.NEGATIVE_INFINITY, freeAtMs: Number.NEGATIVE_INFINITY, shareDueMs: undefined,
+		},
 	};
 }
 
@@ -205,6 +223,11 @@
 	return !target.entry.isLeaving && (target.unlistedFromMs === undefined || nowMs < target.unlistedFromMs);
 }
 
+/** Whether the target names a rate limit. */
+export function isLimited({rateLimit}: Target): boolean {
+	return rateLimit?.perSecond !== undefined;
+}
+
 export function isUsable(target: Target, nowMs: number): boolean {
 	return isListed(target, nowMs) && nowMs >= target.backoffUntilMs;
 }
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -15,6 +15,7 @@
 import {addReading, createReadingSpeed} from './reading-speed.js';
 import {takeRetry} from './retry-budgets.js';
 import {recordStatedLimit} from './rate-limit.js';
+import {maySend} from './rate-permits.js';
 import {canServe, hasCapacity} from './selection.js';
 import {
 	logEvent, type Timer, type EntryContext, type EntryState,
@@ -297,7 +298,8 @@
 }
 
 function hasOtherTarget({state, nowMs}: EntryContext, request: EntryRequest, attempt: EntryTry): boolean {
-	return targetsOf(state, request.service).some(target => target.id !== attempt.targetId && canServe(target, request, nowMs) && hasCapacity({state, nowMs}, target, request));
+	return targetsOf(state, request.service).some(target => target.id !== attempt.targetId
+		&& canServe(target, request, nowMs) && hasCapacity({state, nowMs}, target, request) && maySend(target, nowMs));
 }
 
 /** Ends a request that is still open at its deadline. */
--- a/src/entry/datagram-codec.ts
+++ b/src/entry/datagram-codec.ts
@@ -4,8 +4,17 @@
 */
 import {Buffer} from 'node:buffer';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
-import {type Beacon, type LoadAnnouncement} from '../core/entry/peer-messages.js';
+import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
+import {
+	type Beacon, type LoadAnnouncement, type PermitGrant, type PermitRequest,
+} from '../core/entry/peer-messages.js';
 
+export type Datagram = Beacon | LoadAnnouncement | PermitRequest | PermitGrant;
+
+export type DatagramEvent = Untimed<EntryEventOf<'beacon-received' | 'load-announced' | 'permits-requested' | 'permits-granted'>>;
+
+/** Lists of which each kind of datagram but a request for permits has one. */
+const listMembers = ['loads', 'inMs'];
 /** Datagrams of other programs must not fill the memory when they are inflated. */
 const JSON_BYTES_MAX = 512 * 1024;
 const OPENING_BRACE = 0x7B;
@@ -41,19 +50,32 @@
 	},
 }));
 
-export function encodeDatagram(datagram: Beacon | LoadAnnouncement): Buffer {
+export function encodeDatagram(datagram: Datagram): Buffer {
 	const json = Buffer.from(JSON.stringify(datagram));
-	// Announcements are too short to gain from it.
+	// The others are too short to gain from it.
 	return 'registry' in datagram ? deflateRawSync(json, {dictionary}) : json;
 }
 
 /** Undefined if the bytes come from some other program. */
-export function decodeDatagram(message: Buffer): Beacon | LoadAnnouncement | undefined {
+export function decodeDatagram(message: Buffer): Datagram | undefined {
 	try {
 		const json = message[0] === OPENING_BRACE ? message : inflateRawSync(message, {dictionary, maxOutputLength: JSON_BYTES_MAX});
-		const datagram = JSON.parse(json.toString('utf8')) as Beacon | LoadAnnouncement;
-		return 'loads' in datagram && Array.isArray(datagram.loads) ? datagram : undefined;
+		const datagram = JSON.parse(json.toString('utf8')) as Datagram;
+		return listMembers.some(name => Array.isArray((datagram as Record<string, unknown>)[name])) || 'wanted' in datagram ? datagram : undefined;
 	} catch {
 		return undefined;
 	}
 }
+
+/** The event that a datagram is for the core. */
+export function toEvent(datagram: Datagram): DatagramEvent {
+	if ('registry' in datagram) {
+		return {kind: 'beacon-received', beacon: datagram};
+	}
+
+	if ('loads' in datagram) {
+		return {kind: 'load-announced', announcement: datagram};
+	}
+
+	return 'wanted' in datagram ? {kind: 'permits-requested', request: datagram} : {kind: 'permits-granted', grant: datagram};
+}
--- a/src/entry/effect-handlers.ts
+++ b/src/entry/effect-handlers.ts
@@ -73,10 +73,16 @@
 			void daemon.storeWatcher.writeLease(expectedRevision, record);
 		},
 		beacon({addresses, beacon}) {
-			daemon.beaconSocket.send(addresses, beacon);
+			daemon.datagramSocket.send(addresses, beacon);
 		},
 		'announce-load'({addresses, announcement}) {
-			daemon.beaconSocket.sendLoads(addresses, announcement);
+			daemon.datagramSocket.send(addresses, announcement);
+		},
+		'ask-permits'({address, request}) {
+			daemon.datagramSocket.send([address], request);
+		},
+		'grant-permits'({address, grant}) {
+			daemon.datagramSocket.send([address], grant);
 		},
 		pull({address, known}) {
 			void daemon.pull(address, known);
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -18,7 +18,8 @@
 import {createEntryState, type EntryContext, type EntryState} from '../core/entry/state.js';
 import {type EntryInstance} from '../core/entry/types.js';
 import {type CallerLimits} from '../core/entry/configuration.js';
-import {BeaconSocket} from './beacon-socket.js';
+import {toEvent} from './datagram-codec.js';
+import {DatagramSocket} from './datagram-socket.js';
 import {createEffectHandlers, type EntryEffectHandlers} from './effect-handlers.js';
 import {countStoreCalls} from './counted-store.js';
 import {EntryLog} from './entry-log.js';
@@ -56,7 +57,7 @@
 	readonly log: EntryLog;
 	readonly storeWatcher: StoreWatcher;
 	readonly peerClient = new EntryPeerClient();
-	readonly beaconSocket: BeaconSocket;
+	readonly datagramSocket: DatagramSocket;
 	readonly tryRunner: TryRunner;
 	readonly callerListener: CallerListener;
 	/** Resolvers of the pending `ensureAdapter` calls of peers, by call id. */
@@ -105,13 +106,8 @@
 				this.log.write('request-refused', {code, detail});
 			},
 		});
-		this.beaconSocket = new BeaconSocket({
-			onBeacon(beacon) {
-				dispatch({kind: 'beacon-received', beacon});
-			},
-			onLoads(announcement) {
-				dispatch({kind: 'load-announced', announcement});
-			},
+		this.datagramSocket = new DatagramSocket(datagram => {
+			dispatch(toEvent(datagram));
 		});
 		this._effectHandlers = createEffectHandlers(this);
 		this.stopped = new Promise(resolve => {
@@ -177,7 +173,7 @@
 		}
 
 		this.peerClient.close();
-		this.beaconSocket.close();
+		this.datagramSocket.close();
 		await this.callerListener.close();
 		await Promise.all(this._servers.map(async server => server.close()));
 		await this._connections.close();
@@ -203,7 +199,7 @@
 			ensureAdapter: async (targetId, model, adapter) => this._ensureAdapter(targetId, model, adapter),
 		});
 		await this._serve(peerServer, listen.peers);
-		await this.beaconSocket.listen(splitEndpoint(listen.beacons));
+		await this.datagramSocket.listen(splitEndpoint(listen.beacons));
 		await this._serve(this._createReadinessServer(), listen.readiness);
 		if (listen.metrics !== undefined) {
 			await this._serve(this._createMetricsServer(), listen.metrics);
--- a/src/experiment/experiment.test.ts
+++ b/src/experiment/experiment.test.ts
@@ -88,13 +88,16 @@
 	fc.record({
 		kind: fc.constant('messages-lost'), atS: seconds(5), forS: seconds(4), share: fc.double({min: 0, max: 0.6, noNaN: true}),
 	}),
+	fc.record({
+		kind: fc.constant('named-limit'), atS: seconds(4), forS: seconds(6), number: fc.integer({min: 1, max: 3}), perSecond: fc.double({min: 0.5, max: 8, noNaN: true}),
+	}),
 	fc.record({kind: fc.constant('shift'), atS: seconds(5), forS: seconds(3)}),
 	fc.record({
 		kind: fc.constant('burst'), atS: seconds(5), forS: seconds(3), times: fc.integer({min: 2, max: 5}),
 	}),
 );
 
-test('random faults: memory is never overcommitted, no work runs twice, no refusal is false, one instance orders at a time', () => {
+test('random faults: memory is never overcommitted, no work runs twice, no refusal is false, one instance orders at a time, named limits are kept', () => {
 	fc.assert(fc.property(fc.array(faults, {maxLength: 4}), fc.integer({min: 1, max: 1_000_000}), (events, seed) => {
 		assert.deepEqual(runOnce({pattern: smallPattern({events}), seed, without: []}).violations, []);
 	}), {numRuns: 12, seed: 20_261_204});
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -363,6 +363,12 @@
 		'announce-load': (instance, {addresses, announcement}) => {
 			this._broadcast(instance, addresses, {kind: 'load-announced', announcement}, announcement);
 		},
+		'ask-permits': (instance, {address, request}) => {
+			this._broadcast(instance, [address], {kind: 'permits-requested', request}, request);
+		},
+		'grant-permits': (instance, {address, grant}) => {
+			this._broadcast(instance, [address], {kind: 'permits-granted', grant}, grant);
+		},
 		pull: (instance, {address, known}) => {
 			this._pull(instance, address, known);
 		},
