--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -10,7 +10,7 @@
 } from './peer-messages.js';
 import {holdsLease} from './lease.js';
 import {announcedLimits} from './rate-limit.js';
-import {PEER_SILENT_MS} from './peers.js';
+import {countInstances, PEER_SILENT_MS} from './peers.js';
 import {canReadStore} from './registry.js';
 import {randomFraction, type EntryContext} from './state.js';
 
@@ -126,7 +126,11 @@
 		registry: {
 			revision: registry.revision, digest: registry.digest, asOfStoreMs: registry.asOfStoreMs, isRead: canReadStore(state, nowMs),
 		},
-		lease: held ? {holder: state.self, epoch: held.epoch, ageMs: 0} : leaseStatus(context),
+		lease: held
+			? {
+				holder: state.self, epoch: held.epoch, ageMs: 0, instances: countInstances(state, nowMs),
+			}
+			: leaseStatus(context),
 		loads: [...state.targets.values()].filter(({inFlight}) => inFlight.size > 0).map(target => announcedLoad(target)),
 		demand: localDemand(context).filter(({open, arrivalsPerSecond}) => open > 0 || arrivalsPerSecond > 0),
 		reported: held ? reportedCopies(context) : [],
@@ -140,7 +144,9 @@
 
 export function leaseStatus({state, nowMs}: EntryContext): Beacon['lease'] {
 	const {lastKnown} = state.lease;
-	return lastKnown && {holder: lastKnown.holder, epoch: lastKnown.epoch, ageMs: Math.round(nowMs - lastKnown.claimedAtMs)};
+	return lastKnown && {
+		holder: lastKnown.holder, epoch: lastKnown.epoch, ageMs: Math.round(nowMs - lastKnown.claimedAtMs), instances: lastKnown.instances,
+	};
 }
 
 function reportedCopies({state, nowMs}: EntryContext): ReportedCopies[] {
--- a/src/core/entry/lease-state.ts
+++ b/src/core/entry/lease-state.ts
@@ -11,7 +11,9 @@
 	isRequestPending: boolean;
 	requestedAtMs: number;
 	/** Newest claim of a holder, received from it or from peers. */
-	lastKnown: {readonly holder: EntryInstance; readonly epoch: number; readonly claimedAtMs: number} | undefined;
+	lastKnown: {readonly holder: EntryInstance; readonly epoch: number; readonly claimedAtMs: number; readonly instances: number} | undefined;
+	/** Largest number of instances that a holder has told of lately. */
+	instanceCount: {readonly count: number; readonly toldAtMs: number} | undefined;
 	/** Since when the last known holder's own beacons have no longer claimed the lease, undefined while they do. */
 	steppedDownSinceMs: number | undefined;
 };
@@ -32,6 +34,7 @@
 		isRequestPending: false,
 		requestedAtMs: Number.NEGATIVE_INFINITY,
 		lastKnown: undefined,
+		instanceCount: undefined,
 		steppedDownSinceMs: undefined,
 	};
 }
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -29,6 +29,8 @@
 	readonly epoch: number;
 	/** Time since the holder last claimed the lease. */
 	readonly ageMs: number;
+	/** Number of instances that the holder counted then; undefined from instances of an earlier release. */
+	readonly instances?: number;
 };
 
 /** Copy that is about to be unloaded and gets no new requests. */
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -9,6 +9,7 @@
 import {
 	type Beacon, type KnownVersions, type LeaseStatus, type StateTransfer,
 } from './peer-messages.js';
+import {recordInstanceCount} from './peers.js';
 import {adoptAnnouncedLimits} from './rate-limit.js';
 import {adoptRegistry, updateFreshness} from './registry.js';
 import {leaseStatus} from './beacon-sender.js';
@@ -86,16 +87,23 @@
 	}
 }
 
-function updateLease({state, nowMs}: EntryContext, lease: LeaseStatus | undefined): void {
+function updateLease(context: EntryContext, lease: LeaseStatus | undefined): void {
+	const {state, nowMs} = context;
 	if (!lease || lease.holder.id === state.self.id) {
 		return;
 	}
 
+	// The holder needs beacons of all instances, also of those that have not heard from it themselves.
+	addPeers(context, [lease.holder]);
+
 	const claimedAtMs = nowMs - lease.ageMs;
 	const {lastKnown} = state.lease;
 	if (!lastKnown || lease.epoch > lastKnown.epoch || (lease.epoch === lastKnown.epoch && claimedAtMs > lastKnown.claimedAtMs)) {
 		state.lease.steppedDownSinceMs = lastKnown?.epoch === lease.epoch ? state.lease.steppedDownSinceMs : undefined;
-		state.lease.lastKnown = {holder: lease.holder, epoch: lease.epoch, claimedAtMs};
+		state.lease.lastKnown = {
+			holder: lease.holder, epoch: lease.epoch, claimedAtMs, instances: lease.instances ?? 0,
+		};
+		recordInstanceCount(state, lease.instances ?? 0, nowMs);
 	}
 }
 
--- a/src/core/entry/peers.ts
+++ b/src/core/entry/peers.ts
@@ -21,14 +21,32 @@
 	return live;
 }
 
-/** Number of instances, this one included, among which a common limit is divided. A network partition must not let each side use all of it. */
-export function countRecentInstances({peers}: EntryState, nowMs: number): number {
-	let count = 1;
+/**
+Number of instances, this one included, among which a common limit is divided. Instances of other zones are heard from
+rarely, so the count of the lease holder, to which all send beacons, holds where it is larger. A network partition must
+not let each side use all of a limit.
+*/
+export function countInstances({peers, lease, startedAtMs}: EntryState, nowMs: number): number {
+	if (nowMs - startedAtMs < RECENT_PEER_MS) {
+		// Not all of them can have been heard from yet.
+		return Math.max(peers.size + 1, lease.instanceCount?.count ?? 0);
+	}
+
+	let heard = 1;
 	for (const {beaconReceivedAtMs} of peers.values()) {
 		if (nowMs - beaconReceivedAtMs < RECENT_PEER_MS) {
-			count++;
+			heard++;
 		}
 	}
 
-	return count;
+	const {instanceCount} = lease;
+	return instanceCount && nowMs - instanceCount.toldAtMs < RECENT_PEER_MS ? Math.max(heard, instanceCount.count) : heard;
+}
+
+/** Records a holder's count. A smaller one, such as that of a new holder which has not heard from all yet, replaces a larger one only when that is old. */
+export function recordInstanceCount({lease}: EntryState, count: number, nowMs: number): void {
+	const known = lease.instanceCount;
+	if (!known || count >= known.count || nowMs - known.toldAtMs >= RECENT_PEER_MS) {
+		lease.instanceCount = {count, toldAtMs: nowMs};
+	}
 }
--- a/src/core/entry/rate-permits.ts
+++ b/src/core/entry/rate-permits.ts
@@ -7,6 +7,7 @@
 import {type EntryEventOf} from './event.js';
 import {holdsLease, isLeaseVacant} from './lease.js';
 import {type PermitGrant} from './peer-messages.js';
+import {countInstances} from './peers.js';
 import {adoptRateLimit} from './rate-limit.js';
 import {randomFraction, type EntryContext} from './state.js';
 import {isLimited, type PermitPool, type Target} from './target.js';
@@ -139,7 +140,7 @@
 function takeShare(context: EntryContext, target: Target): void {
 	const {state, nowMs} = context;
 	const {permits} = target;
-	const intervalMs = 1000 * (state.peers.size + 1) / ratePerSecond(target);
+	const intervalMs = 1000 * countInstances(state, nowMs) / ratePerSecond(target);
 	// Instances that lose the holder at the same moment do not all begin at once.
 	permits.shareDueMs ??= nowMs + (intervalMs * randomFraction(context));
 	permits.freeAtMs = permits.shareDueMs;
--- a/src/core/entry/retry-budgets.ts
+++ b/src/core/entry/retry-budgets.ts
@@ -1,7 +1,7 @@
 /**
 The retry budgets of this instance, one for each service.
 */
-import {countRecentInstances} from './peers.js';
+import {countInstances} from './peers.js';
 import {RetryBudget} from './retry-budget.js';
 import {type EntryContext, type EntryState} from './state.js';
 
@@ -18,5 +18,5 @@
 /** Takes one retry from the budget of the service; returns false when it is exhausted. */
 export function takeRetry({state, nowMs}: EntryContext, service: string): boolean {
 	const {repeatShare, repeatSlack} = state.bounds;
-	return retryBudget(state, service).take(nowMs, repeatShare, repeatSlack / countRecentInstances(state, nowMs));
+	return retryBudget(state, service).take(nowMs, repeatShare, repeatSlack / countInstances(state, nowMs));
 }
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -2,6 +2,7 @@
 Sends a try to its target and sets the timer that detects a silent one.
 */
 import {upperLimitMs} from '../request/estimate.js';
+import {countInstances} from './peers.js';
 import {takePermit} from './rate-permits.js';
 import {tokensToRead} from './reading-speed.js';
 import {logEvent, type EntryContext} from './state.js';
@@ -70,7 +71,7 @@
 }
 
 /** This instance's share of the connections that the target accepts, leaving room for instances not known yet. */
-function connectionShare({state}: EntryContext, target: Target): number {
+function connectionShare({state, nowMs}: EntryContext, target: Target): number {
 	const limit = state.configuration?.services.get(target.entry.service)?.maxConnections ?? target.entry.slots;
-	return Math.max(4, Math.floor(limit / (state.peers.size + 2)));
+	return Math.max(4, Math.floor(limit / (countInstances(state, nowMs) + 1)));
 }
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -7,6 +7,7 @@
 import {type EntryEffect, type EntryEffectOf} from '../core/entry/effect.js';
 import {type Untimed} from '../core/entry/event.js';
 import {type EnabledMechanisms} from '../core/entry/mechanisms.js';
+import {countInstances} from '../core/entry/peers.js';
 import {transferFor} from '../core/entry/peer-sync.js';
 import {reduceEntry} from '../core/entry/reducer.js';
 import {createEntryState, type EntryState} from '../core/entry/state.js';
@@ -31,6 +32,8 @@
 const MISSED_HEARTBEATS = 3;
 const REPORT_INTERVAL_MS = 50;
 const SAMPLE_INTERVAL_MS = 500;
+/** Sum of the shares of a common limit, with a tolerance for instances that have just joined. */
+const MAX_SHARES = 1.1;
 /** The wall clock of the simulation starts here, so that it is never zero. */
 const WALL_OFFSET_MS = 1_000_000;
 const MAX_SEED = 0x7F_FF_FF_FF;
@@ -630,7 +633,17 @@
 		});
 	}
 
+	/** Instances divide a common limit, such as that of retries, so that their shares sum up to no more than it. */
+	private _checkShares(): void {
+		const {nowMs} = this.simulation;
+		const shares = this._instances.filter(({isUp, state}) => isUp && state.lifecycle === 'serving').reduce((sum, {state}) => sum + (1 / countInstances(state, nowMs)), 0);
+		if (nowMs >= this._options.pattern.leadS * 1000 && shares > MAX_SHARES) {
+			this.violations.push(`${Math.round(nowMs)} ms: the shares of a common limit sum up to ${shares.toFixed(2)} of it`);
+		}
+	}
+
 	private _sample(): void {
+		this._checkShares();
 		const copies: Record<string, number> = {};
 		const loads: number[] = [];
 		for (const {engine} of this._targets.values()) {
