LIMIT, elsewhere: count the instances once a round; keep the holder as a peer

Cause: the count of instances went through all peers at each send, and the holder was forgotten and added again by turns after a minute without a beacon of its own. Change: counted once a round of beacons; the last known holder is never forgotten.

--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -10,7 +10,7 @@
 } from './peer-messages.js';
 import {holdsLease} from './lease.js';
 import {announcedLimits} from './rate-limit.js';
-import {countInstances, PEER_SILENT_MS} from './peers.js';
+import {countHeard, countInstances, PEER_SILENT_MS} from './peers.js';
 import {canReadStore} from './registry.js';
 import {randomFraction, type EntryContext} from './state.js';
 
@@ -36,6 +36,7 @@
 
 	state.beaconsSentAtMs = nowMs;
 	removeExpired(context);
+	countHeard(state, nowMs);
 	const peers = selectPeers(context);
 	for (const peer of peers) {
 		peer.beaconSentAtMs = nowMs;
@@ -59,8 +60,9 @@
 }
 
 function removeExpired({state, nowMs}: EntryContext): void {
+	const holderId = state.lease.lastKnown?.holder.id;
 	for (const [id, {beaconReceivedAtMs, beaconSentAtMs}] of state.peers) {
-		if (Number.isFinite(beaconSentAtMs) && nowMs - Math.max(beaconReceivedAtMs, state.startedAtMs) > PEER_RETENTION_MS) {
+		if (id !== holderId && Number.isFinite(beaconSentAtMs) && nowMs - Math.max(beaconReceivedAtMs, state.startedAtMs) > PEER_RETENTION_MS) {
 			state.peers.delete(id);
 		}
 	}
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -93,8 +93,6 @@
 		return;
 	}
 
-	// The holder needs beacons of all instances, also of those that have not heard from it themselves.
-	addPeers(context, [lease.holder]);
 
 	const claimedAtMs = nowMs - lease.ageMs;
 	const {lastKnown} = state.lease;
@@ -104,6 +102,8 @@
 			holder: lease.holder, epoch: lease.epoch, claimedAtMs, instances: lease.instances ?? 0,
 		};
 		recordInstanceCount(state, lease.instances ?? 0, nowMs);
+		// The holder needs beacons of all instances, also of those that have not heard from it themselves.
+		addPeers(context, [lease.holder]);
 	}
 }
 
--- a/src/core/entry/peers.ts
+++ b/src/core/entry/peers.ts
@@ -26,21 +26,21 @@
 rarely, so the count of the lease holder, to which all send beacons, holds where it is larger. A network partition must
 not let each side use all of a limit.
 */
-export function countInstances({peers, lease, startedAtMs}: EntryState, nowMs: number): number {
-	if (nowMs - startedAtMs < RECENT_PEER_MS) {
-		// Not all of them can have been heard from yet.
-		return Math.max(peers.size + 1, lease.instanceCount?.count ?? 0);
-	}
+export function countInstances({peers, heardInstances, lease, startedAtMs}: EntryState, nowMs: number): number {
+	const told = lease.instanceCount && nowMs - lease.instanceCount.toldAtMs < RECENT_PEER_MS ? lease.instanceCount.count : 0;
+	// After a start, not all of them can have been heard from yet.
+	const own = nowMs - startedAtMs < RECENT_PEER_MS ? peers.size + 1 : heardInstances;
+	return Math.max(own, told);
+}
 
-	let heard = 1;
-	for (const {beaconReceivedAtMs} of peers.values()) {
+/** Counts the instances that were heard from recently, this one included. */
+export function countHeard(state: EntryState, nowMs: number): void {
+	state.heardInstances = 1;
+	for (const {beaconReceivedAtMs} of state.peers.values()) {
 		if (nowMs - beaconReceivedAtMs < RECENT_PEER_MS) {
-			heard++;
+			state.heardInstances++;
 		}
 	}
-
-	const {instanceCount} = lease;
-	return instanceCount && nowMs - instanceCount.toldAtMs < RECENT_PEER_MS ? Math.max(heard, instanceCount.count) : heard;
 }
 
 /** Records a holder's count. A smaller one, such as that of a new holder which has not heard from all yet, replaces a larger one only when that is old. */
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -104,6 +104,8 @@
 	/** Reading speed of engines by queue key, since it differs by model. */
 	readonly readingSpeeds: Map<string, ReadingSpeed>;
 	readonly peers: Peers;
+	/** Instances heard from recently, this one included, as of the last round of beacons. */
+	heardInstances: number;
 	beaconsSentAtMs: number;
 	/** Targets whose load by this instance has changed since it was announced to peers. */
 	readonly loadsToAnnounce: Set<TargetId>;
@@ -157,6 +159,7 @@
 		demand: new Map(),
 		readingSpeeds: new Map(),
 		peers: new Map(),
+		heardInstances: 1,
 		loadsToAnnounce: new Set(),
 		beaconsSentAtMs: Number.NEGATIVE_INFINITY,
 		lease: createLease(),
