--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -93,7 +93,6 @@
 		return;
 	}
 
-
 	const claimedAtMs = nowMs - lease.ageMs;
 	const {lastKnown} = state.lease;
 	if (!lastKnown || lease.epoch > lastKnown.epoch || (lease.epoch === lastKnown.epoch && claimedAtMs > lastKnown.claimedAtMs)) {
