SHORT: expected waits count only the requests that are served before

Cause: an arrival was refused for the wait of the whole queue, though it passes all less urgent requests in it. Change: a queue counts by rank; the wait of a request is that of its rank and of more urgent ones, on arrival, while it waits, and in the time to return. Ruled out: other weights in the queue's order, which was right. Result: the new test in admission.test.ts fails before (the urgent request is refused on arrival) and passes now; 95 tests of the entry core pass, one is known red.

--- a/src/core/entry/admission.test.ts
+++ b/src/core/entry/admission.test.ts
@@ -39,3 +39,30 @@
 	assert.equal(queueOf(harness.state, 'records').waiting, 0);
 	assert.deepEqual(effectsOfKind(harness.arrive('alone', '/records/1', {deadlineMs: PATIENCE_MS}), 'send').map(({requestId}) => requestId), ['alone']);
 });
+
+// Guards against urgent requests that are refused for the wait of a backlog which they pass.
+test('a long backlog of less urgent requests: an urgent one is not refused on arrival for it, and is sent next', () => {
+	const routes = [
+		route({
+			name: 'leisurely', timeoutMs: PATIENCE_MS, patienceMs: PATIENCE_MS, rank: 2,
+		}),
+		route({name: 'urgent', prefix: '/urgent/', rank: 0}),
+	];
+	const harness = new EntryHarness().configure(configuration({routes})).readRegistry([targetEntry('t0', {slots: 1})]);
+	for (let index = 0; index < 14; index++) {
+		harness.arrive(`r${index}`, '/records/1', {deadlineMs: PATIENCE_MS});
+	}
+
+	for (let index = 0; index < 6; index++) {
+		harness.nowMs += 800;
+		harness.endTry(`r${index}`, 1, 'answered');
+	}
+
+	assert.equal(effectsOfKind(harness.arrive('urgent', '/urgent/1'), 'refuse').length, 0);
+	harness.effects.length = 0;
+	for (let index = 6; index < 8; index++) {
+		harness.endTry(`r${index}`, 1, 'answered');
+	}
+
+	assert.equal(effectsOfKind(harness.effects, 'send')[0]?.requestId, 'urgent');
+});
--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -69,7 +69,7 @@
 	};
 	state.open.set(request.id, request);
 	recordArrival(context, request);
-	const waitMs = queueOf(state, request.queueKey).expectedWaitMs();
+	const waitMs = queueOf(state, request.queueKey).expectedWaitMs(route.rank);
 	if (waitMs > (request.patienceEndsAtMs - nowMs) * MAX_WAIT_SHARE) {
 		refuse(context, request, {code: 'deadline-unreachable', retryAfterMs: waitMs});
 		return;
--- a/src/core/entry/closing.ts
+++ b/src/core/entry/closing.ts
@@ -38,7 +38,7 @@
 		context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
 		endTry(context, request, attempt, 'canceled');
 	} else if (request.phase === 'queued') {
-		queueOf(state, request.queueKey).remove();
+		queueOf(state, request.queueKey).remove(request);
 	}
 
 	// A request that is not in the phase `queued` is dropped by its waiting queue.
--- a/src/core/entry/waiting-queue.ts
+++ b/src/core/entry/waiting-queue.ts
@@ -23,7 +23,8 @@
 	/** Smoothed interval between two departures while requests waited. */
 	private _departureIntervalMs = 0;
 	private _lastDepartureAtMs = Number.NEGATIVE_INFINITY;
-	private _waiting = 0;
+	/** Number of waiting requests of each rank. */
+	private readonly _waitingByRank = new Map<number, number>();
 	/** Whether requests were left after the last departure: only then does the interval to the next one show the rate. */
 	private _hadBacklog = false;
 
@@ -32,17 +33,27 @@
 	}
 
 	get waiting(): number {
-		return this._waiting;
+		return this.waitingUpTo(Number.POSITIVE_INFINITY);
+	}
+
+	/** Number of requests of a rank and of more urgent ones, which are served before the others. */
+	waitingUpTo(rank: number): number {
+		let waiting = 0;
+		for (const [other, number] of this._waitingByRank) {
+			waiting += other <= rank ? number : 0;
+		}
+
+		return waiting;
 	}
 
 	push(request: EntryRequest): void {
 		this._punctual.push(request);
-		this._waiting++;
+		this._addWaiting(request, 1);
 	}
 
 	/** The first request that still waits, without removing it. */
 	peek(nowMs: number): EntryRequest | undefined {
-		for (let first = firstWaiting(this._punctual); first && this._dueAtMs(first) < nowMs; first = firstWaiting(this._punctual)) {
+		for (let first = this._firstWaiting(this._punctual); first && this._dueAtMs(first) < nowMs; first = this._firstWaiting(this._punctual)) {
 			this._punctual.pop();
 			this._late.push(first);
 		}
@@ -52,25 +63,24 @@
 
 	/** Removes the request that `peek` returned. */
 	shift(nowMs: number): void {
-		(this._isLateFirst() ? this._late : this._punctual).pop();
-		this._waiting--;
+		this.remove((this._isLateFirst() ? this._late : this._punctual).pop()!);
 		if (this._hadBacklog) {
 			const intervalMs = Math.min(nowMs - this._lastDepartureAtMs, MAX_INTERVAL_MS);
 			this._departureIntervalMs += (intervalMs - this._departureIntervalMs) * INTERVAL_SMOOTHING;
 		}
 
 		this._lastDepartureAtMs = nowMs;
-		this._hadBacklog = this._waiting > 0;
+		this._hadBacklog = this.waiting > 0;
 	}
 
 	/** Subtracts a request that was closed while it waited from the count; the heap drops it later. */
-	remove(): void {
-		this._waiting--;
+	remove(request: EntryRequest): void {
+		this._addWaiting(request, -1);
 	}
 
-	/** Expected time that a request enqueued now would wait. */
-	expectedWaitMs(): number {
-		return this._waiting * this._departureIntervalMs;
+	/** Expected time that a request of a rank would wait if it was enqueued now. */
+	expectedWaitMs(rank: number): number {
+		return this.waitingUpTo(rank) * this._departureIntervalMs;
 	}
 
 	/** Time from which a request counts as late. */
@@ -79,20 +89,24 @@
 	}
 
 	private _isLateFirst(): boolean {
-		const punctual = firstWaiting(this._punctual);
-		const late = firstWaiting(this._late);
+		const punctual = this._firstWaiting(this._punctual);
+		const late = this._firstWaiting(this._late);
 		return late !== undefined && (punctual === undefined || late.route.rank < punctual.route.rank);
 	}
-}
 
-/** The head of a heap, after dropping requests that no longer wait. */
-function firstWaiting(heap: TinyQueue<EntryRequest>): EntryRequest | undefined {
-	for (;;) {
-		const first = heap.peek();
-		if (!first || first.phase === 'queued') {
-			return first;
-		}
+	private _addWaiting({route: {rank}}: EntryRequest, number: number): void {
+		this._waitingByRank.set(rank, (this._waitingByRank.get(rank) ?? 0) + number);
+	}
 
-		heap.pop();
+	/** The head of a heap, after dropping requests that no longer wait. */
+	private _firstWaiting(heap: TinyQueue<EntryRequest>): EntryRequest | undefined {
+		for (;;) {
+			const first = heap.peek();
+			if (!first || first.phase === 'queued') {
+				return first;
+			}
+
+			heap.pop();
+		}
 	}
 }
