SHORT: a waiting queue holds the set of its requests instead of a count

Cause: a request that is refused on arrival never enters its queue, but closing it subtracted it from the queue's count. Queues with a count of 0 are not looked at, so a later request that waits there alone is not sent; at an instance that sees few requests for a model it is always alone. Nothing corrects the count before a restart. Class: a count kept beside the data that it counts, changed by parties that cannot tell whether the item is in it. Ruled out: the plan (move-planned lines for rare models were there), the store's rate. Change: the queue keeps the set of its requests by rank and derives its counts; removal of a request that is not in it does nothing. Evidence: admission.test.ts failed before (count -1, the request is never sent).

--- a/src/core/entry/admission.test.ts
+++ b/src/core/entry/admission.test.ts
@@ -34,7 +34,7 @@
 }
 
 // Guards against requests that are never sent: one refused on arrival was subtracted from the queue that it had not entered.
-test('a request was refused on arrival: a later one that waits alone is sent as soon as its target has room', {todo: 'KNOWN-RED.txt, issue 24'}, () => {
+test('a request was refused on arrival: a later one that waits alone is sent as soon as its target has room', () => {
 	const harness = afterRefusal();
 	assert.equal(queueOf(harness.state, 'records').waiting, 0);
 	assert.deepEqual(effectsOfKind(harness.arrive('alone', '/records/1', {deadlineMs: PATIENCE_MS}), 'send').map(({requestId}) => requestId), ['alone']);
--- a/src/core/entry/closing.ts
+++ b/src/core/entry/closing.ts
@@ -37,12 +37,10 @@
 	if (attempt) {
 		context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
 		endTry(context, request, attempt, 'canceled');
-	} else if (request.phase === 'queued') {
+	} else {
 		queueOf(state, request.queueKey).remove(request);
 	}
 
-	// A request that is not in the phase `queued` is dropped by its waiting queue.
-	request.phase = 'running';
 	recordClosed(context, request);
 	logEvent(context, outcome === 'answered' ? 'request-answered' : 'request-ended', {
 		requestId: request.id,
--- a/src/core/entry/waiting-queue.ts
+++ b/src/core/entry/waiting-queue.ts
@@ -2,7 +2,8 @@
 Priority queue of requests that wait for capacity at the same targets. The most urgent
 rank goes first. Within a rank, those that can still be served within their objective go
 before those that are late already, so that a backlog does not make all of them late.
-Removal is lazy: a request that no longer waits is dropped when it reaches the head.
+The set of waiting requests decides what waits and how many; removal from the heaps is
+lazy, when a request that no longer waits reaches the head.
 */
 import TinyQueue from 'tinyqueue';
 import {type EntryRequest} from './types.js';
@@ -23,8 +24,8 @@
 	/** Smoothed interval between two departures while requests waited. */
 	private _departureIntervalMs = 0;
 	private _lastDepartureAtMs = Number.NEGATIVE_INFINITY;
-	/** Number of waiting requests of each rank. */
-	private readonly _waitingByRank = new Map<number, number>();
+	/** The waiting requests of each rank. */
+	private readonly _waitingByRank = new Map<number, Set<EntryRequest>>();
 	/** Whether requests were left after the last departure: only then does the interval to the next one show the rate. */
 	private _hadBacklog = false;
 
@@ -39,8 +40,8 @@
 	/** Number of requests of a rank and of more urgent ones, which are served before the others. */
 	waitingUpTo(rank: number): number {
 		let waiting = 0;
-		for (const [other, number] of this._waitingByRank) {
-			waiting += other <= rank ? number : 0;
+		for (const [other, {size}] of this._waitingByRank) {
+			waiting += other <= rank ? size : 0;
 		}
 
 		return waiting;
@@ -48,7 +49,7 @@
 
 	push(request: EntryRequest): void {
 		this._punctual.push(request);
-		this._addWaiting(request, 1);
+		this._waitingOf(request).add(request);
 	}
 
 	/** The first request that still waits, without removing it. */
@@ -73,9 +74,9 @@
 		this._hadBacklog = this.waiting > 0;
 	}
 
-	/** Subtracts a request that was closed while it waited from the count; the heap drops it later. */
+	/** Removes a request if it waits here. */
 	remove(request: EntryRequest): void {
-		this._addWaiting(request, -1);
+		this._waitingOf(request).delete(request);
 	}
 
 	/** Expected time that a request of a rank would wait if it was enqueued now. */
@@ -94,15 +95,21 @@
 		return late !== undefined && (punctual === undefined || late.route.rank < punctual.route.rank);
 	}
 
-	private _addWaiting({route: {rank}}: EntryRequest, number: number): void {
-		this._waitingByRank.set(rank, (this._waitingByRank.get(rank) ?? 0) + number);
+	private _waitingOf({route: {rank}}: EntryRequest): Set<EntryRequest> {
+		let waiting = this._waitingByRank.get(rank);
+		if (!waiting) {
+			waiting = new Set();
+			this._waitingByRank.set(rank, waiting);
+		}
+
+		return waiting;
 	}
 
 	/** The head of a heap, after dropping requests that no longer wait. */
 	private _firstWaiting(heap: TinyQueue<EntryRequest>): EntryRequest | undefined {
 		for (;;) {
 			const first = heap.peek();
-			if (!first || first.phase === 'queued') {
+			if (!first || this._waitingOf(first).has(first)) {
 				return first;
 			}
 
--- a/src/experiment/callers.ts
+++ b/src/experiment/callers.ts
@@ -3,6 +3,7 @@
 their patience, and come back after a refusal that tells them when.
 */
 import {type Outcome, type OutcomeKind} from './outcomes.js';
+import {modelName} from './deployment-configuration.js';
 import {type Simulation} from './simulation.js';
 import {type GeneratedRequest} from './workload.js';
 
@@ -167,9 +168,14 @@
 		});
 	}
 
-	private _record({generated: {kind, zone}, firstAtMs}: Pick<Attempt<Server>, 'generated' | 'firstAtMs'>, outcome: OutcomeKind, tookMs = this._nowMs - firstAtMs): void {
+	private _record({generated: {kind, zone, model, adapter}, firstAtMs}: Pick<Attempt<Server>, 'generated' | 'firstAtMs'>, outcome: OutcomeKind, tookMs = this._nowMs - firstAtMs): void {
 		this.outcomes.push({
-			kind, zone, outcome, arrivedAtMs: firstAtMs - this._options.startMs, tookMs,
+			kind, zone, needs: neededNames(model, adapter), outcome, arrivedAtMs: firstAtMs - this._options.startMs, tookMs,
 		});
 	}
 }
+
+function neededNames(model: number | undefined, adapter: string | undefined): string[] {
+	const name = model === undefined ? undefined : modelName(model);
+	return name === undefined ? [] : (adapter === undefined ? [name] : [name, `${name}/${adapter}`]);
+}
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -642,8 +642,21 @@
 		}
 	}
 
+	/** A queue counts the requests that wait in it; one with a count of 0 is not looked at. */
+	private _checkQueues(): void {
+		for (const {identity, isUp, state} of this._instances) {
+			for (const [key, {waiting}] of isUp ? state.queues : []) {
+				const queued = [...state.open.values()].filter(({queueKey, phase}) => queueKey === key && phase === 'queued').length;
+				if (waiting !== queued) {
+					this.violations.push(`${Math.round(this.simulation.nowMs)} ms: ${identity.id} counts ${waiting} waiting requests for ${key} where there are ${queued}`);
+				}
+			}
+		}
+	}
+
 	private _sample(): void {
 		this._checkShares();
+		this._checkQueues();
 		const copies: Record<string, number> = {};
 		const loads: number[] = [];
 		for (const {engine} of this._targets.values()) {
--- a/src/experiment/outcomes.ts
+++ b/src/experiment/outcomes.ts
@@ -9,6 +9,8 @@
 export type Outcome = {
 	readonly kind: RequestKind;
 	readonly zone: number;
+	/** The model, and the `model/adapter` if there is one, that it needs. */
+	readonly needs: readonly string[];
 	readonly arrivedAtMs: number;
 	readonly outcome: OutcomeKind;
 	/** Time from the first attempt to the first event or the answer; for refusals to the refusal. */
@@ -48,6 +50,33 @@
 	return outcome === 'in-time' ? worth : (outcome === 'late' ? lateWorth : 0);
 }
 
+/** Requests, and the time between the first and the last, from which a model or adapter counts as asked for throughout. */
+const MIN_ASKED = 4;
+const MIN_ASKED_MS = 8000;
+
+export type ServedNames = {
+	/** Models and adapters that were asked for throughout. */
+	readonly asked: number;
+	/** Those of them that no request was served with. */
+	readonly neverServed: readonly string[];
+};
+
+export function servedNames(outcomes: readonly Outcome[]): ServedNames {
+	const byName = new Map<string, Outcome[]>();
+	for (const outcome of outcomes) {
+		for (const name of outcome.needs) {
+			byName.set(name, [...byName.get(name) ?? [], outcome]);
+		}
+	}
+
+	const asked = [...byName].filter(([, requests]) => {
+		const times = requests.map(({arrivedAtMs}) => arrivedAtMs);
+		return requests.length >= MIN_ASKED && Math.max(...times) - Math.min(...times) >= MIN_ASKED_MS;
+	});
+	const neverServed = asked.filter(([, requests]) => !requests.some(({outcome}) => outcome === 'in-time' || outcome === 'late'));
+	return {asked: asked.length, neverServed: neverServed.map(([name]) => name)};
+}
+
 /** Share in time of each second of arrival. */
 export function inTimeBySecond(outcomes: readonly Outcome[], seconds: number): number[] {
 	const total = Array.from({length: seconds}, () => 0);
--- a/src/experiment/run.ts
+++ b/src/experiment/run.ts
@@ -4,7 +4,7 @@
 import {mechanismsWithout, type Mechanism} from '../core/entry/mechanisms.js';
 import {Fleet, type FleetSample} from './fleet.js';
 import {
-	answerTimes, inTimeBySecond, sharesOf, type Shares,
+	answerTimes, inTimeBySecond, servedNames, sharesOf, type ServedNames, type Shares,
 } from './outcomes.js';
 import {type Pattern} from './pattern.js';
 
@@ -30,6 +30,7 @@
 	readonly keptTokens: number;
 	readonly events: number;
 	readonly messageBytes: number;
+	readonly names: ServedNames;
 	readonly samples: readonly FleetSample[];
 	readonly violations: readonly string[];
 };
@@ -55,6 +56,7 @@
 		keptTokens: result.keptTokens,
 		events: result.events,
 		messageBytes: result.messageBytes,
+		names: servedNames(outcomes),
 		samples: result.samples,
 		violations: result.violations,
 	};
