LIMIT: test of whole daemons before runners that name a limit

Cause: headers, datagrams and permits between daemons were only tested apart. Result: two daemons, two runners that name 4 a second, 150 requests in 3 s: each runner gets between 4 and 29 (the rule's bound), the others are refused with 503, and all are served again once the limits are lifted.

--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -176,6 +176,8 @@
 	readonly orders: Array<Record<string, unknown>> = [];
 	models: Array<{name: string; version: number; adapters: string[]}> = [];
 	events = 5;
+	/** Rate limit that its responses name. */
+	requestsPerSecond: number | undefined;
 	sequence = 0;
 	/** Number of requests whose connection was closed before the response was complete. */
 	abortedRequests = 0;
@@ -246,6 +248,7 @@
 		const {socket} = request;
 		const headers = {
 			'x-pollenarch-request-id': behaviour === 'foreign' ? 'another' : request.headers['x-pollenarch-request-id'] ?? '',
+			...(this.requestsPerSecond === undefined ? {} : {'server-limit': String(this.requestsPerSecond)}),
 			...(behaviour === 'unsigned' ? {} : {'x-pollenarch-server-signature': `signed by ${this.id}`}),
 		};
 		switch (behaviour) {
--- a/test/unit/platform-daemon.test.ts
+++ b/test/unit/platform-daemon.test.ts
@@ -154,6 +154,38 @@
 	});
 }
 
+// Guards against daemons that each keep a runner's limit for themselves, or lose permits on the way between them.
+test('both runners name a limit: both daemons together keep to it, refuse what it keeps out, and send on once it is lifted', async () => {
+	for (const runner of runners) {
+		runner.requestsPerSecond = 4;
+	}
+
+	for (let index = 0; index < 8; index++) {
+		await send('/read/1', {method: 'GET', daemon: index % 2});
+	}
+
+	const before = runners.map(({receivedRequests}) => receivedRequests.length);
+	const statuses = await Promise.all(Array.from({length: 150}, async (_, index) => {
+		await delay(index * 20);
+		return sendForStatus('/read/1', {method: 'GET', daemon: index % 2});
+	}));
+	for (const [index, {receivedRequests}] of runners.entries()) {
+		const count = receivedRequests.length - before[index]!;
+		assert.ok(count >= 4 && count <= (4 * 4 * 1.5) + 5, `${count} requests in 3 s and the time that they wait, at 4 a second`);
+	}
+
+	assert.ok(statuses.every(status => status === 200 || status === 503), statuses.join(' '));
+	assert.ok(statuses.includes(503));
+	for (const runner of runners) {
+		runner.requestsPerSecond = undefined;
+	}
+
+	await waitUntil(async () => {
+		const afterwards = await Promise.all(Array.from({length: 40}, async (_, index) => sendForStatus('/read/1', {method: 'GET', daemon: index % 2})));
+		return afterwards.every(status => status === 200);
+	});
+});
+
 test('an idempotent request is sent to the other runner after a failure', async () => {
 	for (const behaviour of ['reset', 'error', 'foreign', 'truncate'] as const) {
 		for (const runner of runners) {
