LIMIT: leave permits to requests that have no other target

Cause: found in reading. An instance also asked for a permit where a limited target was only the better choice; those permits could have been given out up to a second ahead, before requests whose model no other target holds. Change: a request for permits says what for; spare ones are given only from what is due.

--- a/src/core/entry/dispatch.ts
+++ b/src/core/entry/dispatch.ts
@@ -52,8 +52,10 @@
 	const {nowMs} = context;
 	for (let request = queue.peek(nowMs); request; request = queue.peek(nowMs)) {
 		const choice = chooseTarget(context, request, targetsOf(context.state, request.service));
-		const isPermitted = choice.permitFrom !== undefined && askForPermits(context, choice.permitFrom, choice.kind === 'full' ? queue.waiting : 1);
+		const isPermitted = choice.permitFrom !== undefined
+			&& askForPermits(context, choice.permitFrom, choice.kind === 'full' ? {requests: queue.waiting, purpose: 'needed'} : {requests: 1, purpose: 'spare'});
 		if (choice.kind === 'full' && isPermitted) {
+			// One was at hand, so that the request can be sent now.
 			continue;
 		}
 
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -90,6 +90,9 @@
 	readonly statedAgoMs: number;
 };
 
+/** `needed`: the requests have no other target. `spare`: they have one, so that permits which others may need are left to them. */
+export type PermitPurpose = 'needed' | 'spare';
+
 /** Asks the lease holder for permits to send requests to a target that names a rate limit. */
 export type PermitRequest = AnnouncedLimit & {
 	readonly from: InstanceId;
@@ -97,6 +100,7 @@
 	readonly replyTo: string;
 	readonly perSecond: number;
 	readonly wanted: number;
+	readonly purpose: PermitPurpose;
 };
 
 export type PermitGrant = {
--- a/src/core/entry/rate-permits.test.ts
+++ b/src/core/entry/rate-permits.test.ts
@@ -8,7 +8,7 @@
 import {
 	beacon, EntryHarness, effectsOfKind, instance, targetEntry,
 } from '../../../test/standins/entry-harness.js';
-import {type PermitRequest} from './peer-messages.js';
+import {type PermitPurpose, type PermitRequest} from './peer-messages.js';
 
 const holder = instance('b');
 
@@ -115,7 +115,7 @@
 			harness.nowMs += afterMs;
 			harness.holdLease();
 			const request: PermitRequest = {
-				from: `i${index}`, replyTo: `i${index}:2`, targetId: 't0', incarnation: 1, perSecond, statedAgoMs: 0, wanted,
+				from: `i${index}`, replyTo: `i${index}:2`, targetId: 't0', incarnation: 1, perSecond, statedAgoMs: 0, wanted, purpose: 'needed',
 			};
 			const [granted] = effectsOfKind(harness.dispatch({kind: 'permits-requested', request}), 'grant-permits');
 			usableAtMs.push(...granted!.grant.inMs.map(inMs => harness.nowMs + inMs));
@@ -127,3 +127,15 @@
 		}
 	}), {seed: 24, numRuns: 60});
 });
+
+// Guards against requests with another target that use up the permits of those without.
+test('the holder gives permits ahead only to requests without another target', () => {
+	const harness = new EntryHarness().configure().readRegistry([targetEntry('t0')]).holdLease();
+	const ask = (from: string, purpose: PermitPurpose) => effectsOfKind(harness.dispatch({
+		kind: 'permits-requested',
+		request: {
+			from, replyTo: `${from}:2`, targetId: 't0', incarnation: 1, perSecond: 2, statedAgoMs: 0, wanted: 1, purpose,
+		},
+	}), 'grant-permits')[0]?.grant.inMs.length;
+	assert.deepEqual([ask('b', 'spare'), ask('c', 'spare'), ask('d', 'needed'), ask('e', 'spare')], [1, 0, 1, 0]);
+});
--- a/src/core/entry/rate-permits.ts
+++ b/src/core/entry/rate-permits.ts
@@ -6,7 +6,7 @@
 import {dispatchTarget} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
 import {holdsLease, isLeaseVacant} from './lease.js';
-import {type PermitGrant} from './peer-messages.js';
+import {type PermitGrant, type PermitPurpose, type PermitRequest} from './peer-messages.js';
 import {countInstances} from './peers.js';
 import {adoptRateLimit} from './rate-limit.js';
 import {randomFraction, type EntryContext} from './state.js';
@@ -17,7 +17,7 @@
 /** A permit that is not used this long after its time expires. */
 const PERMIT_VALID_MS = 500;
 /** How far ahead permits are given out. */
-const MAX_AHEAD_MS = 1000;
+const maxAheadMs: Readonly<Record<PermitPurpose, number>> = {needed: 1000, spare: 0};
 /** Time for which permits that nobody asked for can be given out later, at once. */
 const BURST_MS = 500;
 const MIN_ASK_INTERVAL_MS = 100;
@@ -50,17 +50,23 @@
 	return Math.max(0, (permits.usableFromMs[0] ?? permits.freeAtMs) - nowMs);
 }
 
-/** Obtains permits for requests that wait. Returns whether one may be used at once. */
-export function askForPermits(context: EntryContext, target: Target, waiting: number): boolean {
+export type PermitDemand = {
+	/** Number of requests that would use one. */
+	readonly requests: number;
+	readonly purpose: PermitPurpose;
+};
+
+/** Obtains permits. Returns whether one may be used at once. */
+export function askForPermits(context: EntryContext, target: Target, {requests, purpose}: PermitDemand): boolean {
 	const {state, nowMs} = context;
 	const {permits, rateLimit} = target;
 	if (!isLimited(target) || !canAskForPermit(target, nowMs)) {
 		return false;
 	}
 
-	const wanted = Math.min(MAX_WANTED, waiting);
+	const wanted = Math.min(MAX_WANTED, requests);
 	if (holdsLease(context)) {
-		addGrant(context, target, grant(context, target, wanted));
+		addGrant(context, target, grant(context, target, {wanted, purpose}));
 		return hasUsablePermit(permits, nowMs);
 	}
 
@@ -82,6 +88,7 @@
 				targetId: target.id,
 				incarnation: target.entry.incarnation,
 				wanted,
+				purpose,
 				perSecond: rateLimit!.perSecond!,
 				statedAgoMs: nowMs - rateLimit!.statedAtMs,
 			},
@@ -101,7 +108,7 @@
 
 	adoptRateLimit(context, target, {perSecond: request.perSecond, statedAtMs: nowMs - request.statedAgoMs});
 	if (holdsLease(context) && isLimited(target)) {
-		context.effects.push({kind: 'grant-permits', address: request.replyTo, grant: grant(context, target, request.wanted)});
+		context.effects.push({kind: 'grant-permits', address: request.replyTo, grant: grant(context, target, request)});
 	}
 }
 
@@ -114,12 +121,12 @@
 }
 
 /** Gives out the next permits of a target, which are due at intervals of its rate. */
-function grant({state, nowMs}: EntryContext, target: Target, wanted: number): PermitGrant {
+function grant({state, nowMs}: EntryContext, target: Target, {wanted, purpose}: Pick<PermitRequest, 'wanted' | 'purpose'>): PermitGrant {
 	const {permitsDueMs} = state.orderTracker;
 	const intervalMs = 1000 / ratePerSecond(target);
 	let dueMs = Math.max(permitsDueMs.get(target.id) ?? nowMs, nowMs - BURST_MS);
 	const inMs: number[] = [];
-	while (inMs.length < wanted && dueMs - nowMs <= MAX_AHEAD_MS) {
+	while (inMs.length < wanted && dueMs - nowMs <= maxAheadMs[purpose]) {
 		inMs.push(Math.max(0, Math.round(dueMs - nowMs)));
 		dueMs += intervalMs;
 	}
@@ -133,7 +140,7 @@
 	permits.usableFromMs.push(...inMs.map(delayMs => nowMs + delayMs));
 	permits.usableFromMs.sort((a, b) => a - b);
 	permits.freeAtMs = nowMs + freeInMs;
-	permits.askAgainAtMs = nowMs + Math.max(MIN_ASK_INTERVAL_MS, freeInMs - MAX_AHEAD_MS);
+	permits.askAgainAtMs = nowMs + Math.max(MIN_ASK_INTERVAL_MS, freeInMs - maxAheadMs.needed);
 }
 
 /** Adds a permit when this instance's equal share of the limit has one. */
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -63,6 +63,7 @@
 		return {kind: 'send', target: best, permitFrom};
 	}
 
+	// A target that takes requests at any rate is worth loading the adapter on, even if limited ones hold it.
 	const unlimited = withCapacity.filter(target => !isLimited(target));
 	const loadable = unlimited.length > 0 ? unlimited : withCapacity;
 	return adapter === undefined || loadable.some(target => holding.includes(target))
