--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -159,6 +159,7 @@
 	request.delivered = Math.max(request.delivered, event.delivered);
 	attempt.firstEventAtMs = event.firstEventAtMs;
 	attempt.longestPauseMs = event.longestPauseMs;
+	// Before the slot is freed, so that the requests that are sent to it keep to the limit.
 	if (target && event.rateLimit && !attempt.hasBegun) {
 		recordStatedLimit(context, target, attempt, event.rateLimit);
 	}
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -112,6 +112,7 @@
 		if (fault) {
 			body.on('error', () => undefined);
 			body.destroy();
+			// What a response that may not be the target's own states about its limit does not count.
 			return {
 				outcome: 'broken', status, load, rateLimit: undefined, reason: fault,
 			};
