--- a/src/entry/datagram-codec.test.ts
+++ b/src/entry/datagram-codec.test.ts
@@ -6,7 +6,7 @@
 import {test} from 'node:test';
 import {deflateRawSync} from 'node:zlib';
 import {beacon} from '../../test/standins/entry-harness.js';
-import {decodeDatagram, encodeDatagram} from './datagram-codec.js';
+import {decodeDatagram, encodeDatagram, toEvent} from './datagram-codec.js';
 
 const sent = beacon({loads: [['t1', 3, 900]], leavingCopies: [{targetId: 't1', model: 'm0', forMs: 900}]});
 
@@ -26,3 +26,12 @@
 		assert.equal(decodeDatagram(bytes), undefined);
 	}
 });
+
+// Guards against permits that are dropped, or taken for another message, on the way between instances.
+test('requests for permits and grants arrive as what they are', () => {
+	const request = {
+		from: 'a', replyTo: '10.0.0.1:2', targetId: 't', incarnation: 1, perSecond: 2.5, statedAgoMs: 10, wanted: 3, purpose: 'needed',
+	} as const;
+	const grant = {targetId: 't', inMs: [0, 400], freeInMs: 800};
+	assert.deepEqual([request, grant].map(datagram => toEvent(decodeDatagram(encodeDatagram(datagram))!)), [{kind: 'permits-requested', request}, {kind: 'permits-granted', grant}]);
+});
