--- /dev/null
+++ b/src/experiment/invariants.ts
@@ -0,0 +1,55 @@
+/**
+Checks what must hold between the instances of a modelled deployment and inside each of
+them, and reports what does not.
+*/
+import {type EngineOrder} from '../core/entry/types.js';
+import {countInstances} from '../core/entry/peers.js';
+import {type EntryState} from '../core/entry/state.js';
+import {type Simulation} from './simulation.js';
+
+/** Sum of the shares of a common limit, with a tolerance for instances that have just joined. */
+const MAX_SHARES = 1.1;
+
+export type InvariantOptions = {
+	readonly simulation: Simulation;
+	readonly onViolation: (text: string) => void;
+};
+
+export class Invariants {
+	private readonly _holderByEngine = new Map<string, {holder: string; epoch: number}>();
+
+	constructor(private readonly _options: InvariantOptions) {}
+
+	/** One instance at a time gives orders to an engine, and epochs only grow. */
+	checkHolder(targetId: string, {holder, epoch}: Pick<EngineOrder, 'holder' | 'epoch'>): void {
+		const known = this._holderByEngine.get(targetId);
+		if (known && (epoch < known.epoch || (epoch === known.epoch && holder !== known.holder))) {
+			this._report(`${holder} orders ${targetId} in epoch ${epoch} after ${known.holder} in epoch ${known.epoch}`);
+		}
+
+		this._holderByEngine.set(targetId, {holder, epoch});
+	}
+
+	/** Instances divide a common limit, such as that of retries, so that their shares sum up to no more than it. */
+	checkShares(states: readonly EntryState[]): void {
+		const {nowMs} = this._options.simulation;
+		const shares = states.reduce((sum, state) => sum + (1 / countInstances(state, nowMs)), 0);
+		if (shares > MAX_SHARES) {
+			this._report(`the shares of a common limit sum up to ${shares.toFixed(2)} of it`);
+		}
+	}
+
+	/** A queue counts the requests that wait in it; one with a count of 0 is not looked at. */
+	checkQueues({self, queues, open}: EntryState): void {
+		for (const [key, {waiting}] of queues) {
+			const queued = [...open.values()].filter(({queueKey, phase}) => queueKey === key && phase === 'queued').length;
+			if (waiting !== queued) {
+				this._report(`${self.id} counts ${waiting} waiting requests for ${key} where there are ${queued}`);
+			}
+		}
+	}
+
+	private _report(text: string): void {
+		this._options.onViolation(`${Math.round(this._options.simulation.nowMs)} ms: ${text}`);
+	}
+}
