LOST: failing tests, known red

What callers see: a stream whose target pauses for a second, as sound targets may, ends with a closed connection.

The fake runner can pause between two events and go on.

--- /dev/null
+++ b/src/core/entry/silence.test.ts
@@ -0,0 +1,100 @@
+/**
+Silent targets: a try is given up only for a replacement that is certain. A sound target
+may pause for a second and go on, and a stream whose head was passed on can only end
+whole or cut off.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	beacon, engineEntry, EntryHarness, effectsOfKind,
+} from '../../../test/standins/entry-harness.js';
+import {type EntryEffect} from './effect.js';
+import {type EntryArrival} from './types.js';
+
+const RED = {todo: 'KNOWN-RED.txt, issue 30'};
+/** Longer than the pauses of sound targets, and shorter than the time after which callers give up. */
+const SILENCE_MS = 1500;
+
+/** A stream that has passed its first event on, and the target that it runs at. */
+function beginStream(core: EntryHarness, id: string, overrides: Partial<EntryArrival> = {}): string {
+	const [sent] = effectsOfKind(core.arrive(id, '/ask/1', {model: 'm0', deadlineMs: 10_000, ...overrides}), 'send');
+	assert.ok(sent);
+	core.dispatch({
+		kind: 'try-progressed', requestId: id, tryNumber: 1, delivered: 1,
+	});
+	return sent.targetId;
+}
+
+function createCore(models = ['m0']): EntryHarness {
+	return new EntryHarness().configure().readRegistry([engineEntry('e1', models), engineEntry('e2', models)]);
+}
+
+/** Repeats until the budget refuses one. */
+function exhaustRetryBudget(core: EntryHarness): void {
+	for (let index = 0; index < 1000; index++) {
+		core.arrive(`spent${index}`, '/ask/1', {model: 'm0'});
+		const isRetried = effectsOfKind(core.endTry(`spent${index}`, 1, 'broken'), 'send').length > 0;
+		core.dispatch({kind: 'caller-left', requestId: `spent${index}`});
+		if (!isRetried) {
+			return;
+		}
+	}
+
+	throw new Error('the budget has no end');
+}
+
+function assertUntouched(effects: readonly EntryEffect[], what: string): void {
+	for (const kind of ['break-off', 'refuse', 'cancel'] as const) {
+		assert.deepEqual(effectsOfKind(effects, kind), [], what);
+	}
+}
+
+// Guards against canceling a try before it is known that another one is allowed, which cut the stream off.
+test('the retry budget is used up: a stream whose target pauses stays there and ends whole', RED, () => {
+	const core = createCore();
+	beginStream(core, 'r');
+	exhaustRetryBudget(core);
+	assertUntouched(core.advance(SILENCE_MS), 'while the target is silent');
+	core.dispatch({
+		kind: 'try-progressed', requestId: 'r', tryNumber: 1, delivered: 2,
+	});
+	assert.equal(effectsOfKind(core.endTry('r', 1, 'answered'), 'deliver').length, 1);
+});
+
+// Guards against canceling a try for a target that cannot serve the request: an adapter has to be ordered by a lease holder first.
+test('no other target holds the adapter, and no instance may order it: a stream whose target pauses stays there', RED, () => {
+	const core = new EntryHarness().configure().readRegistry([
+		engineEntry('e1', [], {copies: [{model: 'm0', version: 1, adapters: ['a1']}]}), engineEntry('e2', ['m0']),
+	]);
+	core.advance(100);
+	beginStream(core, 'r', {adapter: 'a1'});
+	assertUntouched(core.advance(SILENCE_MS), 'while the target is silent');
+});
+
+// Guards against a stream that queues again behind the requests of others, and is cut off when its turn does not come in time.
+test('a silent try is replaced in one step: the stream never waits in a queue', () => {
+	const core = createCore();
+	const first = beginStream(core, 'r');
+	const effects = core.advance(SILENCE_MS);
+	assert.equal(effectsOfKind(effects, 'cancel').length, 1);
+	const [second] = effectsOfKind(effects, 'send');
+	assert.ok(second && second.targetId !== first);
+	assert.equal(core.state.open.get('r')?.phase, 'running');
+});
+
+test('no other target has room: a stream whose target pauses stays there, and moves once one has', () => {
+	const core = createCore();
+	const first = beginStream(core, 'r');
+	const other = first === 'e1' ? 'e2' : 'e1';
+	core.dispatch({kind: 'beacon-received', beacon: beacon({loads: [[other, 50, 0]]})});
+	assertUntouched(core.advance(SILENCE_MS), 'while the other target is full');
+	core.dispatch({kind: 'beacon-received', beacon: beacon()});
+	assert.equal(effectsOfKind(core.advance(400), 'send')[0]?.targetId, other);
+});
+
+// Guards against giving up sound targets: pauses of about a second are theirs, and a try that moves spends the budget of those in need.
+test('a pause of one second, which sound targets make, cancels no stream', RED, () => {
+	const core = createCore();
+	beginStream(core, 'r');
+	assertUntouched(core.advance(1000), 'after one second');
+});
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -159,8 +159,11 @@
 	}
 }
 
-/** How a runner handles one request; `answer` sends a complete response. */
-export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'hang';
+/** Pause of a sound runner between two events. */
+const PAUSE_MS = 1100;
+
+/** How a runner handles one request; `answer` sends a complete response, `pause` one with a long pause after its first event. */
+export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'hang' | 'pause';
 
 export type ReceivedRequest = {
 	readonly method: string;
@@ -305,16 +308,32 @@
 
 		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+		if (behaviour === 'pause') {
+			response.write(`id: ${first}\ndata: token ${first}\n\n`);
+			setTimeout(() => {
+				this._sendEvents(response, first + 1);
+			}, PAUSE_MS);
+			return;
+		}
+
 		const isBroken = behaviour === 'truncate' || behaviour === 'break-event';
-		for (let id = first; id <= (isBroken ? first + 1 : this.events); id++) {
+		if (!isBroken) {
+			this._sendEvents(response, first);
+			return;
+		}
+
+		for (let id = first; id <= first + 1; id++) {
 			response.write(`id: ${id}\ndata: token ${id}\n\n`);
 		}
 
-		if (isBroken) {
-			response.write(behaviour === 'break-event' ? `id: ${first + 2}\nda` : ':\n\n', () => {
-				setTimeout(() => socketOf(response)?.destroy(), 20);
-			});
-			return;
+		response.write(behaviour === 'break-event' ? `id: ${first + 2}\nda` : ':\n\n', () => {
+			setTimeout(() => socketOf(response)?.destroy(), 20);
+		});
+	}
+
+	private _sendEvents(response: ServerResponse, first: number): void {
+		for (let id = first; id <= this.events; id++) {
+			response.write(`id: ${id}\ndata: token ${id}\n\n`);
 		}
 
 		response.end();
--- /dev/null
+++ b/test/unit/pausing-targets.test.ts
@@ -0,0 +1,89 @@
+/**
+A complete daemon before runners that pause in the middle of a stream and go on, while
+configurations change: every caller receives a whole answer.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {request as httpRequest} from 'undici';
+import {headerCodec} from '../../platform/header-codec.js';
+import {createEngineClient} from '../../platform/engine-client.js';
+import {documents} from '../../platform/documents.js';
+import {createRowStore} from '../../platform/row-store.js';
+import {systemClock} from '../../src/core/clock.js';
+import {EntryDaemon} from '../../src/entry/entry-daemon.js';
+import {EntryLog} from '../../src/entry/entry-log.js';
+import {entrySettingsSchema} from '../../src/entry/settings.js';
+import {FakeRunner, FakeStore} from '../standins/fake-store-and-runner.js';
+import {freePorts} from '../standins/free-ports.js';
+
+const configuration = {
+	version: 3,
+	routes: [{
+		name: 'ask', host: 'a.example', prefix: '/ask/', kind: 'streaming', timeoutMs: 6000, targetLatencyMs: 300, priority: 0, service: 'llm', maxAttempts: 2, resumable: true, gapAimMs: 150,
+	}],
+	services: [{name: 'llm', maxConns: 100}],
+	limits: {
+		maxHeaderBytes: 4096, maxBodyBytes: 10_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000,
+	},
+};
+const STREAMS = 12;
+
+// Guards against cutting off the streams of a target that pauses, which callers saw beside changes of the configuration.
+test('both runners pause for a second in all streams, and the retry budget covers few: every stream ends whole', {todo: 'KNOWN-RED.txt, issue 30'}, async () => {
+	const store = new FakeStore();
+	const runners = [await new FakeRunner('i-1').start(), await new FakeRunner('i-2').start()];
+	const storeAddress = await store.start();
+	store.put('op', 'config', configuration);
+	for (const runner of runners) {
+		store.put('servers', runner.id, runner.entry('llm', 'north'));
+		runner.behaviours = Array.from({length: STREAMS * 2}, () => 'pause');
+	}
+
+	const ports = await freePorts(4);
+	const [callers, readiness, peers, beacons] = ports.map(port => `127.0.0.1:${port}`);
+	const daemon = await EntryDaemon.start({
+		settings: entrySettingsSchema.parse({
+			instance: {id: 'one', zone: 'north'},
+			listen: {
+				callers, readiness, peers, beacons,
+			},
+			store: {address: storeAddress},
+			bounds: {
+				graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 0,
+			},
+		}),
+		deployment: {
+			store: createRowStore(storeAddress), documents, headerCodec, engines: createEngineClient(),
+		},
+		log: new EntryLog({level: 'silent', instanceId: 'one', clock: systemClock}),
+	});
+	try {
+		while (!daemon.isReady || daemon.state.targets.size < runners.length) {
+			await delay(20);
+		}
+
+		const answers = Promise.allSettled(Array.from({length: STREAMS}, async (_, index) => {
+			const response = await httpRequest(`http://${callers}/ask/1`, {
+				method: 'POST', body: 'x', headers: {
+					host: 'a.example', 'x-pollenarch-request-id': `s${index}`, 'x-pollenarch-request-deadline': '6000', 'x-pollenarch-token-usage': '10,10',
+				},
+			});
+			return response.body.text();
+		}));
+		for (let version = 4; version < 8; version++) {
+			await delay(200);
+			store.put('op', 'config', {...configuration, version});
+		}
+
+		const texts = await answers;
+		const ids = texts.map(result => result.status === 'fulfilled' ? [...result.value.matchAll(/id: (?<id>\d+)/gv)].map(match => match.groups?.id).join(' ') : String(result.reason));
+		assert.deepEqual(ids, Array.from({length: STREAMS}, () => '1 2 3 4 5'));
+	} finally {
+		await daemon.stop();
+		store.stop();
+		for (const runner of runners) {
+			runner.stop();
+		}
+	}
+});
