--- a/src/core/entry/patience.ts
+++ b/src/core/entry/patience.ts
@@ -32,7 +32,7 @@
 	const {state, nowMs} = context;
 	const wait = expectedWait(context, request);
 	const leftMs = request.patienceEndsAtMs - nowMs;
-	const marginMs = (request.patienceEndsAtMs - request.arrivedAtMs) * REFUSAL_MARGIN_SHARE;
+	const marginMs = Math.min(request.route.patienceMs, request.deadlineAtMs - request.arrivedAtMs) * REFUSAL_MARGIN_SHARE;
 	const isNew = nowMs - request.arrivedAtMs < PLAN_NOTICE_MS;
 	if (leftMs <= marginMs || (state.mechanisms.has('early-refusal') && wait.waitMs > leftMs * MAX_WAIT_SHARE && (wait.isKnown || !isNew))) {
 		refuseWaiting(context, request, wait);
--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	beacon, engineEntry, EntryHarness, effectsOfKind,
+	beacon, engineEntry, EntryHarness, effectsOfKind, route,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffect} from './effect.js';
 import {type EntryArrival} from './types.js';
@@ -24,8 +24,11 @@
 	return sent.targetId;
 }
 
-function createCore(models = ['m0']): EntryHarness {
-	return new EntryHarness().configure().readRegistry([engineEntry('e1', models), engineEntry('e2', models)]);
+function createCore(): EntryHarness {
+	const ask = route({
+		name: 'ask', prefix: '/ask/', isStream: true, timeoutMs: 10_000, destinations: [{service: 'llm', weight: 1}], rank: 0,
+	});
+	return new EntryHarness().configure({routes: [ask]}).readRegistry([engineEntry('e1', ['m0']), engineEntry('e2', ['m0'])]);
 }
 
 /** Repeats until the budget refuses one. */
@@ -62,7 +65,7 @@
 
 // Guards against canceling a try for a target that cannot serve the request: an adapter has to be ordered by a lease holder first.
 test('no other target holds the adapter, and no instance may order it: a stream whose target pauses stays there', () => {
-	const core = new EntryHarness().configure().readRegistry([
+	const core = createCore().readRegistry([
 		engineEntry('e1', [], {copies: [{model: 'm0', version: 1, adapters: ['a1']}]}), engineEntry('e2', ['m0']),
 	]);
 	core.advance(100);
@@ -97,3 +100,23 @@
 	beginStream(core, 'r');
 	assertUntouched(core.advance(1000), 'after one second');
 });
+
+// Guards against measuring a stream's patience from its arrival: a stream older than that was cut off where no target had room at once.
+test('a stream that breaks after it has run for long waits for room as long as its caller waits for the next event', () => {
+	const core = createCore();
+	const first = beginStream(core, 'r');
+	const other = first === 'e1' ? 'e2' : 'e1';
+	for (let delivered = 2; delivered < 18; delivered++) {
+		core.advance(200);
+		core.dispatch({
+			kind: 'try-progressed', requestId: 'r', tryNumber: 1, delivered,
+		});
+	}
+
+	core.dispatch({kind: 'beacon-received', beacon: beacon({loads: [[other, 50, 0]]})});
+	core.readRegistry([engineEntry(first, ['m0'], {isLeaving: true}), engineEntry(other, ['m0'])]);
+	assertUntouched(core.endTry('r', 1, 'broken'), 'when the target breaks');
+	assertUntouched(core.advance(600), 'while the other target is full');
+	core.dispatch({kind: 'beacon-received', beacon: beacon()});
+	assert.equal(effectsOfKind(core.advance(200), 'send')[0]?.targetId, other);
+});
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -132,6 +132,7 @@
 	attempt.hasBegun = true;
 	attempt.progressAtMs = nowMs;
 	request.delivered = event.delivered;
+	request.patienceEndsAtMs = Math.min(request.deadlineAtMs, nowMs + request.route.patienceMs);
 	request.hasHead = true;
 	request.mayHaveRun = true;
 }
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -86,8 +86,8 @@
 	readonly arrivedAtMs: number;
 	/** The earlier of the caller's deadline and the route's timeout. */
 	readonly deadlineAtMs: number;
-	/** When the caller is expected to give up if nothing has arrived. */
-	readonly patienceEndsAtMs: number;
+	/** When the caller is expected to give up if nothing more arrives. */
+	patienceEndsAtMs: number;
 	readonly tries: EntryTry[];
 	phase: RequestPhase;
 	/** Stream events delivered to the caller. */
