LOST, elsewhere: a stream that has begun goes first within its rank

What callers saw: a stream to be resumed is late by then, so it queued behind all punctual requests of its rank, and was cut off when its caller's patience ended. The others can be refused and return; a stream that has begun can only go on or be cut off, and its text is lost with it.

Change: within a rank, requests with a head go first.

Evidence: silence.test.ts; the new request was sent before, the stream now.

--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -120,3 +120,17 @@
 	core.dispatch({kind: 'beacon-received', beacon: beacon()});
 	assert.equal(effectsOfKind(core.advance(200), 'send')[0]?.targetId, other);
 });
+
+// Guards against a stream that has begun and waits behind requests that have not: only its caller cannot be refused and return.
+test('a stream that has begun goes before requests of its rank that have not', () => {
+	const core = createCore();
+	const first = beginStream(core, 'r');
+	const other = first === 'e1' ? 'e2' : 'e1';
+	core.advance(400);
+	core.dispatch({kind: 'beacon-received', beacon: beacon({loads: [[other, 50, 0]]})});
+	core.readRegistry([engineEntry(first, ['m0'], {isLeaving: true}), engineEntry(other, ['m0'])]);
+	core.arrive('new', '/ask/1', {model: 'm0'});
+	core.endTry('r', 1, 'broken');
+	core.dispatch({kind: 'beacon-received', beacon: beacon({loads: [[other, 5, 0]]})});
+	assert.equal(effectsOfKind(core.advance(200), 'send')[0]?.requestId, 'r');
+});
--- a/src/core/entry/waiting-queue.ts
+++ b/src/core/entry/waiting-queue.ts
@@ -30,7 +30,7 @@
 	private _hadBacklog = false;
 
 	constructor(private readonly _options: WaitingQueueOptions = {putsPunctualFirst: true}) {
-		this._punctual = new TinyQueue<EntryRequest>([], (a, b) => a.route.rank - b.route.rank || this._dueAtMs(a) - this._dueAtMs(b));
+		this._punctual = new TinyQueue<EntryRequest>([], (a, b) => a.route.rank - b.route.rank || Number(b.hasHead) - Number(a.hasHead) || this._dueAtMs(a) - this._dueAtMs(b));
 	}
 
 	get waiting(): number {
@@ -54,7 +54,7 @@
 
 	/** The first request that still waits, without removing it. */
 	peek(nowMs: number): EntryRequest | undefined {
-		for (let first = this._firstWaiting(this._punctual); first && this._dueAtMs(first) < nowMs; first = this._firstWaiting(this._punctual)) {
+		for (let first = this._firstWaiting(this._punctual); first && !first.hasHead && this._dueAtMs(first) < nowMs; first = this._firstWaiting(this._punctual)) {
 			this._punctual.pop();
 			this._late.push(first);
 		}
