LOST, elsewhere: a stop cuts off no stream that is between two targets

What callers saw: a stream whose target broke off while its instance was stopping was cut off at the next tick, if the request was older than a second, though its caller waits for the next event and the grace period has seconds left.

Cause: the rule of a stop for waiting requests refuses, which a stream that has begun cannot be; it was cut off instead.

Change: such a stream waits as long as its caller does.

--- a/src/core/entry/drain.ts
+++ b/src/core/entry/drain.ts
@@ -56,8 +56,9 @@
 
 function refuseWaiting(context: EntryContext): void {
 	for (const request of context.state.open.values()) {
-		const {phase, mayHaveRun, arrivedAtMs} = request;
-		if (phase !== 'running' && context.nowMs - arrivedAtMs >= MAX_WAIT_MS) {
+		const {phase, hasHead, mayHaveRun, arrivedAtMs} = request;
+		// A stream that has begun cannot be refused any more; it waits as long as its caller does.
+		if (phase !== 'running' && !hasHead && context.nowMs - arrivedAtMs >= MAX_WAIT_MS) {
 			const detail = 'the instance is stopping, and no target had room';
 			refuse(context, request, mayHaveRun ? {code: 'target-failed', detail} : {code: 'stopping', retryAfterMs: RETRY_AFTER_MS, detail});
 		}
