--- a/src/experiment/engine-model.ts
+++ b/src/experiment/engine-model.ts
@@ -76,6 +76,7 @@
 
 	/** Factor on the duration of steps; above 1 while the engine is slow. */
 	slowness = 1;
+	private _pausedUntilMs = 0;
 	private readonly _onDisk: string[] = [];
 	private readonly _inMemory: string[] = [];
 	private readonly _runs: Run[] = [];
@@ -129,6 +130,11 @@
 		}
 	}
 
+	/** Falls silent: what it produces until then comes afterwards. */
+	pause(forMs: number): void {
+		this._pausedUntilMs = this._simulation.nowMs + forMs;
+	}
+
 	order({kind, model, adapter, expectedSequence}: EngineOrder, storeLoadMs: () => number): EngineOrderOutcome {
 		if (expectedSequence !== this.sequence || this._order) {
 			return 'conflict';
@@ -317,16 +323,28 @@
 		this.counters.readTokens += chunkTokens - chunk;
 		this.counters.busyMs += (chunkTokens - chunk) / readTokensPerMs;
 		this._simulation.schedule(durationMs, () => {
-			this._isStepping = false;
-			for (const run of running) {
-				this._advance(run, pieces.get(run) ?? 0);
-			}
-
-			this._finishUnload();
-			this._step();
+			this._endStep(running, pieces);
 		});
 	}
 
+	private _endStep(running: readonly Run[], pieces: ReadonlyMap<Run, number>): void {
+		const pausedMs = this._pausedUntilMs - this._simulation.nowMs;
+		if (pausedMs > 0) {
+			this._simulation.schedule(pausedMs, () => {
+				this._endStep(running, pieces);
+			});
+			return;
+		}
+
+		this._isStepping = false;
+		for (const run of running) {
+			this._advance(run, pieces.get(run) ?? 0);
+		}
+
+		this._finishUnload();
+		this._step();
+	}
+
 	private _advance(run: Run, piece: number): void {
 		if (!this._runs.includes(run)) {
 			return;
--- a/src/experiment/experiment.test.ts
+++ b/src/experiment/experiment.test.ts
@@ -80,6 +80,9 @@
 	fc.record({
 		kind: fc.constant('engine-slow'), atS: seconds(5), forS: seconds(3), number: fc.integer({min: 1, max: 2}), times: fc.integer({min: 2, max: 6}),
 	}),
+	fc.record({
+		kind: fc.constant('engine-pause'), atS: seconds(5), forS: seconds(1.2), number: fc.integer({min: 1, max: 3}),
+	}),
 	fc.record({
 		kind: fc.constant('instance-kill'), atS: seconds(5), forS: seconds(3), number: fc.integer({min: 1, max: 3}), holder: fc.boolean(),
 	}),
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -673,6 +673,11 @@
 				});
 			}
 		},
+		'engine-pause': ({forS, number}) => {
+			for (const target of this._pickEngines(number)) {
+				target.engine!.pause(forS * 1000);
+			}
+		},
 		'named-limit': ({forS, number, perSecond}) => {
 			for (const {id} of this._pickEngines(number)) {
 				this._rateLimits.name(id, perSecond);
--- a/src/experiment/pattern.ts
+++ b/src/experiment/pattern.ts
@@ -84,6 +84,10 @@
 	z.strictObject({
 		kind: z.literal('engine-slow'), atS: seconds, forS: seconds, number: count.default(1), times: positive,
 	}),
+	/** Engines fall silent and then go on, as sound ones may. */
+	z.strictObject({
+		kind: z.literal('engine-pause'), atS: seconds, forS: seconds, number: count.default(1),
+	}),
 	/** Targets name a limit of that many requests a second from all instances together. */
 	z.strictObject({
 		kind: z.literal('named-limit'), atS: seconds, forS: seconds, number: count.default(1), perSecond: positive,
