ORDER: log which release a stream goes on at, and what it resumes

Nothing decoded the version of a target's software or the header that names the request that began a stream, so no log line could tell streams that mix releases from others. No decision changed.

--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -23,6 +23,8 @@
 	/** Host and port. */
 	readonly address: string;
 	readonly zone: ZoneName;
+	/** Version of its software, empty if it states none. What two releases write does not fit together in one stream. */
+	readonly release: string;
 	readonly slots: number;
 	readonly isLeaving: boolean;
 	/** Number of orders that this incarnation has accepted. */
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -42,6 +42,9 @@
 	readonly adapter: string | undefined;
 	/** Size of the prompt, undefined if the caller does not state it. */
 	readonly promptTokens?: number;
+	/** For a stream that the caller resumes: the last event that it has received, and the request that brought the first one. */
+	readonly lastEventId?: number;
+	readonly resumes?: RequestId;
 	/** Time that the caller is willing to wait, from its deadline header. */
 	readonly deadlineMs: number | undefined;
 };
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -76,6 +76,8 @@
 	readonly promptTokens: number | undefined;
 	/** Last event that the caller received in an earlier response, 0 for none. */
 	readonly lastEventId: number;
+	/** The request that brought the first event of the stream that this one resumes. */
+	readonly resumes: string | undefined;
 };
 
 /** Content of the headers that are added to a request to a target. */
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -309,6 +309,8 @@
 				model: metadata.model,
 				adapter: metadata.adapter,
 				promptTokens: metadata.promptTokens,
+				lastEventId: metadata.lastEventId,
+				resumes: metadata.resumes,
 				deadlineMs: metadata.deadlineMs,
 			},
 		});
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -600,6 +600,7 @@
 			isLeaving: false,
 			sequence: report?.sequence ?? 0,
 			slowLeftMs: 0,
+			release: 'v1',
 			copies: report?.copies ?? [],
 			inMemory: report?.inMemory ?? [],
 			onDisk: report?.onDisk ?? [],
--- a/test/standins/entry-harness.ts
+++ b/test/standins/entry-harness.ts
@@ -107,6 +107,7 @@
 		isLeaving: false,
 		sequence: 0,
 		slowLeftMs: 0,
+		release: 'v1',
 		copies: [],
 		inMemory: [],
 		onDisk: [],
