--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -179,6 +179,8 @@
 	readonly orders: Array<Record<string, unknown>> = [];
 	models: Array<{name: string; version: number; adapters: string[]}> = [];
 	events = 5;
+	/** Version of its software. */
+	version = 'v1';
 	/** Rate limit that its responses name. */
 	requestsPerSecond: number | undefined;
 	sequence = 0;
@@ -203,7 +205,7 @@
 
 	entry(service: string, zone: string): Record<string, unknown> {
 		return {
-			service, address: this.address, zone, version: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, seq: this.sequence, born: 1, models: this.models,
+			service, address: this.address, zone, version: this.version, slots: 8, state: 'ready', coldLeftMs: 0, seq: this.sequence, born: 1, models: this.models,
 		};
 	}
 
--- /dev/null
+++ b/test/standins/platform-instance.ts
@@ -0,0 +1,49 @@
+/**
+Starts a complete daemon with the platform adapter, on free ports of the loopback
+interface and with a silent log, for tests against fakes of the store and of runners.
+*/
+import {headerCodec} from '../../platform/header-codec.js';
+import {createEngineClient} from '../../platform/engine-client.js';
+import {documents} from '../../platform/documents.js';
+import {createRowStore} from '../../platform/row-store.js';
+import {systemClock} from '../../src/core/clock.js';
+import {EntryDaemon} from '../../src/entry/entry-daemon.js';
+import {EntryLog} from '../../src/entry/entry-log.js';
+import {entrySettingsSchema} from '../../src/entry/settings.js';
+import {freePorts} from './free-ports.js';
+
+export type PlatformInstance = {
+	readonly daemon: EntryDaemon;
+	/** Host and port for callers. */
+	readonly callers: string;
+};
+
+export type PlatformInstanceOptions = {
+	readonly id: string;
+	readonly storeAddress: string;
+	readonly zone?: string;
+	/** Retries allowed in ten seconds beside a fifth of the requests. */
+	readonly repeatSlack?: number;
+};
+
+export async function startPlatformInstance({id, storeAddress, zone = 'north', repeatSlack = 1000}: PlatformInstanceOptions): Promise<PlatformInstance> {
+	const ports = await freePorts(4);
+	const [callers, readiness, peers, beacons] = ports.map(port => `127.0.0.1:${port}`) as [string, string, string, string];
+	const daemon = await EntryDaemon.start({
+		settings: entrySettingsSchema.parse({
+			instance: {id, zone},
+			listen: {
+				callers, readiness, peers, beacons,
+			},
+			store: {address: storeAddress},
+			bounds: {
+				graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack,
+			},
+		}),
+		deployment: {
+			store: createRowStore(storeAddress), documents, headerCodec, engines: createEngineClient(),
+		},
+		log: new EntryLog({level: 'silent', instanceId: id, clock: systemClock}),
+	});
+	return {daemon, callers};
+}
--- a/test/unit/pausing-targets.test.ts
+++ b/test/unit/pausing-targets.test.ts
@@ -6,16 +6,8 @@
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {request as httpRequest} from 'undici';
-import {headerCodec} from '../../platform/header-codec.js';
-import {createEngineClient} from '../../platform/engine-client.js';
-import {documents} from '../../platform/documents.js';
-import {createRowStore} from '../../platform/row-store.js';
-import {systemClock} from '../../src/core/clock.js';
-import {EntryDaemon} from '../../src/entry/entry-daemon.js';
-import {EntryLog} from '../../src/entry/entry-log.js';
-import {entrySettingsSchema} from '../../src/entry/settings.js';
 import {FakeRunner, FakeStore} from '../standins/fake-store-and-runner.js';
-import {freePorts} from '../standins/free-ports.js';
+import {startPlatformInstance} from '../standins/platform-instance.js';
 
 const configuration = {
 	version: 3,
@@ -40,24 +32,7 @@
 		runner.behaviours = Array.from({length: STREAMS * 2}, () => 'pause');
 	}
 
-	const ports = await freePorts(4);
-	const [callers, readiness, peers, beacons] = ports.map(port => `127.0.0.1:${port}`);
-	const daemon = await EntryDaemon.start({
-		settings: entrySettingsSchema.parse({
-			instance: {id: 'one', zone: 'north'},
-			listen: {
-				callers, readiness, peers, beacons,
-			},
-			store: {address: storeAddress},
-			bounds: {
-				graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 0,
-			},
-		}),
-		deployment: {
-			store: createRowStore(storeAddress), documents, headerCodec, engines: createEngineClient(),
-		},
-		log: new EntryLog({level: 'silent', instanceId: 'one', clock: systemClock}),
-	});
+	const {daemon, callers} = await startPlatformInstance({id: 'one', storeAddress, repeatSlack: 0});
 	try {
 		while (!daemon.isReady || daemon.state.targets.size < runners.length) {
 			await delay(20);
