LOST: refuse a stream whose first event was cut off

Callers saw: nothing. A request for a stream that had been read, sent to its targets and closed in the core got neither an answer nor a refusal; its connection stayed open and silent until the caller gave up.

Cause: TryRunner began the caller's response when a target's stream ended before the first event, and only then looked whether the stream was complete. For a broken one, ServerResponse counted the head as sent while the core, which learns of a head from the first event, did not. The refusal that followed threw "Cannot write headers after they are sent to the client"; it was logged as effect-failed, the request was already closed, and no timer was left that could end it.

Evidence: a probe of a whole daemon logged try-ended "the stream ended in the middle of an event" twice, then effect-failed for `refuse`; no byte reached the caller in 3.5 s. Reached by a stream that ends orderly within its first event and by one without a length that is reset before it.

Ruled out as the same fault: a connection that is closed within a chunked stream (the body throws before the head), a cancelled try (the same), a later event (the core has the head by then).

Change: a stream without events gets its head only once it is known to be complete, and never from a cancelled try.

--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -193,15 +193,20 @@
 			await exchange.write(Buffer.concat(undelivered.map(({bytes}) => bytes)), signal);
 		}
 
-		if (!exchange.headersSent) {
-			exchange.beginStream(response.status, response.headers);
-		}
-
 		if (isTruncated(response)) {
 			return 'a stream without length was reset';
 		}
 
-		return splitter.hasPartialEvent ? 'the stream ended in the middle of an event' : undefined;
+		if (splitter.hasPartialEvent) {
+			return 'the stream ended in the middle of an event';
+		}
+
+		// A complete stream may have no events. After a broken one the caller may still get another response.
+		if (!exchange.headersSent && !signal.aborted) {
+			exchange.beginStream(response.status, response.headers);
+		}
+
+		return undefined;
 	}
 }
 
