LOST: answer requests whose handling failed unexpectedly

Callers saw: nothing at all, or a wait until their deadline. An unexpected error while a request was read, decided, sent or answered was logged (effect-failed, uncaughtException) and left its connection open and silent.

Cause: every place that catches such an error only logs it, while the core counts the effect as executed. A `refuse` or `deliver` that throws closes the request in the core first, so no timer is left to end it. When the reducer itself throws, the effects it had collected are lost with it, also those of other requests that it had closed. An error in TryRunner outside the two guarded calls became an unhandled rejection, and the try never ended.

Evidence: whole daemons whose header codec throws, or whose route index does.

Ruled out: headers of targets that Node rejects. undici refuses control bytes and a status under 100 before they get here, and both give 502 (probes).

Change: an effect that fails ends its exchange with 502, or closes the connection if the head has gone out, and tells the core. After a reducer that threw, exchanges without an open request end the same way. TryRunner turns any error into a broken try. The listener answers 502 when its handler fails.

Conclusion: closes the class "an error that is only logged".

--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -62,7 +62,12 @@
 			reply.hijack();
 			const {raw} = request;
 			raw.url = request.originalUrl;
-			await this._handleRequest(raw, reply.raw);
+			try {
+				await this._handleRequest(raw, reply.raw);
+			} catch (error) {
+				this._failResponse(reply.raw);
+				throw error;
+			}
 		});
 	}
 
@@ -118,6 +123,20 @@
 		response.end(problem.body);
 	}
 
+	/** Ends a response that an unexpected error has left open. 502 states nothing about the execution. */
+	private _failResponse(response: ServerResponse): void {
+		if (response.writableEnded) {
+			return;
+		}
+
+		if (response.headersSent) {
+			response.destroy();
+			return;
+		}
+
+		this._reject(response, 'target-failed', 'an unexpected error');
+	}
+
 	/** Responds to input that cannot be parsed and closes the connection; nothing after it is read. */
 	private _rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -134,7 +134,7 @@
 		}
 
 		const timed: EntryEvent = {...event, nowMs: this._clock.monotonicMs(), wallMs: this._clock.now().getTime()};
-		for (const effect of reduceEntry(this.state, timed)) {
+		for (const effect of this._reduce(timed)) {
 			this._runEffect(effect);
 		}
 	}
@@ -314,6 +314,21 @@
 		});
 	}
 
+	/** If the reducer throws, its effects are lost, and with them the responses to requests that it has closed. */
+	private _reduce(event: EntryEvent): EntryEffect[] {
+		try {
+			return reduceEntry(this.state, event);
+		} catch (error) {
+			for (const exchange of this.exchanges.values()) {
+				if (!exchange.isFinished && !this.state.open.has(exchange.id)) {
+					exchange.fail();
+				}
+			}
+
+			throw error;
+		}
+	}
+
 	private _runEffect(effect: EntryEffect): void {
 		const handler = this._effectHandlers[effect.kind] as (effect: EntryEffect) => void;
 		try {
@@ -321,6 +336,11 @@
 		} catch (error) {
 			// A failed effect must not prevent the execution of the others.
 			this.log.write('effect-failed', {effect: effect.kind, error: error instanceof Error ? error.message : String(error)});
+			if ('requestId' in effect) {
+				// The core counts the effect as executed.
+				this.exchanges.get(effect.requestId)?.fail();
+				this.dispatch({kind: 'caller-left', requestId: effect.requestId});
+			}
 		}
 	}
 }
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -145,6 +145,21 @@
 		this._response.end(problem.body);
 	}
 
+	/** Ends the response after an unexpected error: with 502, which states nothing about the execution, or by closing the connection. */
+	fail(): void {
+		this.cancelAllTries();
+		if (!this._response.headersSent) {
+			try {
+				this.refuse('target-failed', {detail: 'an unexpected error'});
+				return;
+			} catch {
+				// Not even this can be written.
+			}
+		}
+
+		this.abortResponse();
+	}
+
 	/** Destroys the connection of a response that has begun, so that the caller cannot take it for complete. */
 	abortResponse(): void {
 		this.isFinished = true;
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -56,7 +56,14 @@
 	async run(exchange: Exchange, effect: EntryEffectOf<'send'>): Promise<void> {
 		const {tryNumber} = effect;
 		const signal = exchange.beginTry(tryNumber);
-		const {timing, ...result} = await this._sendAndRead(exchange, effect, signal);
+		let ended: TryResult;
+		try {
+			ended = await this._sendAndRead(exchange, effect, signal);
+		} catch (error) {
+			ended = {outcome: 'broken', reason: error instanceof Error ? error.message : String(error)};
+		}
+
+		const {timing, ...result} = ended;
 		exchange.endTry(tryNumber);
 		if (!signal.aborted) {
 			this._options.dispatch({
--- a/test/unit/whole-answers.test.ts
+++ b/test/unit/whole-answers.test.ts
@@ -4,12 +4,14 @@
 */
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
+import {headerCodec} from '../../platform/header-codec.js';
+import {type HeaderCodec} from '../../src/entry/deployment.js';
 import {
-	chunk, responseHead, ScriptedDeployment, type Script,
+	chunk, responseHead, ScriptedDeployment, waitUntil, type Script,
 } from '../standins/scripted-deployment.js';
 
-async function start(t: TestContext, script: Script): Promise<ScriptedDeployment> {
-	const deployment = await ScriptedDeployment.start({script});
+async function start(t: TestContext, script: Script, overrides: Partial<HeaderCodec> = {}): Promise<ScriptedDeployment> {
+	const deployment = await ScriptedDeployment.start({script, headerCodec: {...headerCodec, ...overrides}});
 	t.after(async () => deployment.stop());
 	return deployment;
 }
@@ -38,3 +40,55 @@
 		assert.equal(deployment.received, 2);
 	});
 }
+
+function answer(...[socket, {id}]: Parameters<Script>): void {
+	socket.write(`${responseHead(id, 'Content-Length: 5')}whole`);
+}
+
+function fail(): never {
+	throw new Error('unexpected');
+}
+
+const unexpectedErrors: Readonly<Record<string, Partial<HeaderCodec>>> = {
+	'reading the request': {parseRequest: fail},
+	'building the request to the target': {buildTargetHeaders: fail},
+	'reading the response': {parseResponse: fail},
+};
+
+for (const [where, overrides] of Object.entries(unexpectedErrors)) {
+	// Guards against an unexpected error that leaves a request without a response until its deadline, or for ever.
+	test(`a request is refused with 502 at once after an unexpected error in ${where}`, async t => {
+		const deployment = await start(t, answer, overrides);
+		const caller = deployment.connect();
+		caller.send('/sign/1', 'a1');
+		await caller.waitFor('\r\n\r\n');
+		assert.match(caller.text, /^HTTP\/1\.1 502 /v);
+	});
+}
+
+// Guards against a connection that stays open without a response when the response cannot be written.
+test('a connection is closed when its response cannot be written', async t => {
+	const deployment = await start(t, answer, {buildProblemHeaders: () => ({'x-invalid': 'line\nbreak'})});
+	const caller = deployment.connect();
+	caller.send('/unknown/1', 'a1');
+	await caller.waitFor('\r\n\r\n');
+	assert.ok(caller.isClosed);
+});
+
+// Guards against effects that are lost with the event whose handling failed: the core counts requests as ended that no caller got a response to.
+test('requests that the core closed while it handled an event that failed are refused with 502', async t => {
+	const deployment = await start(t, () => undefined);
+	const caller = deployment.connect();
+	caller.send('/sign/1', 'a1');
+	await waitUntil(() => deployment.received === 1);
+	const {state} = deployment.daemon;
+	state.open.delete('a1');
+	const {routes} = state;
+	state.routes = {...routes, get: fail};
+	const second = deployment.connect();
+	second.send('/sign/1', 'a2');
+	await Promise.all([caller.waitFor('\r\n\r\n'), second.waitFor('\r\n\r\n')]);
+	state.routes = routes;
+	assert.match(caller.text, /^HTTP\/1\.1 502 /v);
+	assert.match(second.text, /^HTTP\/1\.1 502 /v);
+});
