LOST: break off a resumed stream that gets no further events

Callers saw: a stream that ended like a complete one after a part of its events.

Cause: a complete response below 500 counted as the request's answer even after events of an earlier try had gone out. `deliver` cannot send it any more, since the head is out, and only ended the chunked body, which tells the caller that nothing is missing.

Evidence: a probe with a stream that is reset after its first event and resumed at a target that answers 404: the caller got event 1 and the final chunk. The same with 308.

Ruled out: 5xx (counted as failed, then broken off), 421 and answers that state that nothing ran (declined, then sent on).

Change: after the head of a stream has gone out, any other complete response counts as failed. The route's attempts and the retry budget decide whether the stream is sent on; otherwise its connection is closed without an end.

--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -153,7 +153,8 @@
 		}
 
 		exchange.bufferedResponse = {status, headers, body: bytes};
-		return {outcome: status >= 500 ? 'failed' : 'answered', status, load};
+		// A stream that has begun can only be completed by the rest of its events.
+		return {outcome: status >= 500 || exchange.headersSent ? 'failed' : 'answered', status, load};
 	}
 
 	/** Forwards a stream event by event. Returns the reason why it is incomplete, or undefined if it is complete. */
--- a/test/unit/whole-answers.test.ts
+++ b/test/unit/whole-answers.test.ts
@@ -92,3 +92,28 @@
 	assert.match(caller.text, /^HTTP\/1\.1 502 /v);
 	assert.match(second.text, /^HTTP\/1\.1 502 /v);
 });
+
+// Guards against a stream that ends as if it was complete when the target that resumes it answers with an error of the caller or a redirect.
+for (const status of ['404 Not Found', '308 Permanent Redirect']) {
+	test(`a stream that is answered with ${status} when it is resumed does not look complete`, async t => {
+		const deployment = await start(t, (socket, {id, index}) => {
+			if (index === 0) {
+				socket.write(`${responseHead(id, 'Transfer-Encoding: chunked')}${chunk('id: 1\ndata: x\n\n')}`, () => {
+					setTimeout(() => {
+						socket.resetAndDestroy();
+					}, 20);
+				});
+				return;
+			}
+
+			socket.write(responseHead(id, 'Content-Length: 0').replace('200 OK', status));
+		});
+		const caller = deployment.connect();
+		caller.send('/ask/1', 'a1');
+		await caller.waitFor('\r\n0\r\n');
+		assert.ok(caller.isClosed);
+		assert.match(caller.text, /id: 1\ndata: x/v);
+		assert.doesNotMatch(caller.text, /\r\n0\r\n/v);
+		assert.equal(deployment.received, 2);
+	});
+}
