LOST: let slow callers read their answer while an instance stops

Callers saw: an answer that breaks off in the middle at a planned stop, though their target had sent it whole and most of the grace period was left.

From 2.3 s after SIGTERM the listener closes idle connections every 50 ms with Node's closeIdleConnections, which counts a connection as idle once `end` of its last response was called, not once the response is flushed. And the core, which counts a request as closed when its answer is handed over, stops the daemon when no request is open; the daemon then waited 500 ms at most.

Evidence: a caller that asks for 7.9 MB and pauses got 3,919,676 of its bytes; its connection was closed 2.7 s after the drain began, of 8 s.

Ruled out: answers that fit the kernel's buffers (closing the socket still sends them), and streams that still run (open in the core).

Change: the listener knows for each connection how many responses are not flushed and whether bytes of another request have arrived, and closes only connections with neither. The daemon waits for the last responses until 200 ms before the grace period ends; 200 ms is what was left for closing before.

A caller that never reads holds a stopping instance until the end of its grace period, as a stream that still runs does.

--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -30,8 +30,16 @@
 	readonly onRejected: (code: ResultName, detail: string) => void;
 };
 
+type ConnectionUsage = {
+	/** Requests whose responses are not flushed yet. */
+	open: number;
+	/** Bytes that had been received when the last response was flushed; more mean that another request has begun. */
+	bytesRead: number;
+};
+
 export class CallerListener {
 	private readonly _app: FastifyInstance;
+	private readonly _usage = new Map<Socket, ConnectionUsage>();
 	private _server: Server | undefined;
 	private _idleCloseTimer: NodeJS.Timeout | undefined;
 
@@ -48,6 +56,14 @@
 				this._server.on('clientError', (error, socket) => {
 					this._rejectMalformed(error, socket as Socket);
 				});
+				this._server.on('request', (request, response) => {
+					this._trackRequest(request.socket, response);
+				});
+				// Also called by the server's own `close`.
+				this._server.closeIdleConnections = () => {
+					this._closeIdleConnections();
+				};
+
 				return this._server;
 			},
 			// The core routes requests by the original path.
@@ -94,6 +110,32 @@
 		}, IDLE_CLOSE_INTERVAL_MS);
 	}
 
+	private _trackRequest(socket: Socket, response: ServerResponse): void {
+		let usage = this._usage.get(socket);
+		if (!usage) {
+			usage = {open: 0, bytesRead: 0};
+			this._usage.set(socket, usage);
+			socket.once('close', () => {
+				this._usage.delete(socket);
+			});
+		}
+
+		usage.open++;
+		response.once('close', () => {
+			usage.open--;
+			usage.bytesRead = socket.bytesRead;
+		});
+	}
+
+	/** Node counts a connection as idle as soon as its last response has been handed over, and would cut off what a slow caller has yet to read. */
+	private _closeIdleConnections(): void {
+		for (const [socket, {open, bytesRead}] of this._usage) {
+			if (open === 0 && socket.bytesRead === bytesRead) {
+				socket.destroy();
+			}
+		}
+	}
+
 	async close(): Promise<void> {
 		clearInterval(this._idleCloseTimer);
 		this._server?.closeAllConnections();
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -40,8 +40,8 @@
 const SEED_PULL_INTERVAL_MS = 200;
 /** The peer's own call has timed out by then. */
 const ADAPTER_CALL_TIMEOUT_MS = 1500;
-/** Part of the grace period of a stop that is reserved for sending the last responses to slow callers. */
-const FLUSH_TIMEOUT_MS = 500;
+/** Part of the grace period of a stop that is left for closing, after which the process is killed. */
+const CLOSE_MARGIN_MS = 200;
 
 export type EntryDaemonOptions = {
 	readonly settings: EntrySettings;
@@ -151,9 +151,10 @@
 		this.dispatch({kind: 'drain-requested'});
 	}
 
-	/** Stops once the last responses have been sent, or after `FLUSH_TIMEOUT_MS` for callers that do not read them. */
+	/** Stops once the last responses have been flushed, or at the end of the grace period for callers that do not read them. */
 	async stopAfterFlush(): Promise<void> {
-		for (let waitedMs = 0; this.exchanges.size > 0 && waitedMs < FLUSH_TIMEOUT_MS; waitedMs += TICK_MS) {
+		const endsAtMs = this.state.drainSinceMs + this.state.bounds.graceMs - CLOSE_MARGIN_MS;
+		while (this.exchanges.size > 0 && this._clock.monotonicMs() < endsAtMs) {
 			await delay(TICK_MS);
 		}
 
--- a/test/unit/whole-answers.test.ts
+++ b/test/unit/whole-answers.test.ts
@@ -4,6 +4,7 @@
 */
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {headerCodec} from '../../platform/header-codec.js';
 import {type HeaderCodec} from '../../src/entry/deployment.js';
 import {
@@ -117,3 +118,27 @@
 		assert.equal(deployment.received, 2);
 	});
 }
+
+const LARGE_BODY = 'x'.repeat(7_900_000);
+
+// Guards against a stop that closes a connection as idle while its last response is still on the way to a slow caller.
+test('a caller that reads slowly gets its whole answer from an instance that stops', async t => {
+	const deployment = await start(t, (socket, {id}) => {
+		socket.write(`${responseHead(id, `Content-Length: ${LARGE_BODY.length}`)}${LARGE_BODY}`);
+	});
+	const idle = deployment.connect();
+	idle.send('/unknown/1', 'a1');
+	await idle.waitFor('\r\n0\r\n');
+	const caller = deployment.connect();
+	caller.socket.pause();
+	caller.send('/sign/1', 'a2');
+	await waitUntil(() => deployment.daemon.state.open.size === 0 && deployment.received === 1);
+	deployment.daemon.drain();
+	// Until the listener has been closed for longer than responses usually take to be flushed.
+	await waitUntil(() => idle.isClosed);
+	await delay(1500);
+	caller.socket.resume();
+	await waitUntil(() => caller.isClosed);
+	assert.equal(caller.text.split('\r\n\r\n', 2)[1]?.length, LARGE_BODY.length);
+	await deployment.daemon.stopped;
+});
