LOST: serve a request that waits while the process is held up

Callers saw: 400 for a proper request that had arrived, whole, on a new connection while the process was held up (a freeze, a slow machine) for longer than headerTimeoutMs. Callers do not repeat a request after 400. The lower a configuration sets that limit, the shorter a stall is enough, since Node applies it to open connections at once.

Cause: Node checks the time for a head in its timer phase, before it reads what waits in the kernel, and the listener answered its ERR_HTTP_REQUEST_TIMEOUT like malformed input. fastify's own clientError handler ran after the listener's and destroyed the connection in the same turn.

Evidence: a daemon whose process is blocked for 2 s with a head limit of 1 s while a whole request waits: 400 request-malformed, nothing reached a target. With only the listener's handler changed, fastify's 408 came first.

Ruled out: the idle limit. A limit that is lowered or raised does not touch timers that run. Connections with a request in progress have no timer.

Change: the decision is put off until what waits has been read; a request that has begun by then is served. Otherwise the answer is 408 headers-late, which promises that nothing has run. fastify's handler is replaced, not added to.

--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -53,9 +53,6 @@
 					keepAlive: true,
 					noDelay: true,
 				}, handler);
-				this._server.on('clientError', (error, socket) => {
-					this._rejectMalformed(error, socket as Socket);
-				});
 				this._server.on('request', (request, response) => {
 					this._trackRequest(request.socket, response);
 				});
@@ -66,6 +63,13 @@
 
 				return this._server;
 			},
+			clientErrorHandler: (error: NodeJS.ErrnoException, socket) => {
+				if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+					this._rejectLate(socket);
+				} else {
+					this._rejectMalformed(error, socket);
+				}
+			},
 			// The core routes requests by the original path.
 			rewriteUrl: () => '/',
 			return503OnClosing: false,
@@ -179,24 +183,43 @@
 		this._reject(response, 'target-failed', 'an unexpected error');
 	}
 
-	/** Responds to input that cannot be parsed and closes the connection; nothing after it is read. */
+	/** After this process was held up, the head may have arrived and only wait to be read, which is done before immediates run. */
+	private _rejectLate(socket: Socket): void {
+		setImmediate(() => {
+			if (!this._usage.get(socket)?.open) {
+				this._rejectUnread(socket, 'headers-late', 'Request Timeout');
+			}
+		});
+	}
+
 	private _rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-		if (error.code === 'ECONNRESET' || !socket.writable) {
+		if (error.code === 'ECONNRESET') {
+			socket.destroy();
+		} else if (error.code === 'HPE_HEADER_OVERFLOW') {
+			this._rejectUnread(socket, 'headers-too-large', 'Request Header Fields Too Large', error.code);
+		} else {
+			this._rejectUnread(socket, 'request-malformed', 'Bad Request', error.code ?? error.message);
+		}
+	}
+
+	/** Responds to input that is no request and closes the connection; nothing after it is read. */
+	private _rejectUnread(socket: Socket, code: ResultName, reason: string, detail: string = code): void {
+		if (!socket.writable) {
 			socket.destroy();
 			return;
 		}
 
-		const code: ResultName = error.code === 'HPE_HEADER_OVERFLOW' ? 'headers-too-large' : 'request-malformed';
-		const problem = createProblem(code, {detail: error.code});
-		this._options.onRejected(code, error.code ?? error.message);
+		const problem = createProblem(code, {detail});
+		this._options.onRejected(code, detail);
 		socket.end([
-			`HTTP/1.1 ${problem.status} ${code === 'headers-too-large' ? 'Request Header Fields Too Large' : 'Bad Request'}`,
+			`HTTP/1.1 ${problem.status} ${reason}`,
 			'Connection: close',
 			'Content-Type: application/problem+json',
 			`Content-Length: ${Buffer.byteLength(problem.body)}`,
 			'',
 			problem.body,
 		].join('\r\n'));
+		socket.destroySoon();
 	}
 }
 
--- a/test/unit/whole-answers.test.ts
+++ b/test/unit/whole-answers.test.ts
@@ -142,3 +142,29 @@
 	assert.equal(caller.text.split('\r\n\r\n', 2)[1]?.length, LARGE_BODY.length);
 	await deployment.daemon.stopped;
 });
+
+// Guards against 400 for a head that is late: callers do not repeat the request after it, while 408 promises that it has not run.
+test('a connection whose request head does not arrive in time is refused with 408 and closed', async t => {
+	const deployment = await start(t, answer);
+	const fresh = deployment.connect();
+	const partial = deployment.connect();
+	partial.socket.write('POST /sign/1 HTTP/1.1\r\nHost: a.example\r\n');
+	await Promise.all([waitUntil(() => fresh.isClosed), waitUntil(() => partial.isClosed)]);
+	assert.match(fresh.text, /^(?:HTTP\/1\.1 408 |$)/v);
+	assert.match(partial.text, /^HTTP\/1\.1 408 /v);
+});
+
+// Guards against a request that waited, whole, while the process was held up, and is refused because its head was not read in time.
+test('a request that arrived while the process was held up for longer than the time for a head is served', async t => {
+	const deployment = await start(t, answer);
+	const caller = deployment.connect();
+	await delay(100);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	caller.send('/sign/1', 'a1');
+	// Blocks this process, and with it the daemon, until the time for the head and the interval of its check have passed.
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 2000);
+	await caller.waitFor('whole');
+	assert.match(caller.text, /^HTTP\/1\.1 200 /v);
+});
