--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -30,8 +30,16 @@
 	readonly onRejected: (code: ResultName, detail: string) => void;
 };
 
+type ConnectionUsage = {
+	/** Requests whose responses are not flushed yet. */
+	open: number;
+	/** Bytes that had been received when the last response was flushed; more mean that another request has begun. */
+	bytesRead: number;
+};
+
 export class CallerListener {
 	private readonly _app: FastifyInstance;
+	private readonly _usage = new Map<Socket, ConnectionUsage>();
 	private _server: Server | undefined;
 	private _idleCloseTimer: NodeJS.Timeout | undefined;
 
@@ -45,11 +53,23 @@
 					keepAlive: true,
 					noDelay: true,
 				}, handler);
-				this._server.on('clientError', (error, socket) => {
-					this._rejectMalformed(error, socket as Socket);
+				this._server.on('request', (request, response) => {
+					this._trackRequest(request.socket, response);
 				});
+				// Also called by the server's own `close`.
+				this._server.closeIdleConnections = () => {
+					this._closeIdleConnections();
+				};
+
 				return this._server;
 			},
+			clientErrorHandler: (error: NodeJS.ErrnoException, socket) => {
+				if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+					this._rejectLate(socket);
+				} else {
+					this._rejectMalformed(error, socket);
+				}
+			},
 			// The core routes requests by the original path.
 			rewriteUrl: () => '/',
 			return503OnClosing: false,
@@ -62,7 +82,12 @@
 			reply.hijack();
 			const {raw} = request;
 			raw.url = request.originalUrl;
-			await this._handleRequest(raw, reply.raw);
+			try {
+				await this._handleRequest(raw, reply.raw);
+			} catch (error) {
+				this._failResponse(reply.raw);
+				throw error;
+			}
 		});
 	}
 
@@ -89,6 +114,32 @@
 		}, IDLE_CLOSE_INTERVAL_MS);
 	}
 
+	private _trackRequest(socket: Socket, response: ServerResponse): void {
+		let usage = this._usage.get(socket);
+		if (!usage) {
+			usage = {open: 0, bytesRead: 0};
+			this._usage.set(socket, usage);
+			socket.once('close', () => {
+				this._usage.delete(socket);
+			});
+		}
+
+		usage.open++;
+		response.once('close', () => {
+			usage.open--;
+			usage.bytesRead = socket.bytesRead;
+		});
+	}
+
+	/** Node counts a connection as idle as soon as its last response has been handed over, and would cut off what a slow caller has yet to read. */
+	private _closeIdleConnections(): void {
+		for (const [socket, {open, bytesRead}] of this._usage) {
+			if (open === 0 && socket.bytesRead === bytesRead) {
+				socket.destroy();
+			}
+		}
+	}
+
 	async close(): Promise<void> {
 		clearInterval(this._idleCloseTimer);
 		this._server?.closeAllConnections();
@@ -118,24 +169,57 @@
 		response.end(problem.body);
 	}
 
-	/** Responds to input that cannot be parsed and closes the connection; nothing after it is read. */
+	/** Ends a response that an unexpected error has left open. 502 states nothing about the execution. */
+	private _failResponse(response: ServerResponse): void {
+		if (response.writableEnded) {
+			return;
+		}
+
+		if (response.headersSent) {
+			response.destroy();
+			return;
+		}
+
+		this._reject(response, 'target-failed', 'an unexpected error');
+	}
+
+	/** After this process was held up, the head may have arrived and only wait to be read, which is done before immediates run. */
+	private _rejectLate(socket: Socket): void {
+		setImmediate(() => {
+			if (!this._usage.get(socket)?.open) {
+				this._rejectUnread(socket, 'headers-late', 'Request Timeout');
+			}
+		});
+	}
+
 	private _rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-		if (error.code === 'ECONNRESET' || !socket.writable) {
+		if (error.code === 'ECONNRESET') {
+			socket.destroy();
+		} else if (error.code === 'HPE_HEADER_OVERFLOW') {
+			this._rejectUnread(socket, 'headers-too-large', 'Request Header Fields Too Large', error.code);
+		} else {
+			this._rejectUnread(socket, 'request-malformed', 'Bad Request', error.code ?? error.message);
+		}
+	}
+
+	/** Responds to input that is no request and closes the connection; nothing after it is read. */
+	private _rejectUnread(socket: Socket, code: ResultName, reason: string, detail: string = code): void {
+		if (!socket.writable) {
 			socket.destroy();
 			return;
 		}
 
-		const code: ResultName = error.code === 'HPE_HEADER_OVERFLOW' ? 'headers-too-large' : 'request-malformed';
-		const problem = createProblem(code, {detail: error.code});
-		this._options.onRejected(code, error.code ?? error.message);
+		const problem = createProblem(code, {detail});
+		this._options.onRejected(code, detail);
 		socket.end([
-			`HTTP/1.1 ${problem.status} ${code === 'headers-too-large' ? 'Request Header Fields Too Large' : 'Bad Request'}`,
+			`HTTP/1.1 ${problem.status} ${reason}`,
 			'Connection: close',
 			'Content-Type: application/problem+json',
 			`Content-Length: ${Buffer.byteLength(problem.body)}`,
 			'',
 			problem.body,
 		].join('\r\n'));
+		socket.destroySoon();
 	}
 }
 
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -40,8 +40,8 @@
 const SEED_PULL_INTERVAL_MS = 200;
 /** The peer's own call has timed out by then. */
 const ADAPTER_CALL_TIMEOUT_MS = 1500;
-/** Part of the grace period of a stop that is reserved for sending the last responses to slow callers. */
-const FLUSH_TIMEOUT_MS = 500;
+/** Part of the grace period of a stop that is left for closing, after which the process is killed. */
+const CLOSE_MARGIN_MS = 200;
 
 export type EntryDaemonOptions = {
 	readonly settings: EntrySettings;
@@ -134,7 +134,7 @@
 		}
 
 		const timed: EntryEvent = {...event, nowMs: this._clock.monotonicMs(), wallMs: this._clock.now().getTime()};
-		for (const effect of reduceEntry(this.state, timed)) {
+		for (const effect of this._reduce(timed)) {
 			this._runEffect(effect);
 		}
 	}
@@ -151,9 +151,10 @@
 		this.dispatch({kind: 'drain-requested'});
 	}
 
-	/** Stops once the last responses have been sent, or after `FLUSH_TIMEOUT_MS` for callers that do not read them. */
+	/** Stops once the last responses have been flushed, or at the end of the grace period for callers that do not read them. */
 	async stopAfterFlush(): Promise<void> {
-		for (let waitedMs = 0; this.exchanges.size > 0 && waitedMs < FLUSH_TIMEOUT_MS; waitedMs += TICK_MS) {
+		const endsAtMs = this.state.drainSinceMs + this.state.bounds.graceMs - CLOSE_MARGIN_MS;
+		while (this.exchanges.size > 0 && this._clock.monotonicMs() < endsAtMs) {
 			await delay(TICK_MS);
 		}
 
@@ -316,6 +317,21 @@
 		});
 	}
 
+	/** If the reducer throws, its effects are lost, and with them the responses to requests that it has closed. */
+	private _reduce(event: EntryEvent): EntryEffect[] {
+		try {
+			return reduceEntry(this.state, event);
+		} catch (error) {
+			for (const exchange of this.exchanges.values()) {
+				if (!exchange.isFinished && !this.state.open.has(exchange.id)) {
+					exchange.fail();
+				}
+			}
+
+			throw error;
+		}
+	}
+
 	private _runEffect(effect: EntryEffect): void {
 		const handler = this._effectHandlers[effect.kind] as (effect: EntryEffect) => void;
 		try {
@@ -323,6 +339,11 @@
 		} catch (error) {
 			// A failed effect must not prevent the execution of the others.
 			this.log.write('effect-failed', {effect: effect.kind, error: error instanceof Error ? error.message : String(error)});
+			if ('requestId' in effect) {
+				// The core counts the effect as executed.
+				this.exchanges.get(effect.requestId)?.fail();
+				this.dispatch({kind: 'caller-left', requestId: effect.requestId});
+			}
 		}
 	}
 }
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -56,7 +56,14 @@
 	async run(exchange: Exchange, effect: EntryEffectOf<'send'>): Promise<void> {
 		const {tryNumber} = effect;
 		const signal = exchange.beginTry(tryNumber);
-		const {timing, ...result} = await this._sendAndRead(exchange, effect, signal);
+		let ended: TryResult;
+		try {
+			ended = await this._sendAndRead(exchange, effect, signal);
+		} catch (error) {
+			ended = {outcome: 'broken', reason: error instanceof Error ? error.message : String(error)};
+		}
+
+		const {timing, ...result} = ended;
 		exchange.endTry(tryNumber);
 		if (!signal.aborted) {
 			this._options.dispatch({
@@ -146,7 +153,8 @@
 		}
 
 		exchange.bufferedResponse = {status, headers, body: bytes};
-		return {outcome: status >= 500 ? 'failed' : 'answered', status, load};
+		// A stream that has begun can only be completed by the rest of its events.
+		return {outcome: status >= 500 || exchange.headersSent ? 'failed' : 'answered', status, load};
 	}
 
 	/** Forwards a stream event by event. Returns the reason why it is incomplete, or undefined if it is complete. */
@@ -193,15 +201,20 @@
 			await exchange.write(Buffer.concat(undelivered.map(({bytes}) => bytes)), signal);
 		}
 
-		if (!exchange.headersSent) {
-			exchange.beginStream(response.status, response.headers);
-		}
-
 		if (isTruncated(response)) {
 			return 'a stream without length was reset';
 		}
 
-		return splitter.hasPartialEvent ? 'the stream ended in the middle of an event' : undefined;
+		if (splitter.hasPartialEvent) {
+			return 'the stream ended in the middle of an event';
+		}
+
+		// A complete stream may have no events. After a broken one the caller may still get another response.
+		if (!exchange.headersSent && !signal.aborted) {
+			exchange.beginStream(response.status, response.headers);
+		}
+
+		return undefined;
 	}
 }
 
