--- a/test/standins/scripted-deployment.ts
+++ b/test/standins/scripted-deployment.ts
@@ -56,7 +56,7 @@
 	received = 0;
 	private readonly _runners: Server[] = [];
 	private readonly _sockets = new Set<Socket>();
-	private _callersPort = 0;
+	callersPort = 0;
 
 	private constructor(private readonly _options: ScriptedDeploymentOptions) {}
 
@@ -79,7 +79,7 @@
 	}
 
 	connect(): CallerConnection {
-		const socket = connect(this._callersPort, '127.0.0.1');
+		const socket = connect(this.callersPort, '127.0.0.1');
 		this._sockets.add(socket);
 		return new CallerConnection(socket);
 	}
@@ -95,7 +95,7 @@
 
 		this.store.put('op', 'config', configuration);
 		const [callers, readiness, peers, beacons] = await freePorts(4);
-		this._callersPort = callers!;
+		this.callersPort = callers!;
 		this.daemon = await EntryDaemon.start({
 			settings: entrySettingsSchema.parse({
 				instance: {id: 'one', zone: 'north'},
