Send datagrams without a deferred lookup for each receiver

Cause: one of many costs. An instance sends a beacon or an announcement to twelve peers, about 130 datagrams a second. For each one, `dgram` looked up a numeric address, which defers the send by a tick, and called a callback that did nothing in a further one.

Evidence: in a profile of real processes (28 instances, 112 targets, 4 requests a second each) the sends themselves took 11 % of their time and the check of the address 2.5 %, and ticks with their async contexts more; their share was not separated. The new test counts the ticks that a send to twelve receivers schedules; it failed before.

Change: the socket is given a lookup that returns the address at once, and no callback. A send that fails is still ignored; the second test holds that.

--- /dev/null
+++ b/src/entry/datagram-socket.test.ts
@@ -0,0 +1,42 @@
+/**
+Datagrams to many receivers.
+*/
+import assert from 'node:assert/strict';
+import {createHook} from 'node:async_hooks';
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {test} from 'node:test';
+import {DatagramSocket} from './datagram-socket.js';
+
+const RECEIVERS = 12;
+
+// Guards against a failure that callers saw as days given up: each of some 130 datagrams a second was deferred for the lookup of a numeric address.
+test('a datagram leaves at once, without deferred work for each receiver', async () => {
+	const receiver = createSocket('udp4').bind(0, '127.0.0.1');
+	await once(receiver, 'listening');
+	const {port} = receiver.address();
+	const socket = new DatagramSocket(() => undefined);
+	await socket.listen({host: '127.0.0.1', port: 0});
+	let deferred = 0;
+	const hook = createHook({
+		init(_id, type) {
+			deferred += type === 'TickObject' ? 1 : 0;
+		},
+	});
+	hook.enable();
+	socket.send(Array.from({length: RECEIVERS}, () => `127.0.0.1:${port}`), {from: 'one', loads: []});
+	hook.disable();
+	receiver.close();
+	socket.close();
+	assert.equal(deferred, 0);
+});
+
+test('a datagram to an address that cannot be reached is lost without an error', async () => {
+	const socket = new DatagramSocket(() => undefined);
+	await socket.listen({host: '127.0.0.1', port: 0});
+	socket.send(['255.255.255.255:1', '127.0.0.1:1', 'nowhere:1'], {from: 'one', loads: []});
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	socket.close();
+});
--- a/src/entry/datagram-socket.ts
+++ b/src/entry/datagram-socket.ts
@@ -7,9 +7,16 @@
 
 /** Larger beacons do not fit into a datagram and are dropped. */
 const DATAGRAM_BYTES_MAX = 60_000;
+const IPV4_FAMILY = 4;
 
 export class DatagramSocket {
-	private readonly _socket: Socket = createSocket('udp4');
+	private readonly _socket: Socket = createSocket({
+		type: 'udp4',
+		// Addresses are numeric; the default lookup would defer every send.
+		lookup(address, _options, callback) {
+			callback(null, address, IPV4_FAMILY);
+		},
+	});
 
 	constructor(onDatagram: (datagram: Datagram) => void) {
 		this._socket.on('message', message => {
@@ -37,7 +44,7 @@
 
 		for (const address of addresses) {
 			const colon = address.lastIndexOf(':');
-			this._socket.send(message, Number(address.slice(colon + 1)), address.slice(0, colon), () => undefined);
+			this._socket.send(message, Number(address.slice(colon + 1)), address.slice(0, colon));
 		}
 	}
 
