Look only at targets that are unlisted, and hash only entries that are new

Cause: every tick, twenty a second, looked at all targets for some to remove, and every read of the registry hashed all entries that it returned, also those that it had hashed before.

Evidence: in a profile of real processes (28 instances, 112 targets) the tick's search took 4.7 % of their time and the hashes 3 %.

Change: the ids of unlisted targets are kept, and a target remembers the entry that its hash is of. The watcher returns the same entry for an unchanged row.

--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -185,8 +185,13 @@
 /** Records at which revision a target's entry last changed, for peers that pull only what is newer. */
 function recordChange({state: {targets, registry}}: EntryContext, entry: TargetEntry): void {
 	const target = targets.get(entry.id);
+	if (target?.listed !== entry || target.hashedEntry === entry) {
+		return;
+	}
+
+	target.hashedEntry = entry;
 	const listedHash = hashOf(entry);
-	if (target?.listed === entry && target.listedHash !== listedHash) {
+	if (target.listedHash !== listedHash) {
 		target.listedHash = listedHash;
 		target.listedRevision = registry.revision;
 	}
@@ -264,6 +269,7 @@
 
 	const {graceUntilMs, revision} = state.registry;
 	target.unlistedFromMs = Math.max(nowMs, graceUntilMs);
+	state.registry.unlisted.add(id);
 	state.registry.removals.push({id, revision});
 	if (state.registry.removals.length > MAX_REMOVALS) {
 		state.registry.removalsCompleteFrom = state.registry.removals.shift()!.revision;
@@ -274,8 +280,12 @@
 }
 
 function removeUnlistedTargets({state, nowMs}: EntryContext): void {
-	for (const [id, target] of state.targets) {
-		if (target.unlistedFromMs !== undefined && nowMs - target.unlistedFromMs > TARGET_RETENTION_MS && target.inFlight.size === 0) {
+	for (const id of state.registry.unlisted) {
+		const target = state.targets.get(id);
+		if (target?.unlistedFromMs === undefined) {
+			state.registry.unlisted.delete(id);
+		} else if (nowMs - target.unlistedFromMs > TARGET_RETENTION_MS && target.inFlight.size === 0) {
+			state.registry.unlisted.delete(id);
 			state.targets.delete(id);
 			state.orderTracker.forget(id);
 		}
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -88,6 +88,8 @@
 		/** The last removals of targets, and the revision after which none is missing among them. */
 		readonly removals: Array<{readonly id: TargetId; readonly revision: number}>;
 		removalsCompleteFrom: number;
+		/** Targets that are not listed; may contain some that are listed again. */
+		readonly unlisted: Set<TargetId>;
 	};
 	readonly open: Map<RequestId, EntryRequest>;
 	readonly queues: Map<string, WaitingQueue>;
@@ -147,6 +149,7 @@
 			digest: 0,
 			removals: [],
 			removalsCompleteFrom: 0,
+			unlisted: new Set(),
 		},
 		open: new Map(),
 		queues: new Map(),
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -96,8 +96,9 @@
 	entry: TargetEntry;
 	/** The entry as read from the registry, without updates from reports. */
 	listed: TargetEntry;
-	/** Hash of `listed`, and the registry's revision at which it last changed. */
+	/** Hash of `hashedEntry`, an entry equal to `listed`, and the registry's revision at which it last changed. */
 	listedHash: number;
+	hashedEntry: TargetEntry | undefined;
 	listedRevision: number;
 	/** Time from which the target counts as removed from the registry, undefined while it is listed. */
 	unlistedFromMs: number | undefined;
@@ -143,6 +144,7 @@
 		entry,
 		listed: entry,
 		listedHash: 0,
+		hashedEntry: undefined,
 		listedRevision: 0,
 		unlistedFromMs: undefined,
 		reportValidUntilMs: Number.NEGATIVE_INFINITY,
