Spread announcements of loads over all instances of a zone

That the latter come from this is suspected, not shown.

Cause: an announcement goes to the first twelve peers of the target's zone in the order in which the sender knows them. Instances read that order from one table, so most chose the same twelve. Those spent their processor time on announcements, and the others of the zone heard of almost none.

Change: the list begins at a place that depends on the sender's id. Nothing is sorted any longer, so an announcement costs less, too.

--- a/src/core/entry/load-announcements.ts
+++ b/src/core/entry/load-announcements.ts
@@ -3,11 +3,14 @@
 once whenever it changes. Prompts are read within tens of milliseconds; a beacon would
 tell peers of most of them only when they have been read.
 */
+import fnv1a from '@sindresorhus/fnv1a';
+import {type InstanceId} from '../types.js';
 import {type EntryEventOf} from './event.js';
 import {type AnnouncedLoad} from './peer-messages.js';
 import {liveInstances} from './peers.js';
 import {type EntryContext} from './state.js';
 import {ownUnreadTokens, type Target} from './target.js';
+import {type EntryInstance} from './types.js';
 
 /** Maximum number of peers that get an announcement, so that its cost does not grow with the deployment. */
 const MAX_RECEIVERS = 12;
@@ -25,16 +28,21 @@
 	const targets = [...state.loadsToAnnounce].map(id => state.targets.get(id)).filter(target => target !== undefined);
 	state.loadsToAnnounce.clear();
 	const zones = new Set(targets.map(({entry}) => entry.zone));
-	const addresses = liveInstances(state, nowMs)
-		.filter(({id}) => id !== state.self.id)
-		.sort((a, b) => Number(zones.has(b.zone)) - Number(zones.has(a.zone)))
-		.slice(0, MAX_RECEIVERS)
-		.map(({beaconAddress}) => beaconAddress);
+	const peers = liveInstances(state, nowMs).filter(({id}) => id !== state.self.id);
+	const near = rotate(peers.filter(({zone}) => zones.has(zone)), state.self.id);
+	const far = rotate(peers.filter(({zone}) => !zones.has(zone)), state.self.id);
+	const addresses = [...near, ...far].slice(0, MAX_RECEIVERS).map(({beaconAddress}) => beaconAddress);
 	if (targets.length > 0 && addresses.length > 0 && state.mechanisms.has('load-announcements')) {
 		effects.push({kind: 'announce-load', addresses, announcement: {from: state.self.id, loads: targets.map(target => announcedLoad(target))}});
 	}
 }
 
+/** Begins the list at a place that depends on an id. Instances know their peers in about the same order and must not all choose the same ones. */
+function rotate(instances: readonly EntryInstance[], id: InstanceId): readonly EntryInstance[] {
+	const start = instances.length === 0 ? 0 : Number(fnv1a(id, {size: 32})) % instances.length;
+	return [...instances.slice(start), ...instances.slice(0, start)];
+}
+
 export function handleLoadAnnouncement(context: EntryContext, {announcement: {from, loads}}: EntryEventOf<'load-announced'>): void {
 	const {state, nowMs} = context;
 	for (const [targetId, inFlight, unreadTokens = 0] of loads) {
