Open a connection of its own for a request that finds the pool of its target busy

What callers saw: single late answers.

Cause: an instance gives each target a pool with its share of the connections that the target accepts, 7 at 136 instances. A further request waits in the pool's queue until one of these ends. For the core it has been sent, so neither its patience nor the expected wait applies. With no other copy of the model a silent try is only checked again, and the request stays until its deadline, 10 s for these streams.

Evidence: nine requests to a target that holds its answers for 3 s, with four pooled connections: four arrived at once, four after 3 s, one after 6 s. A core whose only target is silent sends no effect for such a stream until 10,000 ms.

Ruled out: connecting (it fails after 300 ms), waiting requests (refused within their patience), adapter fetches (1.2 s, three of them at most), requests that may run only once (they always have a connection of their own).

Change: a request that finds all pooled connections busy gets a fresh one. How many requests an instance sends to a target is decided by the core's capacity check.

--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -1,7 +1,7 @@
 /**
 Connections to targets: a pool per target, and a fresh connection for each request that
-must run at most once or is retried. A stale pooled connection could lose such a request
-or have it executed twice.
+must run at most once or is retried, or that finds all connections of the pool busy. A
+stale pooled connection could lose a request of the former kinds or have it executed twice.
 */
 import {type Buffer} from 'node:buffer';
 import {
@@ -39,16 +39,24 @@
 	count: number;
 };
 
+type TargetPool = {
+	readonly pool: Pool;
+	readonly resets: ResetCounter;
+	/** Number of connections that the pool opens at most. */
+	readonly connections: number;
+};
+
 export class TargetConnections {
-	private readonly _pools = new Map<string, {readonly pool: Pool; readonly resets: ResetCounter}>();
+	private readonly _pools = new Map<string, TargetPool>();
 
 	async request(address: string, request: TargetRequest): Promise<TargetResponse> {
 		if (request.usesFreshConnection) {
 			return this._requestOnFreshConnection(address, request);
 		}
 
-		const {pool, resets} = this._pool(address, request.maxConnections);
-		return send(pool, request, resets);
+		const {pool, resets, connections} = this._pool(address, request.maxConnections);
+		// The pool would hold it back without telling anybody until one of its requests ends.
+		return pool.stats.size >= connections ? this._requestOnFreshConnection(address, request) : send(pool, request, resets);
 	}
 
 	async close(): Promise<void> {
@@ -71,11 +79,11 @@
 		}
 	}
 
-	private _pool(address: string, connections: number): {readonly pool: Pool; readonly resets: ResetCounter} {
+	private _pool(address: string, connections: number): TargetPool {
 		let entry = this._pools.get(address);
 		if (!entry) {
 			const resets = {count: 0};
-			entry = {pool: new Pool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets};
+			entry = {pool: new Pool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets, connections};
 			this._pools.set(address, entry);
 		}
 
