LOST: close a connection on which bytes bring no content

What callers saw: a request that runs at most once got 502 or 504 only at its route's timeout while its target sent bytes at line speed: a status line, spaces before a header value, interim responses, empty lines, a chunk size of zeros, a chunk extension, spaces in a trailer, or chunks of one byte.

Cause: undici limits the names and values of one head's fields (16 KB) and nothing else of a response's framing; its timeouts are off, since the core judges silence, and the bytes kept the processor busy until the deadline.

Ruled out: header values, header lines and trailers end at undici's own limit on the code before.

Change: MeteredClient compares the bytes that a connection has received for a response with the content that the response has yielded, and closes the connection when the rest exceeds 96 KB and twice the content. 96 KB is more than a connection reads ahead while a response is paused (64 KB and one buffer of 16 KB).

--- /dev/null
+++ b/src/entry/metered-client.ts
@@ -0,0 +1,129 @@
+/**
+HTTP client that closes its connection when a server sends bytes that bring no content:
+a head, interim responses, chunk framing or trailers without end. undici limits only the
+names and values of one head's fields, and waits for the rest as long as the caller does.
+*/
+import {type Buffer} from 'node:buffer';
+import {type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
+import {
+	buildConnector, Client, Pool, type Dispatcher,
+} from 'undici';
+
+/** Several times the largest head, and more than a connection reads ahead while its response is paused. */
+const FRAMING_BYTES_MAX = 96 * 1024;
+/** Bytes of framing that each byte of content may bring along: chunks of a few bytes are allowed, a flood of chunks of one byte is not. */
+const FRAMING_PER_CONTENT_BYTE = 2;
+
+/** Compares what a connection receives with the content that its responses yield. */
+class FramingMeter {
+	private _socket: Socket | undefined;
+	/** Bytes received up to the last event of the socket; the parser has seen them unless the response is paused. */
+	private _receivedBytes = 0;
+	private _startBytes = 0;
+	private _contentBytes = 0;
+
+	watch(socket: Socket): void {
+		this._socket = socket;
+		this._receivedBytes = 0;
+		this._startBytes = 0;
+		this._contentBytes = 0;
+		socket.on('readable', () => {
+			this._check(socket);
+		});
+	}
+
+	beginResponse(): void {
+		this._startBytes = this._socket?.bytesRead ?? 0;
+		this._contentBytes = 0;
+	}
+
+	addContent(bytes: number): void {
+		this._contentBytes += bytes;
+	}
+
+	private _check(socket: Socket): void {
+		const framingBytes = this._receivedBytes - this._startBytes - this._contentBytes;
+		if (framingBytes > FRAMING_BYTES_MAX + (this._contentBytes * FRAMING_PER_CONTENT_BYTE)) {
+			socket.destroy(new Error('the server sends bytes without content'));
+		}
+
+		this._receivedBytes = socket.bytesRead;
+	}
+}
+
+/** The methods of a handler that the parser of undici calls. `Dispatcher` declares newer ones, which lose the order and case of header names. */
+type ParserHandler = {
+	onConnect(abort: (error?: Error) => void): void;
+	onResponseStarted?(): void;
+	onHeaders(status: number, headers: Buffer[], resume: () => void, statusText: string): boolean;
+	onData(chunk: Buffer): boolean;
+	onComplete(trailers: Buffer[]): void;
+	onUpgrade?(status: number, headers: Buffer[], socket: Duplex): void;
+	onError(error: Error): void;
+};
+
+/** Tells a meter the content of a response. */
+class MeteredHandler implements ParserHandler {
+	constructor(private readonly _handler: ParserHandler, private readonly _meter: FramingMeter) {}
+
+	onConnect(abort: (error?: Error) => void): void {
+		this._meter.beginResponse();
+		this._handler.onConnect(abort);
+	}
+
+	onResponseStarted(): void {
+		this._handler.onResponseStarted?.();
+	}
+
+	onHeaders(status: number, headers: Buffer[], resume: () => void, statusText: string): boolean {
+		return this._handler.onHeaders(status, headers, resume, statusText);
+	}
+
+	onData(chunk: Buffer): boolean {
+		this._meter.addContent(chunk.length);
+		return this._handler.onData(chunk);
+	}
+
+	onComplete(trailers: Buffer[]): void {
+		this._handler.onComplete(trailers);
+	}
+
+	onUpgrade(status: number, headers: Buffer[], socket: Duplex): void {
+		this._handler.onUpgrade?.(status, headers, socket);
+	}
+
+	onError(error: Error): void {
+		this._handler.onError(error);
+	}
+}
+
+export class MeteredClient extends Client {
+	private readonly _meter: FramingMeter;
+
+	constructor(origin: string | URL, options: Client.Options = {}) {
+		const meter = new FramingMeter();
+		const connect = typeof options.connect === 'function' ? options.connect : buildConnector(options.connect);
+		super(origin, {
+			...options,
+			connect(connectOptions, callback) {
+				connect(connectOptions, (...result) => {
+					if (result[0] === null) {
+						meter.watch(result[1]);
+					}
+
+					callback(...result);
+				});
+			},
+		});
+		this._meter = meter;
+	}
+
+	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+		return super.dispatch(options, new MeteredHandler(handler as unknown as ParserHandler, this._meter) as unknown as Dispatcher.DispatchHandler);
+	}
+}
+
+export function createMeteredPool(origin: string | URL, options: Pool.Options): Pool {
+	return new Pool(origin, {...options, factory: (clientOrigin, clientOptions) => new MeteredClient(clientOrigin, clientOptions)});
+}
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -4,10 +4,9 @@
 or have it executed twice.
 */
 import {type Buffer} from 'node:buffer';
-import {
-	buildConnector, Client, Pool, type Dispatcher,
-} from 'undici';
+import {buildConnector, type Dispatcher, type Pool} from 'undici';
 import {type RawHeaders} from './deployment.js';
+import {createMeteredPool, MeteredClient} from './metered-client.js';
 
 /** Several round trips between zones; a target that takes longer is down or unreachable. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -59,7 +58,7 @@
 
 	private async _requestOnFreshConnection(address: string, request: TargetRequest): Promise<TargetResponse> {
 		const resets = {count: 0};
-		const client = new Client(`http://${address}`, {...clientOptions, connect: countingConnector(resets)});
+		const client = new MeteredClient(`http://${address}`, {...clientOptions, connect: countingConnector(resets)});
 		try {
 			const response = await send(client, request, resets);
 			// Closes once the response has been read completely.
@@ -75,7 +74,7 @@
 		let entry = this._pools.get(address);
 		if (!entry) {
 			const resets = {count: 0};
-			entry = {pool: new Pool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets};
+			entry = {pool: createMeteredPool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets};
 			this._pools.set(address, entry);
 		}
 
