--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -12,6 +12,9 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** Short enough to close idle connections before targets do. */
 const IDLE_TIMEOUT_MS = 2000;
+/** Limits for the rest of a response that is only read to keep its connection. */
+const DISCARDED_BYTES_MAX = 16 * 1024;
+const DISCARD_TIMEOUT_MS = 200;
 
 export type TargetRequest = {
 	readonly method: string;
@@ -124,4 +127,15 @@
 	};
 }
 
+/** Reads the rest of a response that is not needed, so that its connection can be used again; closes the connection if that takes long. */
+export function discardBody(body: TargetResponse['body']): void {
+	void (async () => {
+		try {
+			await body.dump({limit: DISCARDED_BYTES_MAX, signal: AbortSignal.timeout(DISCARD_TIMEOUT_MS)});
+		} catch {
+			// Its connection is closed.
+		}
+	})();
+}
+
 export {errorCode, isUnwritten} from '../daemon/gateways/connection-pool.js';
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -12,16 +12,13 @@
 import {type ResponseMetadata, type HeaderCodec} from './deployment.js';
 import {EventSplitter, type StreamEvent} from './stream-events.js';
 import {
-	errorCode, isUnwritten, type TargetConnections, type TargetResponse,
+	discardBody, errorCode, isUnwritten, type TargetConnections, type TargetResponse,
 } from './target-connections.js';
 
 /** Limit for responses that are buffered in memory; services give no larger ones. */
 const RESPONSE_BYTES_MAX = 8 * 1024 * 1024;
 /** Bytes of a stream without an event that the caller lacks; a target that repeats more does not resume the stream. */
 const REPEATED_BYTES_MAX = 1024 * 1024;
-/** Limits for the rest of a response that is only read to keep its connection. */
-const DISCARDED_BYTES_MAX = 16 * 1024;
-const DISCARD_TIMEOUT_MS = 200;
 /** Interval at which the progress of a stream is dispatched to the core; the first event is dispatched at once. */
 const PROGRESS_INTERVAL_MS = 200;
 
@@ -274,17 +271,6 @@
 	return headers.some((name, index) => index % 2 === 0 && (name.toLowerCase() === 'content-length' || name.toLowerCase() === 'transfer-encoding'));
 }
 
-/** Reads the rest of a response that is not needed, so that its connection can be used again; closes the connection if that takes long. */
-function discardBody(body: TargetResponse['body']): void {
-	void (async () => {
-		try {
-			await body.dump({limit: DISCARDED_BYTES_MAX, signal: AbortSignal.timeout(DISCARD_TIMEOUT_MS)});
-		} catch {
-			// Its connection is closed.
-		}
-	})();
-}
-
 async function readAll(body: TargetResponse['body']): Promise<Buffer> {
 	const chunks: Buffer[] = [];
 	let length = 0;
