LOST: bound what one message between instances may bring

What callers saw: nothing yet; an instance that takes 200 MB in one call to a peer may exceed its memory of 272 MB.

Cause: the calls had a time limit of 0.8 s, and connect-es takes messages of up to 4 GB.

Change: 16 MB per message, in both directions, for both kinds of daemons.

Evidence: 'a peer sends an endless message': 226,623,559 bytes taken before, passes now (under 16 MB and the kernel's buffers). The server's direction has the same limit and no test of its own.

--- a/src/daemon/peer/connections.ts
+++ b/src/daemon/peer/connections.ts
@@ -8,6 +8,8 @@
 import {createConnectTransport} from '@connectrpc/connect-node';
 
 const MAX_IDLE_SOCKETS = 2;
+/** Limit for a message, several times the whole state of a large deployment. */
+export const PEER_MESSAGE_BYTES_MAX = 16 * 1024 * 1024;
 
 type PeerConnection<Service extends DescService> = {
 	readonly client: Client<Service>;
@@ -50,7 +52,7 @@
 
 		const agent = new Agent({keepAlive: true, maxFreeSockets: MAX_IDLE_SOCKETS});
 		const transport = createConnectTransport({
-			baseUrl, httpVersion: '1.1', useBinaryFormat: true, nodeOptions: {agent},
+			baseUrl, httpVersion: '1.1', useBinaryFormat: true, nodeOptions: {agent}, readMaxBytes: PEER_MESSAGE_BYTES_MAX,
 		});
 		const connection = {client: createClient(this._service, transport), agent};
 		this._connections.set(baseUrl, connection);
--- a/src/entry/peer-rpc.ts
+++ b/src/entry/peer-rpc.ts
@@ -5,7 +5,7 @@
 import {fastifyConnectPlugin} from '@connectrpc/connect-fastify';
 import {fastify, type FastifyInstance} from 'fastify';
 import {type KnownVersions, type StateTransfer} from '../core/entry/peer-messages.js';
-import {PeerConnections} from '../daemon/peer/connections.js';
+import {PEER_MESSAGE_BYTES_MAX, PeerConnections} from '../daemon/peer/connections.js';
 import {EntryPeerService} from '../daemon/peer/gen/entry_pb.js';
 import {decodePeerMessage, encodePeerMessage} from './peer-codec.js';
 
@@ -28,6 +28,7 @@
 export async function createEntryPeerServer(handler: EntryPeerHandler): Promise<FastifyInstance> {
 	const server = fastify({forceCloseConnections: true});
 	await server.register(fastifyConnectPlugin, {
+		readMaxBytes: PEER_MESSAGE_BYTES_MAX,
 		routes(router: ConnectRouter) {
 			router.service(EntryPeerService, {
 				pull: ({holdings}) => ({transfer: encodePeerMessage(handler.createTransfer(decodePeerMessage<KnownVersions>(holdings)))}),
--- a/test/unit/endless-answers.test.ts
+++ b/test/unit/endless-answers.test.ts
@@ -20,7 +20,7 @@
 import {EntryPeerClient} from '../../src/entry/peer-rpc.js';
 import {entrySettingsSchema} from '../../src/entry/settings.js';
 import {
-	endlessBodies, endlessHeads, endlessStreams, EndlessServer, sendWithoutEnd, type EndlessKind, type Pace,
+	endlessBodies, endlessHeads, endlessStreams, EndlessServer, sendWithoutEnd, type EndlessKind, type EndlessPart, type Pace,
 } from '../standins/endless-answers.js';
 import {FakeRunner, FakeStore} from '../standins/fake-store-and-runner.js';
 import {freePorts} from '../standins/free-ports.js';
@@ -364,6 +364,7 @@
 const ENGINE_TIMEOUT_MS = 800;
 const PEER_TIMEOUT_MS = 800;
 const ANSWER_BYTES_MAX = 8 * 1024 * 1024;
+const PEER_BYTES_MAX = 16 * 1024 * 1024;
 
 /** Of what a store, an engine or a peer sends in the time limit of one call, only the limit of one answer may be taken. */
 const redPeers: ReadonlySet<string> = new Set(['spaces before a header value', 'empty lines before the status line']);
@@ -406,7 +407,12 @@
 		await waitUntil(() => server.openConnections === 0, SLACK_MS);
 		assert.ok(server.closedBytes < 2 * (ANSWER_BYTES_MAX + SOCKET_BUFFER_BYTES), `${server.closedBytes} bytes`);
 	});
+}
+
+/** A response that is read as a message of a peer. */
+const peerBody: EndlessPart = {beginning: () => 'HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\nConnection: close\r\n\r\n', repeated: 'a'};
 
+for (const [kind, part] of Object.entries({...endlessHeads, ...endlessBodies, message: peerBody})) {
 	// Guards against another instance whose answers do not end.
 	test(`a peer sends an endless ${kind}: the call fails in time and takes a bounded number of bytes`, {todo: redPeers.has(kind) && KNOWN_RED}, async t => {
 		const server = await new EndlessServer(part).start();
@@ -421,7 +427,7 @@
 		assert.equal(await client.ensureAdapter(server.address, {targetId: 'i-1', model: 'm', adapter: 'a'}), undefined);
 		assert.ok(Date.now() - startedAtMs <= PEER_TIMEOUT_MS + SLACK_MS, `${Date.now() - startedAtMs} ms`);
 		await waitUntil(() => server.openConnections === 0, SLACK_MS);
-		assert.ok(server.closedBytes < ANSWER_BYTES_MAX + SOCKET_BUFFER_BYTES, `${server.closedBytes} bytes`);
+		assert.ok(server.closedBytes < PEER_BYTES_MAX + SOCKET_BUFFER_BYTES, `${server.closedBytes} bytes`);
 	});
 }
 
