--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -4,15 +4,17 @@
 stale pooled connection could lose a request of the former kinds or have it executed twice.
 */
 import {type Buffer} from 'node:buffer';
-import {
-	buildConnector, Client, Pool, type Dispatcher,
-} from 'undici';
+import {buildConnector, type Dispatcher, type Pool} from 'undici';
 import {type RawHeaders} from './deployment.js';
+import {createMeteredPool, MeteredClient} from './metered-client.js';
 
 /** Several round trips between zones; a target that takes longer is down or unreachable. */
 const CONNECT_TIMEOUT_MS = 300;
 /** Short enough to close idle connections before targets do. */
 const IDLE_TIMEOUT_MS = 2000;
+/** Limits for the rest of a response that is only read to keep its connection. */
+const DISCARDED_BYTES_MAX = 16 * 1024;
+const DISCARD_TIMEOUT_MS = 200;
 
 export type TargetRequest = {
 	readonly method: string;
@@ -67,7 +69,7 @@
 
 	private async _requestOnFreshConnection(address: string, request: TargetRequest): Promise<TargetResponse> {
 		const resets = {count: 0};
-		const client = new Client(`http://${address}`, {...clientOptions, connect: countingConnector(resets)});
+		const client = new MeteredClient(`http://${address}`, {...clientOptions, connect: countingConnector(resets)});
 		try {
 			const response = await send(client, request, resets);
 			// Closes once the response has been read completely.
@@ -83,7 +85,7 @@
 		let entry = this._pools.get(address);
 		if (!entry) {
 			const resets = {count: 0};
-			entry = {pool: new Pool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets, connections};
+			entry = {pool: createMeteredPool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets, connections};
 			this._pools.set(address, entry);
 		}
 
@@ -133,4 +135,15 @@
 	};
 }
 
+/** Reads the rest of a response that is not needed, so that its connection can be used again; closes the connection if that takes long. */
+export function discardBody(body: TargetResponse['body']): void {
+	void (async () => {
+		try {
+			await body.dump({limit: DISCARDED_BYTES_MAX, signal: AbortSignal.timeout(DISCARD_TIMEOUT_MS)});
+		} catch {
+			// Its connection is closed.
+		}
+	})();
+}
+
 export {errorCode, isUnwritten} from '../daemon/gateways/connection-pool.js';
