--- a/src/entry/datagram-socket.ts
+++ b/src/entry/datagram-socket.ts
@@ -24,8 +24,12 @@
 	}
 
 	async listen({host, port}: {host: string; port: number}): Promise<void> {
-		return new Promise(resolve => {
-			this._socket.bind(port, host, resolve);
+		await new Promise<void>((resolve, reject) => {
+			this._socket.once('error', reject);
+			this._socket.bind(port, host, () => {
+				this._socket.off('error', reject);
+				resolve();
+			});
 		});
 	}
 
--- a/test/standins/scripted-deployment.ts
+++ b/test/standins/scripted-deployment.ts
@@ -62,12 +62,19 @@
 
 	static async start(options: ScriptedDeploymentOptions): Promise<ScriptedDeployment> {
 		const deployment = new ScriptedDeployment(options);
-		await deployment._open();
+		try {
+			await deployment._open();
+		} catch (error) {
+			// Servers that are left open would keep the process of the tests from ending.
+			await deployment.stop();
+			throw error;
+		}
+
 		return deployment;
 	}
 
 	async stop(): Promise<void> {
-		await this.daemon.stop();
+		await this.daemon?.stop();
 		this.store.stop();
 		for (const socket of this._sockets) {
 			socket.destroy();
