--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -39,8 +39,16 @@
 	count: number;
 };
 
+type TargetPool = {
+	readonly pool: Pool;
+	readonly resets: ResetCounter;
+	readonly connections: number;
+};
+
 export class TargetConnections {
-	private readonly _pools = new Map<string, {readonly pool: Pool; readonly resets: ResetCounter}>();
+	private readonly _pools = new Map<string, TargetPool>();
+	/** Pools that a larger one has replaced, until their last responses have been read. */
+	private readonly _replaced = new Set<Pool>();
 
 	async request(address: string, request: TargetRequest): Promise<TargetResponse> {
 		if (request.usesFreshConnection) {
@@ -52,7 +60,7 @@
 	}
 
 	async close(): Promise<void> {
-		const pools = [...this._pools.values()].map(({pool}) => pool);
+		const pools = [...[...this._pools.values()].map(({pool}) => pool), ...this._replaced];
 		this._pools.clear();
 		await Promise.all(pools.map(async pool => pool.destroy()));
 	}
@@ -71,16 +79,34 @@
 		}
 	}
 
-	private _pool(address: string, connections: number): {readonly pool: Pool; readonly resets: ResetCounter} {
-		let entry = this._pools.get(address);
-		if (!entry) {
-			const resets = {count: 0};
-			entry = {pool: new Pool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets};
-			this._pools.set(address, entry);
+	/** A pool cannot grow, so it is replaced when the target accepts more connections than it was created for. */
+	private _pool(address: string, connections: number): TargetPool {
+		const known = this._pools.get(address);
+		if (known && known.connections >= connections) {
+			return known;
+		}
+
+		const resets = {count: 0};
+		const entry = {pool: new Pool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets, connections};
+		this._pools.set(address, entry);
+		if (known) {
+			void this._retire(known.pool);
 		}
 
 		return entry;
 	}
+
+	private async _retire(pool: Pool): Promise<void> {
+		this._replaced.add(pool);
+		try {
+			// Waits for the responses that are still read.
+			await pool.close();
+		} catch {
+			// It was destroyed meanwhile.
+		} finally {
+			this._replaced.delete(pool);
+		}
+	}
 }
 
 const clientOptions = {
