LOST: a silent try moves only while a retry is left for its new target's refusal

What callers saw: a stream of a sound target that paused is moved, its new target declines it (503, not run), and the stream is cut off.

Cause: the move was made with the last retry of the budget. That its new target takes the request is not secured by a choice of this instance, whose view of the target's load is some hundred milliseconds old, and going back to the first target needs a retry as well.

Evidence: silence.test.ts with a budget of less than two retries: break-off in the event of the refusal before; the stream stays with its first target now.

Ruled out: keeping the first try until the second has begun. A request must not run at two targets for longer than it takes to cancel one.

Change: a move leaves one retry in the budget of the service.

Conclusion: reduced, not excluded: the retry that is left is not reserved for this request, and a stream that then has to wait is still refused by its patience.

--- a/src/core/entry/retry-budget.ts
+++ b/src/core/entry/retry-budget.ts
@@ -21,9 +21,9 @@
 		this._requests[this._bucket % BUCKETS]!++;
 	}
 
-	/** Takes one retry from the budget; returns false when it is exhausted. */
-	take(nowMs: number, share: number, slack: number): boolean {
-		if (this.remaining(nowMs, share, slack) < 1) {
+	/** Takes one retry from the budget; returns false when fewer than `reserve` would be left. */
+	take(nowMs: number, share: number, slack: number, reserve = 0): boolean {
+		if (this.remaining(nowMs, share, slack) < 1 + reserve) {
 			return false;
 		}
 
--- a/src/core/entry/retry-budgets.ts
+++ b/src/core/entry/retry-budgets.ts
@@ -15,8 +15,8 @@
 	return budget;
 }
 
-/** Takes one retry from the budget of the service; returns false when it is exhausted. */
-export function takeRetry({state, nowMs}: EntryContext, service: string): boolean {
+/** Takes one retry from the budget of the service; returns false when fewer than `reserve` would be left. */
+export function takeRetry({state, nowMs}: EntryContext, service: string, {reserve = 0}: {readonly reserve?: number} = {}): boolean {
 	const {repeatShare, repeatSlack} = state.bounds;
-	return retryBudget(state, service).take(nowMs, repeatShare, repeatSlack / countInstances(state, nowMs));
+	return retryBudget(state, service).take(nowMs, repeatShare, repeatSlack / countInstances(state, nowMs), reserve);
 }
--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -9,6 +9,7 @@
 	beacon, engineEntry, EntryHarness, effectsOfKind, route,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffect} from './effect.js';
+import {retryBudget} from './retry-budgets.js';
 import {type EntryArrival} from './types.js';
 
 /** Longer than the pauses of sound targets, and shorter than the time after which callers give up. */
@@ -134,3 +135,19 @@
 	core.dispatch({kind: 'beacon-received', beacon: beacon({loads: [[other, 5, 0]]})});
 	assert.equal(effectsOfKind(core.advance(200), 'send')[0]?.requestId, 'r');
 });
+
+// Guards against a move that takes the last retry: the target that it was moved to declines it, and the stream is cut off.
+test('a stream that was moved and is declined goes on, since a move leaves a retry', () => {
+	const core = createCore();
+	beginStream(core, 'r');
+	const {repeatShare, repeatSlack} = core.state.bounds;
+	const budget = retryBudget(core.state, 'llm');
+	while (budget.remaining(core.nowMs, repeatShare, repeatSlack) >= 2) {
+		budget.take(core.nowMs, repeatShare, repeatSlack);
+	}
+
+	const moved = effectsOfKind(core.advance(SILENCE_MS), 'send');
+	if (moved.length > 0) {
+		assertUntouched(core.endTry('r', 2, 'not-run'), 'when the second target declines');
+	}
+});
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -53,6 +53,8 @@
 const MISSING_COPY_MS = 1000;
 /** A silent try is checked again after this time while no other target has room. */
 const SILENCE_CHECK_MS = 250;
+/** Retries that are left after a silent try has moved, since its new target may decline it. */
+const MOVE_RESERVE = 1;
 /** A slot at a full target becomes free in about this time. */
 const MIN_RETRY_AFTER_MS = 200;
 
@@ -298,7 +300,7 @@
 	}
 
 	const replacement = chooseReplacement(context, request, attempt);
-	if (!replacement || !takeRetry(context, request.service)) {
+	if (!replacement || !takeRetry(context, request.service, {reserve: MOVE_RESERVE})) {
 		reschedule(context, timer, nowMs + SILENCE_CHECK_MS);
 		return;
 	}
