LOST: the wait of a stream that has begun counts only what goes before it

What callers saw: a stream whose target broke after a pause was cut off in the same event, though it would have been the next to be sent.

Cause: a stream that has begun goes before requests of its rank that have not, but its expected wait still counted the whole queue of its rank. With the rest of its patience below that wait it was refused, which for a stream means cut off.

Evidence: silence.test.ts, a backlog of requests of the same rank and a stream whose target breaks 0.7 s after its last event: break-off before; now it waits and is sent to the next slot that becomes free.

Change: the expected wait from the queue's rate, from unread prompts and from rate limits counts more urgent ranks and the streams of the own rank that have begun. Requests without a head are estimated as before.

--- a/src/core/entry/expected-wait.ts
+++ b/src/core/entry/expected-wait.ts
@@ -38,7 +38,7 @@
 	const {state, nowMs} = context;
 	const serving = targetsOf(state, request.service).filter(target => canServe(target, request, nowMs));
 	const limitMs = rateLimitMs(context, request, serving);
-	const queueMs = Math.max(queueOf(state, request.queueKey).expectedWaitMs(request.route.rank), readingQueueMs(context, request, serving), limitMs);
+	const queueMs = Math.max(queueOf(state, request.queueKey).expectedWaitOfMs(request), readingQueueMs(context, request, serving), limitMs);
 	const comingMs = comingCopyMs(context, request);
 	if (serving.length > 0) {
 		return {
@@ -53,7 +53,8 @@
 }
 
 /** Time that engines take to read the prompts that they were sent and those that wait at all instances. */
-function readingQueueMs({state, nowMs}: EntryContext, {arrival: {model}, queueKey, route: {rank}}: EntryRequest, serving: readonly Target[]): number {
+function readingQueueMs({state, nowMs}: EntryContext, request: EntryRequest, serving: readonly Target[]): number {
+	const {arrival: {model}, queueKey} = request;
 	const demand = state.demand.get(queueKey);
 	if (model === undefined || !demand || serving.length === 0) {
 		return 0;
@@ -62,19 +63,19 @@
 	const unread = serving.reduce((sum, target) => sum + unreadTokens(target, nowMs), 0);
 	const meanTokens = demand.arrivalsPerSecond > 0 ? demand.tokensPerSecond / demand.arrivalsPerSecond : tokensToRead(undefined);
 	// Callers are spread over the instances, so their queues are about as long as this one.
-	const waiting = queueOf(state, queueKey).waitingUpTo(rank) * liveInstances(state, nowMs).length;
+	const waiting = queueOf(state, queueKey).waitingUpToRequest(request) * liveInstances(state, nowMs).length;
 	return (unread + (waiting * meanTokens)) * msPerToken(state.readingSpeeds.get(queueKey)) / (serving.length * READING_TIME_SHARE);
 }
 
 /** Time until the rate limits of all targets that serve it let the request and those before it pass; 0 if one has no limit. */
-function rateLimitMs({state, nowMs}: EntryContext, {queueKey, route: {rank}}: EntryRequest, serving: readonly Target[]): number {
+function rateLimitMs({state, nowMs}: EntryContext, request: EntryRequest, serving: readonly Target[]): number {
 	if (serving.length === 0 || serving.some(target => !isLimited(target))) {
 		return 0;
 	}
 
 	const perSecond = serving.reduce((sum, {rateLimit}) => sum + (rateLimit?.perSecond ?? 0), 0);
 	const nextMs = Math.min(...serving.map(target => permitWaitMs(target, nowMs)));
-	const before = Math.max(0, queueOf(state, queueKey).waitingUpTo(rank) - 1);
+	const before = Math.max(0, queueOf(state, request.queueKey).waitingUpToRequest(request) - 1);
 	return nextMs + (before * 1000 / Math.max(perSecond, Number.MIN_VALUE));
 }
 
--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -136,6 +136,38 @@
 	assert.equal(effectsOfKind(core.advance(200), 'send')[0]?.requestId, 'r');
 });
 
+// Guards against a wait that is estimated from the whole queue for a stream that goes first: it was cut off at once where requests without a head waited.
+test('a stream that breaks is not cut off because of the requests that it goes before', () => {
+	const core = createCore();
+	const first = beginStream(core, 'r');
+	const other = first === 'e1' ? 'e2' : 'e1';
+	core.readRegistry([engineEntry(first, ['m0'], {isLeaving: true}), engineEntry(other, ['m0'])]);
+	const sent: string[] = [];
+	for (let index = 0; index < 40; index++) {
+		sent.push(...effectsOfKind(core.arrive(`b${index}`, '/ask/1', {model: 'm0', deadlineMs: 10_000}), 'send').map(({requestId}) => requestId));
+	}
+
+	// Requests leave the queue one by one, so that its rate is known.
+	for (let index = 0; index < 10; index++) {
+		core.advance(100);
+		const ended = sent.shift();
+		assert.ok(ended);
+		sent.push(...effectsOfKind(core.endTry(ended, 1, 'answered'), 'send').map(({requestId}) => requestId));
+	}
+
+	core.dispatch({
+		kind: 'try-progressed', requestId: 'r', tryNumber: 1, delivered: 2,
+	});
+	core.advance(700);
+	for (let index = 0; index < 40; index++) {
+		core.arrive(`c${index}`, '/ask/1', {model: 'm0', deadlineMs: 10_000});
+	}
+
+	assertUntouched(core.endTry('r', 1, 'broken'), 'when the target breaks');
+	core.advance(100);
+	assert.equal(effectsOfKind(core.endTry(sent.shift()!, 1, 'answered'), 'send')[0]?.requestId, 'r');
+});
+
 // Guards against a move that takes the last retry: the target that it was moved to declines it, and the stream is cut off.
 test('a stream that was moved and is declined goes on, since a move leaves a retry', () => {
 	const core = createCore();
--- a/src/core/entry/waiting-queue.ts
+++ b/src/core/entry/waiting-queue.ts
@@ -47,6 +47,16 @@
 		return waiting;
 	}
 
+	/** Number of requests that are served up to one that waits here, with it. A stream that has begun goes before those of its rank that have not. */
+	waitingUpToRequest({route: {rank}, hasHead}: EntryRequest): number {
+		if (!hasHead) {
+			return this.waitingUpTo(rank);
+		}
+
+		const begun = [...this._waitingByRank.get(rank) ?? []].filter(other => other.hasHead).length;
+		return this.waitingUpTo(rank - 1) + begun;
+	}
+
 	push(request: EntryRequest): void {
 		this._punctual.push(request);
 		this._waitingOf(request).add(request);
@@ -84,6 +94,11 @@
 		return this.waitingUpTo(rank) * this._departureIntervalMs;
 	}
 
+	/** Expected time that a request that waits here has yet to wait. */
+	expectedWaitOfMs(request: EntryRequest): number {
+		return this.waitingUpToRequest(request) * this._departureIntervalMs;
+	}
+
 	/** Time from which a request counts as late. */
 	private _dueAtMs({arrivedAtMs, route, deadlineAtMs}: EntryRequest): number {
 		return this._options.putsPunctualFirst ? arrivedAtMs + route.objectiveMs : deadlineAtMs;
