--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -6,9 +6,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	beacon, engineEntry, EntryHarness, effectsOfKind, route,
+	beacon, engineEntry, EntryHarness, effectsOfKind, instance, route,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffect} from './effect.js';
+import {isLeaseVacant} from './lease.js';
 import {retryBudget} from './retry-budgets.js';
 import {type EntryArrival} from './types.js';
 
@@ -168,6 +169,22 @@
 	assert.equal(effectsOfKind(core.endTry(sent.shift()!, 1, 'answered'), 'send')[0]?.requestId, 'r');
 });
 
+// Guards against refusing a request for an adapter that a target holds: only a load of the adapter needs a lease holder.
+test('no instance holds the lease, and the target that holds the adapter is full: a request waits for it', {todo: 'KNOWN-RED.txt, issue 30'}, () => {
+	const core = createCore().readRegistry([
+		engineEntry('e1', [], {copies: [{model: 'm0', version: 1, adapters: ['a1']}]}), engineEntry('e2', ['m0']),
+	]);
+	core.dispatch({kind: 'beacon-received', beacon: beacon({lease: {holder: instance('b'), epoch: 1, ageMs: 0}})});
+	core.advance(4000);
+	core.dispatch({kind: 'beacon-received', beacon: beacon({loads: [['e1', 50, 0]], lease: {holder: instance('b'), epoch: 1, ageMs: 4000}})});
+	assert.ok(isLeaseVacant({
+		state: core.state, nowMs: core.nowMs, wallMs: core.nowMs, effects: [],
+	}));
+	assertUntouched(core.arrive('r', '/ask/1', {model: 'm0', adapter: 'a1', deadlineMs: 10_000}), 'while its target is full');
+	core.dispatch({kind: 'beacon-received', beacon: beacon({lease: {holder: instance('b'), epoch: 1, ageMs: 4000}})});
+	assert.equal(effectsOfKind(core.advance(200), 'send')[0]?.targetId, 'e1');
+});
+
 // Guards against a move that takes the last retry: the target that it was moved to declines it, and the stream is cut off.
 test('a stream that was moved and is declined goes on, since a move leaves a retry', () => {
 	const core = createCore();
