Test of a move that is declined: say what happens with and without a retry left

The former test asserted nothing once the fix kept the stream where it is. It is replaced by two stricter cases: with fewer than two retries left the stream stays with its first target; with two it moves, is declined and is not cut off.

--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -185,18 +185,21 @@
 	assert.equal(effectsOfKind(core.advance(200), 'send')[0]?.targetId, 'e1');
 });
 
-// Guards against a move that takes the last retry: the target that it was moved to declines it, and the stream is cut off.
-test('a stream that was moved and is declined goes on, since a move leaves a retry', () => {
-	const core = createCore();
-	beginStream(core, 'r');
-	const {repeatShare, repeatSlack} = core.state.bounds;
-	const budget = retryBudget(core.state, 'llm');
-	while (budget.remaining(core.nowMs, repeatShare, repeatSlack) >= 2) {
-		budget.take(core.nowMs, repeatShare, repeatSlack);
-	}
+for (const {left, tries} of [{left: 2, tries: 1}, {left: 3, tries: 2}]) {
+	// Guards against a move that takes the last retry: the target that it was moved to declines it, and the stream is cut off.
+	test(`a stream whose target pauses while fewer than ${left} retries are left is not cut off, though the next target declines it`, () => {
+		const core = createCore();
+		beginStream(core, 'r');
+		const {repeatShare, repeatSlack} = core.state.bounds;
+		const budget = retryBudget(core.state, 'llm');
+		while (budget.remaining(core.nowMs, repeatShare, repeatSlack) >= left) {
+			budget.take(core.nowMs, repeatShare, repeatSlack);
+		}
 
-	const moved = effectsOfKind(core.advance(SILENCE_MS), 'send');
-	if (moved.length > 0) {
-		assertUntouched(core.endTry('r', 2, 'not-run'), 'when the second target declines');
-	}
-});
+		core.advance(SILENCE_MS);
+		assert.equal(core.state.open.get('r')?.tries.length, tries);
+		if (tries > 1) {
+			assertUntouched(core.endTry('r', tries, 'not-run'), 'when the second target declines');
+		}
+	});
+}
