--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -6,9 +6,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	beacon, engineEntry, EntryHarness, effectsOfKind, route,
+	beacon, engineEntry, EntryHarness, effectsOfKind, instance, route,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffect} from './effect.js';
+import {isLeaseVacant} from './lease.js';
+import {retryBudget} from './retry-budgets.js';
 import {type EntryArrival} from './types.js';
 
 /** Longer than the pauses of sound targets, and shorter than the time after which callers give up. */
@@ -134,3 +136,70 @@
 	core.dispatch({kind: 'beacon-received', beacon: beacon({loads: [[other, 5, 0]]})});
 	assert.equal(effectsOfKind(core.advance(200), 'send')[0]?.requestId, 'r');
 });
+
+// Guards against a wait that is estimated from the whole queue for a stream that goes first: it was cut off at once where requests without a head waited.
+test('a stream that breaks is not cut off because of the requests that it goes before', () => {
+	const core = createCore();
+	const first = beginStream(core, 'r');
+	const other = first === 'e1' ? 'e2' : 'e1';
+	core.readRegistry([engineEntry(first, ['m0'], {isLeaving: true}), engineEntry(other, ['m0'])]);
+	const sent: string[] = [];
+	for (let index = 0; index < 40; index++) {
+		sent.push(...effectsOfKind(core.arrive(`b${index}`, '/ask/1', {model: 'm0', deadlineMs: 10_000}), 'send').map(({requestId}) => requestId));
+	}
+
+	// Requests leave the queue one by one, so that its rate is known.
+	for (let index = 0; index < 10; index++) {
+		core.advance(100);
+		const ended = sent.shift();
+		assert.ok(ended);
+		sent.push(...effectsOfKind(core.endTry(ended, 1, 'answered'), 'send').map(({requestId}) => requestId));
+	}
+
+	core.dispatch({
+		kind: 'try-progressed', requestId: 'r', tryNumber: 1, delivered: 2,
+	});
+	core.advance(700);
+	for (let index = 0; index < 40; index++) {
+		core.arrive(`c${index}`, '/ask/1', {model: 'm0', deadlineMs: 10_000});
+	}
+
+	assertUntouched(core.endTry('r', 1, 'broken'), 'when the target breaks');
+	core.advance(100);
+	assert.equal(effectsOfKind(core.endTry(sent.shift()!, 1, 'answered'), 'send')[0]?.requestId, 'r');
+});
+
+// Guards against refusing a request for an adapter that a target holds: only a load of the adapter needs a lease holder.
+test('no instance holds the lease, and the target that holds the adapter is full: a request waits for it', {todo: 'KNOWN-RED.txt, issue 30'}, () => {
+	const core = createCore().readRegistry([
+		engineEntry('e1', [], {copies: [{model: 'm0', version: 1, adapters: ['a1']}]}), engineEntry('e2', ['m0']),
+	]);
+	core.dispatch({kind: 'beacon-received', beacon: beacon({lease: {holder: instance('b'), epoch: 1, ageMs: 0}})});
+	core.advance(4000);
+	core.dispatch({kind: 'beacon-received', beacon: beacon({loads: [['e1', 50, 0]], lease: {holder: instance('b'), epoch: 1, ageMs: 4000}})});
+	assert.ok(isLeaseVacant({
+		state: core.state, nowMs: core.nowMs, wallMs: core.nowMs, effects: [],
+	}));
+	assertUntouched(core.arrive('r', '/ask/1', {model: 'm0', adapter: 'a1', deadlineMs: 10_000}), 'while its target is full');
+	core.dispatch({kind: 'beacon-received', beacon: beacon({lease: {holder: instance('b'), epoch: 1, ageMs: 4000}})});
+	assert.equal(effectsOfKind(core.advance(200), 'send')[0]?.targetId, 'e1');
+});
+
+for (const {left, tries} of [{left: 2, tries: 1}, {left: 3, tries: 2}]) {
+	// Guards against a move that takes the last retry: the target that it was moved to declines it, and the stream is cut off.
+	test(`a stream whose target pauses while fewer than ${left} retries are left is not cut off, though the next target declines it`, () => {
+		const core = createCore();
+		beginStream(core, 'r');
+		const {repeatShare, repeatSlack} = core.state.bounds;
+		const budget = retryBudget(core.state, 'llm');
+		while (budget.remaining(core.nowMs, repeatShare, repeatSlack) >= left) {
+			budget.take(core.nowMs, repeatShare, repeatSlack);
+		}
+
+		core.advance(SILENCE_MS);
+		assert.equal(core.state.open.get('r')?.tries.length, tries);
+		if (tries > 1) {
+			assertUntouched(core.endTry('r', tries, 'not-run'), 'when the second target declines');
+		}
+	});
+}
--- a/src/entry/datagram-socket.test.ts
+++ b/src/entry/datagram-socket.test.ts
@@ -1,5 +1,5 @@
 /**
-Datagrams to many receivers.
+Datagrams to many receivers, and a port that is taken.
 */
 import assert from 'node:assert/strict';
 import {createHook} from 'node:async_hooks';
@@ -40,3 +40,16 @@
 	});
 	socket.close();
 });
+
+// Guards against an error of the bind that is taken for a lost datagram: the daemon then waited for ever, without a message, at its start.
+test('listening on a port that is taken fails', {timeout: 5000}, async t => {
+	const other = createSocket('udp4');
+	other.bind(0, '127.0.0.1');
+	await once(other, 'listening');
+	const socket = new DatagramSocket(() => undefined);
+	t.after(() => {
+		other.close();
+		socket.close();
+	});
+	await assert.rejects(socket.listen({host: '127.0.0.1', port: other.address().port}), {code: 'EADDRINUSE'});
+});
