Send no orders to engines that load or unload a model

Callers saw: requests for adapters were held for 1 to 2.4 s, refused with "the adapter could not be loaded" and told to return after 0.5 s, when the same happened again.

Cause: an engine accepts one order at a time. While it loads a model (up to 8.6 s there) or waits for the streams of a copy that it unloads (up to 5.6 s), it answers orders for adapters with 409. The lease holder knew of its own order and sent the others all the same, about every 0.3 s to each engine. Each conflict discarded the known sequence, so that a report had to be read.

Change: while a model order is in progress, only reports are read. Requests for adapters wait for its end, or are answered at once if a load takes longer than they would wait. An instance whose other targets cannot load the adapter either refuses a request at the first failure, if its caller would have left by then, with the time until the load is complete. The in-memory engine of the tests refuses orders for adapters while it executes one for a model, as engines do.

--- a/src/core/entry/adapters.test.ts
+++ b/src/core/entry/adapters.test.ts
@@ -44,3 +44,23 @@
 	assert.ok((refusal?.retryAfterMs ?? 0) >= 3000, `${refusal?.retryAfterMs} ms`);
 	assert.equal(effectsOfKind(core.arrive('plain', '/ask/1', {model: 'm0'}), 'send').length, 1);
 });
+
+// Guards against requests that are held for an adapter that cannot come while their callers wait, and told to return too soon.
+test('a request whose only target loads a model for longer than its caller waits is refused at the first failure, with the time until then', () => {
+	const core = new EntryHarness().configure().readRegistry([engineEntry('e0', ['m0'])]);
+	core.dispatch({
+		kind: 'beacon-received', beacon: beacon({
+			lease: {holder: instance('b'), epoch: 1, ageMs: 0},
+			comingCopies: [{
+				targetId: 'e0', service: 'llm', model: 'm2', inMs: 5000,
+			}],
+		}),
+	});
+	core.arrive('r', '/ask/1', {model: 'm0', adapter: 'a1'});
+	core.dispatch({
+		kind: 'adapter-resolved', targetId: 'e0', name: 'm0/a1', isHeld: false, sequence: 0,
+	});
+	const [refusal] = effectsOfKind(core.effects, 'refuse');
+	assert.equal(refusal?.code, 'no-target');
+	assert.equal(refusal?.retryAfterMs, 5000);
+});
--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -20,6 +20,10 @@
 	readonly incoming = new Set<string>();
 	hasSlowTransfers = false;
 	loading: string | undefined;
+	/** The model that is unloaded once nothing runs on it; immediately unless unloads are slow. */
+	unloading: string | undefined;
+	hasSlowUnloads = false;
+	conflicts = 0;
 	/** Orders that are executed later. */
 	readonly delayed: Array<EntryEffectOf<'order'>> = [];
 
@@ -27,13 +31,19 @@
 		this.models = new Set(models);
 	}
 
+	/** Whether it executes an order for a model and accepts no other. */
+	get isBusy(): boolean {
+		return this.loading !== undefined || this.unloading !== undefined;
+	}
+
 	get usedMb(): number {
 		return (new Set([...this.models, ...(this.loading ? [this.loading] : [])]).size * 400) + (this.adapters.size * 10);
 	}
 
 	handleOrder({order}: EntryEffectOf<'order'>): 'accepted' | 'holds' | 'conflict' {
 		const name = `${order.model}/${order.adapter}`;
-		if (order.expectedSequence !== this.sequence || (this.loading !== undefined && order.adapter === undefined)) {
+		if (order.expectedSequence !== this.sequence || this.isBusy) {
+			this.conflicts++;
 			return 'conflict';
 		}
 
@@ -56,6 +66,8 @@
 			(this.hasSlowTransfers ? this.incoming : this.adapters).add(name);
 		} else if (order.kind === 'load') {
 			this.loading = order.model;
+		} else if (this.hasSlowUnloads) {
+			this.unloading = order.model;
 		} else {
 			this.models.delete(order.model);
 		}
@@ -63,6 +75,18 @@
 		return 'accepted';
 	}
 
+	/** Completes the load or unload that is in progress. */
+	completeMove(): void {
+		if (this.loading !== undefined) {
+			this.models.add(this.loading);
+		} else if (this.unloading !== undefined) {
+			this.models.delete(this.unloading);
+		}
+
+		this.loading = undefined;
+		this.unloading = undefined;
+	}
+
 	completeTransfers(): void {
 		for (const name of this.incoming) {
 			this.adapters.add(name);
@@ -75,7 +99,7 @@
 		return {
 			incarnation: 1,
 			sequence: this.sequence,
-			isBusy: this.loading !== undefined,
+			isBusy: this.isBusy,
 			running: 0,
 			waiting: 0,
 			copies: [...this.models].map(model => ({model, version: 1, adapters: [...this.adapters].filter(name => name.startsWith(`${model}/`)).map(name => name.split('/')[1]!)})),
@@ -284,6 +308,59 @@
 	assert.ok(unloadedAtMs !== undefined && unloadedAtMs - beganAtMs <= 1500, `the copy that makes way was unloaded after ${(unloadedAtMs ?? Number.POSITIVE_INFINITY) - beganAtMs} ms`);
 });
 
+// Guards against orders that an engine cannot accept: each one took what was known of the engine, and kept requests waiting that were refused in the end.
+test('no adapter is ordered from an engine that loads a model: whoever asks for one is told at once, and it is loaded once the model is', () => {
+	const deployment = createDeployment([['m0'], ['m1']]);
+	const {core, engines} = deployment;
+	const engine = engines.get('e0')!;
+	run(deployment, 500);
+	assert.ok(engine.loading !== undefined);
+	for (const callId of [1, 2, 3]) {
+		core.dispatch({
+			kind: 'adapter-requested', callId, targetId: 'e0', model: 'm0', adapter: 'a1',
+		});
+		const replies = effectsOfKind(core.effects, 'tell-adapter').filter(reply => reply.callId === callId);
+		assert.deepEqual(replies.map(({isHeld}) => isHeld), [false], `call ${callId}`);
+		run(deployment, 400);
+	}
+
+	engine.completeMove();
+	run(deployment, 2000);
+	core.dispatch({
+		kind: 'adapter-requested', callId: 4, targetId: 'e0', model: 'm0', adapter: 'a1',
+	});
+	run(deployment, 200);
+	assert.deepEqual([...engine.adapters], ['m0/a1']);
+	assert.equal(engine.conflicts, 0, 'orders that the engine could not accept');
+});
+
+// Guards against swaps of models that wait for the answers to orders for adapters, and against orders for adapters during an unload.
+test('adapters that are asked for during an unload are ordered after it, before the load that follows', () => {
+	const deployment = createDeployment([['m0', 'm1']]);
+	const {core, engines} = deployment;
+	const engine = engines.get('e0')!;
+	engine.hasSlowUnloads = true;
+	run(deployment, 1000);
+	for (let step = 0; step < 20 && engine.unloading === undefined; step++) {
+		core.arrive(`w${step}`, '/ask/1', {model: 'm3', deadlineMs: 20_000});
+		run(deployment, 100);
+	}
+
+	assert.ok(engine.unloading !== undefined);
+	run(deployment, 1000);
+	const model = [...engine.models].find(name => name !== engine.unloading)!;
+	core.dispatch({
+		kind: 'adapter-requested', callId: 1, targetId: 'e0', model, adapter: 'a1',
+	});
+	run(deployment, 300);
+	assert.equal(engine.adapters.size, 0);
+	engine.completeMove();
+	run(deployment, 600);
+	assert.deepEqual([...engine.adapters], [`${model}/a1`]);
+	assert.equal(engine.loading, 'm3');
+	assert.equal(engine.conflicts, 0, 'orders that the engine could not accept');
+});
+
 test('the weight store\'s rate holds for each service by itself', () => {
 	const tracker = new OrderTracker();
 	for (const service of ['small', 'large']) {
--- a/src/core/entry/orders.ts
+++ b/src/core/entry/orders.ts
@@ -2,7 +2,8 @@
 Orders to engines, sent by the lease holder. Each target has at most one outstanding
 order, conditional on the sequence that the engine must have reached. Adapters come
 first because requests wait for them; models are loaded and unloaded only when a
-report newer than the last order shows what the engine holds.
+report newer than the last order shows what the engine holds. An engine accepts no
+other order while it loads or unloads a model, so none is sent to it meanwhile.
 */
 import {holdsLease} from './lease.js';
 import {
@@ -131,18 +132,27 @@
 		return;
 	}
 
+	if (tracker.moveDueMs !== undefined) {
+		trackMove(context, target, tracker);
+		return;
+	}
+
 	const adapterLoad = tracker.adapterLoads.find(({notBeforeMs}) => nowMs >= notBeforeMs);
-	if (adapterLoad) {
+	if (adapterLoad && tracker.report?.isBusy) {
+		// It executes an order for a model whose answer was lost, or one of an earlier holder.
+		readReport(context, target, tracker);
+	} else if (adapterLoad) {
 		loadOrEvictAdapter(context, target, tracker, adapterLoad);
-	} else if (tracker.moveDueMs !== undefined) {
-		trackMove(context, target, tracker);
 	} else if (tracker.move && nowMs >= tracker.move.notBeforeMs) {
 		orderMove(context, target, tracker, tracker.move);
 	}
 }
 
+/** Replies to those that have waited for too long, and at once to all while the engine loads a model for longer than they would wait. */
 function expireAdapterLoads(context: EntryContext, target: Target, tracker: TargetTracker): void {
-	for (const adapterLoad of tracker.adapterLoads.filter(({sinceMs}) => context.nowMs - sinceMs > ADAPTER_LOAD_TIMEOUT_MS)) {
+	const {nowMs} = context;
+	const isLoadingForLong = tracker.move?.kind === 'load' && (tracker.moveDueMs ?? 0) - nowMs > ADAPTER_LOAD_TIMEOUT_MS;
+	for (const adapterLoad of tracker.adapterLoads.filter(({sinceMs}) => isLoadingForLong || nowMs - sinceMs > ADAPTER_LOAD_TIMEOUT_MS)) {
 		tracker.adapterLoads.splice(tracker.adapterLoads.indexOf(adapterLoad), 1);
 		replyToAll(context, target.id, adapterLoad, {isHeld: false, delayMs: 0});
 	}
