Evict no adapter that a request uses

Callers saw: requests for adapters were refused with "the adapter could not be loaded" although their engine neither loaded nor unloaded a model.

Cause: the lease holder evicted the adapter that had not been asked for for longest, by arrivals of the last 2.5 s, or the first of those that had. A stream uses its adapter for longer. An engine accepts the eviction of an adapter in use, carries it out when its streams have ended, and until then neither takes other orders nor serves new requests for that adapter.

Change: instances tell the lease holder, with their demand, which adapters their requests in flight use, and where. Only adapters that none uses are evicted; until there is one, orders for models go first. The modelled engine now executes such an eviction as engines do.

Tests: the new one failed before (a2 was evicted for a3 while a peer's request used it).

--- a/src/core/entry/demand.ts
+++ b/src/core/entry/demand.ts
@@ -2,10 +2,10 @@
 Demand for each model at this instance. Beacons carry it to peers, so that the lease
 holder can place copies of models accordingly.
 */
-import {type ModelDemand} from './peer-messages.js';
+import {type ModelDemand, type RunningAdapter} from './peer-messages.js';
 import {queueOf} from './queues.js';
 import {msPerToken, tokensToRead} from './reading-speed.js';
-import {type EntryContext} from './state.js';
+import {type EntryContext, type EntryState} from './state.js';
 import {type EntryRequest} from './types.js';
 
 const RATE_INTERVAL_MS = 500;
@@ -71,6 +71,7 @@
 }
 
 export function localDemand({state, nowMs}: EntryContext): ModelDemand[] {
+	const running = runningAdapters(state);
 	return [...state.demand].map(([key, record]) => ({
 		service: record.service,
 		model: record.model,
@@ -80,5 +81,19 @@
 		waiting: queueOf(state, key).waiting,
 		objectiveMs: record.objectiveMs,
 		adapters: [...record.adapters].filter(([, usedAtMs]) => nowMs - usedAtMs < ADAPTER_IN_USE_MS).map(([adapter]) => adapter),
+		runningAdapters: running.get(key) ?? [],
 	}));
 }
+
+/** Adapters that requests in flight use, by queue key. */
+function runningAdapters({open}: EntryState): Map<string, RunningAdapter[]> {
+	const running = new Map<string, RunningAdapter[]>();
+	for (const {phase, queueKey, tries, arrival: {adapter}} of open.values()) {
+		const targetId = tries.at(-1)?.targetId;
+		if (phase === 'running' && adapter !== undefined && targetId !== undefined) {
+			running.set(queueKey, [...running.get(queueKey) ?? [], [targetId, adapter]]);
+		}
+	}
+
+	return running;
+}
--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	engineEntry, EntryHarness, effectsOfKind,
+	beacon, engineEntry, EntryHarness, effectsOfKind,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffectOf} from './effect.js';
 import {OrderTracker} from './order-tracker.js';
@@ -386,6 +386,37 @@
 	assert.ok(engine.declined > 0 && engine.declined <= 4, `${engine.declined} declined orders in a second`);
 });
 
+// Guards against evictions of adapters in use: the engine accepts no other order until their streams have ended, 10 s in one case.
+test('adapters that requests of any instance use are not evicted; the next one gets the first place that none uses', () => {
+	const deployment = createDeployment([['m0', 'm1']]);
+	const {core, engines} = deployment;
+	const engine = engines.get('e0')!;
+	const announcePeer = () => {
+		core.dispatch({
+			kind: 'beacon-received', beacon: beacon({
+				demand: [{
+					service: 'llm', model: 'm0', arrivalsPerSecond: 0, busyShare: 0, open: 1, waiting: 0, objectiveMs: 200, adapters: [], runningAdapters: [['e0', 'a2']],
+				}],
+			}),
+		});
+	};
+
+	run(deployment, 1000);
+	core.arrive('own', '/ask/1', {model: 'm0', adapter: 'a1', deadlineMs: 20_000});
+	core.dispatch({
+		kind: 'adapter-requested', callId: 1, targetId: 'e0', model: 'm0', adapter: 'a2',
+	});
+	run(deployment, 500, {}, announcePeer);
+	core.dispatch({
+		kind: 'adapter-requested', callId: 2, targetId: 'e0', model: 'm0', adapter: 'a3',
+	});
+	run(deployment, 500, {}, announcePeer);
+	assert.deepEqual([...engine.adapters], ['m0/a1', 'm0/a2']);
+	core.endTry('own', 1, 'answered');
+	run(deployment, 200, {}, announcePeer);
+	assert.deepEqual([...engine.adapters], ['m0/a2', 'm0/a3']);
+});
+
 test('the weight store\'s rate holds for each service by itself', () => {
 	const tracker = new OrderTracker();
 	for (const service of ['small', 'large']) {
--- a/src/core/entry/orders.ts
+++ b/src/core/entry/orders.ts
@@ -9,7 +9,9 @@
 import {
 	type AdapterLoad, type Move, type TargetTracker,
 } from './order-tracker.js';
+import {localDemand} from './demand.js';
 import {freeMemoryMb} from './engine-memory.js';
+import {PEER_DEMAND_VALID_MS} from './peers.js';
 import {logEvent, type EntryContext} from './state.js';
 import {isListed, type Target} from './target.js';
 import {type EngineOrder} from './types.js';
@@ -141,7 +143,7 @@
 	if (adapterLoad && tracker.report?.isBusy) {
 		// It executes an order for a model whose answer was lost, or one of an earlier holder.
 		readReport(context, target, tracker);
-	} else if (adapterLoad) {
+	} else if (adapterLoad && canLoadAdapter(context, target, tracker)) {
 		loadOrEvictAdapter(context, target, tracker, adapterLoad);
 	} else if (tracker.move && nowMs >= tracker.move.notBeforeMs) {
 		orderMove(context, target, tracker, tracker.move);
@@ -158,27 +160,38 @@
 	}
 }
 
+/** Whether a place for an adapter is free, or is held by one that no request uses. */
+function canLoadAdapter(context: EntryContext, target: Target, tracker: TargetTracker): boolean {
+	return tracker.adapters.size < adapterPlaces(context, target) || idleAdapter(context, target, tracker) !== undefined;
+}
+
+function adapterPlaces({state}: EntryContext, {entry: {service}}: Target): number {
+	return state.configuration?.services.get(service)?.engine?.adapterPlaces ?? 0;
+}
+
 /** Loads the adapter, or evicts the least recently used one first when no place is free. */
 function loadOrEvictAdapter(context: EntryContext, target: Target, tracker: TargetTracker, adapterLoad: AdapterLoad): void {
-	const places = context.state.configuration?.services.get(target.entry.service)?.engine?.adapterPlaces ?? 0;
-	if (tracker.adapters.size < places) {
+	if (tracker.adapters.size < adapterPlaces(context, target)) {
 		issueOrder(context, target, tracker, {kind: 'load', model: adapterLoad.model, adapter: adapterLoad.adapter});
 		return;
 	}
 
-	const oldest = leastRecentlyUsed(tracker.adapters);
-	const [model, adapter] = oldest?.split('/') ?? [];
-	if (oldest !== undefined && model !== undefined && adapter !== undefined) {
+	const [model, adapter] = idleAdapter(context, target, tracker)?.split('/') ?? [];
+	if (model !== undefined && adapter !== undefined) {
 		issueOrder(context, target, tracker, {kind: 'unload', model, adapter});
 	}
 }
 
-/** Name of the adapter whose last use is oldest. */
-function leastRecentlyUsed(adapters: ReadonlyMap<string, number>): string | undefined {
+/**
+Name of the adapter whose last use is oldest among those that no request uses. An engine unloads one in use only when
+its requests have ended, and accepts no other order until then.
+*/
+function idleAdapter(context: EntryContext, target: Target, {adapters}: TargetTracker): string | undefined {
+	const running = runningAt(context, target);
 	let oldest: string | undefined;
 	let oldestMs = Number.POSITIVE_INFINITY;
 	for (const [name, usedAtMs] of adapters) {
-		if (usedAtMs < oldestMs) {
+		if (usedAtMs < oldestMs && !running.has(name)) {
 			oldest = name;
 			oldestMs = usedAtMs;
 		}
@@ -187,6 +200,22 @@
 	return oldest;
 }
 
+/** Names of the adapters that requests of any instance use at a target. */
+function runningAt(context: EntryContext, target: Target): Set<string> {
+	const {state, nowMs} = context;
+	const recentPeers = [...state.peers.values()].filter(({demandReceivedAtMs}) => nowMs - demandReceivedAtMs < PEER_DEMAND_VALID_MS);
+	const running = new Set<string>();
+	for (const {service, model, runningAdapters = []} of [localDemand(context), ...recentPeers.map(({demand}) => demand)].flat()) {
+		for (const [targetId, adapter] of runningAdapters) {
+			if (targetId === target.id && service === target.entry.service) {
+				running.add(`${model}/${adapter}`);
+			}
+		}
+	}
+
+	return running;
+}
+
 /** Reads reports until the accepted move is complete. */
 function trackMove(context: EntryContext, target: Target, tracker: TargetTracker): void {
 	const {nowMs} = context;
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -22,8 +22,12 @@
 	readonly objectiveMs: number;
 	/** Adapters requested recently. */
 	readonly adapters: readonly string[];
+	/** Adapters that requests in flight use, and where. Undefined from instances of an earlier release. */
+	readonly runningAdapters?: readonly RunningAdapter[];
 };
 
+export type RunningAdapter = readonly [targetId: TargetId, adapter: string];
+
 export type LeaseStatus = {
 	readonly holder: EntryInstance;
 	readonly epoch: number;
--- a/src/core/entry/peers.ts
+++ b/src/core/entry/peers.ts
@@ -6,6 +6,8 @@
 
 /** Several beacons in a row were missed. */
 export const PEER_SILENT_MS = 3000;
+/** A peer whose demand is older than this is gone, and its requests with it. */
+export const PEER_DEMAND_VALID_MS = 2500;
 /** An instance heard from within this time still counts when a common limit is divided. */
 const RECENT_PEER_MS = 30_000;
 
--- a/src/core/entry/placement.ts
+++ b/src/core/entry/placement.ts
@@ -7,6 +7,7 @@
 import {holdsLease} from './lease.js';
 import {ANNOUNCE_ROUNDS} from './order-tracker.js';
 import {sendNextOrder, readReport} from './orders.js';
+import {PEER_DEMAND_VALID_MS} from './peers.js';
 import {planMove} from './plan.js';
 import {type PlannedDemand, type PlannedMove, type PlannedTarget} from './plan-input.js';
 import {logEvent, type EntryContext} from './state.js';
@@ -20,8 +21,6 @@
 const UNLOAD_NOTICE_MS = 200;
 /** Demand that is below this share of that of the last seconds is falling. */
 const FALLING_SHARE = 0.4;
-/** A peer not heard from for this long is gone, and its requests with it. */
-const PEER_DEMAND_VALID_MS = 2500;
 /** Time for which a copy that is to be unloaded gets no requests; covers the time until the registry no longer shows it. */
 const LEAVING_COPY_MS = 6000;
 /** As many as the loads from the weight store that can run at once without slowing each other. */
--- a/src/experiment/engine-model.ts
+++ b/src/experiment/engine-model.ts
@@ -52,6 +52,8 @@
 type PendingOrder = {
 	readonly kind: 'load' | 'unload';
 	readonly model: string;
+	/** Only for the unload of an adapter in use. */
+	readonly adapter?: string;
 };
 
 export type EngineCounters = {
@@ -101,7 +103,7 @@
 	/** Starts a request, or returns why it is not run. */
 	run(request: RunRequest): Decline | undefined {
 		const adapters = this.copies.get(request.model);
-		if (!adapters || (this._order?.kind === 'unload' && this._order.model === request.model)
+		if (!adapters || (this._order?.kind === 'unload' && this._order.model === request.model && (this._order.adapter === undefined || this._order.adapter === request.adapter))
 			|| (request.adapter !== undefined && !adapters.has(request.adapter))) {
 			return 'missing';
 		}
@@ -225,6 +227,11 @@
 		}
 
 		this.sequence++;
+		if (kind === 'unload' && this._isUsed(model, adapter)) {
+			this._order = {kind, model, adapter};
+			return 'accepted';
+		}
+
 		if (kind === 'unload') {
 			adapters.delete(adapter);
 			return 'holds';
@@ -251,10 +258,22 @@
 
 	private _finishUnload(): void {
 		const order = this._order;
-		if (order?.kind === 'unload' && !this._runs.some(({request}) => request.model === order.model)) {
+		if (order?.kind !== 'unload' || this._isUsed(order.model, order.adapter)) {
+			return;
+		}
+
+		if (order.adapter === undefined) {
 			this.copies.delete(order.model);
-			this._order = undefined;
+		} else {
+			this.copies.get(order.model)?.delete(order.adapter);
 		}
+
+		this._order = undefined;
+	}
+
+	/** Whether a request runs or waits that needs the model, or the adapter if one is given. */
+	private _isUsed(model: string, adapter: string | undefined): boolean {
+		return this._runs.some(({request}) => request.model === model && (adapter === undefined || request.adapter === adapter));
 	}
 
 	private _currentReport(): TargetReport {
