Let requests for adapters wait for a load that ends soon

Cause: while a load took more than a second longer, the lease holder told instances at once that the adapter was not loaded; each tried three times in a row, all within milliseconds, and refused the request.

Change: they are told at once only if the load takes more than two seconds longer; in these, a request waits through its tries as before.

Test: an adapter asked for 1.5 s before the load of a model is complete was declined at once before.

--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -329,11 +329,11 @@
 		});
 		const replies = effectsOfKind(core.effects, 'tell-adapter').filter(reply => reply.callId === callId);
 		assert.deepEqual(replies.map(({isHeld}) => isHeld), [false], `call ${callId}`);
-		run(deployment, 400);
+		run(deployment, 100);
 	}
 
 	engine.completeMove();
-	run(deployment, 2000);
+	run(deployment, 3000);
 	core.dispatch({
 		kind: 'adapter-requested', callId: 4, targetId: 'e0', model: 'm0', adapter: 'a1',
 	});
@@ -369,6 +369,26 @@
 	assert.equal(engine.conflicts, 0, 'orders that the engine could not accept');
 });
 
+// Guards against requests that are refused shortly before an engine takes orders again, instead of waiting that long.
+test('an adapter that is asked for shortly before a load is complete is ordered after it', () => {
+	const deployment = createDeployment([['m0'], ['m1']]);
+	const {core, engines} = deployment;
+	const engine = engines.get('e0')!;
+	run(deployment, 1500);
+	assert.ok(engine.loading !== undefined);
+	core.dispatch({
+		kind: 'adapter-requested', callId: 1, targetId: 'e0', model: 'm0', adapter: 'a1',
+	});
+	assert.equal(effectsOfKind(core.effects, 'tell-adapter').length, 0, 'declined at once');
+	run(deployment, 1400);
+	engine.completeMove();
+	core.dispatch({
+		kind: 'adapter-requested', callId: 2, targetId: 'e0', model: 'm0', adapter: 'a1',
+	});
+	run(deployment, 1000);
+	assert.deepEqual([...engine.adapters], ['m0/a1']);
+});
+
 // Guards against evictions that are ordered again as fast as they are declined, 130 times in 0.6 s, from an engine that has been replaced.
 test('an engine that declines the eviction of an adapter is asked for its report before the next order', () => {
 	const deployment = createDeployment([['m0', 'm1']]);
--- a/src/core/entry/orders.ts
+++ b/src/core/entry/orders.ts
@@ -22,6 +22,8 @@
 const REPORT_TIMEOUT_MS = 1500;
 const RESEND_INTERVAL_MS = 300;
 const ADAPTER_LOAD_TIMEOUT_MS = 1000;
+/** Requests for adapters wait about this long, trying several times; while an engine takes no orders for longer, they are told at once. */
+const ADAPTER_WAIT_MS = 2000;
 /** Delay before an unreachable engine is contacted again. */
 export const BACKOFF_MS = 500;
 
@@ -153,7 +155,7 @@
 /** Replies to those that have waited for too long, and at once to all while the engine loads a model for longer than they would wait. */
 function expireAdapterLoads(context: EntryContext, target: Target, tracker: TargetTracker): void {
 	const {nowMs} = context;
-	const isLoadingForLong = tracker.move?.kind === 'load' && (tracker.moveDueMs ?? 0) - nowMs > ADAPTER_LOAD_TIMEOUT_MS;
+	const isLoadingForLong = tracker.move?.kind === 'load' && (tracker.moveDueMs ?? 0) - nowMs > ADAPTER_WAIT_MS;
 	for (const adapterLoad of tracker.adapterLoads.filter(({sinceMs}) => isLoadingForLong || nowMs - sinceMs > ADAPTER_LOAD_TIMEOUT_MS)) {
 		tracker.adapterLoads.splice(tracker.adapterLoads.indexOf(adapterLoad), 1);
 		replyToAll(context, target.id, adapterLoad, {isHeld: false, delayMs: 0});
