Keep the first copy of a model while requests wait for it

Cause: the plan counts waiting requests and the time of absence for a model without a copy. Once it has one, both are gone from the account, and the next plan, 0.2 s later, may give the memory to a model whose engines are busy. Instances learn of the copy only with the next beacons of the lease holder.

Change: for 3 s after a model has got its first copy again, that copy is not evicted while requests wait for it.

Test: failed before (the copy was evicted 0.4 s after it came).

--- a/src/core/entry/order-tracker.ts
+++ b/src/core/entry/order-tracker.ts
@@ -119,6 +119,8 @@
 	/** Token buckets of loads that may start from the weight store, by service, since each service has a rate of its own. */
 	private readonly _storeLoads = new Map<string, StoreLoads>();
 	private readonly _missingSince = new Map<string, number>();
+	/** When models that had been missing got a copy. */
+	private readonly _backSince = new Map<string, number>();
 	private readonly _recentDemand = new Map<string, RecentDemand>();
 
 	/** The tracker of this incarnation of a target, a new one when the target has restarted. */
@@ -177,7 +179,10 @@
 	/** Time since demand for a model was first seen without a copy of it; 0 while one is held. */
 	missingForMs(key: string, isHeld: boolean, nowMs: number): number {
 		if (isHeld) {
-			this._missingSince.delete(key);
+			if (this._missingSince.delete(key)) {
+				this._backSince.set(key, nowMs);
+			}
+
 			return 0;
 		}
 
@@ -186,6 +191,11 @@
 		return nowMs - sinceMs;
 	}
 
+	/** Time since a model that had been missing got a copy; infinite if it was not missing. */
+	backForMs(key: string, nowMs: number): number {
+		return nowMs - (this._backSince.get(key) ?? Number.NEGATIVE_INFINITY);
+	}
+
 	forget(id: TargetId): void {
 		this.targets.delete(id);
 		this.permitsDueMs.delete(id);
@@ -194,6 +204,7 @@
 	/** Drops everything: another instance may have sent orders since. */
 	clear(): void {
 		this._missingSince.clear();
+		this._backSince.clear();
 		this._recentDemand.clear();
 		this.targets.clear();
 		this.permitsDueMs.clear();
--- a/src/core/entry/placement.ts
+++ b/src/core/entry/placement.ts
@@ -107,7 +107,7 @@
 /** Demand of all instances for each model, and the time for which it has had no copy anywhere. */
 function totalDemand(context: EntryContext, service: string, held: ReadonlySet<string>): Map<string, PlannedDemand> {
 	const {state, nowMs} = context;
-	const total = new Map<string, Omit<PlannedDemand, 'missingMs' | 'isFalling'>>();
+	const total = new Map<string, Omit<PlannedDemand, 'missingMs' | 'backForMs' | 'isFalling'>>();
 	const recentPeers = [...state.peers.values()].filter(({demandReceivedAtMs}) => nowMs - demandReceivedAtMs < PEER_DEMAND_VALID_MS);
 	const all = [localDemand(context), ...recentPeers.map(({demand}) => demand)];
 	for (const record of all.flat()) {
@@ -134,6 +134,7 @@
 			...recent,
 			isFalling: demand.perSecond < recent.perSecond * FALLING_SHARE,
 			missingMs: state.orderTracker.missingForMs(key, held.has(model), nowMs),
+			backForMs: state.orderTracker.backForMs(key, nowMs),
 		}];
 	}));
 }
--- a/src/core/entry/plan-input.ts
+++ b/src/core/entry/plan-input.ts
@@ -35,6 +35,8 @@
 	readonly waiting: number;
 	/** Time since it was first requested without a copy anywhere; 0 while there is one. */
 	readonly missingMs: number;
+	/** Time since it got a copy after it had been missing; infinite if it was not. */
+	readonly backForMs: number;
 	/** Shortest latency objective of the routes that request it. */
 	readonly objectiveMs: number;
 	/** Adapters in use. */
--- a/src/core/entry/plan-moves.ts
+++ b/src/core/entry/plan-moves.ts
@@ -4,7 +4,7 @@
 */
 import {type EngineModel} from './configuration.js';
 import {unreservedMemoryMb, isCached, loadTimeMs} from './engine-memory.js';
-import {type PlannedMove, type PlannedTarget} from './plan-input.js';
+import {type PlannedDemand, type PlannedMove, type PlannedTarget} from './plan-input.js';
 import {
 	ADAPTER_PLACES_WORTH, lacksAdapterPlaces, type PlanContext, type DesiredCopy,
 } from './desired-copies.js';
@@ -30,6 +30,8 @@
 /** Worth of ending the absence of a model that is requested, for each second of it. */
 const ABSENCE_WORTH_PER_SECOND = 1;
 const MAX_ABSENCE_WORTH = 20;
+/** Time in which instances learn of the first copy of a model and send it the requests that wait for it. */
+const FIRST_TURN_MS = 3000;
 /** Costs of a target, as a share of the gain: a copy in each zone saves traffic between zones, and tight memory is filled first. */
 const SAME_ZONE_COST = 0.2;
 const UNUSED_MEMORY_COST = 0.1;
@@ -155,7 +157,7 @@
 	}
 
 	// A copy that is being loaded does not serve yet, so the only one that serves stays.
-	if (estimator.holders(name).length > 1) {
+	if (estimator.holders(name).length > 1 || isAwaited(input.demand.get(name))) {
 		return undefined;
 	}
 
@@ -166,6 +168,11 @@
 	return {model, loss: relocateTo ? RELOCATION_LOSS_PER_SECOND : loss, relocateTo};
 }
 
+/** Whether requests wait for a model that has just got a copy. */
+function isAwaited(demand: PlannedDemand | undefined): boolean {
+	return demand !== undefined && demand.waiting > 0 && demand.backForMs < FIRST_TURN_MS;
+}
+
 /** The load that relocates the copy, if that is needed, else its unload. */
 function firstMove(desired: DesiredCopy, target: PlannedTarget, {eviction: {model, relocateTo}, worth}: {eviction: Eviction; worth: number}): PlannedMove {
 	return relocateTo
--- a/src/core/entry/plan.test.ts
+++ b/src/core/entry/plan.test.ts
@@ -22,7 +22,7 @@
 
 function demand(perSecond: number, open: number, overrides: Partial<PlannedDemand> = {}): PlannedDemand {
 	return {
-		perSecond, isFalling: false, busyShare: perSecond * READING_S, open, waiting: 0, missingMs: 0, objectiveMs: 300, adapters: new Set(), ...overrides,
+		perSecond, isFalling: false, busyShare: perSecond * READING_S, open, waiting: 0, missingMs: 0, backForMs: Number.POSITIVE_INFINITY, objectiveMs: 300, adapters: new Set(), ...overrides,
 	};
 }
 
@@ -81,6 +81,19 @@
 	assert.deepEqual([move?.kind, move?.targetId, move?.model], ['load', 'c', 'm0']);
 });
 
+// Guards against models that lose their copy before the requests that wait for it have been sent, and are thus never served although they get turns.
+test('a model that has just got its first copy keeps it while requests wait for it, also when another is overloaded', () => {
+	const targets = [target('a', ['m0', 'm1']), target('b', ['m2', 'm3'])];
+	const rare = {m1: demand(5, 5), m3: demand(5, 5)};
+	const waiting = {objectiveMs: 4000, waiting: 3};
+	const back = plan(targets, {...rare, m0: demand(100, 90), m2: demand(0.3, 3, {...waiting, backForMs: 400})});
+	assert.notEqual(back?.model, 'm2');
+	const later = plan(targets, {...rare, m0: demand(100, 90), m2: demand(0.3, 3, {...waiting, backForMs: 4000})});
+	assert.deepEqual([later?.kind, later?.model, later?.wanted], ['unload', 'm2', 'm0']);
+	const served = plan(targets, {...rare, m0: demand(100, 90), m2: demand(0.3, 0, {objectiveMs: 4000, backForMs: 400})});
+	assert.deepEqual([served?.kind, served?.model, served?.wanted], ['unload', 'm2', 'm0']);
+});
+
 test('a model is loaded from disk when the weight store allows no load', () => {
 	const targets = [target('a', ['m0', 'm1']), target('b', ['m2', 'm3']), target('c', [], {onDisk: ['m1']})];
 	const move = plan(targets, {m0: demand(9, 9), m1: demand(5, 3)}, 0);
