--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	engineEntry, EntryHarness, effectsOfKind,
+	beacon, engineEntry, EntryHarness, effectsOfKind,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffectOf} from './effect.js';
 import {OrderTracker} from './order-tracker.js';
@@ -20,6 +20,13 @@
 	readonly incoming = new Set<string>();
 	hasSlowTransfers = false;
 	loading: string | undefined;
+	/** The model that is unloaded once nothing runs on it; immediately unless unloads are slow. */
+	unloading: string | undefined;
+	hasSlowUnloads = false;
+	/** Whether another engine has taken its address, and declines orders to it. */
+	isReplaced = false;
+	conflicts = 0;
+	declined = 0;
 	/** Orders that are executed later. */
 	readonly delayed: Array<EntryEffectOf<'order'>> = [];
 
@@ -27,13 +34,24 @@
 		this.models = new Set(models);
 	}
 
+	/** Whether it executes an order for a model and accepts no other. */
+	get isBusy(): boolean {
+		return this.loading !== undefined || this.unloading !== undefined;
+	}
+
 	get usedMb(): number {
 		return (new Set([...this.models, ...(this.loading ? [this.loading] : [])]).size * 400) + (this.adapters.size * 10);
 	}
 
-	handleOrder({order}: EntryEffectOf<'order'>): 'accepted' | 'holds' | 'conflict' {
+	handleOrder({order}: EntryEffectOf<'order'>): 'accepted' | 'holds' | 'conflict' | 'declined' {
 		const name = `${order.model}/${order.adapter}`;
-		if (order.expectedSequence !== this.sequence || (this.loading !== undefined && order.adapter === undefined)) {
+		if (this.isReplaced) {
+			this.declined++;
+			return 'declined';
+		}
+
+		if (order.expectedSequence !== this.sequence || this.isBusy) {
+			this.conflicts++;
 			return 'conflict';
 		}
 
@@ -56,6 +74,8 @@
 			(this.hasSlowTransfers ? this.incoming : this.adapters).add(name);
 		} else if (order.kind === 'load') {
 			this.loading = order.model;
+		} else if (this.hasSlowUnloads) {
+			this.unloading = order.model;
 		} else {
 			this.models.delete(order.model);
 		}
@@ -63,6 +83,18 @@
 		return 'accepted';
 	}
 
+	/** Completes the load or unload that is in progress. */
+	completeMove(): void {
+		if (this.loading !== undefined) {
+			this.models.add(this.loading);
+		} else if (this.unloading !== undefined) {
+			this.models.delete(this.unloading);
+		}
+
+		this.loading = undefined;
+		this.unloading = undefined;
+	}
+
 	completeTransfers(): void {
 		for (const name of this.incoming) {
 			this.adapters.add(name);
@@ -73,9 +105,9 @@
 
 	report(): TargetReport {
 		return {
-			incarnation: 1,
+			incarnation: this.isReplaced ? 2 : 1,
 			sequence: this.sequence,
-			isBusy: this.loading !== undefined,
+			isBusy: this.isBusy,
 			running: 0,
 			waiting: 0,
 			copies: [...this.models].map(model => ({model, version: 1, adapters: [...this.adapters].filter(name => name.startsWith(`${model}/`)).map(name => name.split('/')[1]!)})),
@@ -284,6 +316,127 @@
 	assert.ok(unloadedAtMs !== undefined && unloadedAtMs - beganAtMs <= 1500, `the copy that makes way was unloaded after ${(unloadedAtMs ?? Number.POSITIVE_INFINITY) - beganAtMs} ms`);
 });
 
+// Guards against orders that an engine cannot accept: each one took what was known of the engine, and kept requests waiting that were refused in the end.
+test('no adapter is ordered from an engine that loads a model: whoever asks for one is told at once, and it is loaded once the model is', () => {
+	const deployment = createDeployment([['m0'], ['m1']]);
+	const {core, engines} = deployment;
+	const engine = engines.get('e0')!;
+	run(deployment, 500);
+	assert.ok(engine.loading !== undefined);
+	for (const callId of [1, 2, 3]) {
+		core.dispatch({
+			kind: 'adapter-requested', callId, targetId: 'e0', model: 'm0', adapter: 'a1',
+		});
+		const replies = effectsOfKind(core.effects, 'tell-adapter').filter(reply => reply.callId === callId);
+		assert.deepEqual(replies.map(({isHeld}) => isHeld), [false], `call ${callId}`);
+		run(deployment, 100);
+	}
+
+	engine.completeMove();
+	run(deployment, 3000);
+	core.dispatch({
+		kind: 'adapter-requested', callId: 4, targetId: 'e0', model: 'm0', adapter: 'a1',
+	});
+	run(deployment, 200);
+	assert.deepEqual([...engine.adapters], ['m0/a1']);
+	assert.equal(engine.conflicts, 0, 'orders that the engine could not accept');
+});
+
+// Guards against swaps of models that wait for the answers to orders for adapters, and against orders for adapters during an unload.
+test('adapters that are asked for during an unload are ordered after it, before the load that follows', () => {
+	const deployment = createDeployment([['m0', 'm1']]);
+	const {core, engines} = deployment;
+	const engine = engines.get('e0')!;
+	engine.hasSlowUnloads = true;
+	run(deployment, 1000);
+	for (let step = 0; step < 20 && engine.unloading === undefined; step++) {
+		core.arrive(`w${step}`, '/ask/1', {model: 'm3', deadlineMs: 20_000});
+		run(deployment, 100);
+	}
+
+	assert.ok(engine.unloading !== undefined);
+	run(deployment, 1000);
+	const model = [...engine.models].find(name => name !== engine.unloading)!;
+	core.dispatch({
+		kind: 'adapter-requested', callId: 1, targetId: 'e0', model, adapter: 'a1',
+	});
+	run(deployment, 300);
+	assert.equal(engine.adapters.size, 0);
+	engine.completeMove();
+	run(deployment, 600);
+	assert.deepEqual([...engine.adapters], [`${model}/a1`]);
+	assert.equal(engine.loading, 'm3');
+	assert.equal(engine.conflicts, 0, 'orders that the engine could not accept');
+});
+
+// Guards against requests that are refused shortly before an engine takes orders again, instead of waiting that long.
+test('an adapter that is asked for shortly before a load is complete is ordered after it', () => {
+	const deployment = createDeployment([['m0'], ['m1']]);
+	const {core, engines} = deployment;
+	const engine = engines.get('e0')!;
+	run(deployment, 1500);
+	assert.ok(engine.loading !== undefined);
+	core.dispatch({
+		kind: 'adapter-requested', callId: 1, targetId: 'e0', model: 'm0', adapter: 'a1',
+	});
+	assert.equal(effectsOfKind(core.effects, 'tell-adapter').length, 0, 'declined at once');
+	run(deployment, 1400);
+	engine.completeMove();
+	core.dispatch({
+		kind: 'adapter-requested', callId: 2, targetId: 'e0', model: 'm0', adapter: 'a1',
+	});
+	run(deployment, 1000);
+	assert.deepEqual([...engine.adapters], ['m0/a1']);
+});
+
+// Guards against evictions that are ordered again as fast as they are declined, 130 times in 0.6 s, from an engine that has been replaced.
+test('an engine that declines the eviction of an adapter is asked for its report before the next order', () => {
+	const deployment = createDeployment([['m0', 'm1']]);
+	const {core, engines} = deployment;
+	const engine = engines.get('e0')!;
+	run(deployment, 1000);
+	for (const [callId, adapter] of ['a1', 'a2', 'a3', 'a4'].entries()) {
+		engine.isReplaced = adapter === 'a3' || adapter === 'a4';
+		core.dispatch({
+			kind: 'adapter-requested', callId, targetId: 'e0', model: 'm0', adapter,
+		});
+		run(deployment, 500);
+	}
+
+	assert.ok(engine.declined > 0 && engine.declined <= 4, `${engine.declined} declined orders in a second`);
+});
+
+// Guards against evictions of adapters in use: the engine accepts no other order until their streams have ended, 10 s in one case.
+test('adapters that requests of any instance use are not evicted; the next one gets the first place that none uses', () => {
+	const deployment = createDeployment([['m0', 'm1']]);
+	const {core, engines} = deployment;
+	const engine = engines.get('e0')!;
+	const announcePeer = () => {
+		core.dispatch({
+			kind: 'beacon-received', beacon: beacon({
+				demand: [{
+					service: 'llm', model: 'm0', arrivalsPerSecond: 0, busyShare: 0, open: 1, waiting: 0, objectiveMs: 200, adapters: [], runningAdapters: [['e0', 'a2']],
+				}],
+			}),
+		});
+	};
+
+	run(deployment, 1000);
+	core.arrive('own', '/ask/1', {model: 'm0', adapter: 'a1', deadlineMs: 20_000});
+	core.dispatch({
+		kind: 'adapter-requested', callId: 1, targetId: 'e0', model: 'm0', adapter: 'a2',
+	});
+	run(deployment, 500, {}, announcePeer);
+	core.dispatch({
+		kind: 'adapter-requested', callId: 2, targetId: 'e0', model: 'm0', adapter: 'a3',
+	});
+	run(deployment, 500, {}, announcePeer);
+	assert.deepEqual([...engine.adapters], ['m0/a1', 'm0/a2']);
+	core.endTry('own', 1, 'answered');
+	run(deployment, 200, {}, announcePeer);
+	assert.deepEqual([...engine.adapters], ['m0/a2', 'm0/a3']);
+});
+
 test('the weight store\'s rate holds for each service by itself', () => {
 	const tracker = new OrderTracker();
 	for (const service of ['small', 'large']) {
--- a/src/core/entry/orders.ts
+++ b/src/core/entry/orders.ts
@@ -2,13 +2,16 @@
 Orders to engines, sent by the lease holder. Each target has at most one outstanding
 order, conditional on the sequence that the engine must have reached. Adapters come
 first because requests wait for them; models are loaded and unloaded only when a
-report newer than the last order shows what the engine holds.
+report newer than the last order shows what the engine holds. An engine accepts no
+other order while it loads or unloads a model, so none is sent to it meanwhile.
 */
 import {holdsLease} from './lease.js';
 import {
 	type AdapterLoad, type Move, type TargetTracker,
 } from './order-tracker.js';
+import {localDemand} from './demand.js';
 import {freeMemoryMb} from './engine-memory.js';
+import {PEER_DEMAND_VALID_MS} from './peers.js';
 import {logEvent, type EntryContext} from './state.js';
 import {isListed, type Target} from './target.js';
 import {type EngineOrder} from './types.js';
@@ -19,6 +22,8 @@
 const REPORT_TIMEOUT_MS = 1500;
 const RESEND_INTERVAL_MS = 300;
 const ADAPTER_LOAD_TIMEOUT_MS = 1000;
+/** Requests for adapters wait about this long, trying several times; while an engine takes no orders for longer, they are told at once. */
+const ADAPTER_WAIT_MS = 2000;
 /** Delay before an unreachable engine is contacted again. */
 export const BACKOFF_MS = 500;
 
@@ -131,44 +136,64 @@
 		return;
 	}
 
+	if (tracker.moveDueMs !== undefined) {
+		trackMove(context, target, tracker);
+		return;
+	}
+
 	const adapterLoad = tracker.adapterLoads.find(({notBeforeMs}) => nowMs >= notBeforeMs);
-	if (adapterLoad) {
+	if (adapterLoad && tracker.report?.isBusy) {
+		// It executes an order for a model whose answer was lost, or one of an earlier holder.
+		readReport(context, target, tracker);
+	} else if (adapterLoad && canLoadAdapter(context, target, tracker)) {
 		loadOrEvictAdapter(context, target, tracker, adapterLoad);
-	} else if (tracker.moveDueMs !== undefined) {
-		trackMove(context, target, tracker);
 	} else if (tracker.move && nowMs >= tracker.move.notBeforeMs) {
 		orderMove(context, target, tracker, tracker.move);
 	}
 }
 
+/** Replies to those that have waited for too long, and at once to all while the engine loads a model for longer than they would wait. */
 function expireAdapterLoads(context: EntryContext, target: Target, tracker: TargetTracker): void {
-	for (const adapterLoad of tracker.adapterLoads.filter(({sinceMs}) => context.nowMs - sinceMs > ADAPTER_LOAD_TIMEOUT_MS)) {
+	const {nowMs} = context;
+	const isLoadingForLong = tracker.move?.kind === 'load' && (tracker.moveDueMs ?? 0) - nowMs > ADAPTER_WAIT_MS;
+	for (const adapterLoad of tracker.adapterLoads.filter(({sinceMs}) => isLoadingForLong || nowMs - sinceMs > ADAPTER_LOAD_TIMEOUT_MS)) {
 		tracker.adapterLoads.splice(tracker.adapterLoads.indexOf(adapterLoad), 1);
 		replyToAll(context, target.id, adapterLoad, {isHeld: false, delayMs: 0});
 	}
 }
 
+/** Whether a place for an adapter is free, or is held by one that no request uses. */
+function canLoadAdapter(context: EntryContext, target: Target, tracker: TargetTracker): boolean {
+	return tracker.adapters.size < adapterPlaces(context, target) || idleAdapter(context, target, tracker) !== undefined;
+}
+
+function adapterPlaces({state}: EntryContext, {entry: {service}}: Target): number {
+	return state.configuration?.services.get(service)?.engine?.adapterPlaces ?? 0;
+}
+
 /** Loads the adapter, or evicts the least recently used one first when no place is free. */
 function loadOrEvictAdapter(context: EntryContext, target: Target, tracker: TargetTracker, adapterLoad: AdapterLoad): void {
-	const places = context.state.configuration?.services.get(target.entry.service)?.engine?.adapterPlaces ?? 0;
-	if (tracker.adapters.size < places) {
+	if (tracker.adapters.size < adapterPlaces(context, target)) {
 		issueOrder(context, target, tracker, {kind: 'load', model: adapterLoad.model, adapter: adapterLoad.adapter});
 		return;
 	}
 
-	const oldest = leastRecentlyUsed(tracker.adapters);
-	const [model, adapter] = oldest?.split('/') ?? [];
-	if (oldest !== undefined && model !== undefined && adapter !== undefined) {
+	const [model, adapter] = idleAdapter(context, target, tracker)?.split('/') ?? [];
+	if (model !== undefined && adapter !== undefined) {
 		issueOrder(context, target, tracker, {kind: 'unload', model, adapter});
 	}
 }
 
-/** Name of the adapter whose last use is oldest. */
-function leastRecentlyUsed(adapters: ReadonlyMap<string, number>): string | undefined {
+/**
+Name of the adapter whose last use is oldest among those that no request uses. An engine unloads one in use only when
+its requests have ended, and accepts no other order until then.
+*/
+function idleAdapter(context: EntryContext, target: Target, {adapters}: TargetTracker): string | undefined {
+	const running = runningAt(context, target);
 	let oldest: string | undefined;
 	let oldestMs = Number.POSITIVE_INFINITY;
 	for (const [name, usedAtMs] of adapters) {
-		if (usedAtMs < oldestMs) {
+		if (usedAtMs < oldestMs && !running.has(name)) {
 			oldest = name;
 			oldestMs = usedAtMs;
 		}
@@ -177,6 +202,22 @@
 	return oldest;
 }
 
+/** Names of the adapters that requests of any instance use at a target. */
+function runningAt(context: EntryContext, target: Target): Set<string> {
+	const {state, nowMs} = context;
+	const recentPeers = [...state.peers.values()].filter(({demandReceivedAtMs}) => nowMs - demandReceivedAtMs < PEER_DEMAND_VALID_MS);
+	const running = new Set<string>();
+	for (const {service, model, runningAdapters = []} of [localDemand(context), ...recentPeers.map(({demand}) => demand)].flat()) {
+		for (const [targetId, adapter] of runningAdapters) {
+			if (targetId === target.id && service === target.entry.service) {
+				running.add(`${model}/${adapter}`);
+			}
+		}
+	}
+
+	return running;
+}
+
 /** Reads reports until the accepted move is complete. */
 function trackMove(context: EntryContext, target: Target, tracker: TargetTracker): void {
 	const {nowMs} = context;
