ORDER: decide at once on a resumption that names no request

What callers saw: 250 ms more for a stream that they resumed without saying which one, at an instance that had started less than 20 s before: it asked its peers for a stream that nobody can know. Where several releases serve, the refusal came as much later.

Change: nobody is asked. Evidence: stream-origins.test.ts; asked before.

--- a/src/core/entry/stream-origins.test.ts
+++ b/src/core/entry/stream-origins.test.ts
@@ -116,6 +116,19 @@
 	assert.equal(effectsOfKind(core.effects, 'send').length, 0);
 });
 
+// Guards against waiting for an answer that cannot come: the caller does not say which stream it resumes.
+test('a resumption that names no request is decided at once: at the only release, or refused where several serve', () => {
+	const only = createCore().readRegistry([v1]);
+	const several = createCore().readRegistry([v1, v2]);
+	for (const core of [only, several]) {
+		core.arrive('r1', '/ask/1', {model: 'm0', deadlineMs: 10_000, lastEventId: 3});
+		assert.equal(effectsOfKind(core.effects, 'ask-origin').length, 0);
+	}
+
+	assert.equal(effectsOfKind(only.effects, 'send').length, 1);
+	assert.equal(effectsOfKind(several.effects, 'refuse')[0]?.code, 'stream-not-resumable');
+});
+
 test('an instance that has just started asks even where it sees one release, and goes on there if nobody knows another', () => {
 	const core = createCore().readRegistry([v1]);
 	assert.equal(effectsOfKind(resume(core, 'r1', 's9'), 'ask-origin').length, 1);
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -38,7 +38,8 @@
 	}
 
 	// A release that this instance has not seen may have begun it while the instance was not there yet.
-	if (releasesOf(state, request.service).size <= 1 && nowMs - state.startedAtMs >= STREAM_LIFETIME_MS) {
+	const isOnlyRelease = releasesOf(state, request.service).size <= 1 && nowMs - state.startedAtMs >= STREAM_LIFETIME_MS;
+	if (isOnlyRelease || request.arrival.resumes === undefined) {
 		goOnAtOnlyRelease(context, request);
 		return;
 	}
