--- a/test/standins/platform-instance.ts
+++ b/test/standins/platform-instance.ts
@@ -12,6 +12,18 @@
 import {entrySettingsSchema} from '../../src/entry/settings.js';
 import {freePorts} from './free-ports.js';
 
+/** A configuration, as the platform's operators write it, of one route for streams that may be resumed. */
+export const streamConfiguration = {
+	version: 3,
+	routes: [{
+		name: 'ask', host: 'a.example', prefix: '/ask/', kind: 'streaming', timeoutMs: 6000, targetLatencyMs: 300, priority: 0, service: 'llm', maxAttempts: 2, resumable: true, gapAimMs: 150,
+	}],
+	services: [{name: 'llm', maxConns: 100}],
+	limits: {
+		maxHeaderBytes: 4096, maxBodyBytes: 10_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000,
+	},
+};
+
 export type PlatformInstance = {
 	readonly daemon: EntryDaemon;
 	/** Host and port for callers. */
--- a/test/unit/pausing-targets.test.ts
+++ b/test/unit/pausing-targets.test.ts
@@ -7,18 +7,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {request as httpRequest} from 'undici';
 import {FakeRunner, FakeStore} from '../standins/fake-store-and-runner.js';
-import {startPlatformInstance} from '../standins/platform-instance.js';
+import {startPlatformInstance, streamConfiguration} from '../standins/platform-instance.js';
 
-const configuration = {
-	version: 3,
-	routes: [{
-		name: 'ask', host: 'a.example', prefix: '/ask/', kind: 'streaming', timeoutMs: 6000, targetLatencyMs: 300, priority: 0, service: 'llm', maxAttempts: 2, resumable: true, gapAimMs: 150,
-	}],
-	services: [{name: 'llm', maxConns: 100}],
-	limits: {
-		maxHeaderBytes: 4096, maxBodyBytes: 10_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000,
-	},
-};
 const STREAMS = 12;
 
 // Guards against cutting off the streams of a target that pauses, which callers saw beside changes of the configuration.
@@ -26,7 +16,7 @@
 	const store = new FakeStore();
 	const runners = [await new FakeRunner('i-1').start(), await new FakeRunner('i-2').start()];
 	const storeAddress = await store.start();
-	store.put('op', 'config', configuration);
+	store.put('op', 'config', streamConfiguration);
 	for (const runner of runners) {
 		store.put('servers', runner.id, runner.entry('llm', 'north'));
 		runner.behaviours = Array.from({length: STREAMS * 2}, () => 'pause');
@@ -48,7 +38,7 @@
 		}));
 		for (let version = 4; version < 8; version++) {
 			await delay(200);
-			store.put('op', 'config', {...configuration, version});
+			store.put('op', 'config', {...streamConfiguration, version});
 		}
 
 		const texts = await answers;
--- a/test/unit/streams-of-two-releases.test.ts
+++ b/test/unit/streams-of-two-releases.test.ts
@@ -8,26 +8,16 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {request as httpRequest} from 'undici';
 import {FakeRunner, FakeStore} from '../standins/fake-store-and-runner.js';
-import {type PlatformInstance, startPlatformInstance} from '../standins/platform-instance.js';
+import {type PlatformInstance, startPlatformInstance, streamConfiguration} from '../standins/platform-instance.js';
 
 const STREAMS = 16;
-const configuration = {
-	version: 3,
-	routes: [{
-		name: 'ask', host: 'a.example', prefix: '/ask/', kind: 'streaming', timeoutMs: 6000, targetLatencyMs: 300, priority: 0, service: 'llm', maxAttempts: 2, resumable: true, gapAimMs: 150,
-	}],
-	services: [{name: 'llm', maxConns: 100}],
-	limits: {
-		maxHeaderBytes: 4096, maxBodyBytes: 10_000, headerTimeoutMs: 1000, idleTimeoutMs: 5000,
-	},
-};
 const store = new FakeStore();
 const runners: FakeRunner[] = [];
 const instances: PlatformInstance[] = [];
 
 before(async () => {
 	const storeAddress = await store.start();
-	store.put('op', 'config', configuration);
+	store.put('op', 'config', streamConfiguration);
 	for (const [id, version] of [['i-1', 'v1'], ['i-2', 'v1'], ['i-3', 'v2'], ['i-4', 'v2']] as const) {
 		const runner = await new FakeRunner(id).start();
 		runner.version = version;
