LOST: a stream leaves a target that is silent for 2.5 s, however patient its caller

What callers saw: since the limit of silence follows the caller's patience, a stream whose caller waits 16 s stayed for 10.4 s at a target that was gone.

Cause: the limit grew with the patience, but pauses of sound targets do not.

Change: 2.5 s at most; 1.3 s stay for a patience of 2 s.

--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -203,3 +203,15 @@
 		}
 	});
 }
+
+// Guards against leaving a stream at a target that is gone because its caller would wait for long.
+test('a stream whose caller waits for 16 s leaves a target that has been silent for 3 s', () => {
+	const digest = route({
+		name: 'digest', prefix: '/ask/', isStream: true, timeoutMs: 20_000, patienceMs: 16_000, destinations: [{service: 'llm', weight: 1}],
+	});
+	const core = new EntryHarness().configure({routes: [digest]}).readRegistry([engineEntry('e1', ['m0']), engineEntry('e2', ['m0'])]);
+	const first = beginStream(core, 'r', {deadlineMs: 20_000});
+	assertUntouched(core.advance(SILENCE_MS), 'while the target may pause');
+	const [second] = effectsOfKind(core.advance(SILENCE_MS), 'send');
+	assert.notEqual(second?.targetId ?? first, first);
+});
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -49,6 +49,8 @@
 about a second, and a stream that has paused beyond its objective is late wherever it goes on.
 */
 const MAX_PAUSE_SHARE = 0.65;
+/** Sound targets do not pause for as long, however long the caller would wait. */
+const MAX_PAUSE_MS = 2500;
 /** A target's heartbeat reaches the registry within about this time. */
 const MISSING_COPY_MS = 1000;
 /** A silent try is checked again after this time while no other target has room. */
@@ -288,7 +290,7 @@
 		return;
 	}
 
-	const pauseLimitMs = request.route.patienceMs * MAX_PAUSE_SHARE;
+	const pauseLimitMs = Math.min(MAX_PAUSE_MS, request.route.patienceMs * MAX_PAUSE_SHARE);
 	const quietMs = nowMs - attempt.progressAtMs;
 	if (attempt.hasBegun && quietMs < pauseLimitMs) {
 		reschedule(context, timer, attempt.progressAtMs + pauseLimitMs);
--- a/src/core/entry/waiting-queue.ts
+++ b/src/core/entry/waiting-queue.ts
@@ -2,6 +2,7 @@
 Priority queue of requests that wait for capacity at the same targets. The most urgent
 rank goes first. Within a rank, those that can still be served within their objective go
 before those that are late already, so that a backlog does not make all of them late.
+Streams that have begun go before both, since their callers cannot be refused any more.
 The set of waiting requests decides what waits and how many; removal from the heaps is
 lazy, when a request that no longer waits reaches the head.
 */
