Log what a crash is blamed on, and the parts of the prompt of a broken try

Cause: nothing in the logs told that a broken try was suspected, that a crash was counted, on what evidence, or that a peer told of one, so the hypotheses of the incident (identity, spread, detection) could not be told apart. The parts of a prompt were not decoded. No decision changes. Conclusion: 310 without 202 shows identity, 202 at some instances only shows spread, broken tries without 310 show detection.

--- a/src/core/entry/crash-suspects.ts
+++ b/src/core/entry/crash-suspects.ts
@@ -16,6 +16,9 @@
 /** Several beacon intervals, so that a lost beacon does no harm. */
 const ANNOUNCE_MS = 1500;
 
+/** What shows that a target went down: it refuses connections, leaves the registry, or is listed with a new incarnation. */
+export type CrashEvidence = 'unreachable' | 'unlisted' | 'restarted';
+
 export function isQuarantined({state}: EntryContext, contentHash: string): boolean {
 	return (state.crashes.get(contentHash) ?? 0) >= QUARANTINE_CRASHES;
 }
@@ -33,8 +36,15 @@
 }
 
 /** The target went down: counts a crash for the suspects that ran there shortly before. */
-export function recordTargetCrash(context: EntryContext, target: Target): void {
+export function recordTargetCrash(context: EntryContext, target: Target, evidence: CrashEvidence): void {
 	const {state, nowMs} = context;
+	const recent = target.suspects.filter(({atMs}) => nowMs - atMs < CRASH_DETECTION_MS);
+	if (recent.length > 0) {
+		logEvent(context, 'target-crashed', {
+			targetId: target.id, incarnation: target.entry.incarnation, evidence, suspects: recent.map(({contentHash}) => contentHash), brokenAgoMs: Math.round(nowMs - Math.min(...recent.map(({atMs}) => atMs))),
+		});
+	}
+
 	for (const {contentHash, atMs} of target.suspects.splice(0)) {
 		if (nowMs - atMs < CRASH_DETECTION_MS) {
 			setCrashCount(context, contentHash, (state.crashes.get(contentHash) ?? 0) + 1);
@@ -46,6 +56,7 @@
 export function mergeCrashCount(context: EntryContext, contentHash: string, crashes: number): void {
 	if (crashes > (context.state.crashes.get(contentHash) ?? 0)) {
 		context.state.crashes.set(contentHash, crashes);
+		logEvent(context, 'crash-learned', {contentHash, crashes});
 	}
 }
 
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -215,7 +215,7 @@
 	}
 
 	if (entry.incarnation > target.entry.incarnation) {
-		recordTargetCrash(context, target);
+		recordTargetCrash(context, target, 'restarted');
 		logEvent(context, 'target-restarted', {targetId: entry.id, revision: state.registry.revision});
 		state.targets.set(entry.id, createTarget(entry));
 		return;
@@ -277,7 +277,7 @@
 		state.registry.removalsCompleteFrom = state.registry.removals.shift()!.revision;
 	}
 
-	recordTargetCrash(context, target);
+	recordTargetCrash(context, target, 'unlisted');
 	logEvent(context, 'target-unlisted', {targetId: id, revision, isGraceGiven: graceUntilMs > nowMs});
 }
 
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -65,7 +65,7 @@
 		mayHaveRun: false, isRetry: false, code: 'no-target',
 		updateTarget(context, target) {
 			backOff(context, target);
-			recordTargetCrash(context, target);
+			recordTargetCrash(context, target, 'unreachable');
 		},
 	},
 	'not-run': {
@@ -191,6 +191,8 @@
 		outcome: event.outcome,
 		status: event.status,
 		reason: event.reason,
+		contentHash: event.outcome === 'broken' ? request.arrival.contentHash : undefined,
+		promptParts: event.outcome === 'broken' ? request.arrival.promptParts : undefined,
 		delivered: event.delivered,
 		tookMs: Math.round(nowMs - attempt.startedAtMs),
 	});
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -42,6 +42,8 @@
 	readonly adapter: string | undefined;
 	/** Size of the prompt, undefined if the caller does not state it. */
 	readonly promptTokens?: number;
+	/** Ids of the parts of its prompt in order. Requests share them, but for the last, which belongs to this request or its session. */
+	readonly promptParts?: readonly string[];
 	/** For a stream that the caller resumes: the last event that it has received, and the request that brought the first one. */
 	readonly lastEventId?: number;
 	readonly resumes?: RequestId;
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -40,6 +40,8 @@
 	'entry-unreadable': {number: 307, level: 'warn'},
 	'target-limited': {number: 308, level: 'warn'},
 	'target-limit-lifted': {number: 309, level: 'info'},
+	'target-crashed': {number: 310, level: 'warn'},
+	'crash-learned': {number: 311, level: 'info'},
 	'order-sent': {number: 400, level: 'info'},
 	'order-confirmed': {number: 401, level: 'info'},
 	'order-unresolved': {number: 402, level: 'warn'},
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -74,6 +74,8 @@
 	readonly adapter: string | undefined;
 	/** Size of the prompt, undefined if the caller does not state it. */
 	readonly promptTokens: number | undefined;
+	/** Ids of the parts of the prompt in order, of which requests share all but the last; empty if the caller states none. */
+	readonly promptParts: readonly string[];
 	/** Last event that the caller received in an earlier response, 0 for none. */
 	readonly lastEventId: number;
 	/** The request that brought the first event of the stream that this one resumes. */
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -310,6 +310,7 @@
 				model: metadata.model,
 				adapter: metadata.adapter,
 				promptTokens: metadata.promptTokens,
+				promptParts: metadata.promptParts,
 				lastEventId: metadata.lastEventId,
 				resumes: metadata.resumes,
 				deadlineMs: metadata.deadlineMs,
