--- a/test/standins/entry-harness.ts
+++ b/test/standins/entry-harness.ts
@@ -124,14 +124,15 @@
 export class EntryHarness {
 	readonly state = createEntryState();
 	readonly effects: EntryEffect[] = [];
-	nowMs = 1000;
+	nowMs: number;
 	/** Wall-clock time minus the monotonic clock. */
 	wallOffsetMs = 1_000_000;
 	/** The store's clock minus this instance's monotonic clock. */
 	storeClockOffsetMs = 500_000;
 	private _revision = 1;
 
-	constructor(readonly self: EntryInstance = instance('a')) {
+	constructor(readonly self: EntryInstance = instance('a'), {startMs = 1000}: {readonly startMs?: number} = {}) {
+		this.nowMs = startMs;
 		this.dispatch({
 			kind: 'started',
 			self,
@@ -177,7 +178,7 @@
 		return this;
 	}
 
-	arrive(id: string, path = '/records/1', overrides: Partial<EntryArrival> = {}): EntryEffect[] {
+	arrive(id: string, path = '/records/1', overrides: EntryArrivalOverrides = {}): EntryEffect[] {
 		return this.dispatch({
 			kind: 'request-arrived',
 			arrival: {
@@ -200,6 +201,8 @@
 	}
 }
 
+export type EntryArrivalOverrides = Partial<EntryArrival>;
+
 type EndedTryOutcome = 'not-sent' | 'not-run' | 'answered' | 'failed' | 'broken' | 'canceled';
 
 export function effectsOfKind<Kind extends EntryEffect['kind']>(effects: readonly EntryEffect[], kind: Kind): Array<EntryEffectOf<Kind>> {
