--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -3,11 +3,11 @@
 when it is known that it cannot be served.
 */
 import {type ResultName} from '../result-codes.js';
-import {isQuarantined} from './crash-suspects.js';
 import {findRoute, pickDestination} from './configuration.js';
 import {close, refuse} from './closing.js';
 import {recordArrival} from './demand.js';
 import {enqueue} from './dispatch.js';
+import {beginTrial, culpritOf, quarantineRefusal} from './quarantine.js';
 import {queueKeyOf, queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
 import {retryBudget} from './retry-budgets.js';
@@ -46,8 +46,9 @@
 	}
 
 	retryBudget(state, service).recordRequest(nowMs);
-	if (isQuarantined(context, arrival.contentHash)) {
-		refuseArrival(context, arrival, {code: 'content-quarantined'});
+	const culprit = culpritOf(context, {arrival, trialOf: undefined, tries: []});
+	if (culprit !== undefined && !beginTrial(context, culprit, arrival)) {
+		refuseArrival(context, arrival, quarantineRefusal(context, culprit, false));
 		return;
 	}
 
@@ -60,6 +61,7 @@
 		queueKey: queueKeyOf(service, arrival.model),
 		streamId: arrival.resumes ?? arrival.id,
 		release: undefined,
+		trialOf: culprit,
 		arrivedAtMs: nowMs,
 		deadlineAtMs: nowMs + remainingMs,
 		patienceEndsAtMs: nowMs + Math.min(remainingMs, route.patienceMs),
@@ -98,12 +100,13 @@
 type Refusal = {
 	readonly code: ResultName;
 	readonly retryAfterMs?: number;
+	readonly detail?: string;
 };
 
 /** Refuses an arrival before it becomes an open request. */
 function refuseArrival(context: EntryContext, arrival: EntryArrival, refusal: Refusal): void {
 	context.effects.push({kind: 'refuse', requestId: arrival.id, ...refusal});
 	logEvent(context, 'request-refused', {
-		requestId: arrival.id, code: refusal.code, host: arrival.host, path: arrival.path, configurationVersion: context.state.configuration?.version,
+		requestId: arrival.id, code: refusal.code, detail: refusal.detail, host: arrival.host, path: arrival.path, configurationVersion: context.state.configuration?.version,
 	});
 }
--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -67,9 +67,10 @@
 		}
 	}
 
-	for (const [contentHash, untilMs] of state.crashesToAnnounce) {
+	state.crashEvidence.expire(nowMs);
+	for (const [key, untilMs] of state.crashesToAnnounce) {
 		if (nowMs >= untilMs) {
-			state.crashesToAnnounce.delete(contentHash);
+			state.crashesToAnnounce.delete(key);
 		}
 	}
 
@@ -139,7 +140,8 @@
 		leavingCopies: held ? leavingCopies(context) : [],
 		comingCopies: held ? comingCopies(context) : [],
 		adapters: [...state.adaptersToAnnounce.values()].map(({adapter}) => adapter),
-		crashes: [...state.crashesToAnnounce.keys()].map(contentHash => ({contentHash, crashes: state.crashes.get(contentHash) ?? 0})),
+		crashes: state.crashEvidence.records(nowMs, state.crashesToAnnounce.keys()),
+		crashDigest: state.crashEvidence.digest,
 		rateLimits: announcedLimits(context),
 	};
 }
--- a/src/core/entry/crash-suspects.ts
+++ b/src/core/entry/crash-suspects.ts
@@ -1,70 +1,191 @@
 /**
-Quarantine of requests that crash the targets that execute them. The content of a
-request becomes a suspect when its connection breaks, and gets a crash counted once
-the target turns out to have gone down: it refuses connections, leaves the registry or
-comes back as a new incarnation. Content with three crashes is refused by every
-instance.
+Quarantine of requests that crash the targets that run them. The fingerprints of a
+request become suspects when its connection breaks, and count as evidence once the target
+turns out to have gone down: it leaves the registry, comes back as a new incarnation, or
+refuses connections while other targets of its service answer. A request that brings a
+fingerprint at fault is refused by every instance, at each point at which it could be
+sent to a target.
 */
+import {currentTry, refuse} from './closing.js';
+import {type CrashRecord, type Fingerprint} from './crash-evidence.js';
+import {type EntryEventOf} from './event.js';
+import {culpritOf, fingerprintsOf, quarantineRefusal} from './quarantine.js';
 import {logEvent, type EntryContext} from './state.js';
 import {type Target} from './target.js';
+import {targetsOf} from './targets.js';
+import {type EntryRequest, type EntryTry} from './types.js';
 
-/** The deployment tolerates the loss of three targets to one request. */
-const QUARANTINE_CRASHES = 3;
 /** A refused connection shows a crash at once; the registry shows it after three missed heartbeats plus its lag. */
 const CRASH_DETECTION_MS = 6000;
 const MAX_SUSPECTS = 256;
-/** Several beacon intervals, so that a lost beacon does no harm. */
+/** Several beacon intervals, so that a lost beacon does no harm. Peers that miss them all pull what they lack. */
 const ANNOUNCE_MS = 1500;
+/** A stream that has gone on for so long after its first event has not crashed its target: crashes follow the beginning of an answer. */
+const SURVIVAL_MS = 500;
+/** An answer that survived so shortly before a crash clears its fingerprints of it. */
+const SURVIVAL_VALID_MS = 5000;
+const PROBE_INTERVAL_MS = 100;
 
 /** What shows that a target went down: it refuses connections, leaves the registry, or is listed with a new incarnation. */
-export type CrashEvidence = 'unreachable' | 'unlisted' | 'restarted';
+export type CrashSign = 'refused' | 'unlisted' | 'restarted';
 
-export function isQuarantined({state}: EntryContext, contentHash: string): boolean {
-	return (state.crashes.get(contentHash) ?? 0) >= QUARANTINE_CRASHES;
+/** Refuses a request that would be sent to a target if it brings a fingerprint at fault. Returns whether it does. */
+export function refuseIfQuarantined(context: EntryContext, request: EntryRequest): boolean {
+	const culprit = culpritOf(context, request);
+	if (culprit === undefined) {
+		return false;
+	}
+
+	refuse(context, request, quarantineRefusal(context, culprit, request.mayHaveRun || currentTry(request) !== undefined));
+	return true;
 }
 
-export function addSuspect({nowMs}: EntryContext, target: Target, contentHash: string): void {
-	if (target.suspects.length < MAX_SUSPECTS) {
-		target.suspects.push({contentHash, atMs: nowMs});
+/** The request's connection to the target broke, or the target went silent: suspected until it is known whether the target went down. */
+export function addSuspect({state, nowMs}: EntryContext, target: Target, {arrival}: EntryRequest): void {
+	if (target.suspects.length >= MAX_SUSPECTS) {
+		target.suspects.shift();
 	}
+
+	target.suspects.push({fingerprints: fingerprintsOf(arrival), atMs: nowMs});
+	state.suspectedTargets.add(target.id);
 }
 
-/** Clears the crash count of content that ran to completion. */
-export function clearCrashCount({state}: EntryContext, contentHash: string): void {
-	state.crashes.delete(contentHash);
-	state.crashesToAnnounce.delete(contentHash);
+/** Records that an answer has begun and gone on, or is whole, which clears what its request shares with others. */
+export function recordSurvival(context: EntryContext, {arrival}: EntryRequest): void {
+	const {state, nowMs} = context;
+	for (const fingerprint of fingerprintsOf(arrival)) {
+		state.survivals.set(fingerprint, nowMs);
+		if (state.crashEvidence.blame(fingerprint) > 0) {
+			announce(context, state.crashEvidence.clear(fingerprint));
+		}
+	}
+}
+
+/** Whether a stream has gone on for long enough after its first event. */
+export function hasSurvived({beganAtMs}: EntryTry, nowMs: number): boolean {
+	return beganAtMs !== undefined && nowMs - beganAtMs >= SURVIVAL_MS;
 }
 
-/** The target went down: counts a crash for the suspects that ran there shortly before. */
-export function recordTargetCrash(context: EntryContext, target: Target, evidence: CrashEvidence): void {
+/** The target went down: blames what ran there shortly before, or still waits for an answer from there. */
+export function recordTargetCrash(context: EntryContext, target: Target, sign: CrashSign): void {
 	const {state, nowMs} = context;
-	const recent = target.suspects.filter(({atMs}) => nowMs - atMs < CRASH_DETECTION_MS);
-	if (recent.length > 0) {
-		logEvent(context, 'target-crashed', {
-			targetId: target.id, incarnation: target.entry.incarnation, evidence, suspects: recent.map(({contentHash}) => contentHash), brokenAgoMs: Math.round(nowMs - Math.min(...recent.map(({atMs}) => atMs))),
-		});
+	state.suspectedTargets.delete(target.id);
+	const broken = target.suspects.splice(0).filter(({atMs}) => nowMs - atMs < CRASH_DETECTION_MS).flatMap(({fingerprints}) => fingerprints);
+	const suspects = new Set([...broken, ...unansweredFingerprints(context, target)]);
+	const blamed = [...suspects].filter(fingerprint => nowMs - (state.survivals.get(fingerprint) ?? Number.NEGATIVE_INFINITY) >= SURVIVAL_VALID_MS);
+	if (broken.length === 0 || blamed.length === 0) {
+		return;
 	}
 
-	for (const {contentHash, atMs} of target.suspects.splice(0)) {
-		if (nowMs - atMs < CRASH_DETECTION_MS) {
-			setCrashCount(context, contentHash, (state.crashes.get(contentHash) ?? 0) + 1);
+	const {entry: {incarnation}} = target;
+	logEvent(context, 'target-crashed', {
+		targetId: target.id, incarnation, sign, suspects: suspects.size, blamed,
+	});
+	const key = state.crashEvidence.add({
+		targetId: target.id, incarnation, agoMs: 0, suspects: blamed, cleared: [],
+	}, nowMs);
+	announce(context, key === undefined ? [] : [key]);
+	refuseQuarantined(context);
+}
+
+/** Fingerprints of this instance's requests at a target that have no answer yet. */
+function unansweredFingerprints({state}: EntryContext, target: Target): Fingerprint[] {
+	return [...target.inFlight.keys()]
+		.map(id => state.open.get(id))
+		.filter(request => request !== undefined && !currentTry(request)?.hasBegun)
+		.flatMap(request => fingerprintsOf(request!.arrival));
+}
+
+/** Adds what peers know of crashes. */
+export function mergeCrashes(context: EntryContext, records: readonly CrashRecord[]): void {
+	const {state, nowMs} = context;
+	const learned: string[] = [];
+	for (const record of records) {
+		const key = state.crashEvidence.add(record, nowMs);
+		if (key === undefined) {
+			continue;
 		}
+
+		learned.push(key);
+		for (const fingerprint of record.suspects) {
+			if (nowMs - (state.survivals.get(fingerprint) ?? Number.NEGATIVE_INFINITY) < SURVIVAL_VALID_MS && state.crashEvidence.blame(fingerprint) > 0) {
+				announce(context, state.crashEvidence.clear(fingerprint));
+			}
+		}
+	}
+
+	if (learned.length > 0) {
+		logEvent(context, 'crash-learned', {crashes: learned});
+		refuseQuarantined(context);
 	}
 }
 
-/** Adopts a peer's count if it is higher than the local one. */
-export function mergeCrashCount(context: EntryContext, contentHash: string, crashes: number): void {
-	if (crashes > (context.state.crashes.get(contentHash) ?? 0)) {
-		context.state.crashes.set(contentHash, crashes);
-		logEvent(context, 'crash-learned', {contentHash, crashes});
+/** Refuses the open requests that must not be sent any more, and cancels those whose answer has not begun. */
+function refuseQuarantined(context: EntryContext): void {
+	for (const request of context.state.open.values()) {
+		if (!currentTry(request)?.hasBegun) {
+			refuseIfQuarantined(context, request);
+		}
+	}
+}
+
+/** Puts the crashes into the next beacons, the first of which goes out at the next tick. */
+function announce({state, nowMs}: EntryContext, keys: readonly string[]): void {
+	for (const key of keys) {
+		state.crashesToAnnounce.set(key, nowMs + ANNOUNCE_MS);
+		state.beaconsSentAtMs = Number.NEGATIVE_INFINITY;
+	}
+}
+
+/** Probes the targets whose connections broke until it is known whether they went down. */
+export function probeSuspects(context: EntryContext): void {
+	const {state, nowMs, effects} = context;
+	for (const id of state.suspectedTargets) {
+		const target = state.targets.get(id);
+		const newestMs = target?.suspects.at(-1)?.atMs;
+		if (!target || newestMs === undefined || nowMs - newestMs >= CRASH_DETECTION_MS) {
+			state.suspectedTargets.delete(id);
+		} else if (nowMs - target.probe.sentAtMs >= PROBE_INTERVAL_MS && !target.probe.isPending) {
+			target.probe.sentAtMs = nowMs;
+			target.probe.isPending = true;
+			effects.push({
+				kind: 'probe-target', targetId: id, address: target.entry.address, incarnation: target.entry.incarnation,
+			});
+		}
 	}
 }
 
-function setCrashCount(context: EntryContext, contentHash: string, crashes: number): void {
-	const {state} = context;
-	state.crashes.set(contentHash, crashes);
-	state.crashesToAnnounce.set(contentHash, context.nowMs + ANNOUNCE_MS);
-	if (crashes === QUARANTINE_CRASHES) {
-		logEvent(context, 'request-crash-refused', {contentHash, crashes});
+/** A target that accepts connections has not gone down; its suspects stay, since the registry may show otherwise. */
+export function handleTargetProbed(context: EntryContext, {targetId, incarnation, outcome}: EntryEventOf<'target-probed'>): void {
+	const {state, nowMs} = context;
+	const target = state.targets.get(targetId);
+	if (target?.entry.incarnation !== incarnation) {
+		return;
+	}
+
+	target.probe.isPending = false;
+	if (outcome === 'accepted') {
+		state.suspectedTargets.delete(targetId);
+		target.probe.refusedAtMs = undefined;
+	} else if (outcome === 'refused') {
+		recordRefusal(context, target);
+	} else {
+		target.probe.sentAtMs = nowMs;
+	}
+}
+
+/**
+A target refuses connections. Where this instance is cut off, all targets may appear to do so. It counts as a crash only
+if another target of the service has answered since an earlier refusal.
+*/
+export function recordRefusal(context: EntryContext, target: Target): void {
+	const {nowMs, state} = context;
+	const {refusedAtMs} = target.probe;
+	const brokenAtMs = target.suspects.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY;
+	if (refusedAtMs === undefined || refusedAtMs < Math.max(target.heardAtMs, brokenAtMs)) {
+		target.probe.refusedAtMs = nowMs;
+	} else if (targetsOf(state, target.entry.service).some(({id, heardAtMs}) => id !== target.id && heardAtMs > refusedAtMs)) {
+		target.probe.refusedAtMs = undefined;
+		recordTargetCrash(context, target, 'refused');
 	}
 }
--- a/src/core/entry/dispatch.ts
+++ b/src/core/entry/dispatch.ts
@@ -6,6 +6,7 @@
 import {fetchAdapter} from './adapter-fetching.js';
 import {refuse} from './closing.js';
 import {isLeaseVacant, leaseReturnMs} from './lease.js';
+import {culpritOf, quarantineRefusal} from './quarantine.js';
 import {queueKeyOf, queueOf} from './queues.js';
 import {type EntryContext} from './state.js';
 import {askForPermits} from './rate-permits.js';
@@ -51,6 +52,12 @@
 
 	const {nowMs} = context;
 	for (let request = queue.peek(nowMs); request; request = queue.peek(nowMs)) {
+		const culprit = culpritOf(context, request);
+		if (culprit !== undefined) {
+			refuse(context, request, quarantineRefusal(context, culprit, request.mayHaveRun));
+			continue;
+		}
+
 		const choice = chooseTarget(context, request, targetsOf(context.state, request.service));
 		const isPermitted = choice.permitFrom !== undefined
 			&& askForPermits(context, choice.permitFrom, choice.kind === 'full' ? {requests: queue.waiting, purpose: 'needed'} : {requests: 1, purpose: 'spare'});
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -22,6 +22,9 @@
 	| {readonly kind: 'written'; readonly revision: number}
 	| {readonly kind: 'unknown'};
 
+/** Whether a target accepted a connection. */
+export type ProbeOutcome = 'accepted' | 'refused' | 'unanswered';
+
 type EntryEventBody =
 	| {readonly kind: 'started'; readonly self: EntryInstance; readonly bounds: EntryBounds; readonly seed: number; readonly mechanisms?: EnabledMechanisms}
 	| {readonly kind: 'tick'}
@@ -61,6 +64,8 @@
 		readonly rateLimit?: StatedRateLimit;
 		/** For a declined request: whether the target does not hold the model or adapter that it needs. */
 		readonly isMissing?: boolean;
+		/** For a try that was not sent: whether the target refused the connection, rather than not answering. */
+		readonly isRefused?: boolean;
 		/** Why the response was considered incomplete. */
 		readonly reason?: string;
 		/** For streams: when the first event arrived, and the longest pause between two events. */
@@ -68,6 +73,7 @@
 		readonly longestPauseMs?: number;
 	}
 	| {readonly kind: 'report-read'; readonly targetId: TargetId; readonly report: TargetReport | undefined}
+	| {readonly kind: 'target-probed'; readonly targetId: TargetId; readonly incarnation: number; readonly outcome: ProbeOutcome}
 	| {readonly kind: 'order-answered'; readonly targetId: TargetId; readonly orderNumber: number; readonly outcome: EngineOrderOutcome}
 	| {readonly kind: 'adapter-requested'; readonly callId: number | undefined; readonly targetId: TargetId; readonly model: string; readonly adapter: string}
 	| {readonly kind: 'adapter-resolved'; readonly targetId: TargetId; readonly name: string; readonly isHeld: boolean; readonly sequence: number}
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -6,6 +6,7 @@
 */
 import {type InstanceId, type RequestId, type TargetId} from '../types.js';
 import {type EntryConfiguration} from './configuration.js';
+import {type CrashRecord} from './crash-evidence.js';
 import {type ModelCopy, type TargetEntry} from './target.js';
 import {type EntryInstance} from './types.js';
 
@@ -62,11 +63,6 @@
 	readonly sequence: number;
 };
 
-export type CrashCount = {
-	readonly contentHash: string;
-	readonly crashes: number;
-};
-
 /** Copies held by an engine according to a report that is newer than its registry entry. */
 export type ReportedCopies = {
 	readonly targetId: TargetId;
@@ -151,7 +147,10 @@
 	/** Undefined from instances of an earlier release. */
 	readonly comingCopies?: readonly ComingCopy[];
 	readonly adapters: readonly HeldAdapter[];
-	readonly crashes: readonly CrashCount[];
+	/** Crashes of which something new is known. Instances of an earlier release send counts instead, which name no target. */
+	readonly crashes: readonly CrashRecord[];
+	/** Digest of all that the sender knows of crashes; undefined from instances of an earlier release. */
+	readonly crashDigest?: number;
 	/** Undefined from instances of an earlier release. */
 	readonly rateLimits?: readonly AnnouncedLimit[];
 };
@@ -161,6 +160,7 @@
 	readonly from: EntryInstance;
 	readonly configurationVersion: number;
 	readonly registryRevision: number;
+	readonly crashDigest?: number;
 	/** Whether it can take a transfer of only what has changed; instances of an earlier release cannot. */
 	readonly acceptsChanges?: boolean;
 };
@@ -179,6 +179,8 @@
 		readonly removed?: readonly TargetId[];
 	};
 	readonly lease?: LeaseStatus;
+	/** All known crashes, if they are not those that the peer knows. */
+	readonly crashes?: readonly CrashRecord[];
 };
 
 /** State kept for another instance. */
@@ -190,6 +192,8 @@
 	beaconSentAtMs: number;
 	/** When the last pull from it was sent. */
 	pulledAtMs: number;
+	/** Since when what it knows of crashes differs, undefined while it does not. */
+	crashesDifferSinceMs: number | undefined;
 	isLeaving: boolean;
 	/** Whether its reads of the registry succeed. */
 	canReadStore: boolean;
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -3,7 +3,7 @@
 the pulls of peers.
 */
 import {adoptConfiguration} from './configuration-adoption.js';
-import {mergeCrashCount} from './crash-suspects.js';
+import {mergeCrashes} from './crash-suspects.js';
 import {dispatchAll} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
 import {
@@ -19,6 +19,8 @@
 /** The store's feed usually delivers a version this soon after a peer has it, which makes a pull needless. */
 const FEED_GRACE_MS = 150;
 const PULL_INTERVAL_MS = 250;
+/** Beacons bring a new crash within this time, which makes a pull needless. */
+const CRASH_GRACE_MS = 500;
 /** Age of the registry copy from which it is pulled across zones: readers of this zone then do not reach the store. */
 const CROSS_ZONE_PULL_AGE_MS = 1500;
 /** Copies reported by the lease holder override the registry until its next beacons. */
@@ -38,9 +40,8 @@
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
 	adoptAnnouncedLimits(context, beacon.rateLimits ?? []);
-	for (const {contentHash, crashes} of beacon.crashes) {
-		mergeCrashCount(context, contentHash, crashes);
-	}
+	mergeCrashes(context, beacon.crashes.filter(({targetId}) => targetId !== undefined));
+	noteCrashDigest(context, beacon);
 
 	pullIfBehind(context, beacon);
 }
@@ -60,6 +61,7 @@
 		beaconReceivedAtMs: nowMs,
 		beaconSentAtMs: known?.beaconSentAtMs ?? Number.NEGATIVE_INFINITY,
 		pulledAtMs: known?.pulledAtMs ?? Number.NEGATIVE_INFINITY,
+		crashesDifferSinceMs: known?.crashesDifferSinceMs,
 		isLeaving: beacon.isLeaving,
 		canReadStore: beacon.registry.isRead,
 		demand: beacon.demand ?? known?.demand ?? [],
@@ -68,6 +70,14 @@
 	});
 }
 
+/** Notes since when a peer knows of other crashes. One that knows of none has nothing to tell. */
+function noteCrashDigest({state, nowMs}: EntryContext, {from, crashDigest = 0}: Beacon): void {
+	const peer = state.peers.get(from.id);
+	if (peer) {
+		peer.crashesDifferSinceMs = crashDigest === 0 || crashDigest === state.crashEvidence.digest ? undefined : peer.crashesDifferSinceMs ?? nowMs;
+	}
+}
+
 /** Adds unknown instances as peers, so that beacons are sent to them. */
 export function addPeers({state}: EntryContext, instances: readonly EntryInstance[]): void {
 	for (const instance of instances) {
@@ -77,6 +87,7 @@
 				beaconReceivedAtMs: Number.NEGATIVE_INFINITY,
 				beaconSentAtMs: Number.NEGATIVE_INFINITY,
 				pulledAtMs: Number.NEGATIVE_INFINITY,
+				crashesDifferSinceMs: undefined,
 				isLeaving: false,
 				canReadStore: false,
 				demand: [],
@@ -195,7 +206,10 @@
 	const isSameZone = from.zone === state.self.zone;
 	const isOlder = registry.revision > state.registry.revision && registry.digest !== state.registry.digest;
 	const lacksRegistry = isOlder && (isSameZone || nowMs - state.registry.freshAtMs > CROSS_ZONE_PULL_AGE_MS);
-	if (lacksConfiguration || lacksRegistry) {
+	// What is announced of a new crash arrives meanwhile; an instance that knows of no crash has just started.
+	const differsForMs = nowMs - (peer.crashesDifferSinceMs ?? nowMs);
+	const lacksCrashes = peer.crashesDifferSinceMs !== undefined && (state.crashEvidence.digest === 0 || differsForMs >= CRASH_GRACE_MS);
+	if (lacksConfiguration || lacksRegistry || lacksCrashes) {
 		peer.pulledAtMs = nowMs;
 		context.effects.push({kind: 'pull', address: from.address, known: knownVersions(context)});
 	}
@@ -203,7 +217,7 @@
 
 export function knownVersions({state}: EntryContext): KnownVersions {
 	return {
-		from: state.self, configurationVersion: state.configuration?.version ?? 0, registryRevision: state.registry.revision, acceptsChanges: true,
+		from: state.self, configurationVersion: state.configuration?.version ?? 0, registryRevision: state.registry.revision, acceptsChanges: true, crashDigest: state.crashEvidence.digest,
 	};
 }
 
@@ -215,6 +229,7 @@
 		configuration: (configuration?.version ?? 0) > known.configurationVersion ? configuration : undefined,
 		registry: registry.revision > known.registryRevision ? registryTransfer(state, known) : undefined,
 		lease: leaseStatus({state, nowMs, ...rest}),
+		crashes: state.crashEvidence.digest === known.crashDigest ? undefined : state.crashEvidence.records(nowMs),
 	};
 }
 
@@ -236,6 +251,7 @@
 export function handlePullCompleted(context: EntryContext, {transfer}: EntryEventOf<'pull-completed'>): void {
 	addPeers(context, transfer.instances);
 	updateLease(context, transfer.lease);
+	mergeCrashes(context, transfer.crashes ?? []);
 	if (transfer.configuration) {
 		adoptConfiguration(context, transfer.configuration, 'peer');
 	}
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -7,6 +7,7 @@
 import {expireFetches, handleAdapterRequested, handleAdapterResolved} from './adapters.js';
 import {handleArrival, handleCallerLeft} from './admission.js';
 import {adoptConfiguration} from './configuration-adoption.js';
+import {handleTargetProbed, probeSuspects} from './crash-suspects.js';
 import {updateDemandRates} from './demand.js';
 import {dispatchAll} from './dispatch.js';
 import {beginDrain, runDrain} from './drain.js';
@@ -61,6 +62,7 @@
 	'caller-left': handleCallerLeft,
 	'try-progressed': handleProgress,
 	'try-ended': handleTryEnded,
+	'target-probed': handleTargetProbed,
 	'report-read': handleReport,
 	'order-answered': handleOrderAnswer,
 	'adapter-requested': handleAdapterRequested,
@@ -92,6 +94,7 @@
 function runPeriodicTasks(context: EntryContext): void {
 	fireTimers(context);
 	expireFetches(context);
+	probeSuspects(context);
 	dispatchAll(context);
 	updateDemandRates(context);
 	refreshRegistry(context);
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -277,7 +277,11 @@
 		state.registry.removalsCompleteFrom = state.registry.removals.shift()!.revision;
 	}
 
-	recordTargetCrash(context, target, 'unlisted');
+	// One that leaves ends what it still runs.
+	if (!target.entry.isLeaving) {
+		recordTargetCrash(context, target, 'unlisted');
+	}
+
 	logEvent(context, 'target-unlisted', {targetId: id, revision, isGraceGiven: graceUntilMs > nowMs});
 }
 
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -10,6 +10,7 @@
 import {RecentMap} from '../request/recent-map.js';
 import {type RequestId, type TargetId} from '../types.js';
 import {type EntryConfiguration, type RouteIndex} from './configuration.js';
+import {CrashEvidence} from './crash-evidence.js';
 import {type EntryEffect} from './effect.js';
 import {type ComingCopy, type HeldAdapter, type Peers} from './peer-messages.js';
 import {OrderTracker} from './order-tracker.js';
@@ -23,7 +24,9 @@
 } from './types.js';
 import {type WaitingQueue} from './waiting-queue.js';
 
-const MAX_CRASH_COUNTS = 5000;
+/** Fingerprints of the answers of the last seconds, at 50 requests a second with a few fingerprints each. */
+const MAX_SURVIVALS = 5000;
+const MAX_CRASH_TRIALS = 200;
 /** Those of the last minute, of own streams and of streams that this instance keeps for others, at 50 a second. */
 const MAX_STREAM_ORIGINS = 6000;
 
@@ -99,9 +102,15 @@
 	readonly queues: Map<string, WaitingQueue>;
 	readonly timers: TinyQueue<Timer>;
 	readonly retryBudgets: Map<string, RetryBudget>;
-	readonly crashes: RecentMap<number>;
-	/** Content hashes with a new crash count, and the time until which beacons carry them. */
+	readonly crashEvidence: CrashEvidence;
+	/** Keys of crashes of which something new is known, and the time until which beacons carry them. */
 	readonly crashesToAnnounce: Map<string, number>;
+	/** When an answer last survived with each fingerprint. */
+	readonly survivals: RecentMap<number>;
+	/** When a request with a fingerprint at fault was last sent to learn whether it still crashes targets. */
+	readonly crashTrials: RecentMap<number>;
+	/** Targets whose connections broke, until it is known whether they went down. */
+	readonly suspectedTargets: Set<TargetId>;
 	readonly streamOrigins: RecentMap<StreamOrigin>;
 	/** Requests that wait for the origin of a stream. */
 	readonly originQueries: Map<RequestId, readonly RequestId[]>;
@@ -164,8 +173,11 @@
 		queues: new Map(),
 		timers: new TinyQueue<Timer>([], (a, b) => a.atMs - b.atMs),
 		retryBudgets: new Map(),
-		crashes: new RecentMap(MAX_CRASH_COUNTS),
+		crashEvidence: new CrashEvidence(),
 		crashesToAnnounce: new Map(),
+		survivals: new RecentMap(MAX_SURVIVALS),
+		crashTrials: new RecentMap(MAX_CRASH_TRIALS),
+		suspectedTargets: new Set(),
 		streamOrigins: new RecentMap(MAX_STREAM_ORIGINS),
 		originQueries: new Map(),
 		mixedServices: new Set(),
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -7,6 +7,7 @@
 import {
 	type InstanceId, type RequestId, type TargetId, type ZoneName,
 } from '../types.js';
+import {type Fingerprint} from './crash-evidence.js';
 
 export type ModelCopy = {
 	readonly model: string;
@@ -122,8 +123,16 @@
 	failures: number;
 	/** Smoothed share of tries that failed through the target's fault. */
 	failureRate: number;
-	/** Content that was being executed when its connection broke, until it is known whether the target crashed. */
-	readonly suspects: Array<{readonly contentHash: string; readonly atMs: number}>;
+	/** Fingerprints of requests whose connection to it broke, until it is known whether it crashed. */
+	readonly suspects: Array<{readonly fingerprints: readonly Fingerprint[]; readonly atMs: number}>;
+	/** When a response, or a part of one, last came from it. */
+	heardAtMs: number;
+	readonly probe: {
+		sentAtMs: number;
+		isPending: boolean;
+		/** When it first refused a connection since it was last heard from. */
+		refusedAtMs: number | undefined;
+	};
 	readonly firstByte: Estimate;
 	/** Adapters known to be loaded, as `model/adapter`, with the order sequence at which that was known. */
 	readonly adapters: Map<string, number>;
@@ -160,6 +169,8 @@
 		failures: 0,
 		failureRate: 0,
 		suspects: [],
+		heardAtMs: Number.NEGATIVE_INFINITY,
+		probe: {sentAtMs: Number.NEGATIVE_INFINITY, isPending: false, refusedAtMs: undefined},
 		firstByte: emptyEstimate(),
 		adapters: new Map(adaptersOf(entry.copies).map(name => [name, entry.sequence])),
 		leavingCopies: new Map(),
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -8,7 +8,9 @@
 import {
 	close, endTry, markRead, refuse, currentTry,
 } from './closing.js';
-import {clearCrashCount, recordTargetCrash, addSuspect} from './crash-suspects.js';
+import {
+	addSuspect, hasSurvived, recordRefusal, recordSurvival, refuseIfQuarantined,
+} from './crash-suspects.js';
 import {dispatchTarget, enqueue} from './dispatch.js';
 import {queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
@@ -27,14 +29,21 @@
 
 type FailedOutcome = Exclude<TryOutcome, 'answered'>;
 
+type FailureDetails = {
+	/** Whether a target that did not run the request lacks its model or adapter. */
+	readonly wasMissing?: boolean;
+	/** Whether a target that was not reached refused the connection. */
+	readonly wasRefused?: boolean;
+};
+
 type OutcomeRule = {
 	/** Whether the target may have executed the request. */
 	readonly mayHaveRun: boolean;
 	/** Whether the next try counts against the retry budget. */
 	readonly isRetry: boolean;
 	readonly code: ResultName;
-	/** Updates what this instance knows of the target; `wasMissing`: the target does not hold the model or adapter. */
-	readonly updateTarget: (context: EntryContext, target: Target, request: EntryRequest, wasMissing: boolean) => void;
+	/** Updates what this instance knows of the target. */
+	readonly updateTarget: (context: EntryContext, target: Target, request: EntryRequest, details: FailureDetails) => void;
 };
 
 /** Exponential backoff for a target that could not be reached: the base is doubled with each consecutive failure, up to the maximum. */
@@ -63,14 +72,16 @@
 const outcomeRules: Readonly<Record<FailedOutcome, OutcomeRule>> = {
 	'not-sent': {
 		mayHaveRun: false, isRetry: false, code: 'no-target',
-		updateTarget(context, target) {
+		updateTarget(context, target, _, {wasRefused}) {
 			backOff(context, target);
-			recordTargetCrash(context, target, 'unreachable');
+			if (wasRefused) {
+				recordRefusal(context, target);
+			}
 		},
 	},
 	'not-run': {
 		mayHaveRun: false, isRetry: true, code: 'no-target',
-		updateTarget({nowMs}, target, request, wasMissing) {
+		updateTarget({nowMs}, target, request, {wasMissing}) {
 			const {model, adapter} = request.arrival;
 			if (wasMissing && adapter !== undefined) {
 				target.adapters.delete(`${model}/${adapter}`);
@@ -93,13 +104,14 @@
 		mayHaveRun: true, isRetry: true, code: 'target-failed',
 		updateTarget(context, target, request) {
 			target.failureRate += (1 - target.failureRate) * FAILURE_SMOOTHING;
-			addSuspect(context, target, request.arrival.contentHash);
+			addSuspect(context, target, request);
 		},
 	},
 	canceled: {
 		mayHaveRun: true, isRetry: true, code: 'target-timeout',
-		updateTarget(_, target) {
+		updateTarget(context, target, request) {
 			target.failureRate += (1 - target.failureRate) * FAILURE_SMOOTHING;
+			addSuspect(context, target, request);
 		},
 	},
 };
@@ -118,6 +130,10 @@
 	}
 
 	const target = state.targets.get(attempt.targetId);
+	if (target) {
+		target.heardAtMs = nowMs;
+	}
+
 	if (target && !attempt.hasBegun) {
 		addSample(target.firstByte, nowMs - attempt.startedAtMs);
 		recordReading(state, request, attempt, nowMs);
@@ -136,6 +152,11 @@
 
 	recordOrigin(context, request, attempt);
 	attempt.hasBegun = true;
+	attempt.beganAtMs ??= nowMs;
+	if (hasSurvived(attempt, nowMs)) {
+		recordSurvival(context, request);
+	}
+
 	attempt.progressAtMs = nowMs;
 	request.delivered = event.delivered;
 	request.patienceEndsAtMs = Math.min(request.deadlineAtMs, nowMs + request.route.patienceMs);
@@ -179,8 +200,12 @@
 		recordLoad(target, event.load, nowMs);
 	}
 
+	if (target && event.status !== undefined && event.outcome !== 'broken') {
+		target.heardAtMs = nowMs;
+	}
+
 	if (event.outcome === 'answered') {
-		completeRequest(context, request, target);
+		completeRequest(context, request, {target, status: event.status});
 		return;
 	}
 
@@ -196,23 +221,32 @@
 		delivered: event.delivered,
 		tookMs: Math.round(nowMs - attempt.startedAtMs),
 	});
-	handleFailure(context, request, event.outcome, (event.isMissing ?? false) && state.mechanisms.has('missing-copies'));
+	handleFailure(context, request, event.outcome, {wasMissing: event.isMissing && state.mechanisms.has('missing-copies'), wasRefused: event.isRefused});
 }
 
-function completeRequest(context: EntryContext, request: EntryRequest, target: Target | undefined): void {
+function completeRequest(context: EntryContext, request: EntryRequest, {target, status}: {readonly target: Target | undefined; readonly status: number | undefined}): void {
 	if (target) {
 		target.failures = 0;
 		target.failureRate -= target.failureRate * FAILURE_SMOOTHING;
 	}
 
-	clearCrashCount(context, request.arrival.contentHash);
+	const {isStream} = request.route;
+	if (status !== undefined && status < 300 && (!isStream || request.delivered > 0)) {
+		recordSurvival(context, request);
+	}
+
 	context.effects.push({kind: 'deliver', requestId: request.id});
 	close(context, request, 'answered');
 }
 
-function handleFailure(context: EntryContext, request: EntryRequest, outcome: FailedOutcome, wasMissing = false): void {
+function handleFailure(context: EntryContext, request: EntryRequest, outcome: FailedOutcome, details: FailureDetails): void {
 	const {state} = context;
-	const rule = recordFailure(context, request, outcome, wasMissing);
+	const rule = recordFailure(context, request, outcome, details);
+	if (!state.open.has(request.id)) {
+		// What it brings has just turned out to crash targets.
+		return;
+	}
+
 	if (outcome === 'not-run') {
 		request.declined++;
 	}
@@ -238,14 +272,14 @@
 }
 
 /** Records what the outcome of the last try says of its target and of whether the request may have run. */
-function recordFailure(context: EntryContext, request: EntryRequest, outcome: FailedOutcome, wasMissing = false): OutcomeRule {
+function recordFailure(context: EntryContext, request: EntryRequest, outcome: FailedOutcome, details: FailureDetails = {}): OutcomeRule {
 	const rule = outcomeRules[outcome];
 	const target = context.state.targets.get(request.tries.at(-1)?.targetId ?? '');
+	request.mayHaveRun ||= rule.mayHaveRun;
 	if (target) {
-		rule.updateTarget(context, target, request, wasMissing);
+		rule.updateTarget(context, target, request, details);
 	}
 
-	request.mayHaveRun ||= rule.mayHaveRun;
 	return rule;
 }
 
@@ -299,7 +333,7 @@
 		return;
 	}
 
-	if (request.tries.length >= request.route.maxAttempts) {
+	if (request.tries.length >= request.route.maxAttempts || (!attempt.hasBegun && refuseIfQuarantined(context, request))) {
 		return;
 	}
 
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -6,6 +6,7 @@
 	type InstanceId, type RequestId, type TargetId, type ZoneName,
 } from '../types.js';
 import {type Route} from './configuration.js';
+import {type Fingerprint} from './crash-evidence.js';
 
 /** Identity and addresses of one entry process. */
 export type EntryInstance = {
@@ -80,6 +81,8 @@
 	/** When the response began, or its last event arrived. */
 	progressAtMs: number;
 	hasBegun: boolean;
+	/** When the first event of a stream arrived, as the core was told. */
+	beganAtMs?: number;
 	outcome: TryOutcome | undefined;
 	/** For streams: when the first event arrived, and the longest pause between two events. */
 	firstEventAtMs?: number;
@@ -100,6 +103,8 @@
 	readonly streamId: RequestId;
 	/** The release that began its stream, at which alone it can go on; undefined until the first event. */
 	release: string | undefined;
+	/** The fingerprint at fault that it is sent with, to learn whether it still crashes targets. */
+	readonly trialOf: Fingerprint | undefined;
 	readonly arrivedAtMs: number;
 	/** The earlier of the caller's deadline and the route's timeout. */
 	readonly deadlineAtMs: number;
--- a/src/entry/effect-handlers.ts
+++ b/src/entry/effect-handlers.ts
@@ -32,6 +32,14 @@
 		'read-registry'() {
 			void daemon.storeWatcher.readRegistry();
 		},
+		'probe-target'({targetId, address, incarnation}) {
+			void (async () => {
+				const outcome = await daemon.connections.probe(address);
+				daemon.dispatch({
+					kind: 'target-probed', targetId, incarnation, outcome,
+				});
+			})();
+		},
 		'read-report'({targetId, address}) {
 			void (async () => {
 				const report = await deployment.engines.fetchReport(address, targetId);
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -69,7 +69,7 @@
 	private readonly _settings: EntrySettings;
 	private readonly _clock: Clock;
 	private readonly _effectHandlers: EntryEffectHandlers;
-	private readonly _connections = new TargetConnections();
+	readonly connections = new TargetConnections();
 	private readonly _metrics: EntryMetrics;
 	private readonly _servers: FastifyInstance[] = [];
 	private _tickTimer: NodeJS.Timeout | undefined;
@@ -95,7 +95,7 @@
 			deployment: {...deployment, store: countStoreCalls(deployment.store, metrics)}, log: this.log, clock, dispatch,
 		});
 		this.tryRunner = new TryRunner({
-			headerCodec: deployment.headerCodec, connections: this._connections, monotonicMs: () => clock.monotonicMs(), dispatch,
+			headerCodec: deployment.headerCodec, connections: this.connections, monotonicMs: () => clock.monotonicMs(), dispatch,
 		});
 		this.callerListener = new CallerListener({
 			limits: () => this.limits,
@@ -177,7 +177,7 @@
 		this.datagramSocket.close();
 		await this.callerListener.close();
 		await Promise.all(this._servers.map(async server => server.close()));
-		await this._connections.close();
+		await this.connections.close();
 		await this.deployment.engines.close();
 		await this.deployment.store.close();
 		this.log.flush();
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -4,7 +4,10 @@
 stale pooled connection could lose a request of the former kinds or have it executed twice.
 */
 import {type Buffer} from 'node:buffer';
+import {connect} from 'node:net';
 import {buildConnector, type Dispatcher, type Pool} from 'undici';
+import {type ProbeOutcome} from '../core/entry/event.js';
+import {errorCode} from '../daemon/gateways/connection-pool.js';
 import {type RawHeaders} from './deployment.js';
 import {createMeteredPool, MeteredClient} from './metered-client.js';
 
@@ -16,6 +19,9 @@
 const DISCARDED_BYTES_MAX = 16 * 1024;
 const DISCARD_TIMEOUT_MS = 200;
 
+/** Error code of a connection that nobody listens for. */
+export const REFUSED_CODE = 'ECONNREFUSED';
+
 export type TargetRequest = {
 	readonly method: string;
 	readonly path: string;
@@ -61,6 +67,28 @@
 		return pool.stats.size >= connections ? this._requestOnFreshConnection(address, request) : send(pool, request, resets);
 	}
 
+	/** Opens a connection and closes it at once. */
+	async probe(address: string): Promise<ProbeOutcome> {
+		const {hostname, port} = new URL(`http://${address}`);
+		return new Promise(resolve => {
+			const socket = connect({host: hostname, port: Number(port)});
+			const end = (outcome: ProbeOutcome) => {
+				socket.destroy();
+				resolve(outcome);
+			};
+
+			socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+				end('unanswered');
+			});
+			socket.once('connect', () => {
+				end('accepted');
+			});
+			socket.once('error', error => {
+				end(errorCode(error) === REFUSED_CODE ? 'refused' : 'unanswered');
+			});
+		});
+	}
+
 	async close(): Promise<void> {
 		const pools = [...this._pools.values()].map(({pool}) => pool);
 		this._pools.clear();
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -14,7 +14,7 @@
 import {GrowingBuffer} from './growing-buffer.js';
 import {EventSplitter, type StreamEvent} from './stream-events.js';
 import {
-	discardBody, errorCode, isUnwritten, type TargetConnections, type TargetResponse,
+	discardBody, errorCode, isUnwritten, REFUSED_CODE, type TargetConnections, type TargetResponse,
 } from './target-connections.js';
 
 /** Limit for responses that are buffered in memory; services give no larger ones. */
@@ -39,6 +39,7 @@
 	readonly load?: ResponseMetadata['load'];
 	readonly rateLimit?: StatedRateLimit;
 	readonly isMissing?: boolean;
+	readonly isRefused?: boolean;
 	readonly reason?: string;
 	readonly timing?: StreamTiming;
 };
@@ -99,7 +100,7 @@
 				maxConnections: effect.maxConnections,
 			});
 		} catch (error) {
-			return {outcome: isUnwritten(error) ? 'not-sent' : 'broken', reason: errorCode(error) || String(error)};
+			return {outcome: isUnwritten(error) ? 'not-sent' : 'broken', isRefused: errorCode(error) === REFUSED_CODE, reason: errorCode(error) || String(error)};
 		}
 
 		const metadata = headerCodec.parseResponse(response.status, response.headers);
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -29,9 +29,9 @@
 	return Buffer.concat(chunks).toString('utf8');
 }
 
-async function listen(server: Server): Promise<string> {
+async function listen(server: Server, port = 0): Promise<string> {
 	return new Promise(resolve => {
-		server.listen(0, '127.0.0.1', () => {
+		server.listen(port, '127.0.0.1', () => {
 			resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 		});
 	});
@@ -194,6 +194,11 @@
 	/** Number of connections on which an answer without end is being sent. */
 	openEndless = 0;
 	address = '';
+	/** Changes with every start. */
+	born = 1;
+	/** A part of a prompt on which it crashes when it begins to answer. */
+	crashesOn: string | undefined;
+	onCrash: () => void = () => undefined;
 	private readonly _server = createServer((request, response) => {
 		void this._serve(request, response);
 	});
@@ -210,9 +215,24 @@
 		this._server.close();
 	}
 
+	/** Closes all connections and accepts none until it is started again. */
+	crash(): void {
+		if (this._server.listening) {
+			this._server.close();
+			this._server.closeAllConnections();
+			this.onCrash();
+		}
+	}
+
+	/** Starts again at the same address. */
+	async restart(): Promise<void> {
+		this.born++;
+		await listen(this._server, Number(this.address.split(':')[1]));
+	}
+
 	entry(service: string, zone: string): Record<string, unknown> {
 		return {
-			service, address: this.address, zone, version: this.version, slots: 8, state: 'ready', coldLeftMs: 0, seq: this.sequence, born: 1, models: this.models,
+			service, address: this.address, zone, version: this.version, slots: 8, state: 'ready', coldLeftMs: 0, seq: this.sequence, born: this.born, models: this.models,
 		};
 	}
 
@@ -221,7 +241,7 @@
 		const path = request.url ?? '/';
 		if (path === '/v1/report') {
 			response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({
-				stage: 'colocated', models: this.models, busy: false, seq: this.sequence, queued: 0, running: 0, born: 1,
+				stage: 'colocated', models: this.models, busy: false, seq: this.sequence, queued: 0, running: 0, born: this.born,
 			}));
 			return;
 		}
@@ -237,6 +257,12 @@
 		response.on('close', () => {
 			this.abortedRequests += response.writableFinished ? 0 : 1;
 		});
+		const parts = String(request.headers['x-pollenarch-prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0]);
+		if (this.crashesOn !== undefined && parts.includes(this.crashesOn)) {
+			this.crash();
+			return;
+		}
+
 		this._respond(this.behaviours.shift() ?? 'answer', request, response);
 	}
 
