Log which services an instance reaches, and probe targets that it may not reach

Cause: failures counted for one target at a time, and no line told that an instance reached no target of a service; that showed only by putting all of its tries together. Change: reachability.ts notes when connections to a target cannot be opened and when it is heard again, and logs events 312 and 313 for a service as a whole. A target that is unreached is probed by a connection every 0.5 s, and the others of its service at once. No request goes elsewhere for it yet. Conclusion: 312 at some instances while others have none tells a network partition of these instances from targets that are down.

--- a/src/core/entry/crash-suspects.ts
+++ b/src/core/entry/crash-suspects.ts
@@ -10,6 +10,7 @@
 import {type CrashRecord, type Fingerprint} from './crash-evidence.js';
 import {type EntryEventOf} from './event.js';
 import {culpritOf, fingerprintsOf, quarantineRefusal} from './quarantine.js';
+import {markReached, recordUnreached} from './reachability.js';
 import {logEvent, type EntryContext} from './state.js';
 import {type Target} from './target.js';
 import {targetsOf} from './targets.js';
@@ -24,7 +25,6 @@
 const SURVIVAL_MS = 500;
 /** An answer that survived so shortly before a crash clears its fingerprints of it. */
 const SURVIVAL_VALID_MS = 5000;
-const PROBE_INTERVAL_MS = 100;
 
 /** What shows that a target went down: it refuses connections, leaves the registry, or is listed with a new incarnation. */
 export type CrashSign = 'refused' | 'unlisted' | 'restarted';
@@ -48,6 +48,7 @@
 
 	target.suspects.push({fingerprints: fingerprintsOf(arrival), atMs: nowMs});
 	state.suspectedTargets.add(target.id);
+	state.probedTargets.add(target.id);
 }
 
 /** Records that an answer has begun and gone on, or is whole, which clears what its request shares with others. */
@@ -137,27 +138,19 @@
 	}
 }
 
-/** Probes the targets whose connections broke until it is known whether they went down. */
-export function probeSuspects(context: EntryContext): void {
-	const {state, nowMs, effects} = context;
+/** Forgets suspects whose crash would have shown by now. */
+export function expireSuspects({state, nowMs}: EntryContext): void {
 	for (const id of state.suspectedTargets) {
-		const target = state.targets.get(id);
-		const newestMs = target?.suspects.at(-1)?.atMs;
-		if (!target || newestMs === undefined || nowMs - newestMs >= CRASH_DETECTION_MS) {
+		const newestMs = state.targets.get(id)?.suspects.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY;
+		if (nowMs - newestMs >= CRASH_DETECTION_MS) {
 			state.suspectedTargets.delete(id);
-		} else if (nowMs - target.probe.sentAtMs >= PROBE_INTERVAL_MS && !target.probe.isPending) {
-			target.probe.sentAtMs = nowMs;
-			target.probe.isPending = true;
-			effects.push({
-				kind: 'probe-target', targetId: id, address: target.entry.address, incarnation: target.entry.incarnation,
-			});
 		}
 	}
 }
 
 /** A target that accepts connections has not gone down; its suspects stay, since the registry may show otherwise. */
 export function handleTargetProbed(context: EntryContext, {targetId, incarnation, outcome}: EntryEventOf<'target-probed'>): void {
-	const {state, nowMs} = context;
+	const {state} = context;
 	const target = state.targets.get(targetId);
 	if (target?.entry.incarnation !== incarnation) {
 		return;
@@ -167,10 +160,13 @@
 	if (outcome === 'accepted') {
 		state.suspectedTargets.delete(targetId);
 		target.probe.refusedAtMs = undefined;
-	} else if (outcome === 'refused') {
+		markReached(context, target);
+		return;
+	}
+
+	recordUnreached(context, target, target.probe.sentAtMs);
+	if (outcome === 'refused') {
 		recordRefusal(context, target);
-	} else {
-		target.probe.sentAtMs = nowMs;
 	}
 }
 
--- /dev/null
+++ b/src/core/entry/reachability.ts
@@ -0,0 +1,101 @@
+/**
+Which targets this instance reaches. A target whose connection cannot be opened is
+unreached until a connection is accepted or something is heard from it; it is probed
+meanwhile, since requests go elsewhere. If one target is unreached, the others of its
+service are probed at once, so that a network partition of this instance shows before
+requests have tried them all.
+*/
+import {logEvent, type EntryContext, type EntryState} from './state.js';
+import {isListed, type Target} from './target.js';
+import {targetsOf} from './targets.js';
+
+/** Interval of probes to an unreached target: a partition that heals is noticed soon. */
+const UNREACHED_PROBE_INTERVAL_MS = 500;
+/** Interval of probes to a target that may have gone down, since requests with what it ran are on their way to others. */
+const SUSPECTED_PROBE_INTERVAL_MS = 100;
+/** A target heard from within this time need not be probed when another one is unreached. */
+const RECENTLY_HEARD_MS = 300;
+
+/** Something came from the target. */
+export function recordHeard(context: EntryContext, target: Target): void {
+	target.heardAtMs = context.nowMs;
+	markReached(context, target);
+}
+
+/** A connection that was begun at `sinceMs` could not be opened. */
+export function recordUnreached(context: EntryContext, target: Target, sinceMs: number): void {
+	const {state, nowMs} = context;
+	if (target.unreachedSinceMs !== undefined || target.heardAtMs > sinceMs) {
+		return;
+	}
+
+	target.unreachedSinceMs = sinceMs;
+	state.probedTargets.add(target.id);
+	const service = targetsOf(state, target.entry.service).filter(other => isListed(other, nowMs));
+	for (const other of service) {
+		if (other.unreachedSinceMs === undefined && nowMs - other.heardAtMs >= RECENTLY_HEARD_MS) {
+			other.probe.isWanted = true;
+			state.probedTargets.add(other.id);
+		}
+	}
+
+	if (service.length > 0 && service.every(other => other.unreachedSinceMs !== undefined)) {
+		logEvent(context, 'service-unreached', {service: target.entry.service, targets: service.length, lastHeardAgoMs: lastHeardAgoMs(service, nowMs)});
+		state.unreachedServices.add(target.entry.service);
+		// Peers that look for an instance that reaches the service learn of it at the next tick.
+		state.beaconsSentAtMs = Number.NEGATIVE_INFINITY;
+	}
+}
+
+export function markReached(context: EntryContext, target: Target): void {
+	const {state} = context;
+	target.probe.isWanted = false;
+	const unreachedForMs = Math.round(context.nowMs - (target.unreachedSinceMs ?? context.nowMs));
+	target.unreachedSinceMs = undefined;
+	if (state.unreachedServices.delete(target.entry.service)) {
+		logEvent(context, 'service-reached', {service: target.entry.service, targetId: target.id, unreachedForMs});
+		state.beaconsSentAtMs = Number.NEGATIVE_INFINITY;
+	}
+}
+
+/** Whether no listed target of any service is reached, and there are some. */
+export function isCutOff({targets}: EntryState, nowMs: number): boolean {
+	let listed = 0;
+	for (const target of targets.values()) {
+		if (isListed(target, nowMs)) {
+			listed++;
+			if (target.unreachedSinceMs === undefined) {
+				return false;
+			}
+		}
+	}
+
+	return listed > 0;
+}
+
+/** Probes the targets that are unreached, that are about to be known as such, or that may have gone down. */
+export function probeTargets(context: EntryContext): void {
+	const {state, nowMs, effects} = context;
+	for (const id of state.probedTargets) {
+		const target = state.targets.get(id);
+		const isSuspected = state.suspectedTargets.has(id);
+		if (!target || !isListed(target, nowMs) || (!isSuspected && target.unreachedSinceMs === undefined && !target.probe.isWanted)) {
+			state.probedTargets.delete(id);
+			continue;
+		}
+
+		const intervalMs = isSuspected ? SUSPECTED_PROBE_INTERVAL_MS : UNREACHED_PROBE_INTERVAL_MS;
+		if (!target.probe.isPending && nowMs - target.probe.sentAtMs >= intervalMs) {
+			target.probe.sentAtMs = nowMs;
+			target.probe.isPending = true;
+			effects.push({
+				kind: 'probe-target', targetId: id, address: target.entry.address, incarnation: target.entry.incarnation,
+			});
+		}
+	}
+}
+
+function lastHeardAgoMs(targets: readonly Target[], nowMs: number): number | undefined {
+	const heardAtMs = Math.max(...targets.map(target => target.heardAtMs));
+	return Number.isFinite(heardAtMs) ? Math.round(nowMs - heardAtMs) : undefined;
+}
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -7,7 +7,7 @@
 import {expireFetches, handleAdapterRequested, handleAdapterResolved} from './adapters.js';
 import {handleArrival, handleCallerLeft} from './admission.js';
 import {adoptConfiguration} from './configuration-adoption.js';
-import {handleTargetProbed, probeSuspects} from './crash-suspects.js';
+import {expireSuspects, handleTargetProbed} from './crash-suspects.js';
 import {updateDemandRates} from './demand.js';
 import {dispatchAll} from './dispatch.js';
 import {beginDrain, runDrain} from './drain.js';
@@ -19,6 +19,7 @@
 import {runOrders} from './orders.js';
 import {handlePatience} from './patience.js';
 import {runPlacement} from './placement.js';
+import {probeTargets} from './reachability.js';
 import {handleRegistryRead, handleRegistryReadFailure, refreshRegistry} from './registry.js';
 import {announceLoads, handleLoadAnnouncement} from './load-announcements.js';
 import {handlePermitGrant, handlePermitRequest} from './rate-permits.js';
@@ -94,7 +95,8 @@
 function runPeriodicTasks(context: EntryContext): void {
 	fireTimers(context);
 	expireFetches(context);
-	probeSuspects(context);
+	expireSuspects(context);
+	probeTargets(context);
 	dispatchAll(context);
 	updateDemandRates(context);
 	refreshRegistry(context);
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -109,6 +109,10 @@
 	readonly survivals: RecentMap<number>;
 	/** When a request with a fingerprint at fault was last sent to learn whether it still crashes targets. */
 	readonly crashTrials: RecentMap<number>;
+	/** Targets that are probed. */
+	readonly probedTargets: Set<TargetId>;
+	/** Services of which this instance reaches no target. */
+	readonly unreachedServices: Set<string>;
 	/** Targets whose connections broke, until it is known whether they went down. */
 	readonly suspectedTargets: Set<TargetId>;
 	readonly streamOrigins: RecentMap<StreamOrigin>;
@@ -177,6 +181,8 @@
 		crashesToAnnounce: new Map(),
 		survivals: new RecentMap(MAX_SURVIVALS),
 		crashTrials: new RecentMap(MAX_CRASH_TRIALS),
+		probedTargets: new Set(),
+		unreachedServices: new Set(),
 		suspectedTargets: new Set(),
 		streamOrigins: new RecentMap(MAX_STREAM_ORIGINS),
 		originQueries: new Map(),
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -127,9 +127,13 @@
 	readonly suspects: Array<{readonly fingerprints: readonly Fingerprint[]; readonly atMs: number}>;
 	/** When a response, or a part of one, last came from it. */
 	heardAtMs: number;
+	/** Since when connections to it cannot be opened; undefined while they can, as far as this instance knows. */
+	unreachedSinceMs: number | undefined;
 	readonly probe: {
 		sentAtMs: number;
 		isPending: boolean;
+		/** Whether to learn if it is reached, since another target is not. */
+		isWanted: boolean;
 		/** When it first refused a connection since it was last heard from. */
 		refusedAtMs: number | undefined;
 	};
@@ -170,7 +174,10 @@
 		failureRate: 0,
 		suspects: [],
 		heardAtMs: Number.NEGATIVE_INFINITY,
-		probe: {sentAtMs: Number.NEGATIVE_INFINITY, isPending: false, refusedAtMs: undefined},
+		unreachedSinceMs: undefined,
+		probe: {
+			sentAtMs: Number.NEGATIVE_INFINITY, isPending: false, isWanted: false, refusedAtMs: undefined,
+		},
 		firstByte: emptyEstimate(),
 		adapters: new Map(adaptersOf(entry.copies).map(name => [name, entry.sequence])),
 		leavingCopies: new Map(),
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -15,6 +15,7 @@
 import {queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
 import {addReading, createReadingSpeed} from './reading-speed.js';
+import {recordHeard, recordUnreached} from './reachability.js';
 import {takeRetry} from './retry-budgets.js';
 import {recordStatedLimit} from './rate-limit.js';
 import {chooseTarget} from './selection.js';
@@ -72,8 +73,9 @@
 const outcomeRules: Readonly<Record<FailedOutcome, OutcomeRule>> = {
 	'not-sent': {
 		mayHaveRun: false, isRetry: false, code: 'no-target',
-		updateTarget(context, target, _, {wasRefused}) {
+		updateTarget(context, target, {tries}, {wasRefused}) {
 			backOff(context, target);
+			recordUnreached(context, target, tries.at(-1)!.startedAtMs);
 			if (wasRefused) {
 				recordRefusal(context, target);
 			}
@@ -131,7 +133,7 @@
 
 	const target = state.targets.get(attempt.targetId);
 	if (target) {
-		target.heardAtMs = nowMs;
+		recordHeard(context, target);
 	}
 
 	if (target && !attempt.hasBegun) {
@@ -201,7 +203,7 @@
 	}
 
 	if (target && event.status !== undefined && event.outcome !== 'broken') {
-		target.heardAtMs = nowMs;
+		recordHeard(context, target);
 	}
 
 	if (event.outcome === 'answered') {
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -43,6 +43,8 @@
 	'target-limit-lifted': {number: 309, level: 'info'},
 	'target-crashed': {number: 310, level: 'warn'},
 	'crash-learned': {number: 311, level: 'info'},
+	'service-unreached': {number: 312, level: 'warn'},
+	'service-reached': {number: 313, level: 'info'},
 	'order-sent': {number: 400, level: 'info'},
 	'order-confirmed': {number: 401, level: 'info'},
 	'order-unresolved': {number: 402, level: 'warn'},
