--- a/test/standins/platform-instance.ts
+++ b/test/standins/platform-instance.ts
@@ -36,9 +36,11 @@
 	readonly zone?: string;
 	/** Retries allowed in ten seconds beside a fifth of the requests. */
 	readonly repeatSlack?: number;
+	/** The address at which this instance connects to a target, given its address in the registry. */
+	readonly addressOf?: (address: string) => string;
 };
 
-export async function startPlatformInstance({id, storeAddress, zone = 'north', repeatSlack = 1000}: PlatformInstanceOptions): Promise<PlatformInstance> {
+export async function startPlatformInstance({id, storeAddress, zone = 'north', repeatSlack = 1000, addressOf = address => address}: PlatformInstanceOptions): Promise<PlatformInstance> {
 	const ports = await freePorts(4);
 	const [callers, readiness, peers, beacons] = ports.map(port => `127.0.0.1:${port}`) as [string, string, string, string];
 	const daemon = await EntryDaemon.start({
@@ -57,5 +59,10 @@
 		},
 		log: new EntryLog({level: 'silent', instanceId: id, clock: systemClock}),
 	});
+	const {connections} = daemon;
+	const request = connections.request.bind(connections);
+	const probe = connections.probe.bind(connections);
+	connections.request = async (address, options) => request(addressOf(address), options);
+	connections.probe = async address => probe(addressOf(address));
 	return {daemon, callers};
 }
--- a/test/standins/relay.ts
+++ b/test/standins/relay.ts
@@ -54,6 +54,20 @@
 		}
 	}
 
+	/** Resets all open connections and refuses new ones, until {@link accept}. */
+	refuse(): void {
+		this._server.close();
+		for (const socket of this._sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
+	/** Accepts connections again, at the same address. */
+	async accept(): Promise<void> {
+		this._server.listen(Number(new URL(this._address).port), '127.0.0.1');
+		await once(this._server, 'listening');
+	}
+
 	close(): void {
 		for (const socket of this._sockets) {
 			socket.destroy();
