--- a/src/core/entry/lease-state.ts
+++ b/src/core/entry/lease-state.ts
@@ -9,6 +9,8 @@
 	held: HeldLease | undefined;
 	/** Whether a read or a write of the row is pending. */
 	isRequestPending: boolean;
+	/** Whether that request gives the lease up, so that its result does not renew it. */
+	isReleasing: boolean;
 	requestedAtMs: number;
 	/** Newest claim of a holder, received from it or from peers. */
 	lastKnown: {readonly holder: EntryInstance; readonly epoch: number; readonly claimedAtMs: number; readonly instances: number} | undefined;
@@ -32,6 +34,7 @@
 		observed: undefined,
 		held: undefined,
 		isRequestPending: false,
+		isReleasing: false,
 		requestedAtMs: Number.NEGATIVE_INFINITY,
 		lastKnown: undefined,
 		instanceCount: undefined,
--- a/src/core/entry/lease.test.ts
+++ b/src/core/entry/lease.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	beacon, EntryHarness, instance, effectsOfKind,
+	beacon, EntryHarness, instance, effectsOfKind, targetEntry,
 } from '../../../test/standins/entry-harness.js';
 import {holdsLease} from './lease.js';
 import {type LeaseRecord} from './types.js';
@@ -140,3 +140,60 @@
 	const waitedMs = second.nowMs - steppedDownAtMs;
 	assert.ok(waitedMs >= 3000 && waitedMs < 4500, `${waitedMs} ms`);
 });
+
+/** Two instances that hear each other and know the same targets, the first of which holds the lease. */
+function createHolder(): {holder: EntryHarness; other: EntryHarness; row: LeaseRow; hear: (isHolderCutOff: boolean, isOtherCutOff: boolean) => void} {
+	const holder = new EntryHarness({...instance('a'), callerAddress: 'a:3'});
+	const other = new EntryHarness({...instance('b'), callerAddress: 'b:3'});
+	const row = new LeaseRow();
+	for (const core of [holder, other]) {
+		core.configure().readRegistry([targetEntry('t1'), targetEntry('t2')]);
+	}
+
+	const hear = (isHolderCutOff: boolean, isOtherCutOff: boolean) => {
+		const held = holdsLease({
+			state: holder.state, nowMs: holder.nowMs, wallMs: holder.nowMs + holder.wallOffsetMs, effects: [],
+		});
+		other.dispatch({
+			kind: 'beacon-received', beacon: beacon({
+				from: holder.self, isCutOff: isHolderCutOff, ...(held ? {lease: {holder: holder.self, epoch: held.epoch, ageMs: 0}} : {}),
+			}),
+		});
+		holder.dispatch({kind: 'beacon-received', beacon: beacon({from: other.self, isCutOff: isOtherCutOff})});
+	};
+
+	run([holder], row, 2000);
+	assert.ok(holds(holder));
+	return {
+		holder, other, row, hear,
+	};
+}
+
+function cutOff(core: EntryHarness): void {
+	for (const targetId of ['t1', 't2']) {
+		core.dispatch({
+			kind: 'target-probed', targetId, incarnation: 1, outcome: 'unanswered',
+		});
+	}
+}
+
+// Guards against orders that stand still for as long as the lease holder is cut off from all engines.
+test('a holder that reaches no target hands the lease to an instance that does, and does not take it back meanwhile', () => {
+	const {holder, other, row, hear} = createHolder();
+	cutOff(holder);
+	run([holder, other], row, 8000, () => {
+		hear(true, false);
+		assert.ok([holder, other].filter(core => holds(core)).length <= 1);
+	});
+	assert.deepEqual([holds(holder), holds(other)], [false, true]);
+});
+
+test('a holder that reaches no target keeps the lease where no other instance is known to reach one', () => {
+	const {holder, other, row, hear} = createHolder();
+	cutOff(holder);
+	cutOff(other);
+	run([holder, other], row, 8000, () => {
+		hear(true, true);
+	});
+	assert.ok(holds(holder));
+});
--- a/src/core/entry/lease.ts
+++ b/src/core/entry/lease.ts
@@ -5,9 +5,10 @@
 was sent, a successor's wait from when it first read the row that is still unchanged.
 */
 import {type EntryEventOf} from './event.js';
-import {logEvent, type EntryContext} from './state.js';
+import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {type HeldLease} from './lease-state.js';
-import {liveInstances} from './peers.js';
+import {liveInstances, PEER_SILENT_MS} from './peers.js';
+import {isCutOff} from './reachability.js';
 import {type LeaseRecord} from './types.js';
 
 /** Short enough that after a missed renewal another one fits into the validity. */
@@ -24,6 +25,8 @@
 const HOLDER_SILENT_MS = 1400;
 /** Instances of other zones hear of the holder every two seconds; after this time it has lost the lease. */
 const VACANT_SILENT_MS = 3500;
+/** A shorter partition is over before a successor could give orders. */
+const CUT_OFF_MS = 2000;
 /** Delay for each rank among the candidates, so that usually only one reads the row. */
 const CANDIDATE_STAGGER_MS = 700;
 /** Delay for each rank at startup, which spreads the first reads of instances that start together. */
@@ -67,7 +70,9 @@
 	}
 
 	if (state.lifecycle === 'draining') {
-		releaseLease(context);
+		releaseLease(context, 'instance is stopping');
+	} else if (lease.held && isUseless(state, nowMs)) {
+		releaseLease(context, 'instance reaches no target, and others do');
 	} else if (lease.held) {
 		if (nowMs - lease.requestedAtMs >= RENEW_INTERVAL_MS) {
 			writeLease(context, lease.held.revision, ownRecord(context, lease.held.epoch));
@@ -81,7 +86,7 @@
 function isCandidate({state, nowMs}: EntryContext): boolean {
 	const {lastKnown, steppedDownSinceMs} = state.lease;
 	const firstMs = steppedDownSinceMs ?? (lastKnown ? lastKnown.claimedAtMs + HOLDER_SILENT_MS : state.startedAtMs);
-	if (nowMs < firstMs) {
+	if (nowMs < firstMs || isUseless(state, nowMs)) {
 		return false;
 	}
 
@@ -137,7 +142,17 @@
 	context.effects.push({kind: 'write-lease', expectedRevision, record});
 }
 
-function releaseLease(context: EntryContext): void {
+/** Whether this instance has reached no target for a while, so that its orders would not arrive, and another one does. */
+function isUseless(state: EntryState, nowMs: number): boolean {
+	if (state.unreachedServices.size === 0 || !isCutOff(state, nowMs - CUT_OFF_MS)) {
+		return false;
+	}
+
+	return [...state.peers.values()].some(({instance, isCutOff: isPeerCutOff, isLeaving, beaconReceivedAtMs}) => !isPeerCutOff && !isLeaving
+		&& instance.callerAddress !== undefined && nowMs - beaconReceivedAtMs < PEER_SILENT_MS);
+}
+
+function releaseLease(context: EntryContext, reason: string): void {
 	const {lease} = context.state;
 	const {held} = lease;
 	if (!held) {
@@ -145,7 +160,8 @@
 	}
 
 	lease.held = undefined;
-	logEvent(context, 'lease-lost', {epoch: held.epoch, reason: 'instance is stopping'});
+	lease.isReleasing = true;
+	logEvent(context, 'lease-lost', {epoch: held.epoch, reason});
 	writeLease(context, held.revision, {...ownRecord(context, held.epoch), isReleased: true});
 }
 
@@ -153,6 +169,14 @@
 	const {state, nowMs} = context;
 	const {lease} = state;
 	lease.isRequestPending = false;
+	const wasReleasing = lease.isReleasing;
+	lease.isReleasing = false;
+	if (wasReleasing) {
+		// The row shows at the next read whether it was written. A successor waits from its own first sight of it.
+		lease.observed = undefined;
+		return;
+	}
+
 	if (result.kind === 'unknown' || state.lifecycle !== 'serving') {
 		// There is time for another renewal only if it is sent soon.
 		lease.requestedAtMs = nowMs - RENEW_INTERVAL_MS + RETRY_INTERVAL_MS;
--- a/src/core/entry/reachability.ts
+++ b/src/core/entry/reachability.ts
@@ -59,13 +59,13 @@
 	}
 }
 
-/** Whether no listed target of any service is reached, and there are some. */
-export function isCutOff({targets}: EntryState, nowMs: number): boolean {
+/** Whether no listed target of any service has been reached since a time, and there are some. */
+export function isCutOff({targets}: EntryState, sinceMs: number): boolean {
 	let listed = 0;
 	for (const target of targets.values()) {
-		if (isListed(target, nowMs)) {
+		if (isListed(target, sinceMs)) {
 			listed++;
-			if (target.unreachedSinceMs === undefined) {
+			if (target.unreachedSinceMs === undefined || target.unreachedSinceMs > sinceMs) {
 				return false;
 			}
 		}
