LIMIT: brittle services are not filled, and share what they can turn away

Change: the number is decoded, kept for the service, told in beacons and forgotten 3 s after it was last stated. While it holds, targets get at most nine tenths of their slots, an instance has only its share of the number without an answer there, and a refusal keeps it away until its share allows another. That is noted before the slot is freed; otherwise the next request in the queue went to the target that had just declined.

--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -3,6 +3,7 @@
 zones costs money and is kept low: the lease holder gets the demand from all zones, and
 an occasional beacon to a random instance of another zone keeps the zones connected.
 */
+import {announcedBrittleness} from './brittle-services.js';
 import {localDemand} from './demand.js';
 import {announcedLoad} from './load-announcements.js';
 import {
@@ -146,6 +147,7 @@
 		crashes: state.crashEvidence.records(nowMs, state.crashesToAnnounce.keys()),
 		crashDigest: state.crashEvidence.digest,
 		rateLimits: announcedLimits(context),
+		brittle: announcedBrittleness(context),
 		unreached: unreachedTargets(state).slice(0, MAX_UNREACHED),
 		isCutOff: isCutOff(state, nowMs) || undefined,
 	};
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -5,6 +5,7 @@
 advertises a newer version.
 */
 import {type InstanceId, type RequestId, type TargetId} from '../types.js';
+import {type AnnouncedBrittleness} from './brittle-services.js';
 import {type EntryConfiguration} from './configuration.js';
 import {type CrashRecord} from './crash-evidence.js';
 import {type ModelCopy, type TargetEntry} from './target.js';
@@ -155,6 +156,8 @@
 	readonly unreached?: readonly TargetId[];
 	/** Whether it reaches no target of any service. */
 	readonly isCutOff?: boolean;
+	/** Services whose targets fall over when they turn too many requests away. */
+	readonly brittle?: readonly AnnouncedBrittleness[];
 	/** Undefined from instances of an earlier release. */
 	readonly rateLimits?: readonly AnnouncedLimit[];
 };
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -2,6 +2,7 @@
 Merges the beacons of peers and the results of pulls into the state, and answers
 the pulls of peers.
 */
+import {adoptBrittleness} from './brittle-services.js';
 import {adoptConfiguration} from './configuration-adoption.js';
 import {mergeCrashes} from './crash-suspects.js';
 import {dispatchAll} from './dispatch.js';
@@ -40,6 +41,10 @@
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
 	adoptAnnouncedLimits(context, beacon.rateLimits ?? []);
+	for (const brittleness of beacon.brittle ?? []) {
+		adoptBrittleness(context, brittleness);
+	}
+
 	mergeCrashes(context, beacon.crashes.filter(({targetId}) => targetId !== undefined));
 	noteCrashDigest(context, beacon);
 
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -5,6 +5,7 @@
 number of slots and otherwise wait here, where they can still be sent elsewhere.
 */
 import fnv1a from '@sindresorhus/fnv1a';
+import {BRITTLE_FILL_FACTOR, isAtBrittleShare, isBrittle} from './brittle-services.js';
 import {countsAsHolder} from './holders.js';
 import {canAskForPermit, maySend} from './rate-permits.js';
 import {msPerToken, tokensToRead} from './reading-speed.js';
@@ -97,8 +98,9 @@
 
 export function hasCapacity({state, nowMs}: Pick<EntryContext, 'state' | 'nowMs'>, target: Target, request: EntryRequest): boolean {
 	const fill = request.arrival.model === undefined ? PLAIN_FILL_FACTORS : ENGINE_FILL_FACTORS;
-	const factor = fill[Math.min(request.route.rank, fill.length - 1)] ?? 1;
-	return estimatedLoad(target, nowMs) < target.entry.slots * factor && canReadInTime({state, nowMs}, target, request);
+	const rankFactor = fill[Math.min(request.route.rank, fill.length - 1)] ?? 1;
+	const factor = isBrittle(state, target, nowMs) ? Math.min(rankFactor, BRITTLE_FILL_FACTOR) : rankFactor;
+	return !isAtBrittleShare(state, target, nowMs) && estimatedLoad(target, nowMs) < target.entry.slots * factor && canReadInTime({state, nowMs}, target, request);
 }
 
 /** Whether the engine can read the request's prompt, after those that it has yet to read, without delaying its streams beyond their pause objective. */
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -111,6 +111,8 @@
 	readonly crashTrials: RecentMap<number>;
 	/** Targets that are probed. */
 	readonly probedTargets: Set<TargetId>;
+	/** Services whose targets have stated how many requests a second they can turn away. */
+	readonly brittleServices: Map<string, {readonly declinesPerSecond: number; readonly statedAtMs: number}>;
 	/** Services of which this instance reaches no target. */
 	readonly unreachedServices: Set<string>;
 	/** Targets whose connections broke, until it is known whether they went down. */
@@ -182,6 +184,7 @@
 		survivals: new RecentMap(MAX_SURVIVALS),
 		crashTrials: new RecentMap(MAX_CRASH_TRIALS),
 		probedTargets: new Set(),
+		brittleServices: new Map(),
 		unreachedServices: new Set(),
 		suspectedTargets: new Set(),
 		streamOrigins: new RecentMap(MAX_STREAM_ORIGINS),
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -64,6 +64,8 @@
 export type StatedRateLimit = {
 	/** Requests a second that it takes from all instances together, undefined if it names no limit. */
 	readonly perSecond: number | undefined;
+	/** Requests a second that it can turn away, from all instances together, undefined if it is not brittle. */
+	readonly declinesPerSecond?: number;
 };
 
 export type RateLimit = {
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -5,6 +5,7 @@
 */
 import {addSample} from '../request/estimate.js';
 import {type ResultName} from '../result-codes.js';
+import {holdOff, recordStatedBrittleness} from './brittle-services.js';
 import {
 	close, endTry, markRead, refuse, currentTry,
 } from './closing.js';
@@ -150,6 +151,7 @@
 
 		if (event.rateLimit) {
 			recordStatedLimit(context, target, attempt, event.rateLimit);
+			recordStatedBrittleness(context, target, attempt, event.rateLimit.declinesPerSecond);
 		}
 
 		if (markRead(state, target, request.id)) {
@@ -197,9 +199,8 @@
 	request.delivered = Math.max(request.delivered, event.delivered);
 	attempt.firstEventAtMs = event.firstEventAtMs;
 	attempt.longestPauseMs = event.longestPauseMs;
-	// Before the slot is freed, so that the requests that are sent to it keep to the limit.
-	if (target && event.rateLimit && !attempt.hasBegun) {
-		recordStatedLimit(context, target, attempt, event.rateLimit);
+	if (target) {
+		recordLimits(context, target, {attempt, event});
 	}
 
 	endTry(context, request, attempt, event.outcome);
@@ -232,6 +233,18 @@
 	handleFailure(context, request, event.outcome, {wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs});
 }
 
+/** Records what limits the target before the slot is freed, so that the requests that are sent to it keep to that. */
+function recordLimits(context: EntryContext, target: Target, {attempt, event}: {readonly attempt: EntryTry; readonly event: EntryEventOf<'try-ended'>}): void {
+	if (event.rateLimit && !attempt.hasBegun) {
+		recordStatedLimit(context, target, attempt, event.rateLimit);
+		recordStatedBrittleness(context, target, attempt, event.rateLimit.declinesPerSecond);
+	}
+
+	if (event.outcome === 'not-run' && !event.isMissing) {
+		holdOff(context, target);
+	}
+}
+
 function completeRequest(context: EntryContext, request: EntryRequest, {target, status}: {readonly target: Target | undefined; readonly status: number | undefined}): void {
 	if (target) {
 		target.failures = 0;
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -46,6 +46,8 @@
 	'crash-learned': {number: 311, level: 'info'},
 	'service-unreached': {number: 312, level: 'warn'},
 	'service-reached': {number: 313, level: 'info'},
+	'service-brittle': {number: 314, level: 'warn'},
+	'service-sturdy': {number: 315, level: 'info'},
 	'order-sent': {number: 400, level: 'info'},
 	'order-confirmed': {number: 401, level: 'info'},
 	'order-unresolved': {number: 402, level: 'warn'},
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -115,6 +115,8 @@
 	readonly load: TargetLoad | undefined;
 	/** Requests a second that the target takes from all instances together, undefined if it names no limit. */
 	readonly requestsPerSecond: number | undefined;
+	/** Requests a second that the target can turn away before it falls over, undefined if it states none. */
+	readonly declinesPerSecond: number | undefined;
 };
 
 /** Decodes and encodes the headers of callers and targets. */
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -104,7 +104,7 @@
 
 		const metadata = headerCodec.parseResponse(response.status, response.headers);
 		const timing: StreamTiming = {firstEventAtMs: undefined, longestPauseMs: 0};
-		const rateLimit = {perSecond: metadata.requestsPerSecond};
+		const rateLimit = statedLimit(metadata);
 		try {
 			return {
 				rateLimit,
@@ -248,7 +248,7 @@
 			if (nowMs - progressSentAtMs >= PROGRESS_INTERVAL_MS) {
 				progressSentAtMs = nowMs;
 				this._options.dispatch({
-					kind: 'try-progressed', requestId: exchange.id, tryNumber: effect.tryNumber, delivered: exchange.delivered, load: metadata.load, rateLimit: {perSecond: metadata.requestsPerSecond},
+					kind: 'try-progressed', requestId: exchange.id, tryNumber: effect.tryNumber, delivered: exchange.delivered, load: metadata.load, rateLimit: statedLimit(metadata),
 				});
 			}
 
@@ -277,6 +277,10 @@
 	}
 }
 
+function statedLimit({requestsPerSecond, declinesPerSecond}: ResponseMetadata): StatedRateLimit {
+	return {perSecond: requestsPerSecond, declinesPerSecond};
+}
+
 /** Returns the events after `lastEventId`, the last one that the caller has, or undefined if an event is missing in between. */
 export function selectUndelivered(events: readonly StreamEvent[], lastEventId: number): StreamEvent[] | undefined {
 	const undelivered: StreamEvent[] = [];
