--- a/src/core/entry/crash-suspects.ts
+++ b/src/core/entry/crash-suspects.ts
@@ -6,8 +6,8 @@
 fingerprint at fault is refused by every instance, at each point at which it could be
 sent to a target.
 */
+import {type CrashRecord, type Fingerprint} from '../request/crash-evidence.js';
 import {currentTry, refuse} from './closing.js';
-import {type CrashRecord, type Fingerprint} from './crash-evidence.js';
 import {type EntryEventOf} from './event.js';
 import {culpritOf, fingerprintsOf, quarantineRefusal} from './quarantine.js';
 import {markReached, recordUnreached} from './reachability.js';
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -5,9 +5,9 @@
 advertises a newer version.
 */
 import {type InstanceId, type RequestId, type TargetId} from '../types.js';
+import {type CrashRecord} from '../request/crash-evidence.js';
 import {type AnnouncedBrittleness} from './brittle-services.js';
 import {type EntryConfiguration} from './configuration.js';
-import {type CrashRecord} from './crash-evidence.js';
 import {type ModelCopy, type TargetEntry} from './target.js';
 import {type EntryInstance} from './types.js';
 
--- a/src/core/entry/quarantine.ts
+++ b/src/core/entry/quarantine.ts
@@ -3,7 +3,7 @@
 targets, and the final response to them.
 */
 import {type ResultName} from '../result-codes.js';
-import {type Fingerprint} from './crash-evidence.js';
+import {type Fingerprint} from '../request/crash-evidence.js';
 import {holdsLease} from './lease.js';
 import {logEvent, type EntryContext} from './state.js';
 import {type EntryArrival, type EntryRequest} from './types.js';
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -7,7 +7,7 @@
 import {
 	type InstanceId, type RequestId, type TargetId, type ZoneName,
 } from '../types.js';
-import {type Fingerprint} from './crash-evidence.js';
+import {type Fingerprint} from '../request/crash-evidence.js';
 
 export type ModelCopy = {
 	readonly model: string;
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -5,8 +5,8 @@
 import {
 	type InstanceId, type RequestId, type TargetId, type ZoneName,
 } from '../types.js';
+import {type Fingerprint} from '../request/crash-evidence.js';
 import {type Route} from './configuration.js';
-import {type Fingerprint} from './crash-evidence.js';
 
 /** Identity and addresses of one entry process. */
 export type EntryInstance = {
--- a/src/core/peer/exchange.ts
+++ b/src/core/peer/exchange.ts
@@ -8,7 +8,7 @@
 import {resetFailures, updateMember} from '../membership/instances.js';
 import {recordClosedEpoch, applyPeerLease} from '../placement/lease.js';
 import {
-	admitCleared, applyPeerIsolation, quarantineContent, recordCrash, publishIfCleared,
+	admitCleared, applyPeerIsolation, quarantineContent, recordCrash, recordPrefixCrash, publishIfCleared,
 } from '../request/crash-suspects.js';
 import {applyPeerCopies} from '../request/reports.js';
 import {type InstanceId} from '../types.js';
@@ -44,7 +44,11 @@
 			});
 		}
 	},
+	crashed(context, _fact, crash) {
+		recordPrefixCrash(context, crash);
+	},
 	cleared(context, _fact, {contentHash}) {
+		context.state.requests.crashEvidence.clear(contentHash);
 		admitCleared(context, contentHash);
 	},
 	isolated(context, fact, {targetId, contentHash, isExclusive}) {
--- a/src/core/peer/facts.ts
+++ b/src/core/peer/facts.ts
@@ -31,6 +31,7 @@
 	configuration: undefined,
 	condemned: 60 * 60 * 1000,
 	suspected: 10 * 60 * 1000,
+	crashed: 60 * 60 * 1000,
 	cleared: 10 * 60 * 1000,
 	isolated: 60 * 1000,
 	'idle-zone': 60 * 1000,
@@ -41,7 +42,7 @@
 	demand: 30 * 1000,
 };
 
-const urgentKinds: ReadonlySet<FactKind> = new Set(['configuration', 'condemned', 'suspected', 'cleared', 'isolated', 'idle-zone', 'instance', 'leaving-copy', 'copies']);
+const urgentKinds: ReadonlySet<FactKind> = new Set(['configuration', 'condemned', 'suspected', 'crashed', 'cleared', 'isolated', 'idle-zone', 'instance', 'leaving-copy', 'copies']);
 
 /** Publishes a fact with this instance as its origin. */
 export function publishFact(context: Context, key: string, value: FactValue): void {
--- a/src/core/request/admission.ts
+++ b/src/core/request/admission.ts
@@ -13,7 +13,7 @@
 import {expectedWaitMs} from './queueing.js';
 import {dispatchRoute} from './dispatch.js';
 import {readKey, resolveRoute} from './resolve.js';
-import {holdIfSuspect, isQuarantined} from './crash-suspects.js';
+import {hasQuarantinedPrefix, holdIfSuspect, isQuarantined} from './crash-suspects.js';
 import {type Claim, type OpenRequest, type ResolvedRoute} from './types.js';
 
 const RETRIES_EARNED_PER_REQUEST = 0.2;
@@ -46,7 +46,7 @@
 
 function openRequest(context: Context, arrival: Arrival, caller: string, resolved: ResolvedRoute): void {
 	const {state, nowMs} = context;
-	if (isQuarantined(context, arrival.contentHash)) {
+	if (isQuarantined(context, arrival.contentHash) || hasQuarantinedPrefix(context, arrival)) {
 		refuseArrival(context, arrival, {code: 'crash-refused'});
 		return;
 	}
--- a/src/core/entry/crash-evidence.ts
+++ b/src/core/request/crash-evidence.ts
@@ -19,8 +19,8 @@
 /** A crash as instances tell each other of it. */
 export type CrashRecord = {
 	readonly targetId: TargetId;
-	/** Incarnation of the target that went down. */
-	readonly incarnation: number;
+	/** Incarnation or boot id of the target that went down. */
+	readonly incarnation: number | string;
 	/** Time since the crash was first noticed. */
 	readonly agoMs: number;
 	/** Fingerprints of the requests that ran there. */
@@ -31,7 +31,7 @@
 
 type Crash = {
 	readonly targetId: TargetId;
-	readonly incarnation: number;
+	readonly incarnation: number | string;
 	noticedAtMs: number;
 	readonly suspects: Set<Fingerprint>;
 	readonly cleared: Set<Fingerprint>;
--- a/src/core/request/crash-suspects.test.ts
+++ b/src/core/request/crash-suspects.test.ts
@@ -96,7 +96,7 @@
 });
 
 // Guards against counting crashes by the whole content, by which requests that share only the part at fault are strangers.
-test('requests with one prompt prefix, no two alike, crash at most five targets, and no other request is refused', {todo: 'KNOWN-RED.txt, issue 34'}, () => {
+test('requests with one prompt prefix, no two alike, crash at most five targets, and no other request is refused', () => {
 	const setup = setUp();
 	const {simulation, instances, crashing} = setup;
 	const neighbours: string[] = [];
--- a/src/core/request/crash-suspects.ts
+++ b/src/core/request/crash-suspects.ts
@@ -4,13 +4,15 @@
 has run to completion recently. Suspects run isolated from each other, one per target, so
 that a second crash has a single culprit; an idle target is reserved for the suspect
 alone. Completion clears a suspect; a second crash quarantines its content on every
-instance.
+instance. Prompt prefixes, which requests share that are otherwise not alike, are blamed
+beside: a third crash without a completion quarantines all requests with the prefix.
 */
 import {logEvent, type Context} from '../context.js';
 import {publishFact} from '../peer/facts.js';
 import {type InstanceId, type RequestId, type TargetId} from '../types.js';
 import {admit} from './admission.js';
 import {refuse} from './closing.js';
+import {type Fingerprint} from './crash-evidence.js';
 import {dispatchTarget} from './dispatch.js';
 import {routeTargets} from './selection.js';
 import {estimatedLoad, type Target} from './target.js';
@@ -46,6 +48,63 @@
 	return untilMs !== undefined && untilMs > nowMs;
 }
 
+/** Fingerprint of a prompt's beginning, which requests share that are otherwise not alike; undefined without a prompt. */
+function prefixFingerprint({prefixHash}: {readonly prefixHash?: string}): Fingerprint | undefined {
+	return prefixHash === undefined ? undefined : `prefix:${prefixHash}`;
+}
+
+/** Whether a request has a prompt prefix whose requests crash targets, whatever else they hold. */
+export function hasQuarantinedPrefix({state}: Context, request: {readonly prefixHash?: string}): boolean {
+	const fingerprint = prefixFingerprint(request);
+	return fingerprint !== undefined && state.requests.crashEvidence.culpritOf([fingerprint]) !== undefined;
+}
+
+type PrefixCrash = {
+	readonly targetId: TargetId;
+	readonly boot: string;
+	readonly fingerprint: Fingerprint;
+};
+
+/** Blames a crash, seen by this instance or a peer, on a prompt prefix that ran there, and refuses its requests once it is at fault. */
+export function recordPrefixCrash(context: Context, {targetId, boot, fingerprint}: PrefixCrash): void {
+	const {requests} = context.state;
+	requests.crashEvidence.expire(context.nowMs);
+	const isNew = requests.crashEvidence.add({
+		targetId, incarnation: boot, agoMs: 0, suspects: [fingerprint], cleared: [],
+	}, context.nowMs) !== undefined;
+	if (!isNew || requests.crashEvidence.culpritOf([fingerprint]) === undefined) {
+		return;
+	}
+
+	logEvent(context, 'request-crash-refused', {fingerprint});
+	refuseOpen(context, request => prefixFingerprint(request) === fingerprint);
+}
+
+/** Clears the prompt prefix of a request that ran to completion, here and at peers. */
+export function clearPrefix(context: Context, request: OpenRequest): void {
+	const fingerprint = prefixFingerprint(request);
+	if (fingerprint === undefined) {
+		return;
+	}
+
+	const {requests} = context.state;
+	requests.innocent.set(fingerprint, context.nowMs);
+	if (requests.crashEvidence.clear(fingerprint).length > 0) {
+		publishFact(context, `cleared/${fingerprint}`, {kind: 'cleared', contentHash: fingerprint});
+	}
+}
+
+/** Refuses the open requests that must not run any more. A try of work that runs at most once continues; its end settles the claim. */
+function refuseOpen(context: Context, isAffected: (request: OpenRequest) => boolean): void {
+	for (const request of context.state.requests.open.values()) {
+		const isRunningOnce = request.repeat === 'once' && currentTry(request) !== undefined;
+		if (isAffected(request) && request.phase !== 'detached' && !isRunningOnce) {
+			cancelTry(context, request);
+			refuse(context, request, {code: 'crash-refused'});
+		}
+	}
+}
+
 /** Holds a request if its content is a crash suspect. Returns whether it is. */
 export function holdIfSuspect(context: Context, request: OpenRequest): boolean {
 	const suspect = context.state.requests.suspects.get(request.contentHash);
@@ -73,6 +132,14 @@
 		}
 	}
 
+	for (const fingerprint of new Set(requests.map(request => prefixFingerprint(request)))) {
+		if (fingerprint !== undefined && !hasCompleted(context, fingerprint)) {
+			const crash = {targetId: target.id, boot: target.boot, fingerprint};
+			publishFact(context, `crashed/${target.id}@${target.boot}/${fingerprint}`, {kind: 'crashed', ...crash});
+			recordPrefixCrash(context, crash);
+		}
+	}
+
 	for (const request of requests) {
 		if (request.repeat === 'idempotent' && request.phase === 'verifying') {
 			holdIfSuspect(context, request);
@@ -124,14 +191,7 @@
 	requests.condemned.set(contentHash, context.nowMs + QUARANTINE_MS);
 	logEvent(context, 'request-crash-refused', {contentHash});
 	removeSuspect(context, contentHash);
-	for (const request of requests.open.values()) {
-		// A try of work that runs at most once continues; its end settles the claim.
-		const isRunningOnce = request.repeat === 'once' && currentTry(request) !== undefined;
-		if (request.contentHash === contentHash && request.phase !== 'detached' && !isRunningOnce) {
-			cancelTry(context, request);
-			refuse(context, request, {code: 'crash-refused'});
-		}
-	}
+	refuseOpen(context, request => request.contentHash === contentHash);
 }
 
 /** Clears content that ran to completion, here and at peers, and admits the requests held for it. */
--- a/src/core/request/state.ts
+++ b/src/core/request/state.ts
@@ -3,6 +3,7 @@
 */
 import {type RequestId, type RouteId} from '../types.js';
 import {type Settlement} from '../event.js';
+import {CrashEvidence} from './crash-evidence.js';
 import {emptyEstimate, type Estimate} from './estimate.js';
 import {FairQueue, type WaitingCount} from './fair-queue.js';
 import {RecentMap} from './recent-map.js';
@@ -51,6 +52,8 @@
 	readonly settlements = new Map<string, OpenSettlement>();
 	readonly suspects = new Map<string, Suspect>();
 	/** Quarantined content hashes, with the time at which the quarantine ends. */
+	/** Crashes of targets, by the prompt prefixes of what ran there. */
+	readonly crashEvidence = new CrashEvidence();
 	readonly condemned = new RecentMap<number>(MAX_QUARANTINED_HASHES);
 	/** Hashes of content that ran to completion, with the time of completion. Such content is not suspected after a crash. */
 	readonly innocent = new RecentMap<number>(MAX_COMPLETED_HASHES);
--- a/src/core/request/tries.ts
+++ b/src/core/request/tries.ts
@@ -14,7 +14,9 @@
 import {dispatchRoute, dispatchTarget} from './dispatch.js';
 import {addSample} from './estimate.js';
 import {releaseClaim, settleDone, settleUnknown} from './settlements.js';
-import {clearSuspect, endIsolation, handleTargetCrash} from './crash-suspects.js';
+import {
+	clearPrefix, clearSuspect, endIsolation, handleTargetCrash,
+} from './crash-suspects.js';
 import {silenceLimitMs} from './silence.js';
 import {type Target} from './target.js';
 import {
@@ -126,6 +128,7 @@
 	addSample(context.state.requests.route(request.route).service, context.nowMs - attempt.startedAtMs);
 	context.state.requests.innocent.set(request.contentHash, context.nowMs);
 	clearSuspect(context, request.contentHash);
+	clearPrefix(context, request);
 	if (request.claim && event.answer) {
 		settleDone(context, request, event.answer);
 	}
