--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -130,6 +130,8 @@
 	bodyTimeout: 0,
 };
 
+const REGULAR_END_CODE = 'UND_ERR_INFO';
+
 const connectSocket = buildConnector({timeout: CONNECT_TIMEOUT_MS});
 
 /** Counts socket errors before undici handles them. */
@@ -138,8 +140,9 @@
 		connectSocket(options, (...result) => {
 			const [error, socket] = result;
 			if (error === null) {
-				socket.on('error', () => {
-					resets.count++;
+				socket.on('error', socketError => {
+					// undici destroys a connection that ended a response in the regular way with an error of this kind.
+					resets.count += errorCode(socketError) === REGULAR_END_CODE ? 0 : 1;
 				});
 			}
 
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -165,8 +165,11 @@
 /** Pause of a sound runner between two events. */
 const PAUSE_MS = 1100;
 
-/** How a runner handles one request; `answer` sends a complete response, `pause` one with a long pause after its first event. */
-export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
+/**
+How a runner handles one request; `answer` sends a complete response, `pause` one with a long pause after its first event,
+`close-delimited` one that ends with its connection, `close-inside` a stream that ends so inside an event.
+*/
+export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
 
 export type ReceivedRequest = {
 	readonly method: string;
@@ -318,6 +321,12 @@
 				break;
 			}
 
+			case 'close-delimited':
+			case 'close-inside': {
+				this._answerUntilClose(behaviour, {request, socket, headers});
+				break;
+			}
+
 			case 'hang': {
 				break;
 			}
@@ -340,6 +349,17 @@
 		}
 	}
 
+	/** Sends a response with neither a length nor chunks. */
+	private _answerUntilClose(behaviour: RunnerBehaviour, {request, socket, headers}: {request: IncomingMessage; socket: Socket; headers: Record<string, string | string[]>}): void {
+		const isStream = request.headers['x-pollenarch-token-usage'] !== undefined;
+		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+		const last = behaviour === 'close-inside' ? first + 1 : this.events;
+		const events = Array.from({length: Math.max(0, last - first + 1)}, (_, index) => `id: ${first + index}\ndata: token ${first + index}\n\n`).join('');
+		const body = isStream ? events + (behaviour === 'close-inside' ? `id: ${last + 1}\ndata: tok` : '') : `answer of ${this.id} to ${String(headers['x-pollenarch-request-id'])}`;
+		const lines = Object.entries(headers).map(([name, value]) => `${name}: ${String(value)}\r\n`).join('');
+		socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n${isStream ? 'Content-Type: text/event-stream\r\n' : ''}${lines}\r\n${body}`);
+	}
+
 	private async _sendWithoutEnd(socket: Socket, kind: EndlessKind, headers: Readonly<Record<string, string | string[]>>): Promise<void> {
 		this.openEndless++;
 		await sendWithoutEnd(socket, endlessAnswers[kind], {
