--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -147,12 +147,17 @@
 		crashes: state.crashEvidence.records(nowMs, state.crashesToAnnounce.keys()),
 		crashDigest: state.crashEvidence.digest,
 		rateLimits: announcedLimits(context),
-		brittle: announcedBrittleness(context),
-		unreached: unreachedTargets(state).slice(0, MAX_UNREACHED),
+		brittle: orNone(announcedBrittleness(context)),
+		unreached: orNone(unreachedTargets(state).slice(0, MAX_UNREACHED)),
 		isCutOff: isCutOff(state, nowMs) || undefined,
 	};
 }
 
+/** Lists that are mostly empty are left out of beacons. */
+function orNone<Item>(list: readonly Item[]): readonly Item[] | undefined {
+	return list.length === 0 ? undefined : list;
+}
+
 export function leaseStatus({state, nowMs}: EntryContext): Beacon['lease'] {
 	const {lastKnown} = state.lease;
 	return lastKnown && {
--- a/src/core/entry/crash-suspects.ts
+++ b/src/core/entry/crash-suspects.ts
@@ -6,7 +6,7 @@
 fingerprint at fault is refused by every instance, at each point at which it could be
 sent to a target.
 */
-import {type CrashRecord, type Fingerprint} from '../request/crash-evidence.js';
+import {QUARANTINE_CRASHES, type CrashRecord, type Fingerprint} from '../request/crash-evidence.js';
 import {currentTry, refuse} from './closing.js';
 import {type EntryEventOf} from './event.js';
 import {culpritOf, fingerprintsOf, quarantineRefusal} from './quarantine.js';
@@ -86,6 +86,7 @@
 		targetId: target.id, incarnation, agoMs: 0, suspects: blamed, cleared: [],
 	}, nowMs);
 	announce(context, key === undefined ? [] : [key]);
+	logQuarantines(context, blamed);
 	refuseQuarantined(context);
 }
 
@@ -117,10 +118,20 @@
 
 	if (learned.length > 0) {
 		logEvent(context, 'crash-learned', {crashes: learned});
+		logQuarantines(context, records.flatMap(({suspects}) => suspects));
 		refuseQuarantined(context);
 	}
 }
 
+/** Logs the fingerprints that this crash has put at fault. */
+function logQuarantines(context: EntryContext, fingerprints: readonly Fingerprint[]): void {
+	for (const fingerprint of new Set(fingerprints)) {
+		if (context.state.crashEvidence.blame(fingerprint) === QUARANTINE_CRASHES) {
+			logEvent(context, 'request-crash-refused', {fingerprint, crashes: QUARANTINE_CRASHES});
+		}
+	}
+}
+
 /** Refuses the open requests that must not be sent any more, and cancels those whose answer has not begun. */
 function refuseQuarantined(context: EntryContext): void {
 	for (const request of context.state.open.values()) {
--- a/src/core/entry/reachability.ts
+++ b/src/core/entry/reachability.ts
@@ -87,6 +87,11 @@
 		const isSuspected = state.suspectedTargets.has(id);
 		if (!target || !isListed(target, nowMs) || (!isSuspected && target.unreachedSinceMs === undefined && !target.probe.isWanted)) {
 			state.probedTargets.delete(id);
+			if (target) {
+				// Unlisted, or reached; one that is listed again may be reached.
+				target.unreachedSinceMs = undefined;
+			}
+
 			continue;
 		}
 
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -27,6 +27,10 @@
 
 /** Whether there are targets that could serve the request, and this instance reaches none of them. */
 export function isUnreached(context: EntryContext, request: EntryRequest): boolean {
+	if (context.state.probedTargets.size === 0) {
+		return false;
+	}
+
 	const holders = holdersOf(context, request);
 	return holders.length > 0 && holders.every(({unreachedSinceMs}) => unreachedSinceMs !== undefined);
 }
