LOST: a request waits for the target that holds its adapter while nobody holds the lease

What callers saw: 503 at once for an adapter that a target holds, where that target is full and no instance holds the lease. Cause: a full target was left out before it was asked who holds the adapter, so the request seemed to need a load, which only a lease holder orders. Change: while the lease is vacant such a request stays in its queue, as it does for a full target that holds its model.

--- a/src/core/entry/dispatch.ts
+++ b/src/core/entry/dispatch.ts
@@ -11,7 +11,7 @@
 import {type EntryContext} from './state.js';
 import {askForPermits} from './rate-permits.js';
 import {chooseRelay, isUnreached, sendRelay} from './relay.js';
-import {chooseTarget} from './selection.js';
+import {canServe, chooseTarget} from './selection.js';
 import {type Target} from './target.js';
 import {refuseOrWait} from './patience.js';
 import {sendTry} from './send.js';
@@ -81,7 +81,7 @@
 			continue;
 		}
 
-		if (choice.kind === 'none' || choice.kind === 'full') {
+		if (choice.kind === 'none' || choice.kind === 'full' || (choice.kind === 'fetch' && isLeaseVacant(context) && isAdapterHeld(context, request))) {
 			return;
 		}
 
@@ -96,6 +96,12 @@
 	}
 }
 
+/** Whether a target that serves requests holds the adapter of a request, even if it is full. */
+function isAdapterHeld({state, nowMs}: EntryContext, request: EntryRequest): boolean {
+	const name = `${request.arrival.model}/${request.arrival.adapter}`;
+	return targetsOf(state, request.service).some(target => canServe(target, request, nowMs) && target.adapters.has(name));
+}
+
 /** Only the lease holder orders adapters. Until there is one again, a request for an adapter that no target holds cannot be served. */
 function refuseWithoutHolder(context: EntryContext, request: EntryRequest): void {
 	request.phase = 'fetching';
--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -170,7 +170,7 @@
 });
 
 // Guards against refusing a request for an adapter that a target holds: only a load of the adapter needs a lease holder.
-test('no instance holds the lease, and the target that holds the adapter is full: a request waits for it', {todo: 'KNOWN-RED.txt, issue 30'}, () => {
+test('no instance holds the lease, and the target that holds the adapter is full: a request waits for it', () => {
 	const core = createCore().readRegistry([
 		engineEntry('e1', [], {copies: [{model: 'm0', version: 1, adapters: ['a1']}]}), engineEntry('e2', ['m0']),
 	]);
