--- a/src/core/request/crash-evidence.ts
+++ b/src/core/request/crash-evidence.ts
@@ -58,6 +58,11 @@
 	private readonly _blamed = new Map<Fingerprint, Set<Crash>>();
 	private _digest = 0;
 
+	/** Number of known crashes. */
+	get size(): number {
+		return this._crashes.size;
+	}
+
 	/** Equal for equal sets; 0 if no crash is known. */
 	get digest(): number {
 		return this._digest;
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -7,6 +7,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import {type LogEventName} from '../core/log-events.js';
+import {unreachedTargets} from '../core/entry/reachability.js';
 import {isLimited, isUsable} from '../core/entry/target.js';
 import {type EntryState} from '../core/entry/state.js';
 
@@ -67,6 +68,8 @@
 			['pollenarch_waiting_requests', 'Requests that wait for room at a target.', () => [...state.queues.values()].reduce((sum, {waiting}) => sum + waiting, 0)],
 			['pollenarch_usable_targets', 'Targets that requests may be sent to.', () => [...state.targets.values()].filter(target => isUsable(target, monotonicMs())).length],
 			['pollenarch_limited_targets', 'Targets that name a limit on requests.', () => [...state.targets.values()].filter(target => isLimited(target)).length],
+			['pollenarch_unreached_targets', 'Targets that no connection can be opened to.', () => unreachedTargets(state).length],
+			['pollenarch_known_crashes', 'Crashes of targets of the last hour with something blamed for them or cleared.', () => state.crashEvidence.size],
 			['pollenarch_known_instances', 'Other instances that are known.', () => state.peers.size],
 			['pollenarch_configuration_version', 'Version of the configuration in force.', () => state.configuration?.version ?? 0],
 			['pollenarch_registry_age_seconds', 'Age of the copy of the registry.', () => Number.isFinite(state.registry.freshAtMs) ? (monotonicMs() - state.registry.freshAtMs) * SECONDS_PER_MS : -1],
