--- a/src/core/entry/lease.ts
+++ b/src/core/entry/lease.ts
@@ -71,7 +71,7 @@
 
 	if (state.lifecycle === 'draining') {
 		releaseLease(context, 'instance is stopping');
-	} else if (lease.held && isUseless(state, nowMs)) {
+	} else if (lease.held && isCutOffAlone(state, nowMs)) {
 		releaseLease(context, 'instance reaches no target, and others do');
 	} else if (lease.held) {
 		if (nowMs - lease.requestedAtMs >= RENEW_INTERVAL_MS) {
@@ -86,7 +86,7 @@
 function isCandidate({state, nowMs}: EntryContext): boolean {
 	const {lastKnown, steppedDownSinceMs} = state.lease;
 	const firstMs = steppedDownSinceMs ?? (lastKnown ? lastKnown.claimedAtMs + HOLDER_SILENT_MS : state.startedAtMs);
-	if (nowMs < firstMs || isUseless(state, nowMs)) {
+	if (nowMs < firstMs || isCutOffAlone(state, nowMs)) {
 		return false;
 	}
 
@@ -143,7 +143,7 @@
 }
 
 /** Whether this instance has reached no target for a while, so that its orders would not arrive, and another one does. */
-function isUseless(state: EntryState, nowMs: number): boolean {
+function isCutOffAlone(state: EntryState, nowMs: number): boolean {
 	if (state.unreachedServices.size === 0 || !isCutOff(state, nowMs - CUT_OFF_MS)) {
 		return false;
 	}
