REFUSED: a target's unsigned error that was passed on does not mean that it has not run

What callers could see: 503, which promises that a request has not run, after a target had run it and failed it without a signature. Cause: the instance that passed a request on took each unsigned response but 502 and 504 for the other instance's own refusal. Change: an instance marks the responses that it generates itself for relayed requests; only those count as refusals. Evidence: the new test in cut-off-instances.test.ts got 503 instead of the target's 500 before, and passes; 52 tests of the files concerned pass.

--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -110,6 +110,8 @@
 	readonly isNotRun: boolean;
 	/** Whether it did not run it since it is not the target, or does not hold the model or adapter, that the request needs. */
 	readonly isMissing: boolean;
+	/** Whether another instance generated the response itself. A target's own response that it passed on, even one without a signature, is none. */
+	readonly isProblem: boolean;
 	/** When the sender may be asked again, undefined if it states none. */
 	readonly retryAfterMs: number | undefined;
 	readonly load: TargetLoad | undefined;
@@ -125,8 +127,8 @@
 	buildTargetHeaders(headers: RawHeaders, metadata: ForwardingMetadata): string[];
 	buildRelayHeaders(headers: RawHeaders, metadata: RelayMetadata): string[];
 	parseResponse(status: number, headers: RawHeaders): ResponseMetadata;
-	/** Returns the headers of a response that this instance generates itself. */
-	buildProblemHeaders(requestId: string | undefined): Readonly<Record<string, string>>;
+	/** Returns the headers of a response that this instance generates itself; `isRelayed`: to another instance. */
+	buildProblemHeaders(requestId: string | undefined, isRelayed: boolean): Readonly<Record<string, string>>;
 };
 
 /** Client of the engines that run in targets. */
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -278,7 +278,7 @@
 		const id = metadata.requestId;
 		const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
 		const exchange = new Exchange({
-			id: id ?? '', metadata, request, response, body, problemHeaders: headerCodec.buildProblemHeaders(id), closesConnection: () => this.state.lifecycle !== 'serving',
+			id: id ?? '', metadata, request, response, body, problemHeaders: headerCodec.buildProblemHeaders(id, metadata.relayed !== undefined), closesConnection: () => this.state.lifecycle !== 'serving',
 		});
 		if (id === undefined || id === '' || this.exchanges.has(id)) {
 			this.log.write('request-refused', {code: 'header-invalid', requestId: id});
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -144,7 +144,7 @@
 			};
 		}
 
-		const isRefusal = effect.relayed !== undefined && !metadata.isSigned && !unknownOutcomeStatuses.has(status);
+		const isRefusal = effect.relayed !== undefined && metadata.isProblem && !unknownOutcomeStatuses.has(status);
 		if (metadata.isNotRun || isRefusal) {
 			discardBody(body);
 			return {
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -169,7 +169,7 @@
 How a runner handles one request; `answer` sends a complete response, `pause` one with a long pause after its first event,
 `close-delimited` one that ends with its connection, `close-inside` a stream that ends so inside an event.
 */
-export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
+export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'unsigned-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
 
 export type ReceivedRequest = {
 	readonly method: string;
@@ -305,6 +305,12 @@
 				break;
 			}
 
+			case 'unsigned-error': {
+				response.writeHead(500, {'x-pollenarch-request-id': String(headers['x-pollenarch-request-id'])}).end('failed');
+
+				break;
+			}
+
 			case 'reset': {
 				socket.resetAndDestroy();
 
--- a/test/unit/cut-off-instances.test.ts
+++ b/test/unit/cut-off-instances.test.ts
@@ -149,6 +149,24 @@
 	await heal(0, 1);
 });
 
+// Guards against taking a runner's own error without a signature for a refusal by the other instance, which would say "not run".
+test('a runner that has run a relayed request fails it without a signature: its error reaches the caller, and nothing says "not run"', async () => {
+	cutOff(0);
+	await send(0, '/ask/1', stream);
+	for (const runner of runners) {
+		runner.behaviours = Array.from({length: 3}, () => 'unsigned-error' as const);
+	}
+
+	const answer = await send(0, '/sign/1');
+	assert.equal(answer.status, 500, 'the caller is not told that it has not run');
+	assert.equal(arrivalsOf(answer.id), 1);
+	for (const runner of runners) {
+		runner.behaviours = [];
+	}
+
+	await heal(0);
+});
+
 test('all instances are cut off from all runners: requests are refused at once, and nothing goes in circles', async () => {
 	cutOff(0, 1, 2);
 	await Promise.all(instances.map(async (_, index) => send(index, '/ask/1', stream)));
