Take back that an answer which ends with its connection is whole

So a target that goes down seems to close its connections in the regular way, which a whole answer does too. Until that is understood they count as reset, as on: 502 or another try, never a short body.

--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -130,8 +130,6 @@
 	bodyTimeout: 0,
 };
 
-const REGULAR_END_CODE = 'UND_ERR_INFO';
-
 const connectSocket = buildConnector({timeout: CONNECT_TIMEOUT_MS});
 
 /** Counts socket errors before undici handles them. */
@@ -140,9 +138,10 @@
 		connectSocket(options, (...result) => {
 			const [error, socket] = result;
 			if (error === null) {
-				socket.on('error', socketError => {
-					// undici destroys a connection that ended a response in the regular way with an error of this kind.
-					resets.count += errorCode(socketError) === REGULAR_END_CODE ? 0 : 1;
+				// undici also destroys a connection that ended a response in the regular way with an error, which counts: a target that
+				// goes down may close its connections in that way.
+				socket.on('error', () => {
+					resets.count++;
 				});
 			}
 
