Log the age of the configuration, versions of relays, and a store that goes back

Logs could not tell its hypotheses apart: nothing gave the age of what an instance believes of the configuration; a relayed request named no version at either end; a registry read that went back was dropped silently while it counted as fresh; a try that was canceled did not say whether its target had been heard from since.

Added: 505 and 506 with a gauge of the age, 216 at the receiver of a relay and configurationVersion in 206 and 215, 702, isTargetHeard in 205. No decision changes.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -33,14 +33,20 @@
 		return;
 	}
 
+	// An id that is no instance's comes from a caller.
+	const relayed = arrival.relayed && state.peers.has(arrival.relayed.by) ? arrival.relayed : undefined;
+	if (relayed) {
+		logEvent(context, 'relay-received', {
+			requestId: arrival.id, instanceId: relayed.by, service: relayed.service, configurationVersion: state.configuration.version,
+		});
+	}
+
 	const route = findRoute(state.routes, arrival.host, arrival.path);
 	if (!route) {
 		refuseArrival(context, arrival, {code: 'path-unknown'});
 		return;
 	}
 
-	// An id that is no instance's comes from a caller.
-	const relayed = arrival.relayed && state.peers.has(arrival.relayed.by) ? arrival.relayed : undefined;
 	const isChosen = relayed !== undefined && route.destinations.some(destination => destination.service === relayed.service);
 	const service = isChosen ? relayed.service : pickDestination(route, randomFraction(context));
 	if (service === undefined) {
--- a/src/core/entry/closing.ts
+++ b/src/core/entry/closing.ts
@@ -34,6 +34,7 @@
 	}
 
 	const attempt = currentTry(request);
+	const heardAtMs = attempt && state.targets.get(attempt.targetId)?.heardAtMs;
 	if (attempt) {
 		context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
 		endTry(context, request, attempt, 'canceled');
@@ -51,6 +52,8 @@
 		detail,
 		tries: request.tries.map(({targetId, outcome: ended}) => `${targetId}:${ended}`),
 		delivered: request.delivered,
+		// For a try that was in flight: whether anything came from its target since it was sent.
+		isTargetHeard: attempt && heardAtMs !== undefined && heardAtMs > attempt.startedAtMs,
 		tookMs: Math.round(nowMs - request.arrivedAtMs),
 		...streamTimings(request),
 		objectiveMs: request.route.objectiveMs,
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -29,6 +29,8 @@
 	| {readonly kind: 'started'; readonly self: EntryInstance; readonly bounds: EntryBounds; readonly seed: number; readonly mechanisms?: EnabledMechanisms}
 	| {readonly kind: 'tick'}
 	| {readonly kind: 'configuration-read'; readonly configuration: EntryConfiguration}
+	/** The store has answered whether there is a newer configuration than the last one read; `sentAtMs` and `storeMs` as for the registry. */
+	| {readonly kind: 'configuration-checked'; readonly sentAtMs: number; readonly storeMs: number}
 	| {
 		readonly kind: 'registry-read';
 		readonly revision: number;
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -7,6 +7,7 @@
 import {expireFetches, handleAdapterRequested, handleAdapterResolved} from './adapters.js';
 import {handleArrival, handleCallerLeft} from './admission.js';
 import {adoptConfiguration} from './configuration-adoption.js';
+import {handleConfigurationChecked, watchConfiguration} from './configuration-watch.js';
 import {expireSuspects, handleTargetProbed} from './crash-suspects.js';
 import {updateDemandRates} from './demand.js';
 import {dispatchAll} from './dispatch.js';
@@ -54,6 +55,7 @@
 	'configuration-read'(context, {configuration}) {
 		adoptConfiguration(context, configuration, 'store');
 	},
+	'configuration-checked': handleConfigurationChecked,
 	'registry-read': handleRegistryRead,
 	'registry-read-failed': handleRegistryReadFailure,
 	'instances-read'(context, {instances}) {
@@ -100,6 +102,7 @@
 	dispatchAll(context);
 	updateDemandRates(context);
 	refreshRegistry(context);
+	watchConfiguration(context);
 	runLease(context);
 	runOrders(context);
 	runPlacement(context);
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -86,6 +86,12 @@
 		logEvent(context, 'platform-reachable', {what: 'registry', awayMs: Math.round(nowMs - registry.freshAtMs)});
 	}
 
+	if (event.revision < registry.revision) {
+		logEvent(context, 'store-went-back', {
+			what: 'registry', revision: event.revision, heldRevision: registry.revision, isFullSnapshot: event.isFullSnapshot,
+		});
+	}
+
 	adoptRegistry(context, {
 		revision: event.revision, asOfStoreMs: event.storeMs, entries: event.entries, removed: event.removed, isFullSnapshot: event.isFullSnapshot,
 	});
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -108,6 +108,7 @@
 		instanceId: peer.instance.id,
 		zone: peer.instance.zone,
 		inFlight: peer.relays.size,
+		configurationVersion: state.configuration?.version,
 		delivered: request.delivered,
 		heardAgoMs: Math.round(nowMs - peer.beaconReceivedAtMs),
 		waitedMs: Math.round(nowMs - request.arrivedAtMs),
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -62,6 +62,7 @@
 		model: request.arrival.model,
 		inFlight: target.inFlight.size,
 		limitPerSecond: target.rateLimit?.perSecond,
+		configurationVersion: state.configuration?.version,
 		registryRevision: state.registry.revision,
 		registryAgeMs: Math.round(nowMs - state.registry.freshAtMs),
 		waitedMs: Math.round(nowMs - request.arrivedAtMs),
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -72,6 +72,12 @@
 	routes: RouteIndex;
 	/** Since when a peer is known to have a newer configuration. */
 	configurationBehindSinceMs: number | undefined;
+	configurationWatch: {
+		/** When the version held was last known to be the store's newest, by the local clock. */
+		confirmedAtMs: number;
+		/** Whether it is logged that this has not been known for a while. */
+		isUnconfirmed: boolean;
+	};
 	readonly targets: Map<TargetId, Target>;
 	registry: {
 		revision: number;
@@ -158,6 +164,7 @@
 		configuration: undefined,
 		routes: new Map(),
 		configurationBehindSinceMs: undefined,
+		configurationWatch: {confirmedAtMs: Number.NEGATIVE_INFINITY, isUnconfirmed: false},
 		targets: new Map(),
 		registry: {
 			revision: 0,
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -32,6 +32,7 @@
 	'wait-refused': {number: 213, level: 'info'},
 	'quarantine-trial': {number: 214, level: 'info'},
 	'request-relayed': {number: 215, level: 'info'},
+	'relay-received': {number: 216, level: 'info'},
 	'target-suspected': {number: 300, level: 'warn'},
 	'target-recovered': {number: 301, level: 'info'},
 	'target-restarted': {number: 302, level: 'warn'},
@@ -63,11 +64,14 @@
 	'patch-rejected': {number: 502, level: 'info'},
 	'configuration-unreadable': {number: 503, level: 'error'},
 	'settings-reloaded': {number: 504, level: 'info'},
+	'configuration-unconfirmed': {number: 505, level: 'warn'},
+	'configuration-confirmed': {number: 506, level: 'info'},
 	'instance-joined': {number: 600, level: 'info'},
 	'instance-leaving': {number: 601, level: 'info'},
 	'instance-lost': {number: 602, level: 'warn'},
 	'platform-unreachable': {number: 700, level: 'warn'},
 	'platform-reachable': {number: 701, level: 'info'},
+	'store-went-back': {number: 702, level: 'warn'},
 } as const satisfies Record<string, LogEvent>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -72,6 +72,7 @@
 			['pollenarch_known_crashes', 'Crashes of targets of the last hour with something blamed for them or cleared.', () => state.crashEvidence.size],
 			['pollenarch_known_instances', 'Other instances that are known.', () => state.peers.size],
 			['pollenarch_configuration_version', 'Version of the configuration in force.', () => state.configuration?.version ?? 0],
+			['pollenarch_configuration_age_seconds', 'Time since the configuration in force was last known to be the newest.', () => Number.isFinite(state.configurationWatch.confirmedAtMs) ? (monotonicMs() - state.configurationWatch.confirmedAtMs) * SECONDS_PER_MS : -1],
 			['pollenarch_registry_age_seconds', 'Age of the copy of the registry.', () => Number.isFinite(state.registry.freshAtMs) ? (monotonicMs() - state.registry.freshAtMs) * SECONDS_PER_MS : -1],
 			['pollenarch_lease_held', 'Whether this instance gives orders to engines.', () => state.lease.held ? 1 : 0],
 			['pollenarch_lines_left_out', 'Log lines that were left out since the start.', droppedLines],
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -47,11 +47,12 @@
 		let retryDelayMs = RETRY_DELAY_FIRST_MS;
 		let isUnreachable = false;
 		while (!this._isStopped) {
+			const sentAtMs = this._options.clock.monotonicMs();
 			const page = revision === undefined
 				? await store.read(documents.configurationTable)
 				: await store.pollChanges(documents.configurationTable, revision, LONG_POLL_MS);
 			if (page.isRight()) {
-				const {rows, revision: next} = page.unsafeCoerce();
+				const {rows, revision: next, storeMs} = page.unsafeCoerce();
 				retryDelayMs = RETRY_DELAY_FIRST_MS;
 				if (isUnreachable) {
 					isUnreachable = false;
@@ -60,6 +61,7 @@
 
 				revision = Math.max(revision ?? 0, next);
 				this._dispatchConfiguration(rows);
+				this._options.dispatch({kind: 'configuration-checked', sentAtMs, storeMs});
 				continue;
 			}
 
