DRAIN: a request that is given up is reset, so that it does not arrive after its path heals

What callers saw: a request reached a target seconds after that had said it leaves, and its caller got nothing. Cause: an aborted request's connection was closed in the regular way. The kernel then keeps what the server has not acknowledged and goes on sending it; if the path hangs, the request arrives when it heals, whoever has given up meanwhile (caller left, deadline, a silent try that has moved). Why it works: a reset drops unacknowledged bytes at the sender.

The guard sits in the one HTTP client of both cores, which the store's client and orders to engines use as well; metered-client moved there for that.

--- a/src/daemon/gateways/connection-pool.ts
+++ b/src/daemon/gateways/connection-pool.ts
@@ -4,9 +4,10 @@
 its state for them.
 */
 import {type Buffer} from 'node:buffer';
-import {Client, Pool, type Dispatcher} from 'undici';
+import {type Dispatcher, type Pool} from 'undici';
 import {type ProbeResult} from '../../core/event.js';
 import {type Failure} from '../../core/request/types.js';
+import {createGuardedPool, GuardedClient} from './guarded-client.js';
 
 const CONNECT_TIMEOUT_MS = 1500;
 const IDLE_TIMEOUT_MS = 4000;
@@ -35,7 +36,7 @@
 	private readonly _pool: Pool;
 
 	constructor(private readonly _address: string) {
-		this._pool = new Pool(_address, {
+		this._pool = createGuardedPool(_address, {
 			connections: MAX_CONNECTIONS,
 			pipelining: 1,
 			connect: {timeout: CONNECT_TIMEOUT_MS},
@@ -56,7 +57,7 @@
 			return this._pool.request(options);
 		}
 
-		const client = new Client(this._address, {connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0});
+		const client = new GuardedClient(this._address, {connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0});
 		try {
 			const response = await client.request(options);
 			// Closes once the response has been read to its end.
--- a/src/entry/metered-client.ts
+++ b/src/daemon/gateways/guarded-client.ts
@@ -1,7 +1,10 @@
 /**
-HTTP client that closes its connection when a server sends bytes that bring no content:
-a head, interim responses, chunk framing or trailers without end. undici limits only the
-names and values of one head's fields, and waits for the rest as long as the caller does.
+HTTP client that guards against two things that undici leaves open. It closes its
+connection when a server sends bytes that bring no content: a head, interim responses,
+chunk framing or trailers without end. And it resets the connection of a request that is
+aborted: closed in the regular way, the kernel would go on sending bytes that the server
+has not acknowledged, and a request that nobody waits for any more would still arrive
+once a broken path has healed.
 */
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
@@ -33,6 +36,11 @@
 		});
 	}
 
+	/** Drops the bytes that the server has not acknowledged. */
+	resetConnection(): void {
+		this._socket?.resetAndDestroy();
+	}
+
 	beginResponse(): void {
 		this._startBytes = this._socket?.bytesRead ?? 0;
 		this._contentBytes = 0;
@@ -63,13 +71,22 @@
 	onError(error: Error): void;
 };
 
-/** Tells a meter the content of a response. */
-class MeteredHandler implements ParserHandler {
+/** Tells a meter the content of a response, and resets the connection if the request is aborted. */
+class GuardedHandler implements ParserHandler {
+	private _isEnded = false;
+
 	constructor(private readonly _handler: ParserHandler, private readonly _meter: FramingMeter) {}
 
 	onConnect(abort: (error?: Error) => void): void {
 		this._meter.beginResponse();
-		this._handler.onConnect(abort);
+		this._handler.onConnect(error => {
+			// Once the response is complete, the connection may carry another request, whatever has been read of this one.
+			if (!this._isEnded) {
+				this._meter.resetConnection();
+			}
+
+			abort(error);
+		});
 	}
 
 	onResponseStarted(): void {
@@ -86,6 +103,7 @@
 	}
 
 	onComplete(trailers: Buffer[]): void {
+		this._isEnded = true;
 		this._handler.onComplete(trailers);
 	}
 
@@ -94,11 +112,12 @@
 	}
 
 	onError(error: Error): void {
+		this._isEnded = true;
 		this._handler.onError(error);
 	}
 }
 
-export class MeteredClient extends Client {
+export class GuardedClient extends Client {
 	private readonly _meter: FramingMeter;
 
 	constructor(origin: string | URL, options: Client.Options = {}) {
@@ -120,10 +139,10 @@
 	}
 
 	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-		return super.dispatch(options, new MeteredHandler(handler as unknown as ParserHandler, this._meter) as unknown as Dispatcher.DispatchHandler);
+		return super.dispatch(options, new GuardedHandler(handler as unknown as ParserHandler, this._meter) as unknown as Dispatcher.DispatchHandler);
 	}
 }
 
-export function createMeteredPool(origin: string | URL, options: Pool.Options): Pool {
-	return new Pool(origin, {...options, factory: (clientOrigin, clientOptions) => new MeteredClient(clientOrigin, clientOptions)});
+export function createGuardedPool(origin: string | URL, options: Pool.Options): Pool {
+	return new Pool(origin, {...options, factory: (clientOrigin, clientOptions) => new GuardedClient(clientOrigin, clientOptions)});
 }
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -8,8 +8,8 @@
 import {buildConnector, type Dispatcher, type Pool} from 'undici';
 import {type ProbeOutcome} from '../core/entry/event.js';
 import {errorCode} from '../daemon/gateways/connection-pool.js';
+import {createGuardedPool, GuardedClient} from '../daemon/gateways/guarded-client.js';
 import {type RawHeaders} from './deployment.js';
-import {createMeteredPool, MeteredClient} from './metered-client.js';
 
 /** Several round trips between zones; a target that takes longer is down or unreachable. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -97,7 +97,7 @@
 
 	private async _requestOnFreshConnection(address: string, request: TargetRequest): Promise<TargetResponse> {
 		const resets = {count: 0};
-		const client = new MeteredClient(`http://${address}`, {...clientOptions, connect: countingConnector(resets)});
+		const client = new GuardedClient(`http://${address}`, {...clientOptions, connect: countingConnector(resets)});
 		try {
 			const response = await send(client, request, resets);
 			// Closes once the response has been read completely.
@@ -113,7 +113,7 @@
 		let entry = this._pools.get(address);
 		if (!entry) {
 			const resets = {count: 0};
-			entry = {pool: createMeteredPool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets, connections};
+			entry = {pool: createGuardedPool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets, connections};
 			this._pools.set(address, entry);
 		}
 
--- a/test/standins/relay.ts
+++ b/test/standins/relay.ts
@@ -1,6 +1,7 @@
 /**
 A TCP relay between two processes that can simulate a network partition.
 */
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
 	connect, createServer, type AddressInfo, type Socket,
@@ -12,8 +13,11 @@
 		this._accept(socket);
 	});
 
+	/** Starts to forward what was held up, for each connection that came during {@link hold}. */
+	private readonly _heldConnections = new Set<() => void>();
 	private _targetUrl: URL | undefined;
 	private _isBlocked = false;
+	private _isHolding = false;
 	private _address = '';
 
 	get address(): string {
@@ -54,6 +58,21 @@
 		}
 	}
 
+	/** Holds up what comes on new connections, until {@link release}. */
+	hold(): void {
+		this._isHolding = true;
+	}
+
+	/** Forwards what was held up, except on connections that their sender has reset meanwhile: such bytes are lost. */
+	release(): void {
+		this._isHolding = false;
+		for (const forward of this._heldConnections) {
+			forward();
+		}
+
+		this._heldConnections.clear();
+	}
+
 	/** Closes all open connections and refuses new ones, until {@link accept}. */
 	refuse(): void {
 		this._server.close();
@@ -83,7 +102,34 @@
 			return;
 		}
 
-		const upstream = connect(Number(this._targetUrl.port), this._targetUrl.hostname);
+		if (this._isHolding) {
+			this._hold(socket);
+			return;
+		}
+
+		this._forward(socket);
+	}
+
+	private _hold(socket: Socket): void {
+		const chunks: Buffer[] = [];
+		const forward = () => {
+			socket.removeAllListeners('data');
+			const upstream = this._forward(socket);
+			upstream.write(Buffer.concat(chunks));
+		};
+
+		socket.on('data', chunk => {
+			chunks.push(chunk);
+		});
+		socket.once('error', () => {
+			this._heldConnections.delete(forward);
+		});
+		this._heldConnections.add(forward);
+	}
+
+	private _forward(socket: Socket): Socket {
+		const target = this._targetUrl!;
+		const upstream = connect(Number(target.port), target.hostname);
 		this._track(upstream);
 		socket.pipe(upstream);
 		upstream.pipe(socket);
@@ -93,6 +139,7 @@
 		upstream.once('close', () => {
 			socket.destroy();
 		});
+		return upstream;
 	}
 
 	private _track(socket: Socket): void {
