CONFIG: the newer of two configurations decides about a request that is passed on

What callers saw: at an instance that was cut off from all targets, a change that had been in force came back older, and an added route was not served. Cause: the instance that gets a relayed request looked the path up in its own configuration, however old: without the route it answered 404, with an older one it chose another service. Evidence: relay.test.ts, 'an instance that is behind serves what is passed on to it by the newer configuration'; five cases fail on the code before, this one with 404 and with the older service.

Why it works: a relay states its version and, unless the other instance has announced that version, the route. One that is behind serves by the route it was sent and pulls the configuration; one that is ahead serves by its own, so neither goes back. A relay also carries the sender's boot id, since the header now decides more than before and callers must not be able to write it.

The same cause elsewhere: the embedded daemon passes no requests on.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -3,22 +3,25 @@
 when it is known that it cannot be served.
 */
 import {type ResultName} from '../result-codes.js';
-import {findRoute, pickDestination} from './configuration.js';
+import {findRoute, pickDestination, type Route} from './configuration.js';
 import {close, refuse} from './closing.js';
 import {recordArrival} from './demand.js';
 import {enqueue} from './dispatch.js';
 import {beginTrial, culpritOf, quarantineRefusal} from './quarantine.js';
+import {knownVersions, PULL_INTERVAL_MS} from './peer-sync.js';
 import {queueKeyOf, queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
 import {retryBudget} from './retry-budgets.js';
 import {resumeStream} from './stream-origins.js';
 import {logEvent, randomFraction, type EntryContext} from './state.js';
-import {type EntryArrival, type EntryRequest} from './types.js';
+import {type EntryArrival, type EntryRequest, type Relayed} from './types.js';
 
 /** A request whose expected wait exceeds this share of its time is refused early, while its caller can still try elsewhere. */
 const MAX_WAIT_SHARE = 0.7;
 /** Short, since another instance accepts the caller's next connection at once. */
 const STOPPING_RETRY_AFTER_MS = 100;
+/** A configuration is read or pulled within this time. */
+const NO_CONFIGURATION_RETRY_MS = 300;
 
 export function handleArrival(context: EntryContext, {arrival}: EntryEventOf<'request-arrived'>): void {
 	const {state, nowMs} = context;
@@ -29,31 +32,18 @@
 	}
 
 	if (!state.configuration) {
-		refuseArrival(context, arrival, {code: 'no-configuration', retryAfterMs: 300});
+		refuseArrival(context, arrival, {code: 'no-configuration', retryAfterMs: NO_CONFIGURATION_RETRY_MS});
 		return;
 	}
 
-	// An id that is no instance's comes from a caller.
-	const relayed = arrival.relayed && state.peers.has(arrival.relayed.by) ? arrival.relayed : undefined;
-	if (relayed) {
-		logEvent(context, 'relay-received', {
-			requestId: arrival.id, instanceId: relayed.by, service: relayed.service, configurationVersion: state.configuration.version,
-		});
-	}
-
-	const route = findRoute(state.routes, arrival.host, arrival.path);
-	if (!route) {
-		refuseArrival(context, arrival, {code: 'path-unknown'});
-		return;
-	}
-
-	const isChosen = relayed !== undefined && route.destinations.some(destination => destination.service === relayed.service);
-	const service = isChosen ? relayed.service : pickDestination(route, randomFraction(context));
-	if (service === undefined) {
-		refuseArrival(context, arrival, {code: 'no-target', retryAfterMs: 1000});
+	const relayed = acceptRelay(context, arrival);
+	const resolution = resolveRoute(context, arrival, relayed);
+	if ('code' in resolution) {
+		refuseArrival(context, arrival, resolution);
 		return;
 	}
 
+	const {route, service} = resolution;
 	// The instance that passed it on has counted it.
 	if (!relayed) {
 		retryBudget(state, service).recordRequest(nowMs);
@@ -111,6 +101,50 @@
 	}
 }
 
+/** Undefined for a request that comes from a caller, whatever it claims. */
+function acceptRelay(context: EntryContext, {id, relayed}: EntryArrival): Relayed | undefined {
+	const {state, nowMs, effects} = context;
+	const peer = relayed && state.peers.get(relayed.by);
+	if (!relayed || peer?.instance.boot !== relayed.boot) {
+		return undefined;
+	}
+
+	const own = state.configuration?.version ?? 0;
+	logEvent(context, 'relay-received', {
+		requestId: id, instanceId: relayed.by, service: relayed.service, configurationVersion: own, senderVersion: relayed.configurationVersion,
+	});
+	if (relayed.configurationVersion > own && nowMs - peer.pulledAtMs >= PULL_INTERVAL_MS) {
+		peer.pulledAtMs = nowMs;
+		effects.push({kind: 'pull', address: peer.instance.address, known: knownVersions(context)});
+	}
+
+	return relayed;
+}
+
+type Resolution = {
+	readonly route: Route;
+	readonly service: string;
+};
+
+/** The route and service of a request, by the newer of this instance's configuration and that of an instance which passed it on. */
+function resolveRoute(context: EntryContext, {host, path}: EntryArrival, relayed: Relayed | undefined): Resolution | Refusal {
+	const {state} = context;
+	if (relayed && relayed.configurationVersion > state.configuration!.version) {
+		return relayed.route
+			? {route: relayed.route, service: relayed.service}
+			: {code: 'no-configuration', retryAfterMs: NO_CONFIGURATION_RETRY_MS, detail: 'the version by which it was passed on is not known yet'};
+	}
+
+	const route = findRoute(state.routes, host, path);
+	if (!route) {
+		return {code: 'path-unknown'};
+	}
+
+	const isChosen = relayed !== undefined && route.destinations.some(destination => destination.service === relayed.service);
+	const service = isChosen ? relayed.service : pickDestination(route, randomFraction(context));
+	return service === undefined ? {code: 'no-target', retryAfterMs: 1000} : {route, service};
+}
+
 type Refusal = {
 	readonly code: ResultName;
 	readonly retryAfterMs?: number;
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -210,6 +210,8 @@
 	/** Since when what it knows of crashes differs, undefined while it does not. */
 	crashesDifferSinceMs: number | undefined;
 	isLeaving: boolean;
+	/** Newest version of the configuration that it is known to hold. */
+	configurationVersion: number;
 	/** Whether its reads of the registry succeed. */
 	canReadStore: boolean;
 	demand: readonly ModelDemand[];
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -19,7 +19,7 @@
 
 /** The store's feed usually delivers a version this soon after a peer has it, which makes a pull needless. */
 const FEED_GRACE_MS = 150;
-const PULL_INTERVAL_MS = 250;
+export const PULL_INTERVAL_MS = 250;
 /** Beacons bring a new crash within this time, which makes a pull needless. */
 const CRASH_GRACE_MS = 500;
 /** Age of the registry copy from which it is pulled across zones: readers of this zone then do not reach the store. */
@@ -69,6 +69,7 @@
 		unreached: new Set(beacon.unreached),
 		isCutOff: beacon.isCutOff ?? false,
 		isLeaving: beacon.isLeaving,
+		configurationVersion: beacon.configurationVersion,
 		canReadStore: beacon.registry.isRead,
 		demand: beacon.demand ?? peer.demand,
 		demandReceivedAtMs: beacon.demand ? nowMs : peer.demandReceivedAtMs,
@@ -88,6 +89,7 @@
 		avoidedUntilMs: Number.NEGATIVE_INFINITY,
 		crashesDifferSinceMs: undefined,
 		isLeaving: false,
+		configurationVersion: 0,
 		canReadStore: false,
 		demand: [],
 		demandReceivedAtMs: Number.NEGATIVE_INFINITY,
--- a/src/core/entry/relay.test.ts
+++ b/src/core/entry/relay.test.ts
@@ -5,10 +5,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	beacon, effectsOfKind, EntryHarness, instance, targetEntry, type EntryArrivalOverrides,
+	beacon, effectsOfKind, EntryHarness, instance, route, targetEntry, type EntryArrivalOverrides,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffect} from './effect.js';
 import {retryBudget} from './retry-budgets.js';
+import {type Relayed} from './types.js';
 
 const targetIds = ['t1', 't2', 't3'];
 const near = {...instance('b'), callerAddress: 'b:3'};
@@ -85,7 +86,9 @@
 	assert.equal(relay?.address, near.callerAddress);
 	assert.ok(relay.remainingMs > 700 && relay.remainingMs < 800);
 	assert.ok(relay.usesFreshConnection);
-	assert.deepEqual(relay.relayed, {by: 'a', service: 'records', release: undefined});
+	assert.deepEqual(relay.relayed, {
+		by: 'a', boot: 'a-1', service: 'records', release: undefined, configurationVersion: 1, route: undefined,
+	});
 	assert.equal(effectsOfKind(endRelay(core, 'r', 'answered', {status: 200}), 'deliver').length, 1);
 	assert.equal(core.state.peers.get('b')!.relays.size, 0);
 });
@@ -149,7 +152,15 @@
 	assert.ok(targetIds.includes(sent!.targetId));
 });
 
-const relayed: EntryArrivalOverrides = {relayed: {by: 'b', service: 'records', release: undefined}};
+function relayedBy(details: Partial<Relayed> = {}): EntryArrivalOverrides {
+	return {
+		relayed: {
+			by: 'b', boot: 'b-1', service: 'records', release: undefined, configurationVersion: 1, ...details,
+		},
+	};
+}
+
+const relayed = relayedBy();
 
 // Guards against requests that go in circles between instances that are cut off.
 test('a request that was passed on is not passed on again: the instance that sent it asks another one', () => {
@@ -171,8 +182,11 @@
 
 test('a caller cannot make its request count as passed on', () => {
 	const core = createCore();
-	core.arrive('r', '/records/1', {relayed: {by: 'stranger', service: 'records', release: undefined}});
-	assert.equal(effectsOfKind(core.endTry('r', 1, 'broken'), 'send').length, 1);
+	for (const forged of [relayedBy({by: 'stranger'}), relayedBy({boot: 'guessed'})]) {
+		core.arrive('r', '/records/1', forged);
+		assert.equal(effectsOfKind(core.endTry('r', 1, 'broken'), 'send').length, 1);
+		core.endTry('r', 2, 'answered');
+	}
 });
 
 test('a stream that has begun goes on at another instance, bound to the release that began it', () => {
@@ -191,3 +205,48 @@
 	const [relay] = relaysOf(core.effects);
 	assert.equal(relay?.relayed?.release, core.state.targets.get(sent!.targetId)!.entry.release);
 });
+
+const added = route({
+	name: 'added', prefix: '/added/', timeoutMs: 700, destinations: [{service: 'other', weight: 1}],
+});
+
+// Guards against callers who see an older configuration because their instance, which is cut off, passes them on to one that is behind.
+test('an instance that is behind serves what is passed on to it by the newer configuration', () => {
+	const core = createCore().readRegistry([...targetIds.map(id => targetEntry(id)), targetEntry('t4', {service: 'other'})]);
+	const effects = core.arrive('new', '/added/1', relayedBy({service: 'other', configurationVersion: 2, route: added}));
+	assert.deepEqual(effectsOfKind(effects, 'send').map(({targetId}) => targetId), ['t4']);
+	assert.equal(core.state.open.get('new')!.deadlineAtMs, core.nowMs + 700);
+	assert.deepEqual(effectsOfKind(effects, 'pull').map(({address}) => address), [near.address], 'it learns the version');
+
+	const moved = route({destinations: [{service: 'other', weight: 1}]});
+	assert.deepEqual(effectsOfKind(core.arrive('moved', '/records/1', relayedBy({service: 'other', configurationVersion: 2, route: moved})), 'send').map(({targetId}) => targetId), ['t4']);
+});
+
+test('an instance that is behind and has not been told the route refuses at once, as not run', () => {
+	const core = createCore();
+	const effects = core.arrive('r', '/records/1', relayedBy({configurationVersion: 2}));
+	assert.deepEqual(effectsOfKind(effects, 'refuse').map(({code}) => code), ['no-configuration']);
+	assert.equal(effectsOfKind(effects, 'pull').length, 1);
+});
+
+test('an instance that is ahead serves what is passed on to it by its own configuration', () => {
+	const core = createCore().configure({version: 3, routes: [route({destinations: [{service: 'other', weight: 1}]})]}).readRegistry([targetEntry('t1'), targetEntry('t4', {service: 'other'})]);
+	assert.deepEqual(effectsOfKind(core.arrive('r', '/records/1', relayedBy({configurationVersion: 2, route: route()})), 'send').map(({targetId}) => targetId), ['t4']);
+	assert.equal(effectsOfKind(core.arrive('dropped', '/added/1', relayedBy({service: 'other', configurationVersion: 2, route: added})), 'refuse')[0]?.code, 'path-unknown');
+});
+
+test('the route goes along only to an instance that has not said that it holds the version', () => {
+	const core = createCutOff();
+	core.configure({version: 2, routes: [added]});
+	core.readRegistry([targetEntry('t1', {service: 'other'})]);
+	const found = failTargets(core, core.arrive('first', '/added/1'), 'refused');
+	failTargets(core, core.advance(100), 'refused');
+	core.dispatch({kind: 'caller-left', requestId: 'first'});
+	assert.equal(effectsOfKind(found, 'send').length, 1);
+	assert.deepEqual(relaysOf(core.arrive('r', '/added/1'))[0]?.relayed?.route, added);
+	for (const from of [near, far]) {
+		core.dispatch({kind: 'beacon-received', beacon: beacon({from, configurationVersion: 2})});
+	}
+
+	assert.equal(relaysOf(core.arrive('next', '/added/1'))[0]?.relayed?.route, undefined);
+});
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -2,7 +2,8 @@
 Passing requests on to another instance. An instance that cannot open a connection to any
 target that could serve a request, while peers may reach them, sends the request to one
 of these as its caller would. There is one hop: the other instance serves the request or
-refuses it. Such a try counts as one run, since the other instance runs it at most once;
+refuses it. The newer of the two configurations decides how it is served, so that a caller
+whose instance has adopted a version does not see an older one. Such a try counts as one run, since the other instance runs it at most once;
 the rest of the attempts and the retry budget stay with this one.
 */
 import {countsAsHolder} from './holders.js';
@@ -11,7 +12,7 @@
 import {logEvent, randomFraction, type EntryContext} from './state.js';
 import {type Target} from './target.js';
 import {targetsOf} from './targets.js';
-import {type EntryRequest, type EntryTry} from './types.js';
+import {type EntryRequest, type EntryTry, type Relayed} from './types.js';
 
 /** Requests in flight at an instance of this zone for which one of another zone, where traffic is billed, is as good. */
 const RELAYS_PER_ZONE = 8;
@@ -100,7 +101,7 @@
 		isStream: route.isStream,
 		forwardsErrors: route.repeat === 'once',
 		maxConnections: RELAYS_PER_ZONE,
-		relayed: {by: state.self.id, service: request.service, release: request.release},
+		relayed: describeRelay(context, request, peer),
 	});
 	logEvent(context, 'request-relayed', {
 		requestId: request.id,
@@ -120,6 +121,13 @@
 	}
 }
 
+function describeRelay({state: {self, configuration}}: EntryContext, {service, release, route}: EntryRequest, peer: Peer): Relayed {
+	const configurationVersion = configuration?.version ?? 0;
+	return {
+		by: self.id, boot: self.boot, service, release, configurationVersion, route: peer.configurationVersion < configurationVersion ? route : undefined,
+	};
+}
+
 /** The instance did not serve a request, in a way that may be its own fault. */
 export function avoidRelay({state, nowMs}: EntryContext, {targetId}: EntryTry): void {
 	const peer = state.peers.get(targetId);
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -37,8 +37,14 @@
 /** How an instance that cannot reach the targets of a request passed it on. */
 export type Relayed = {
 	readonly by: InstanceId;
+	/** Its boot id, which only instances know: a caller cannot make its request count as passed on. */
+	readonly boot: string;
 	/** Service that it chose for the request. */
 	readonly service: string;
+	/** Version of the configuration by which it chose. */
+	readonly configurationVersion: number;
+	/** The request's route in that version; absent if the other instance has said that it holds that version. */
+	readonly route?: Route;
 	/** For a stream that has begun: the release at which it has to go on. */
 	readonly release: string | undefined;
 };
