CONFIG: one instance of each zone checks the configuration beside the long polls

What callors saw: a change that had been confirmed was not in force in time. Cause: every instance learns of a version from one long poll of 10 s, given up after 11.5 s. When its connection goes silent, or the store loses the answer, nothing else asks; peers help only where one of them was told, and a fault of the store or of the network silences all polls at once. Nothing told 'no newer version' from 'nothing heard'. Ruled out: that registry reads show it, they use other connections.

Why it works: the instance of a zone that reads the registry asks for changes once a second on another connection, again after 0.4 s without an answer; a version reaches its zone by beacons within 0.4 s. The cursor is shared with the poll. Long polls are 20 s now, since liveness rests on the checks.

--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -124,12 +124,13 @@
 
 export function createBeacon(context: EntryContext): Beacon {
 	const {state, nowMs} = context;
-	const {registry, configuration} = state;
+	const {registry, configuration, configurationWatch} = state;
 	const held = holdsLease(context);
 	return {
 		from: state.self,
 		isLeaving: state.lifecycle === 'draining',
 		configurationVersion: configuration?.version ?? 0,
+		configurationAsOfStoreMs: configurationWatch.asOfStoreMs,
 		registry: {
 			revision: registry.revision, digest: registry.digest, asOfStoreMs: registry.asOfStoreMs, isRead: canReadStore(state, nowMs),
 		},
--- a/src/core/entry/configuration-watch.ts
+++ b/src/core/entry/configuration-watch.ts
@@ -1,19 +1,47 @@
 /**
-What this instance knows of whether the configuration that it holds is still the newest
-one in the store.
+Whether the configuration that this instance holds is still the newest one in the store.
+Every instance learns of a new version from a long poll, whose connection may have gone
+silent. One instance of each zone, the one that reads the registry, therefore also asks
+the store on another connection, and its beacons confirm the version to its peers.
 */
 import {type EntryEventOf} from './event.js';
+import {type Beacon} from './peer-messages.js';
+import {canReadStore, isDueAsReader} from './registry.js';
 import {logEvent, type EntryContext} from './state.js';
 
-/** Polls of the store end within ten seconds, whether or not there is a change. */
-const UNCONFIRMED_MS = 12_000;
+/** With a hedged check and the beacons of a zone, a version is in force everywhere within two seconds. */
+const CHECK_INTERVAL_MS = 1000;
+/** A check without an answer for this long is sent again, on another connection. */
+const HEDGED_CHECK_DELAY_MS = 400;
+/** Several checks in a row, by several instances, have brought no answer. */
+const UNCONFIRMED_MS = 4000;
 
 export function handleConfigurationChecked(context: EntryContext, {sentAtMs, storeMs}: EntryEventOf<'configuration-checked'>): void {
-	const {state: {configuration, configurationWatch, registry}, nowMs} = context;
+	const {configurationWatch, registry} = context.state;
 	// The answer to a poll may be much younger than the poll.
-	const answeredAtMs = registry.storeOffsetMs === undefined ? sentAtMs : Math.min(nowMs, storeMs + registry.storeOffsetMs);
+	const answeredAtMs = registry.storeOffsetMs === undefined ? sentAtMs : Math.min(context.nowMs, storeMs + registry.storeOffsetMs);
+	configurationWatch.asOfStoreMs = Math.max(configurationWatch.asOfStoreMs, storeMs);
+	confirm(context, Math.max(sentAtMs, answeredAtMs));
+}
+
+/** A peer that holds the same version may have heard from the store later. */
+export function confirmConfiguration(context: EntryContext, {configurationVersion, configurationAsOfStoreMs}: Beacon): void {
+	const {configuration, configurationWatch, registry} = context.state;
+	if (configurationAsOfStoreMs === undefined || registry.storeOffsetMs === undefined || configurationVersion !== configuration?.version) {
+		return;
+	}
+
+	const confirmedAtMs = configurationAsOfStoreMs + registry.storeOffsetMs;
+	if (confirmedAtMs > configurationWatch.confirmedAtMs && confirmedAtMs <= context.nowMs) {
+		configurationWatch.asOfStoreMs = configurationAsOfStoreMs;
+		confirm(context, confirmedAtMs);
+	}
+}
+
+function confirm(context: EntryContext, atMs: number): void {
+	const {state: {configuration, configurationWatch}, nowMs} = context;
 	const ageMs = nowMs - configurationWatch.confirmedAtMs;
-	configurationWatch.confirmedAtMs = Math.max(configurationWatch.confirmedAtMs, sentAtMs, answeredAtMs);
+	configurationWatch.confirmedAtMs = Math.max(configurationWatch.confirmedAtMs, atMs);
 	if (configurationWatch.isUnconfirmed) {
 		configurationWatch.isUnconfirmed = false;
 		logEvent(context, 'configuration-confirmed', {version: configuration?.version, ageMs: Math.round(ageMs)});
@@ -21,10 +49,21 @@
 }
 
 export function watchConfiguration(context: EntryContext): void {
-	const {state: {configuration, configurationWatch}, nowMs} = context;
+	const {state, nowMs, effects} = context;
+	const {configuration, configurationWatch} = state;
+	if (!configuration) {
+		return;
+	}
+
 	const ageMs = nowMs - configurationWatch.confirmedAtMs;
-	if (configuration && !configurationWatch.isUnconfirmed && ageMs > UNCONFIRMED_MS) {
+	if (!configurationWatch.isUnconfirmed && ageMs > UNCONFIRMED_MS) {
 		configurationWatch.isUnconfirmed = true;
 		logEvent(context, 'configuration-unconfirmed', {version: configuration.version, ageMs: Math.round(ageMs)});
 	}
+
+	// While the store does not answer, the reads of the registry show when it does again.
+	if (canReadStore(state, nowMs) && isDueAsReader(context, configurationWatch.confirmedAtMs + CHECK_INTERVAL_MS) && nowMs - configurationWatch.checkSentAtMs >= HEDGED_CHECK_DELAY_MS) {
+		configurationWatch.checkSentAtMs = nowMs;
+		effects.push({kind: 'check-configuration'});
+	}
 }
--- a/src/core/entry/effect.ts
+++ b/src/core/entry/effect.ts
@@ -40,6 +40,8 @@
 	/** Aborts a response that has begun, so that the caller cannot take it for complete. */
 	| {readonly kind: 'break-off'; readonly requestId: RequestId}
 	| {readonly kind: 'read-registry'; readonly afterRevision: number}
+	/** Asks the store, beside the long poll, whether there is a newer configuration. */
+	| {readonly kind: 'check-configuration'}
 	/** Opens a connection to a target and closes it, to learn whether the target is up. */
 	| {readonly kind: 'probe-target'; readonly targetId: TargetId; readonly address: string; readonly incarnation: number}
 	| {readonly kind: 'read-report'; readonly targetId: TargetId; readonly address: string}
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -130,6 +130,8 @@
 	readonly from: EntryInstance;
 	readonly isLeaving: boolean;
 	readonly configurationVersion: number;
+	/** When that was known to be the newest version, on the store's clock; undefined from instances of an earlier release. */
+	readonly configurationAsOfStoreMs?: number;
 	readonly registry: {
 		readonly revision: number;
 		readonly digest: number;
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -4,6 +4,7 @@
 */
 import {adoptBrittleness} from './brittle-services.js';
 import {adoptConfiguration} from './configuration-adoption.js';
+import {confirmConfiguration} from './configuration-watch.js';
 import {mergeCrashes} from './crash-suspects.js';
 import {dispatchAll} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
@@ -38,6 +39,7 @@
 	updateLease(context, beacon.lease);
 	updateSteppedDown(context, beacon);
 	confirmRegistry(context, beacon);
+	confirmConfiguration(context, beacon);
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
 	adoptAnnouncedLimits(context, beacon.rateLimits ?? []);
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -42,23 +42,28 @@
 
 export function refreshRegistry(context: EntryContext): void {
 	const {state, nowMs} = context;
-	const {registry, self} = state;
+	const {registry} = state;
 	removeUnlistedTargets(context);
-	if (nowMs < registry.freshAtMs + READ_INTERVAL_MS) {
-		return;
-	}
-
-	const readers = registryReaders(context);
-	const rank = readers.includes(self.id) ? Math.min(MAX_STAGGER_STEPS, readers.indexOf(self.id)) : MAX_STAGGER_STEPS;
-	const dueMs = registry.freshAtMs + READ_INTERVAL_MS + (rank * READER_STAGGER_MS);
 	const isFailing = registry.failedAtMs > registry.restoredAtMs;
-	if (nowMs >= dueMs && nowMs - registry.readSentAtMs >= (isFailing ? RETRY_INTERVAL_MS : HEDGED_READ_DELAY_MS)) {
+	if (isDueAsReader(context, registry.freshAtMs + READ_INTERVAL_MS) && nowMs - registry.readSentAtMs >= (isFailing ? RETRY_INTERVAL_MS : HEDGED_READ_DELAY_MS)) {
 		registry.unansweredSinceMs ??= nowMs;
 		registry.readSentAtMs = nowMs;
 		context.effects.push({kind: 'read-registry', afterRevision: registry.revision});
 	}
 }
 
+/** Whether it is this instance's turn to ask the store on behalf of its zone, for what the first reader asks at `dueMs`. */
+export function isDueAsReader(context: EntryContext, dueMs: number): boolean {
+	const {nowMs, state: {self}} = context;
+	if (nowMs < dueMs) {
+		return false;
+	}
+
+	const readers = registryReaders(context);
+	const rank = readers.includes(self.id) ? Math.min(MAX_STAGGER_STEPS, readers.indexOf(self.id)) : MAX_STAGGER_STEPS;
+	return nowMs >= dueMs + (rank * READER_STAGGER_MS);
+}
+
 /** Ids of the instances of this zone whose last read of the store succeeded, in order of rank. */
 function registryReaders({state, nowMs}: EntryContext): string[] {
 	const {self, peers} = state;
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -75,6 +75,9 @@
 	configurationWatch: {
 		/** When the version held was last known to be the store's newest, by the local clock. */
 		confirmedAtMs: number;
+		/** The same by the store's clock; 0 before the first answer. */
+		asOfStoreMs: number;
+		checkSentAtMs: number;
 		/** Whether it is logged that this has not been known for a while. */
 		isUnconfirmed: boolean;
 	};
@@ -164,7 +167,9 @@
 		configuration: undefined,
 		routes: new Map(),
 		configurationBehindSinceMs: undefined,
-		configurationWatch: {confirmedAtMs: Number.NEGATIVE_INFINITY, isUnconfirmed: false},
+		configurationWatch: {
+			confirmedAtMs: Number.NEGATIVE_INFINITY, asOfStoreMs: 0, checkSentAtMs: Number.NEGATIVE_INFINITY, isUnconfirmed: false,
+		},
 		targets: new Map(),
 		registry: {
 			revision: 0,
--- a/src/entry/effect-handlers.ts
+++ b/src/entry/effect-handlers.ts
@@ -32,6 +32,9 @@
 		'read-registry'() {
 			void daemon.storeWatcher.readRegistry();
 		},
+		'check-configuration'() {
+			void daemon.storeWatcher.checkConfiguration();
+		},
 		'probe-target'({targetId, address, incarnation}) {
 			void (async () => {
 				const outcome = await daemon.connections.probe(address);
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -11,11 +11,11 @@
 import {
 	decodeInstance, decodeLease, encodeRow, INSTANCES_TABLE, LEASES_TABLE, ORDERS_LEASE_KEY,
 } from './row-codec.js';
-import {type Deployment, type StoredRow} from './deployment.js';
+import {type Deployment, type StoredRow, type StoreFailure} from './deployment.js';
 import {type EntryLog} from './entry-log.js';
 
-/** Each poll of the feed is a billed call, so polls are long; peers also announce new versions. */
-const LONG_POLL_MS = 10_000;
+/** Each poll of the feed is a billed call, so polls are long; checks by an instance of each zone find out that one has gone silent. */
+const LONG_POLL_MS = 20_000;
 /** First and longest delay of the exponential backoff after a failed call. */
 const RETRY_DELAY_FIRST_MS = 250;
 const RETRY_DELAY_MAX_MS = 1500;
@@ -31,6 +31,8 @@
 	private readonly _loggedUnreadable = new Set<string>();
 	private _isStopped = false;
 	private _registryRevision = 0;
+	/** Revision up to which changes of the configuration have been read; undefined before it was read as a whole. */
+	private _configurationRevision: number | undefined;
 	/** Entries of the registry as last decoded: most rows that the feed returns are heartbeats with the same value. */
 	private readonly _decodedTargets = new Map<string, {readonly value: Buffer; readonly entry: TargetEntry}>();
 
@@ -42,35 +44,23 @@
 
 	/** Polls the configuration until `stop` is called, and dispatches each version. */
 	async followConfiguration(): Promise<void> {
-		const {store, documents} = this._options.deployment;
-		let revision: number | undefined;
 		let retryDelayMs = RETRY_DELAY_FIRST_MS;
 		let isUnreachable = false;
 		while (!this._isStopped) {
-			const sentAtMs = this._options.clock.monotonicMs();
-			const page = revision === undefined
-				? await store.read(documents.configurationTable)
-				: await store.pollChanges(documents.configurationTable, revision, LONG_POLL_MS);
-			if (page.isRight()) {
-				const {rows, revision: next, storeMs} = page.unsafeCoerce();
+			const failure = await this._readConfiguration(LONG_POLL_MS);
+			if (failure === undefined) {
 				retryDelayMs = RETRY_DELAY_FIRST_MS;
 				if (isUnreachable) {
 					isUnreachable = false;
-					this._options.log.write('platform-reachable', {what: 'configuration', revision: next});
+					this._options.log.write('platform-reachable', {what: 'configuration', revision: this._configurationRevision});
 				}
 
-				revision = Math.max(revision ?? 0, next);
-				this._dispatchConfiguration(rows);
-				this._options.dispatch({kind: 'configuration-checked', sentAtMs, storeMs});
 				continue;
 			}
 
-			const failure = page.extract();
-			if (failure === 'history-lost') {
-				revision = undefined;
-			} else if (!isUnreachable) {
+			if (failure !== 'history-lost' && !isUnreachable) {
 				isUnreachable = true;
-				this._options.log.write('platform-unreachable', {what: 'configuration', failure, revision});
+				this._options.log.write('platform-unreachable', {what: 'configuration', failure, revision: this._configurationRevision});
 			}
 
 			await delay(retryDelayMs * (0.5 + Math.random()));
@@ -78,6 +68,35 @@
 		}
 	}
 
+	/** Reads what has changed since the last answer, without waiting for a change. A failure is left to the next check. */
+	async checkConfiguration(): Promise<void> {
+		await this._readConfiguration(0);
+	}
+
+	private async _readConfiguration(waitMs: number): Promise<StoreFailure | undefined> {
+		const {deployment: {store, documents}, clock, dispatch} = this._options;
+		const sentAtMs = clock.monotonicMs();
+		const afterRevision = this._configurationRevision;
+		const page = afterRevision === undefined
+			? await store.read(documents.configurationTable)
+			: await store.pollChanges(documents.configurationTable, afterRevision, waitMs);
+		return page.caseOf<StoreFailure | undefined>({
+			Left: failure => {
+				if (failure === 'history-lost') {
+					this._configurationRevision = undefined;
+				}
+
+				return failure;
+			},
+			Right: ({rows, revision, storeMs}) => {
+				this._configurationRevision = Math.max(this._configurationRevision ?? 0, revision);
+				this._dispatchConfiguration(rows);
+				dispatch({kind: 'configuration-checked', sentAtMs, storeMs});
+				return undefined;
+			},
+		});
+	}
+
 	async readRegistry(): Promise<void> {
 		const {deployment, dispatch, clock} = this._options;
 		const {store, documents} = deployment;
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -41,6 +41,8 @@
 	readonly rows = new Map<string, Row>();
 	/** Simulated outage: `busy` responds with 503, `silent` does not respond. */
 	fault: 'none' | 'busy' | 'silent' = 'none';
+	/** Long polls get no answer, as on connections that have gone silent; other calls do. */
+	arePollsSilent = false;
 	/** Makes the next feed request fail with 410, as if its history was compacted. */
 	isCompacted = false;
 	calls = 0;
@@ -107,6 +109,10 @@
 	}
 
 	private async _feed(url: URL, table: string, response: ServerResponse): Promise<void> {
+		if (this.arePollsSilent && Number(url.searchParams.get('waitMs') ?? 0) > 0) {
+			return;
+		}
+
 		const after = Number(url.searchParams.get('after'));
 		if (this.isCompacted) {
 			this.isCompacted = false;
