Test of a canceled try waits until its runner has the request

It aborted after 100 ms, whether or not the request had arrived; one that is reset before it has arrived is now lost on the way, and no runner sees it end. It now aborts once the runner has it, which is what it is about, and checks the same.

--- a/test/unit/platform-daemon.test.ts
+++ b/test/unit/platform-daemon.test.ts
@@ -239,7 +239,7 @@
 	const pending = httpRequest(`http://${addresses[0]!.callers}/sign/1`, {
 		method: 'POST', body: 'x', signal: abort.signal, headers: {host: 'a.example', 'x-pollenarch-request-id': 'leaver', 'x-pollenarch-request-deadline': '1500'},
 	});
-	await delay(100);
+	await waitUntil(() => runners.some(({receivedRequests}) => receivedRequests.at(-1)?.headers['x-pollenarch-request-id'] === 'leaver'));
 	abort.abort();
 	await assert.rejects(pending);
 	await waitUntil(() => runners[0].abortedRequests + runners[1].abortedRequests > before);
