DRAIN: a registry read that goes back does not make the copy fresh

What callors would see: requests at a target that had said it leaves, for as long as reads return an older revision. Cause: the read's rows were dropped, its time was believed: the instance called its copy fresh, counted as a reader, and the beacons that confirm equal copies spread the time through its zone, so that no other instance read. Evidence: registry.test.ts, freshAtMs 2000 instead of 1000 on the code before.

An answer overtaken by a later one is told apart by the store's clock.

--- a/src/core/entry/registry.test.ts
+++ b/src/core/entry/registry.test.ts
@@ -7,6 +7,7 @@
 	beacon, configuration, targetEntry, EntryHarness, effectsOfKind, instance, route,
 } from '../../../test/standins/entry-harness.js';
 import {knownVersions, transferFor} from './peer-sync.js';
+import {canReadStore} from './registry.js';
 import {type EntryContext} from './state.js';
 
 test('a leaving target and an unlisted one get no new requests', () => {
@@ -37,6 +38,32 @@
 	assert.equal(effectsOfKind(core.arrive('r'), 'send').length, 1);
 });
 
+// Guards against a copy that calls itself fresh while what is read is older than what it holds: it was never corrected, and its zone read through it.
+test('a read that returns an older revision does not make the copy fresh, and its reader does not count as one', () => {
+	const core = new EntryHarness().configure().readRegistry([targetEntry('t1')]);
+	const readAtMs = core.nowMs;
+	core.nowMs += 1000;
+	core.dispatch({
+		kind: 'registry-read', revision: 1, entries: [targetEntry('t1')], removed: [], isFullSnapshot: true, sentAtMs: core.nowMs, storeMs: core.storeMs,
+	});
+	assert.equal(core.state.registry.freshAtMs, readAtMs);
+	assert.equal(canReadStore(core.state, core.nowMs), false);
+	core.nowMs += 100;
+	core.readRegistry([targetEntry('t1', {isLeaving: true})]);
+	assert.equal(core.state.registry.freshAtMs, core.nowMs);
+	assert.equal(canReadStore(core.state, core.nowMs), true);
+	assert.equal(effectsOfKind(core.arrive('r'), 'send').length, 0);
+});
+
+test('an answer that was overtaken by a later one is ignored, and its reader goes on counting as one', () => {
+	const core = new EntryHarness().configure().readRegistry([targetEntry('t1')]);
+	core.dispatch({
+		kind: 'registry-read', revision: 1, entries: [], removed: [], isFullSnapshot: true, sentAtMs: core.nowMs - 100, storeMs: core.storeMs - 50,
+	});
+	assert.equal(canReadStore(core.state, core.nowMs), true);
+	assert.equal(effectsOfKind(core.arrive('r'), 'send').length, 1);
+});
+
 test('a restarted target with the same id starts with fresh state', () => {
 	const core = new EntryHarness().configure().readRegistry([targetEntry('t1', {sequence: 9})]);
 	core.readRegistry([targetEntry('t1', {incarnation: 2, sequence: 0})]);
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -86,17 +86,24 @@
 	registry.isReadNews = true;
 	// The store read its clock after the request was sent. Equating the two times never makes a copy look fresher than it is.
 	registry.storeOffsetMs = event.sentAtMs - event.storeMs;
+	// An answer that was overtaken by a later one is older by the store's clock too.
+	if (event.revision < registry.revision && event.storeMs > registry.asOfStoreMs) {
+		// The store is behind what it has said before, so that this instance does not count as a reader.
+		if (registry.failedAtMs <= registry.restoredAtMs) {
+			logEvent(context, 'store-went-back', {
+				what: 'registry', revision: event.revision, heldRevision: registry.revision, isFullSnapshot: event.isFullSnapshot,
+			});
+		}
+
+		registry.failedAtMs = nowMs;
+		return;
+	}
+
 	if (registry.failedAtMs > registry.restoredAtMs) {
 		registry.restoredAtMs = nowMs;
 		logEvent(context, 'platform-reachable', {what: 'registry', awayMs: Math.round(nowMs - registry.freshAtMs)});
 	}
 
-	if (event.revision < registry.revision) {
-		logEvent(context, 'store-went-back', {
-			what: 'registry', revision: event.revision, heldRevision: registry.revision, isFullSnapshot: event.isFullSnapshot,
-		});
-	}
-
 	adoptRegistry(context, {
 		revision: event.revision, asOfStoreMs: event.storeMs, entries: event.entries, removed: event.removed, isFullSnapshot: event.isFullSnapshot,
 	});
@@ -124,11 +131,11 @@
 export function adoptRegistry(context: EntryContext, change: RegistryChange): void {
 	const {state} = context;
 	const {registry} = state;
-	updateFreshness(context, change.asOfStoreMs);
 	if (change.revision < registry.revision) {
 		return;
 	}
 
+	updateFreshness(context, change.asOfStoreMs);
 	registry.revision = change.revision;
 	for (const entry of change.entries) {
 		adoptEntry(context, entry);
