Lease: a row that is older than a known claim is not taken over at once

What would be seen: two instances give orders to engines after the store came back from an older copy. Cause: an earlier holder that reads its own old row takes the lease without a wait, although it has heard a later holder's claim; the next epoch came from the row alone and could repeat one.

Why it works: a claim with a higher epoch than the row's counts like a foreign row that was just seen, and epochs rise above all that are known.

--- a/src/core/entry/lease-state.ts
+++ b/src/core/entry/lease-state.ts
@@ -12,6 +12,8 @@
 	/** Whether that request gives the lease up, so that its result does not renew it. */
 	isReleasing: boolean;
 	requestedAtMs: number;
+	/** Epoch of the record that was last sent to be written. */
+	requestedEpoch: number;
 	/** Newest claim of a holder, received from it or from peers. */
 	lastKnown: {readonly holder: EntryInstance; readonly epoch: number; readonly claimedAtMs: number; readonly instances: number} | undefined;
 	/** Largest number of instances that a holder has told of lately. */
@@ -36,6 +38,7 @@
 		isRequestPending: false,
 		isReleasing: false,
 		requestedAtMs: Number.NEGATIVE_INFINITY,
+		requestedEpoch: 0,
 		lastKnown: undefined,
 		instanceCount: undefined,
 		steppedDownSinceMs: undefined,
--- a/src/core/entry/lease.test.ts
+++ b/src/core/entry/lease.test.ts
@@ -197,3 +197,31 @@
 	});
 	assert.ok(holds(holder));
 });
+
+// Guards against two holders after a restore: an earlier holder found its own old row again and took the lease at once.
+test('an earlier holder that finds its own row again in a restored store waits for a later holder', () => {
+	const [first, second] = [new EntryHarness(instance('a')), new EntryHarness(instance('b'))];
+	const row = new LeaseRow();
+	run([first], row, 3000);
+	assert.ok(holds(first));
+	const copy = {...row.record!};
+	second.nowMs = first.nowMs;
+	second.dispatch({
+		kind: 'lease-request-completed', result: {kind: 'row', revision: row.revision, record: row.record}, sentAtMs: 0, sentAtWallMs: 0,
+	});
+	run([second], row, 8000);
+	assert.ok(holds(second));
+	first.nowMs = second.nowMs;
+	first.dispatch({kind: 'tick'});
+	first.effects.splice(0);
+	first.dispatch({kind: 'beacon-received', beacon: beacon({from: second.self, lease: {holder: second.self, epoch: row.record!.epoch, ageMs: 0}})});
+	const {epoch} = (row.record!);
+	row.record = copy;
+	row.revision = 2 ** 40;
+	const restoredAtMs = first.nowMs;
+	run([first], row, 8000, () => {
+		assert.ok(!holds(first) || first.nowMs - restoredAtMs > 4900, `after ${first.nowMs - restoredAtMs} ms`);
+	});
+	assert.ok(holds(first));
+	assert.ok(row.record.epoch > epoch, 'epochs go on rising');
+});
--- a/src/core/entry/lease.ts
+++ b/src/core/entry/lease.ts
@@ -6,7 +6,7 @@
 */
 import {type EntryEventOf} from './event.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
-import {type HeldLease} from './lease-state.js';
+import {type HeldLease, type Lease} from './lease-state.js';
 import {liveInstances, PEER_SILENT_MS} from './peers.js';
 import {isCutOff} from './reachability.js';
 import {type LeaseRecord} from './types.js';
@@ -104,7 +104,7 @@
 
 	const {observed} = lease;
 	if (observed && isAvailable(context)) {
-		writeLease(context, observed.revision, ownRecord(context, (observed.record?.epoch ?? 0) + 1));
+		writeLease(context, observed.revision, ownRecord(context, nextEpoch(lease)));
 		return;
 	}
 
@@ -113,9 +113,19 @@
 	context.effects.push({kind: 'read-lease'});
 }
 
+/** Above every epoch that this instance knows of: the row may be older than what its holder has announced, if the store was restored. */
+function nextEpoch({observed, lastKnown}: Lease): number {
+	return Math.max(observed?.record?.epoch ?? 0, lastKnown?.epoch ?? 0) + 1;
+}
+
 /** Whether the holder of the observed row can no longer send orders and none of its orders can still arrive. */
 function isAvailable({state, nowMs}: EntryContext): boolean {
 	const {observed, lastKnown, steppedDownSinceMs} = state.lease;
+	if (observed && lastKnown && lastKnown.holder.id !== state.self.id && lastKnown.epoch > (observed.record?.epoch ?? 0)) {
+		// The row is older than a later holder's claim, which may still be valid.
+		return nowMs - Math.max(observed.sinceMs, lastKnown.claimedAtMs) >= state.bounds.leaseMs + HANDOVER_MARGIN_MS + LEASE_VALID_MS;
+	}
+
 	if (!observed?.record || observed.record.holder === state.self.id) {
 		return observed !== undefined;
 	}
@@ -139,6 +149,7 @@
 	const {state, nowMs} = context;
 	state.lease.isRequestPending = true;
 	state.lease.requestedAtMs = nowMs;
+	state.lease.requestedEpoch = record.epoch;
 	context.effects.push({kind: 'write-lease', expectedRevision, record});
 }
 
@@ -184,7 +195,7 @@
 	}
 
 	if (result.kind === 'written') {
-		const epoch = lease.held?.epoch ?? ((lease.observed?.record?.epoch ?? 0) + 1);
+		const epoch = lease.held?.epoch ?? lease.requestedEpoch;
 		if (!lease.held) {
 			logEvent(context, 'lease-taken', {epoch, revision: result.revision});
 		}
--- a/test/standins/entry-harness.ts
+++ b/test/standins/entry-harness.ts
@@ -194,6 +194,7 @@
 	}
 
 	holdLease(): this {
+		this.state.lease.requestedEpoch = 1;
 		this.dispatch({
 			kind: 'lease-request-completed', result: {kind: 'written', revision: 5}, sentAtMs: this.nowMs, sentAtWallMs: this.nowMs + this.wallOffsetMs,
 		});
