CONFIG, DRAIN: revisions go on rising when the store is restored from a copy

What callers would see: a change that had been confirmed was not in force, or a target that had said it leaves still got requests, for good, after the store was away for a moment and came back from a copy some seconds old. Cause: the store's versions go back and are given out again, and nothing read the header that says so. The configuration's cursor stayed at the highest version seen, so that what was written below it was skipped once the store had passed it; the registry's reads were dropped until then, while they counted as fresh.

The first read of a restored registry gives missing entries two seconds and lists nothing again that was gone. 703 logs a restore.

--- a/src/core/entry/configuration-watch.ts
+++ b/src/core/entry/configuration-watch.ts
@@ -20,7 +20,8 @@
 	const {configurationWatch, registry} = context.state;
 	// The answer to a poll may be much younger than the poll.
 	const answeredAtMs = registry.storeOffsetMs === undefined ? sentAtMs : Math.min(context.nowMs, storeMs + registry.storeOffsetMs);
-	configurationWatch.asOfStoreMs = Math.max(configurationWatch.asOfStoreMs, storeMs);
+	// Not the latest of all: the clock of a restored store may have begun anew.
+	configurationWatch.asOfStoreMs = storeMs;
 	confirm(context, Math.max(sentAtMs, answeredAtMs));
 }
 
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -37,6 +37,8 @@
 		readonly entries: readonly TargetEntry[];
 		readonly removed: readonly TargetId[];
 		readonly isFullSnapshot: boolean;
+		/** Whether the store was restored from an older copy since the last read. */
+		readonly isRestored?: boolean;
 		/** When the read was sent, by the monotonic clock. */
 		readonly sentAtMs: number;
 		/** The store's own monotonic clock when it responded. */
--- a/src/core/entry/registry.test.ts
+++ b/src/core/entry/registry.test.ts
@@ -64,6 +64,24 @@
 	assert.equal(effectsOfKind(core.arrive('r'), 'send').length, 1);
 });
 
+// Guards against a restored store that takes back what targets have said since its copy.
+test('the first read of a restored store lists no target again that was gone, and gives those it lacks two seconds', () => {
+	const core = new EntryHarness().configure().readRegistry([targetEntry('gone'), targetEntry('new')]);
+	core.readRegistry([targetEntry('new')]);
+	const restored = {
+		kind: 'registry-read', removed: [], sentAtMs: core.nowMs, storeMs: core.storeMs,
+	} as const;
+	core.dispatch({
+		...restored, revision: 2 ** 40, entries: [targetEntry('gone')], isFullSnapshot: true, isRestored: true,
+	});
+	assert.deepEqual(effectsOfKind(core.arrive('r1'), 'send').map(({targetId}) => targetId), ['new']);
+	core.dispatch({
+		...restored, revision: (2 ** 40) + 1, entries: [targetEntry('gone')], isFullSnapshot: false,
+	});
+	core.nowMs += 2500;
+	assert.deepEqual(effectsOfKind(core.arrive('r2'), 'send').map(({targetId}) => targetId), ['gone'], 'its heartbeat lists it');
+});
+
 test('a restarted target with the same id starts with fresh state', () => {
 	const core = new EntryHarness().configure().readRegistry([targetEntry('t1', {sequence: 9})]);
 	core.readRegistry([targetEntry('t1', {incarnation: 2, sequence: 0})]);
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -105,7 +105,7 @@
 	}
 
 	adoptRegistry(context, {
-		revision: event.revision, asOfStoreMs: event.storeMs, entries: event.entries, removed: event.removed, isFullSnapshot: event.isFullSnapshot,
+		revision: event.revision, asOfStoreMs: event.storeMs, entries: event.entries, removed: event.removed, isFullSnapshot: event.isFullSnapshot, isRestored: event.isRestored,
 	});
 }
 
@@ -126,6 +126,8 @@
 	readonly entries: readonly TargetEntry[];
 	readonly removed: readonly TargetId[];
 	readonly isFullSnapshot: boolean;
+	/** Whether this is the first read of a store that was restored from an older copy. */
+	readonly isRestored?: boolean;
 };
 
 export function adoptRegistry(context: EntryContext, change: RegistryChange): void {
@@ -137,7 +139,17 @@
 
 	updateFreshness(context, change.asOfStoreMs);
 	registry.revision = change.revision;
+	if (change.isRestored) {
+		// Entries that were written since the copy come back with the next heartbeats.
+		registry.graceUntilMs = Math.max(registry.graceUntilMs, context.nowMs + EXPIRY_GRACE_MS);
+	}
+
 	for (const entry of change.entries) {
+		if (change.isRestored && isGone(state.targets.get(entry.id), entry)) {
+			// Its entry may have been removed since the copy; if it serves, its next heartbeat lists it.
+			continue;
+		}
+
 		adoptEntry(context, entry);
 		recordChange(context, entry);
 	}
@@ -159,6 +171,10 @@
 	dispatchAll(context);
 }
 
+function isGone(target: Target | undefined, entry: TargetEntry): boolean {
+	return target?.unlistedFromMs !== undefined && target.entry.incarnation === entry.incarnation;
+}
+
 /** Records that the local copy was current at a time of the store's clock. */
 export function updateFreshness(context: EntryContext, asOfStoreMs: number): void {
 	const {state: {registry}, nowMs} = context;
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -72,6 +72,7 @@
 	'platform-unreachable': {number: 700, level: 'warn'},
 	'platform-reachable': {number: 701, level: 'info'},
 	'store-went-back': {number: 702, level: 'warn'},
+	'store-restored': {number: 703, level: 'warn'},
 } as const satisfies Record<string, LogEvent>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -20,8 +20,10 @@
 
 export type RowPage = {
 	readonly rows: readonly StoredRow[];
-	/** Latest revision of the store at the time of the response. */
+	/** Latest revision of the store at the time of the response. Revisions also rise when the store is restored from an older copy. */
 	readonly revision: number;
+	/** Rises by one each time the store is restored. */
+	readonly era: number;
 	/** The store's monotonic clock at the time of the response. */
 	readonly storeMs: number;
 };
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -31,6 +31,9 @@
 	private readonly _loggedUnreadable = new Set<string>();
 	private _isStopped = false;
 	private _registryRevision = 0;
+	private _registryEra: number | undefined;
+	/** Latest era of the store that is logged. */
+	private _era: number | undefined;
 	/** Revision up to which changes of the configuration have been read; undefined before it was read as a whole. */
 	private _configurationRevision: number | undefined;
 	/** Entries of the registry as last decoded: most rows that the feed returns are heartbeats with the same value. */
@@ -88,7 +91,8 @@
 
 				return failure;
 			},
-			Right: ({rows, revision, storeMs}) => {
+			Right: ({rows, revision, storeMs, era}) => {
+				this._noteEra(era, revision);
 				this._configurationRevision = Math.max(this._configurationRevision ?? 0, revision);
 				this._dispatchConfiguration(rows);
 				dispatch({kind: 'configuration-checked', sentAtMs, storeMs});
@@ -117,7 +121,10 @@
 			return;
 		}
 
-		const {rows, revision, storeMs} = page.unsafeCoerce();
+		const {rows, revision, storeMs, era} = page.unsafeCoerce();
+		const isRestored = era > (this._registryEra ?? era);
+		this._registryEra = era;
+		this._noteEra(era, revision);
 		this._registryRevision = Math.max(this._registryRevision, revision);
 		// The feed returns every change in order, so a row may be both written and deleted since the last read; its last change counts.
 		const latest = [...new Map(rows.map(row => [row.key, row])).values()];
@@ -129,6 +136,7 @@
 			entries,
 			removed: latest.filter(({key}) => !readable.has(key)).map(({key}) => key),
 			isFullSnapshot,
+			isRestored,
 			sentAtMs,
 			storeMs,
 		});
@@ -197,6 +205,16 @@
 		});
 	}
 
+	private _noteEra(era: number, revision: number): void {
+		if (era > (this._era ?? era)) {
+			this._options.log.write('store-restored', {
+				era, earlierEra: this._era, revision, registryRevision: this._registryRevision, configurationRevision: this._configurationRevision,
+			});
+		}
+
+		this._era = Math.max(this._era ?? era, era);
+	}
+
 	private _sendTimes(): {sentAtMs: number; sentAtWallMs: number} {
 		const {clock} = this._options;
 		return {sentAtMs: clock.monotonicMs(), sentAtWallMs: clock.now().getTime()};
