DRAIN: a target that has said it leaves stays a leaving one until it restarts

What callers would see: requests at a target that had said it leaves. Evidence: registry.test.ts, 'a target that has said it leaves gets nothing more until it has restarted' and 'a target that says in an answer that it leaves': both fail on the code before.

Why it works: leaving is kept with the target, not with its entry, and the one place that says whether new requests may be sent there asks it (isListed, used by first tries, retries, moves, adapters, probes and relays). Only another incarnation starts anew; the late answer of an earlier one does not count, nor does one that another target gave (421).

--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -56,6 +56,8 @@
 		readonly load?: TargetLoad;
 		/** What the response's head states about the rate of requests; undefined without a head of the target's own. */
 		readonly rateLimit?: StatedRateLimit;
+		/** Whether the response's head states that the target leaves. */
+		readonly isLeaving?: boolean;
 	}
 	| {
 		readonly kind: 'try-ended';
@@ -66,6 +68,8 @@
 		readonly status?: number;
 		readonly load?: TargetLoad;
 		readonly rateLimit?: StatedRateLimit;
+		/** Whether the response's head states that the target leaves. */
+		readonly isLeaving?: boolean;
 		/** For a declined request: whether the target does not hold the model or adapter that it needs. */
 		readonly isMissing?: boolean;
 		/** For a request that another instance refused: when it may be sent again. */
--- a/src/core/entry/registry.test.ts
+++ b/src/core/entry/registry.test.ts
@@ -82,6 +82,47 @@
 	assert.deepEqual(effectsOfKind(core.arrive('r2'), 'send').map(({targetId}) => targetId), ['gone'], 'its heartbeat lists it');
 });
 
+// Guards against requests at a target that has said it leaves, after an older row or another writer took that back.
+test('a target that has said it leaves gets nothing more until it has restarted, whatever its entry says later', () => {
+	const core = new EntryHarness().configure().readRegistry([targetEntry('t1', {isLeaving: true})]);
+	core.readRegistry([targetEntry('t1', {sequence: 3})]);
+	assert.equal(effectsOfKind(core.arrive('r1'), 'send').length, 0);
+	core.readRegistry([]).readRegistry([targetEntry('t1')]);
+	assert.equal(effectsOfKind(core.arrive('r2'), 'send').length, 0, 'listed again');
+	core.readRegistry([targetEntry('t1', {incarnation: 2})]);
+	assert.ok(core.state.targets.get('t1')!.inFlight.size > 0, 'restarted');
+});
+
+test('a target that says in an answer that it leaves gets nothing more, and what waits goes elsewhere', () => {
+	for (const kind of ['try-ended', 'try-progressed'] as const) {
+		const core = new EntryHarness().configure().readRegistry([targetEntry('t1', {slots: 1})]);
+		core.arrive('r1');
+		if (kind === 'try-ended') {
+			core.dispatch({
+				kind, requestId: 'r1', tryNumber: 1, outcome: 'answered', delivered: 0, status: 200, isLeaving: true,
+			});
+		} else {
+			core.dispatch({
+				kind, requestId: 'r1', tryNumber: 1, delivered: 1, isLeaving: true,
+			});
+		}
+
+		assert.equal(effectsOfKind(core.effects, 'log').filter(({event}) => event === 'target-leaving').length, 1, kind);
+		core.readRegistry([targetEntry('t1', {sequence: 1}), targetEntry('t2')]);
+		assert.deepEqual(effectsOfKind(core.arrive('r2'), 'send').map(({targetId}) => targetId), ['t2'], kind);
+	}
+});
+
+test('an answer of an earlier incarnation does not make the restarted target a leaving one', () => {
+	const core = new EntryHarness().configure().readRegistry([targetEntry('t1')]);
+	core.arrive('r1');
+	core.readRegistry([targetEntry('t1', {incarnation: 2})]);
+	core.dispatch({
+		kind: 'try-ended', requestId: 'r1', tryNumber: 1, outcome: 'answered', delivered: 0, status: 200, isLeaving: true,
+	});
+	assert.equal(effectsOfKind(core.arrive('r2'), 'send').length, 1);
+});
+
 test('a restarted target with the same id starts with fresh state', () => {
 	const core = new EntryHarness().configure().readRegistry([targetEntry('t1', {sequence: 9})]);
 	core.readRegistry([targetEntry('t1', {incarnation: 2, sequence: 0})]);
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -6,6 +6,7 @@
 import fnv1a from '@sindresorhus/fnv1a';
 import {type TargetId} from '../types.js';
 import {recordTargetCrash} from './crash-suspects.js';
+import {markLeaving} from './leaving.js';
 import {type EntryEventOf} from './event.js';
 import {dispatchAll} from './dispatch.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
@@ -263,8 +264,8 @@
 		});
 	}
 
-	if (entry.isLeaving && !target.entry.isLeaving) {
-		logEvent(context, 'target-leaving', {targetId: entry.id, revision: state.registry.revision});
+	if (entry.isLeaving) {
+		markLeaving(context, target, 'registry');
 	}
 
 	target.listed = entry;
@@ -276,7 +277,7 @@
 function mergeEntry(target: Target, entry: TargetEntry, nowMs: number): TargetEntry {
 	const isOverridden = nowMs < target.reportValidUntilMs && entry.sequence <= target.entry.sequence;
 	return isOverridden || entry.sequence < target.entry.sequence
-		? {...target.entry, isLeaving: entry.isLeaving || target.entry.isLeaving}
+		? target.entry
 		: entry;
 }
 
@@ -312,7 +313,7 @@
 	}
 
 	// One that leaves ends what it still runs.
-	if (!target.entry.isLeaving) {
+	if (!target.isLeaving) {
 		recordTargetCrash(context, target, 'unlisted');
 	}
 
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -105,6 +105,8 @@
 	listedHash: number;
 	hashedEntry: TargetEntry | undefined;
 	listedRevision: number;
+	/** Whether this incarnation has said that it leaves, in its entry or in an answer. It does not take that back. */
+	isLeaving: boolean;
 	/** Time from which the target counts as removed from the registry, undefined while it is listed. */
 	unlistedFromMs: number | undefined;
 	/** Until then, the last report of the engine overrides the registry entry. */
@@ -163,6 +165,7 @@
 		listedHash: 0,
 		hashedEntry: undefined,
 		listedRevision: 0,
+		isLeaving: entry.isLeaving,
 		unlistedFromMs: undefined,
 		reportValidUntilMs: Number.NEGATIVE_INFINITY,
 		inFlight: new Map(),
@@ -242,9 +245,9 @@
 	return target.entry.copies.some(copy => copy.model === model);
 }
 
-/** Whether new requests may be sent to the target according to the registry. */
+/** Whether new requests may be sent to the target, by its entry and by what it has said. */
 export function isListed(target: Target, nowMs: number): boolean {
-	return !target.entry.isLeaving && (target.unlistedFromMs === undefined || nowMs < target.unlistedFromMs);
+	return !target.isLeaving && (target.unlistedFromMs === undefined || nowMs < target.unlistedFromMs);
 }
 
 /** Whether the target names a rate limit. */
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -5,6 +5,7 @@
 */
 import {addSample} from '../request/estimate.js';
 import {type ResultName} from '../result-codes.js';
+import {type RequestId} from '../types.js';
 import {holdOff, recordStatedBrittleness} from './brittle-services.js';
 import {
 	close, endTry, markRead, refuse, currentTry,
@@ -15,6 +16,7 @@
 import {dispatchTarget, enqueue} from './dispatch.js';
 import {queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
+import {markLeaving} from './leaving.js';
 import {addReading, createReadingSpeed} from './reading-speed.js';
 import {recordHeard, recordUnreached} from './reachability.js';
 import {takeRetry} from './retry-budgets.js';
@@ -140,6 +142,7 @@
 	const target = state.targets.get(attempt.targetId);
 	if (target) {
 		recordHeard(context, target);
+		recordLeaving(context, target, event);
 	}
 
 	if (target && !attempt.hasBegun) {
@@ -200,6 +203,7 @@
 	attempt.firstEventAtMs = event.firstEventAtMs;
 	attempt.longestPauseMs = event.longestPauseMs;
 	if (target) {
+		recordLeaving(context, target, event);
 		recordLimits(context, target, {attempt, event});
 	}
 
@@ -233,6 +237,13 @@
 	handleFailure(context, request, event.outcome, {wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs});
 }
 
+/** Records that the target leaves before its slot is freed, so that nothing that waits is sent there. One that has restarted since the try was sent does not. */
+function recordLeaving(context: EntryContext, target: Target, {isLeaving, requestId}: {readonly isLeaving?: boolean; readonly requestId: RequestId}): void {
+	if (isLeaving && target.inFlight.has(requestId)) {
+		markLeaving(context, target, 'answer');
+	}
+}
+
 /** Records what limits the target before the slot is freed, so that the requests that are sent to it keep to that. */
 function recordLimits(context: EntryContext, target: Target, {attempt, event}: {readonly attempt: EntryTry; readonly event: EntryEventOf<'try-ended'>}): void {
 	if (event.rateLimit && !attempt.hasBegun) {
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -117,6 +117,8 @@
 	/** When the sender may be asked again, undefined if it states none. */
 	readonly retryAfterMs: number | undefined;
 	readonly load: TargetLoad | undefined;
+	/** Whether the target states that it leaves. */
+	readonly isLeaving: boolean;
 	/** Requests a second that the target takes from all instances together, undefined if it names no limit. */
 	readonly requestsPerSecond: number | undefined;
 	/** Requests a second that the target can turn away before it falls over, undefined if it states none. */
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -41,6 +41,7 @@
 	readonly status?: number;
 	readonly load?: ResponseMetadata['load'];
 	readonly rateLimit?: StatedRateLimit;
+	readonly isLeaving?: boolean;
 	readonly isMissing?: boolean;
 	readonly isRefused?: boolean;
 	readonly retryAfterMs?: number;
@@ -105,9 +106,11 @@
 		const metadata = headerCodec.parseResponse(response.status, response.headers);
 		const timing: StreamTiming = {firstEventAtMs: undefined, longestPauseMs: 0};
 		const rateLimit = statedLimit(metadata);
+		const {isLeaving} = metadata;
 		try {
 			return {
 				rateLimit,
+				isLeaving,
 				...await this._readResponse(exchange, effect, {
 					response, metadata, signal, timing,
 				}),
@@ -115,7 +118,7 @@
 			};
 		} catch (error) {
 			return {
-				outcome: 'broken', status: response.status, load: metadata.load, rateLimit, reason: errorCode(error) || String(error), timing,
+				outcome: 'broken', status: response.status, load: metadata.load, rateLimit, isLeaving, reason: errorCode(error) || String(error), timing,
 			};
 		}
 	}
@@ -138,9 +141,9 @@
 		if (fault) {
 			body.on('error', () => undefined);
 			body.destroy();
-			// What a response that may not be the target's own states about its limit does not count.
+			// What a response that may not be the target's own states about it does not count.
 			return {
-				outcome: 'broken', status, load, rateLimit: undefined, reason: fault,
+				outcome: 'broken', status, load, rateLimit: undefined, isLeaving: undefined, reason: fault,
 			};
 		}
 
@@ -248,7 +251,7 @@
 			if (nowMs - progressSentAtMs >= PROGRESS_INTERVAL_MS) {
 				progressSentAtMs = nowMs;
 				this._options.dispatch({
-					kind: 'try-progressed', requestId: exchange.id, tryNumber: effect.tryNumber, delivered: exchange.delivered, load: metadata.load, rateLimit: statedLimit(metadata),
+					kind: 'try-progressed', requestId: exchange.id, tryNumber: effect.tryNumber, delivered: exchange.delivered, load: metadata.load, rateLimit: statedLimit(metadata), isLeaving: metadata.isLeaving,
 				});
 			}
 
