DRAIN: a copy of the registry that is too old waits for the news before it decides

What callers saw: a request reached a target 3.1 s after that had said it leaves, 2.7 s after its instance got it, and no answer came within 1.2 s.

Why it works: where targets are chosen, for first tries, retries, moves and adapters alike, a copy older than drainMs less 0.4 s chooses none. The request waits, for six turns of the event loop at most: a late loop reads all that has arrived in each of them. While reads are known to fail, or have no answer for that long, requests go on by the copy that there is, so that zones cut off from the store go on serving.

Three tests that let seconds pass without a read of the registry now confirm it in between; what they check is unchanged.

--- a/src/core/entry/admission.test.ts
+++ b/src/core/entry/admission.test.ts
@@ -21,6 +21,7 @@
 
 	for (let index = 0; index < 6; index++) {
 		harness.nowMs += 800;
+		harness.confirmRegistry();
 		harness.endTry(`r${index}`, 1, 'answered');
 	}
 
@@ -36,6 +37,7 @@
 // Guards against requests that are never sent: one refused on arrival was subtracted from the queue that it had not entered.
 test('a request was refused on arrival: a later one that waits alone is sent as soon as its target has room', () => {
 	const harness = afterRefusal();
+	harness.confirmRegistry();
 	assert.equal(queueOf(harness.state, 'records').waiting, 0);
 	assert.deepEqual(effectsOfKind(harness.arrive('alone', '/records/1', {deadlineMs: PATIENCE_MS}), 'send').map(({requestId}) => requestId), ['alone']);
 });
@@ -55,9 +57,11 @@
 
 	for (let index = 0; index < 6; index++) {
 		harness.nowMs += 800;
+		harness.confirmRegistry();
 		harness.endTry(`r${index}`, 1, 'answered');
 	}
 
+	harness.confirmRegistry();
 	assert.equal(effectsOfKind(harness.arrive('urgent', '/urgent/1'), 'refuse').length, 0);
 	harness.effects.length = 0;
 	for (let index = 6; index < 8; index++) {
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -21,6 +21,7 @@
 import {handlePatience} from './patience.js';
 import {runPlacement} from './placement.js';
 import {probeTargets} from './reachability.js';
+import {watchRegistryAge} from './registry-age.js';
 import {handleRegistryRead, handleRegistryReadFailure, refreshRegistry} from './registry.js';
 import {announceLoads, handleLoadAnnouncement} from './load-announcements.js';
 import {handlePermitGrant, handlePermitRequest} from './rate-permits.js';
@@ -95,6 +96,7 @@
 }
 
 function runPeriodicTasks(context: EntryContext): void {
+	watchRegistryAge(context);
 	fireTimers(context);
 	expireFetches(context);
 	expireSuspects(context);
--- a/src/core/entry/registry.test.ts
+++ b/src/core/entry/registry.test.ts
@@ -79,6 +79,7 @@
 		...restored, revision: (2 ** 40) + 1, entries: [targetEntry('gone')], isFullSnapshot: false,
 	});
 	core.nowMs += 2500;
+	core.confirmRegistry();
 	assert.deepEqual(effectsOfKind(core.arrive('r2'), 'send').map(({targetId}) => targetId), ['gone'], 'its heartbeat lists it');
 });
 
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -8,6 +8,7 @@
 import {BRITTLE_FILL_FACTOR, isAtBrittleShare, isBrittle} from './brittle-services.js';
 import {countsAsHolder} from './holders.js';
 import {canAskForPermit, maySend} from './rate-permits.js';
+import {isCopyRecent} from './registry-age.js';
 import {msPerToken, tokensToRead} from './reading-speed.js';
 import {randomFraction, type EntryContext} from './state.js';
 import {
@@ -46,6 +47,10 @@
 };
 
 export function chooseTarget(context: EntryContext, request: EntryRequest, candidates: readonly Target[]): Choice {
+	if (!isCopyRecent(context)) {
+		return {kind: 'full'};
+	}
+
 	const usable = candidates.filter(target => canServe(target, request, context.nowMs));
 	if (usable.length === 0) {
 		return {kind: 'none'};
--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -160,6 +160,7 @@
 		kind: 'try-progressed', requestId: 'r', tryNumber: 1, delivered: 2,
 	});
 	core.advance(700);
+	core.confirmRegistry();
 	for (let index = 0; index < 40; index++) {
 		core.arrive(`c${index}`, '/ask/1', {model: 'm0', deadlineMs: 10_000});
 	}
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -94,6 +94,8 @@
 		readSentAtMs: number;
 		/** Until then, targets that disappear from the registry get a grace period, since their entries may come back. */
 		graceUntilMs: number;
+		/** Ticks since the copy became too old to choose targets by; 0 while it is not. */
+		staleTicks: number;
 		/** When a read last failed, and when reads next succeeded after that. */
 		failedAtMs: number;
 		restoredAtMs: number;
@@ -156,7 +158,7 @@
 			id: '', boot: '', zone: '', address: '', beaconAddress: '',
 		},
 		bounds: {
-			graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 0,
+			graceMs: 8000, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 0,
 		},
 		mechanisms: allMechanisms,
 		random: xoroshiro128plus(0),
@@ -179,6 +181,7 @@
 			unansweredSinceMs: undefined,
 			readSentAtMs: Number.NEGATIVE_INFINITY,
 			graceUntilMs: Number.NEGATIVE_INFINITY,
+			staleTicks: 0,
 			failedAtMs: Number.NEGATIVE_INFINITY,
 			restoredAtMs: Number.NEGATIVE_INFINITY,
 			isReadNews: false,
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -26,6 +26,8 @@
 export type EntryBounds = {
 	/** Grace period between the stop signal and the kill of the process. */
 	readonly graceMs: number;
+	/** Time after a target's leaving was stored within which a request may still reach it. */
+	readonly drainMs: number;
 	/** Term of the lease: within it no second instance may send orders to the same targets. */
 	readonly leaseMs: number;
 	/** Retries allowed in a sliding window: a share of the requests plus a constant (`repeatSlack`). */
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -28,6 +28,7 @@
 	}),
 	bounds: z.strictObject({
 		graceMs: milliseconds,
+		drainMs: milliseconds.default(2000),
 		leaseMs: milliseconds,
 		repeatShare: z.number().min(0).max(10),
 		repeatWindowMs: z.number().positive(),
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -38,7 +38,7 @@
 /** Time after the last arrival in which answers still count. */
 const TAIL_MS = 15_000;
 const BOUNDS = {
-	graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 100,
+	graceMs: 8000, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 100,
 };
 
 export type FleetOptions = {
--- a/test/standins/entry-harness.ts
+++ b/test/standins/entry-harness.ts
@@ -137,7 +137,7 @@
 			kind: 'started',
 			self,
 			bounds: {
-				graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 100,
+				graceMs: 8000, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 100,
 			},
 			seed: 7,
 		});
@@ -178,6 +178,14 @@
 		return this;
 	}
 
+	/** Delivers a read of the registry that brings no change. */
+	confirmRegistry(): this {
+		this.dispatch({
+			kind: 'registry-read', revision: this.state.registry.revision, entries: [], removed: [], isFullSnapshot: false, sentAtMs: this.nowMs, storeMs: this.storeMs,
+		});
+		return this;
+	}
+
 	arrive(id: string, path = '/records/1', overrides: EntryArrivalOverrides = {}): EntryEffect[] {
 		return this.dispatch({
 			kind: 'request-arrived',
