--- a/src/entry/store-watcher.test.ts
+++ b/src/entry/store-watcher.test.ts
@@ -121,3 +121,37 @@
 	await watcher.readRegistry();
 	assert.deepEqual([reads, events], [2, ['registry-read', 'registry-read-failed']]);
 });
+
+// Guards against an instance that believes its configuration confirmed by a store that is behind what it has said before.
+test('an answer of an older revision does not confirm the configuration', async () => {
+	const revisions = [5, 7, 6, 8];
+	const confirmed: number[] = [];
+	const watcher = new StoreWatcher({
+		deployment: {
+			store: {
+				read: async () => Right({
+					rows: [], revision: revisions.shift()!, eraRevision: 0, storeMs: 0,
+				}),
+				pollChanges: async () => Right({
+					rows: [], revision: revisions.shift()!, eraRevision: 0, storeMs: 0,
+				}),
+				write: async () => Left('unknown'),
+				async close() {
+					// No connection is open.
+				},
+			},
+			documents: {configurationTable: 'op'},
+		} as unknown as Deployment,
+		log: new EntryLog({level: 'silent', instanceId: 'a', clock}),
+		clock,
+		dispatch({kind}) {
+			assert.equal(kind, 'configuration-checked');
+			confirmed.push(revisions.length);
+		},
+	});
+	while (revisions.length > 0) {
+		await watcher.checkConfiguration();
+	}
+
+	assert.deepEqual(confirmed, [3, 2, 0], 'all but the third');
+});
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -92,9 +92,14 @@
 			},
 			Right: ({rows, revision, storeMs, eraRevision}) => {
 				this._noteEra(eraRevision);
-				this._configurationRevision = Math.max(this._configurationRevision ?? 0, revision);
+				const heldRevision = this._configurationRevision ?? 0;
+				this._configurationRevision = Math.max(heldRevision, revision);
 				this._dispatchConfiguration(rows);
-				dispatch({kind: 'configuration-checked', sentAtMs, storeMs});
+				if (revision >= heldRevision) {
+					// An older answer does not tell whether there is a newer version now.
+					dispatch({kind: 'configuration-checked', sentAtMs, storeMs});
+				}
+
 				return undefined;
 			},
 		});
