--- a/src/daemon/gateways/guarded-client.ts
+++ b/src/daemon/gateways/guarded-client.ts
@@ -10,7 +10,7 @@
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {
-	buildConnector, Client, Pool, type Dispatcher,
+	buildConnector, Client, errors, Pool, type Dispatcher,
 } from 'undici';
 
 /** Several times the largest head, and more than a connection reads ahead while its response is paused. */
@@ -38,6 +38,8 @@
 
 	/** Drops the bytes that the server has not acknowledged. */
 	resetConnection(): void {
+		// Without an error, undici takes the end of the connection for the end of a response without a length.
+		this._socket?.emit('error', new errors.InformationalError('aborted'));
 		this._socket?.resetAndDestroy();
 	}
 
