--- a/src/entry/store-watcher.test.ts
+++ b/src/entry/store-watcher.test.ts
@@ -18,25 +18,48 @@
 	return {key, revision, value: value === undefined ? undefined : Buffer.from(value)};
 }
 
-/** Reads the registry twice: first an empty full snapshot, then the given changes. Returns the second event. */
-async function readChanges(rows: readonly StoredRow[]): Promise<Extract<EntryEvent, {kind: 'registry-read'}>> {
-	const events: EntryEvent[] = [];
-	const watcher = new StoreWatcher({
+type Script = {
+	readonly store: Partial<Deployment['store']>;
+	readonly documents: Partial<Deployment['documents']>;
+	readonly onEvent: (event: EntryEvent) => void;
+};
+
+/** A watcher on a store that answers as scripted, and whose writes get no answer. */
+function createWatcher({store, documents, onEvent}: Script): StoreWatcher {
+	return new StoreWatcher({
 		deployment: {
 			store: {
-				read: async () => Right({rows: [], revision: 1, storeMs: 0}),
-				pollChanges: async () => Right({rows, revision: 9, storeMs: 0}),
 				write: async () => Left('unknown'),
 				async close() {
 					// No connection is open.
 				},
+				...store,
 			},
-			documents: {registryTable: 'targets', decodeTarget: (id: string, value: Buffer) => Right(targetEntry(id, {isLeaving: value.toString() === 'leaving'}))},
+			documents,
 		} as unknown as Deployment,
 		log: new EntryLog({level: 'silent', instanceId: 'a', clock}),
 		clock,
 		dispatch(event) {
-			events.push({...event, nowMs: 0, wallMs: 0});
+			onEvent({...event, nowMs: 0, wallMs: 0});
+		},
+	});
+}
+
+/** Reads the registry twice: first an empty full snapshot, then the given changes. Returns the second event. */
+async function readChanges(rows: readonly StoredRow[]): Promise<Extract<EntryEvent, {kind: 'registry-read'}>> {
+	const events: EntryEvent[] = [];
+	const watcher = createWatcher({
+		store: {
+			read: async () => Right({
+				rows: [], revision: 1, eraRevision: 0, storeMs: 0,
+			}),
+			pollChanges: async () => Right({
+				rows, revision: 9, eraRevision: 0, storeMs: 0,
+			}),
+		},
+		documents: {registryTable: 'targets', decodeTarget: (id: string, value: Buffer) => Right(targetEntry(id, {isLeaving: value.toString() === 'leaving'}))},
+		onEvent(event) {
+			events.push(event);
 		},
 	});
 	await watcher.readRegistry();
@@ -61,28 +84,24 @@
 	const decoded: string[] = [];
 	const pages = [[], [row('t1', 2, 'ready')], [row('t1', 3, 'ready')], [row('t1', 4, 'leaving')], [row('t1', 5)], [row('t1', 6, 'leaving')], [row('t1', 7, 'leaving')]];
 	const events: Array<Extract<EntryEvent, {kind: 'registry-read'}>> = [];
-	const watcher = new StoreWatcher({
-		deployment: {
-			store: {
-				read: async () => Right({rows: pages.shift()!, revision: 1, storeMs: 0}),
-				pollChanges: async () => Right({rows: pages.shift()!, revision: 9, storeMs: 0}),
-				write: async () => Left('unknown'),
-				async close() {
-					// No connection is open.
-				},
-			},
-			documents: {
-				registryTable: 'targets',
-				decodeTarget(id: string, value: Buffer) {
-					decoded.push(value.toString());
-					return Right(targetEntry(id, {isLeaving: value.toString() === 'leaving'}));
-				},
+	const watcher = createWatcher({
+		store: {
+			read: async () => Right({
+				rows: pages.shift()!, revision: 1, eraRevision: 0, storeMs: 0,
+			}),
+			pollChanges: async () => Right({
+				rows: pages.shift()!, revision: 9, eraRevision: 0, storeMs: 0,
+			}),
+		},
+		documents: {
+			registryTable: 'targets',
+			decodeTarget(id: string, value: Buffer) {
+				decoded.push(value.toString());
+				return Right(targetEntry(id, {isLeaving: value.toString() === 'leaving'}));
 			},
-		} as unknown as Deployment,
-		log: new EntryLog({level: 'silent', instanceId: 'a', clock}),
-		clock,
-		dispatch(event) {
-			events.push({...event, nowMs: 0, wallMs: 0} as Extract<EntryEvent, {kind: 'registry-read'}>);
+		},
+		onEvent(event) {
+			events.push(event as Extract<EntryEvent, {kind: 'registry-read'}>);
 		},
 	});
 	while (pages.length > 0) {
@@ -96,24 +115,20 @@
 test('a registry whose history is lost again and again is read once more in whole, then the read counts as failed', async () => {
 	let reads = 0;
 	const events: string[] = [];
-	const watcher = new StoreWatcher({
-		deployment: {
-			store: {
-				async read() {
-					reads++;
-					return reads === 1 ? Right({rows: [], revision: 1, storeMs: 0}) : Left('history-lost');
-				},
-				pollChanges: async () => Left('history-lost'),
-				write: async () => Left('unknown'),
-				async close() {
-					// No connection is open.
-				},
+	const watcher = createWatcher({
+		store: {
+			async read() {
+				reads++;
+				return reads === 1
+					? Right({
+						rows: [], revision: 1, eraRevision: 0, storeMs: 0,
+					})
+					: Left('history-lost');
 			},
-			documents: {registryTable: 'targets'},
-		} as unknown as Deployment,
-		log: new EntryLog({level: 'silent', instanceId: 'a', clock}),
-		clock,
-		dispatch({kind}) {
+			pollChanges: async () => Left('history-lost'),
+		},
+		documents: {registryTable: 'targets'},
+		onEvent({kind}) {
 			events.push(kind);
 		},
 	});
@@ -126,25 +141,17 @@
 test('an answer of an older revision does not confirm the configuration', async () => {
 	const revisions = [5, 7, 6, 8];
 	const confirmed: number[] = [];
-	const watcher = new StoreWatcher({
-		deployment: {
-			store: {
-				read: async () => Right({
-					rows: [], revision: revisions.shift()!, eraRevision: 0, storeMs: 0,
-				}),
-				pollChanges: async () => Right({
-					rows: [], revision: revisions.shift()!, eraRevision: 0, storeMs: 0,
-				}),
-				write: async () => Left('unknown'),
-				async close() {
-					// No connection is open.
-				},
-			},
-			documents: {configurationTable: 'op'},
-		} as unknown as Deployment,
-		log: new EntryLog({level: 'silent', instanceId: 'a', clock}),
-		clock,
-		dispatch({kind}) {
+	const watcher = createWatcher({
+		store: {
+			read: async () => Right({
+				rows: [], revision: revisions.shift()!, eraRevision: 0, storeMs: 0,
+			}),
+			pollChanges: async () => Right({
+				rows: [], revision: revisions.shift()!, eraRevision: 0, storeMs: 0,
+			}),
+		},
+		documents: {configurationTable: 'op'},
+		onEvent({kind}) {
 			assert.equal(kind, 'configuration-checked');
 			confirmed.push(revisions.length);
 		},
