One place asks a peer for what is newer

The interval between two pulls from a peer, and the note of the last one, stood in the beacons' and in the relays' code. No change of behaviour: 179 tests of the entry core pass.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -8,7 +8,7 @@
 import {recordArrival} from './demand.js';
 import {enqueue} from './dispatch.js';
 import {beginTrial, culpritOf, quarantineRefusal} from './quarantine.js';
-import {knownVersions, PULL_INTERVAL_MS} from './peer-sync.js';
+import {pullFrom} from './peer-sync.js';
 import {queueKeyOf, queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
 import {retryBudget} from './retry-budgets.js';
@@ -103,7 +103,7 @@
 
 /** Undefined for a request that comes from a caller, whatever it claims. */
 function acceptRelay(context: EntryContext, {id, relayed}: EntryArrival): Relayed | undefined {
-	const {state, nowMs, effects} = context;
+	const {state} = context;
 	const peer = relayed && state.peers.get(relayed.by);
 	if (!relayed || peer?.instance.boot !== relayed.boot) {
 		return undefined;
@@ -113,9 +113,8 @@
 	logEvent(context, 'relay-received', {
 		requestId: id, instanceId: relayed.by, service: relayed.service, configurationVersion: own, senderVersion: relayed.configurationVersion,
 	});
-	if (relayed.configurationVersion > own && nowMs - peer.pulledAtMs >= PULL_INTERVAL_MS) {
-		peer.pulledAtMs = nowMs;
-		effects.push({kind: 'pull', address: peer.instance.address, known: knownVersions(context)});
+	if (relayed.configurationVersion > own) {
+		pullFrom(context, peer);
 	}
 
 	return relayed;
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -20,7 +20,7 @@
 
 /** The store's feed usually delivers a version this soon after a peer has it, which makes a pull needless. */
 const FEED_GRACE_MS = 150;
-export const PULL_INTERVAL_MS = 250;
+const PULL_INTERVAL_MS = 250;
 /** Beacons bring a new crash within this time, which makes a pull needless. */
 const CRASH_GRACE_MS = 500;
 /** Age of the registry copy from which it is pulled across zones: readers of this zone then do not reach the store. */
@@ -211,7 +211,7 @@
 function pullIfBehind(context: EntryContext, {from, configurationVersion, registry}: Beacon): void {
 	const {state, nowMs} = context;
 	const peer = state.peers.get(from.id);
-	if (!peer || nowMs - peer.pulledAtMs < PULL_INTERVAL_MS) {
+	if (!peer) {
 		return;
 	}
 
@@ -228,8 +228,15 @@
 	const differsForMs = nowMs - (peer.crashesDifferSinceMs ?? nowMs);
 	const lacksCrashes = peer.crashesDifferSinceMs !== undefined && (state.crashEvidence.digest === 0 || differsForMs >= CRASH_GRACE_MS);
 	if (lacksConfiguration || lacksRegistry || lacksCrashes) {
-		peer.pulledAtMs = nowMs;
-		context.effects.push({kind: 'pull', address: from.address, known: knownVersions(context)});
+		pullFrom(context, peer);
+	}
+}
+
+/** Requests what is newer at a peer, unless that was done just now. */
+export function pullFrom(context: EntryContext, peer: Peer): void {
+	if (context.nowMs - peer.pulledAtMs >= PULL_INTERVAL_MS) {
+		peer.pulledAtMs = context.nowMs;
+		context.effects.push({kind: 'pull', address: peer.instance.address, known: knownVersions(context)});
 	}
 }
 
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -3,8 +3,9 @@
 target that could serve a request, while peers may reach them, sends the request to one
 of these as its caller would. There is one hop: the other instance serves the request or
 refuses it. The newer of the two configurations decides how it is served, so that a caller
-whose instance has adopted a version does not see an older one. Such a try counts as one run, since the other instance runs it at most once;
-the rest of the attempts and the retry budget stay with this one.
+whose instance has adopted a version does not see an older one. Such a try counts as one
+run, since the other instance runs it at most once; the rest of the attempts and the retry
+budget stay with this one.
 */
 import {countsAsHolder} from './holders.js';
 import {type Peer} from './peer-messages.js';
