Types and settings for workspaces, connection reuse and pace

Cause: three parts are built side by side and share these declarations. Nothing reads them yet. Conclusion: no change of behaviour.

--- a/src/core/entry/configuration.ts
+++ b/src/core/entry/configuration.ts
@@ -4,6 +4,7 @@
 may send. It is always read as a whole, has a monotonically increasing version, and is
 indexed once when it is adopted.
 */
+import {type Workspace} from './workspace.js';
 
 /** A service that a route sends requests to. Several destinations share a route in proportion to their weights. */
 export type Destination = {
@@ -32,6 +33,8 @@
 	/** Maximum number of tries of one request that may have been executed. */
 	readonly maxAttempts: number;
 	readonly destinations: readonly Destination[];
+	/** Whether callers need no API key where the configuration has workspaces; absent: they do. */
+	readonly isPublic?: boolean;
 };
 
 export type EngineModel = {
@@ -74,6 +77,8 @@
 	readonly routes: readonly Route[];
 	readonly services: ReadonlyMap<string, Service>;
 	readonly limits: CallerLimits;
+	/** Absent if callers need no API key. */
+	readonly workspaces?: readonly Workspace[];
 };
 
 /** Routes by host, longest prefix first. */
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -7,6 +7,7 @@
 } from '../types.js';
 import {type Fingerprint} from '../request/crash-evidence.js';
 import {type Route} from './configuration.js';
+import {type Workspace} from './workspace.js';
 
 /** Identity and addresses of one entry process. */
 export type EntryInstance = {
@@ -34,6 +35,18 @@
 	readonly repeatShare: number;
 	readonly repeatWindowMs: number;
 	readonly repeatSlack: number;
+	/** Absent if no bound is set on how long a withdrawn API key may still be accepted. */
+	readonly revocation?: {
+		/** Whether that holds for instances that are out of touch with the store as well. */
+		readonly isStrict: boolean;
+		readonly withinMs: number;
+	};
+	/** How quotas of workspaces are measured: over sliding windows, with a share and a constant (in units of the quota) by which they may be exceeded. */
+	readonly quota?: {
+		readonly windowMs: number;
+		readonly overShare: number;
+		readonly slack: number;
+	};
 };
 
 /** How an instance that cannot reach the targets of a request passed it on. */
@@ -49,6 +62,8 @@
 	readonly route?: Route;
 	/** For a stream that has begun: the release at which it has to go on. */
 	readonly release: string | undefined;
+	/** Name of the workspace whose key the request brought; absent for none. */
+	readonly workspace?: string;
 };
 
 export type EntryArrival = {
@@ -62,6 +77,10 @@
 	readonly adapter: string | undefined;
 	/** Size of the prompt, undefined if the caller does not state it. */
 	readonly promptTokens?: number;
+	/** Longest output that the caller asks for, undefined if it does not state it. */
+	readonly outputTokens?: number;
+	/** SHA-256 of the caller's API key, base64url; absent if it sent none. */
+	readonly keyHash?: string;
 	/** Ids of the parts of its prompt in order. Requests share them, but for the last, which belongs to this request or its session. */
 	readonly promptParts?: readonly string[];
 	/** For a stream that the caller resumes: the last event that it has received, and the request that brought the first one. */
@@ -120,6 +139,8 @@
 	readonly id: RequestId;
 	readonly arrival: EntryArrival;
 	readonly route: Route;
+	/** Workspace whose key the request brought; undefined on public routes and where the configuration has no workspaces. */
+	readonly workspace?: Workspace;
 	service: string;
 	/** Key of its waiting queue: requests with the same key can be served by the same targets. */
 	queueKey: string;
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -33,7 +33,24 @@
 		repeatShare: z.number().min(0).max(10),
 		repeatWindowMs: z.number().positive(),
 		repeatSlack: z.number().nonnegative(),
+		revocation: z.strictObject({
+			isStrict: z.boolean(),
+			withinMs: milliseconds,
+		}).optional(),
+		quota: z.strictObject({
+			windowMs: z.number().positive(),
+			overShare: z.number().nonnegative(),
+			slack: z.number().nonnegative(),
+		}).optional(),
 	}),
+	connections: z.strictObject({
+		/** Which requests may use pooled connections to targets: those that may be repeated, or all. */
+		reuse: z.enum(['repeatable', 'all']).default('repeatable'),
+	}).prefault({}),
+	pace: z.strictObject({
+		/** Whether targets that have just started or recovered get a limit that follows how they answer. */
+		mode: z.enum(['off', 'adaptive']).default('off'),
+	}).prefault({}),
 	policy: z.strictObject({
 		/** Mechanisms that are switched off, for experiments. */
 		without: z.array(z.enum(mechanismNames)).default([]),
