API keys: requests need the key of a workspace, and targets get its name

A request's key is hashed on arrival and looked up in an index that is built when a version is adopted. A missing or unknown key gets 401 (1015, 1016) before the request counts for anything. Where there are workspaces, the key and the caller's own workspace header are removed and targets get the name, on every try. Relays carry the name and the hash, so that an instance with a newer version checks the key again. The workspace's rank replaces the route's. A configuration from an instance of an earlier build, which leaves workspaces out, is not taken for one without keys: the same version is adopted again from the store.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -15,6 +15,7 @@
 import {resumeStream} from './stream-origins.js';
 import {logEvent, randomFraction, type EntryContext} from './state.js';
 import {type EntryArrival, type EntryRequest, type Relayed} from './types.js';
+import {authenticate, routeFor} from './workspaces.js';
 
 /** A request whose expected wait exceeds this share of its time is refused early, while its caller can still try elsewhere. */
 const MAX_WAIT_SHARE = 0.7;
@@ -43,7 +44,15 @@
 		return;
 	}
 
-	const {route, service} = resolution;
+	const {service} = resolution;
+	const identity = authenticate(state, {keyHash: arrival.keyHash, route: resolution.route, relayed});
+	if ('code' in identity) {
+		refuseArrival(context, arrival, identity);
+		return;
+	}
+
+	const {workspace} = identity;
+	const route = routeFor(resolution.route, workspace);
 	// The instance that passed it on has counted it.
 	if (!relayed) {
 		retryBudget(state, service).recordRequest(nowMs);
@@ -61,6 +70,7 @@
 		arrival: {...arrival, relayed},
 		// Its further attempts stay with the instance that passed it on.
 		route: relayed ? {...route, maxAttempts: 1} : route,
+		workspace,
 		service,
 		queueKey: queueKeyOf(service, arrival.model),
 		streamId: arrival.resumes ?? arrival.id,
--- a/src/core/entry/closing.ts
+++ b/src/core/entry/closing.ts
@@ -48,6 +48,7 @@
 		route: request.route.name,
 		model: request.arrival.model,
 		adapter: request.arrival.adapter,
+		workspace: request.workspace?.name,
 		outcome,
 		detail,
 		tries: request.tries.map(({targetId, outcome: ended}) => `${targetId}:${ended}`),
--- a/src/core/entry/configuration-adoption.ts
+++ b/src/core/entry/configuration-adoption.ts
@@ -4,11 +4,12 @@
 */
 import {indexRoutes, type EntryConfiguration} from './configuration.js';
 import {dispatchAll} from './dispatch.js';
-import {logEvent, type EntryContext} from './state.js';
+import {logEvent, type EntryContext, type EntryState} from './state.js';
+import {indexWorkspaces} from './workspaces.js';
 
 export function adoptConfiguration(context: EntryContext, configuration: EntryConfiguration, source: 'store' | 'peer'): void {
 	const {state} = context;
-	if (state.configuration && configuration.version <= state.configuration.version) {
+	if (!isNewer(state, configuration) || lacksWorkspaces(state, configuration, source)) {
 		return;
 	}
 
@@ -16,8 +17,11 @@
 	state.configuration = configuration;
 	state.configurationBehindSinceMs = undefined;
 	state.routes = indexRoutes(configuration.routes);
+	state.workspaces = indexWorkspaces(configuration.workspaces);
 	context.effects.push({kind: 'adopt-configuration', configuration});
-	logEvent(context, 'configuration-adopted', {version: configuration.version, source, routes: configuration.routes.length});
+	logEvent(context, 'configuration-adopted', {
+		version: configuration.version, source, routes: configuration.routes.length, workspaces: configuration.workspaces?.length,
+	});
 	if (isFirst && state.lifecycle === 'serving') {
 		context.effects.push({kind: 'set-readiness', isReady: true});
 	}
@@ -26,3 +30,14 @@
 	state.beaconsSentAtMs = Number.NEGATIVE_INFINITY;
 	dispatchAll(context);
 }
+
+/** Whether the configuration is a higher version, or the same one with the workspaces that a peer of an earlier build has left out. */
+function isNewer({configuration: held}: EntryState, configuration: EntryConfiguration): boolean {
+	return !held || configuration.version > held.version
+		|| (configuration.version === held.version && held.workspaces === undefined && configuration.workspaces !== undefined);
+}
+
+/** A peer of an earlier build knows no workspaces and leaves them out; taken from it, a configuration would admit callers without keys. */
+function lacksWorkspaces({workspaces}: EntryState, configuration: EntryConfiguration, source: 'store' | 'peer'): boolean {
+	return source === 'peer' && workspaces !== undefined && configuration.workspaces === undefined;
+}
--- a/src/core/entry/configuration.ts
+++ b/src/core/entry/configuration.ts
@@ -77,7 +77,7 @@
 	readonly routes: readonly Route[];
 	readonly services: ReadonlyMap<string, Service>;
 	readonly limits: CallerLimits;
-	/** Absent if callers need no API key. */
+	/** Empty if callers need no API key; absent in the configurations of instances of an earlier build. */
 	readonly workspaces?: readonly Workspace[];
 };
 
--- a/src/core/entry/effect.ts
+++ b/src/core/entry/effect.ts
@@ -31,6 +31,10 @@
 		/** Whether a server error is the final response and forwarded to the caller. */
 		readonly forwardsErrors: boolean;
 		readonly maxConnections: number;
+		/** Whether the caller's API key, and a workspace that it states itself, are removed from the headers. */
+		readonly hidesKey: boolean;
+		/** Name of the workspace that the request belongs to, undefined for none. */
+		readonly workspace: string | undefined;
 		/** Present if the address is another instance's, which the request is passed on to. */
 		readonly relayed?: Relayed;
 	}
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -14,6 +14,7 @@
 import {type Target} from './target.js';
 import {targetsOf} from './targets.js';
 import {type EntryRequest, type EntryTry, type Relayed} from './types.js';
+import {keyHashOf, sentWorkspace} from './workspaces.js';
 
 /** Requests in flight at an instance of this zone for which one of another zone, where traffic is billed, is as good. */
 const RELAYS_PER_ZONE = 8;
@@ -102,6 +103,7 @@
 		isStream: route.isStream,
 		forwardsErrors: route.repeat === 'once',
 		maxConnections: RELAYS_PER_ZONE,
+		...sentWorkspace(state, request),
 		relayed: describeRelay(context, request, peer),
 	});
 	logEvent(context, 'request-relayed', {
@@ -112,6 +114,7 @@
 		inFlight: peer.relays.size,
 		configurationVersion: state.configuration?.version,
 		delivered: request.delivered,
+		workspace: request.workspace?.name,
 		heardAgoMs: Math.round(nowMs - peer.beaconReceivedAtMs),
 		waitedMs: Math.round(nowMs - request.arrivedAtMs),
 	});
@@ -122,10 +125,16 @@
 	}
 }
 
-function describeRelay({state: {self, configuration}}: EntryContext, {service, release, route}: EntryRequest, peer: Peer): Relayed {
+function describeRelay({state: {self, configuration}}: EntryContext, {service, release, route, workspace, arrival}: EntryRequest, peer: Peer): Relayed {
 	const configurationVersion = configuration?.version ?? 0;
 	return {
-		by: self.id, boot: self.boot, service, release, configurationVersion, route: peer.configurationVersion < configurationVersion ? route : undefined,
+		by: self.id,
+		boot: self.boot,
+		service,
+		release,
+		configurationVersion,
+		route: peer.configurationVersion < configurationVersion ? route : undefined,
+		...(workspace && {workspace: workspace.name, keyHash: keyHashOf(arrival)}),
 	};
 }
 
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -8,6 +8,7 @@
 import {logEvent, type EntryContext} from './state.js';
 import {ownUnreadTokens, type Target} from './target.js';
 import {type EntryRequest, type EntryTry} from './types.js';
+import {sentWorkspace} from './workspaces.js';
 
 /** Bounds of the time after which a target without a response is considered silent, as multiples of the latency objective. */
 const MIN_SILENCE_FACTOR = 1.2;
@@ -50,6 +51,7 @@
 		isStream: route.isStream,
 		forwardsErrors: route.repeat === 'once',
 		maxConnections: connectionShare(context, target),
+		...sentWorkspace(state, request),
 	});
 	logEvent(context, 'try-sent', {
 		requestId: request.id,
@@ -60,6 +62,7 @@
 		resumes: request.arrival.resumes,
 		delivered: request.delivered,
 		model: request.arrival.model,
+		workspace: request.workspace?.name,
 		inFlight: target.inFlight.size,
 		limitPerSecond: target.rateLimit?.perSecond,
 		configurationVersion: state.configuration?.version,
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -24,6 +24,7 @@
 	type EntryBounds, type EntryInstance, type EntryRequest, type StreamOrigin,
 } from './types.js';
 import {type WaitingQueue} from './waiting-queue.js';
+import {type WorkspaceIndex} from './workspaces.js';
 
 /** Fingerprints of the answers of the last seconds, at 50 requests a second with a few fingerprints each. */
 const MAX_SURVIVALS = 5000;
@@ -71,6 +72,8 @@
 	startedAtMs: number;
 	configuration: EntryConfiguration | undefined;
 	routes: RouteIndex;
+	/** Undefined if the configuration contains no workspaces. */
+	workspaces: WorkspaceIndex | undefined;
 	/** Since when a peer is known to have a newer configuration. */
 	configurationBehindSinceMs: number | undefined;
 	configurationWatch: {
@@ -180,6 +183,7 @@
 		startedAtMs: 0,
 		configuration: undefined,
 		routes: new Map(),
+		workspaces: undefined,
 		configurationBehindSinceMs: undefined,
 		configurationWatch: {
 			confirmedAtMs: Number.NEGATIVE_INFINITY, asOfStoreMs: 0, checkSentAtMs: Number.NEGATIVE_INFINITY, isUnconfirmed: false,
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -8,7 +8,7 @@
 import {type RequestId} from '../types.js';
 import {holdOff, recordStatedBrittleness} from './brittle-services.js';
 import {
-	close, endTry, markRead, refuse, currentTry,
+	close, endTry, markRead, refuse, currentTry, type EntryRefusal,
 } from './closing.js';
 import {
 	addSuspect, hasSurvived, recordRefusal, recordSurvival, refuseIfQuarantined,
@@ -43,6 +43,7 @@
 	readonly wasRefused?: boolean;
 	/** When another instance that refused the request would take it. */
 	readonly retryAfterMs?: number;
+	readonly status?: number;
 };
 
 type OutcomeRule = {
@@ -55,6 +56,7 @@
 	readonly updateTarget: (context: EntryContext, target: Target, request: EntryRequest, details: FailureDetails) => void;
 };
 
+const UNAUTHORIZED_STATUS = 401;
 const SERVICE_UNAVAILABLE_STATUS = 503;
 /** A target that wants nothing for longer leaves; a longer time is taken for an error of its program. */
 const MAX_CLOSED_MS = 3_600_000;
@@ -237,7 +239,9 @@
 		tookMs: Math.round(nowMs - attempt.startedAtMs),
 	});
 	const usesMissing = attempt.isRelay === true || state.mechanisms.has('missing-copies');
-	handleFailure(context, request, event.outcome, {wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs});
+	handleFailure(context, request, event.outcome, {
+		wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs, status: event.status,
+	});
 }
 
 /** Records that the target leaves before its slot is freed, so that nothing that waits is sent there. One that has restarted since the try was sent does not. */
@@ -302,8 +306,7 @@
 
 	const isRelay = request.tries.at(-1)?.isRelay ?? false;
 	if (isRelay && outcome === 'not-run' && !details.wasMissing) {
-		const detail = 'the instance that it was passed on to refused it';
-		refuse(context, request, request.mayHaveRun ? {code: 'target-failed', detail} : {code: 'no-target', detail, retryAfterMs: details.retryAfterMs ?? MIN_RETRY_AFTER_MS});
+		refuse(context, request, relayRefusal(request, details));
 		return;
 	}
 
@@ -327,6 +330,15 @@
 	});
 }
 
+function relayRefusal({mayHaveRun}: EntryRequest, {status, retryAfterMs = MIN_RETRY_AFTER_MS}: FailureDetails): EntryRefusal {
+	const detail = 'the instance that it was passed on to refused it';
+	if (mayHaveRun) {
+		return {code: 'target-failed', detail};
+	}
+
+	return status === UNAUTHORIZED_STATUS ? {code: 'api-key-unknown', detail} : {code: 'no-target', detail, retryAfterMs};
+}
+
 /** Records what the outcome of the last try says of its target and of whether the request may have run. */
 function recordFailure(context: EntryContext, request: EntryRequest, outcome: FailedOutcome, details: FailureDetails = {}): OutcomeRule {
 	const rule = outcomeRules[outcome];
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -64,6 +64,8 @@
 	readonly release: string | undefined;
 	/** Name of the workspace whose key the request brought; absent for none. */
 	readonly workspace?: string;
+	/** SHA-256 of that key, by which an instance with a newer configuration checks it again. */
+	readonly keyHash?: string;
 };
 
 export type EntryArrival = {
--- a/src/core/result-codes.ts
+++ b/src/core/result-codes.ts
@@ -29,6 +29,8 @@
 	'request-malformed': {number: 1012, status: 400, title: 'The request is not valid HTTP'},
 	'headers-too-large': {number: 1013, status: 431, title: 'The request headers exceed the limit'},
 	'headers-late': {number: 1014, status: 408, title: 'The request headers did not arrive in time'},
+	'api-key-missing': {number: 1015, status: 401, title: 'This route needs an API key'},
+	'api-key-unknown': {number: 1016, status: 401, title: 'The API key is not known'},
 	'deadline-unreachable': {number: 1101, status: 503, title: 'The deadline cannot be met under the present load'},
 	'no-target': {number: 1103, status: 503, title: 'No target could take the request in time'},
 	stopping: {number: 1104, status: 503, title: 'This instance is stopping'},
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -76,6 +76,10 @@
 	readonly adapter: string | undefined;
 	/** Size of the prompt, undefined if the caller does not state it. */
 	readonly promptTokens: number | undefined;
+	/** Longest output that the caller asks for, undefined if it does not state it. */
+	readonly outputTokens: number | undefined;
+	/** The caller's API key. It is not kept beyond its hash. */
+	readonly apiKey: string | undefined;
 	/** Ids of the parts of the prompt in order, of which requests share all but the last; empty if the caller states none. */
 	readonly promptParts: readonly string[];
 	/** Last event that the caller received in an earlier response, 0 for none. */
@@ -91,6 +95,10 @@
 	readonly targetId: string;
 	readonly remainingMs: number;
 	readonly rank: number;
+	/** Whether the caller's API key, and a workspace that it states itself, are removed. */
+	readonly hidesKey: boolean;
+	/** Name of the workspace that holds the key, undefined for none. */
+	readonly workspace: string | undefined;
 	/** Last event that the caller received, if a stream is resumed at this target. */
 	readonly lastEventId: number | undefined;
 };
@@ -99,6 +107,8 @@
 export type RelayMetadata = {
 	readonly relayed: Relayed;
 	readonly remainingMs: number;
+	/** Whether the caller's API key, and a workspace that it states itself, are removed. */
+	readonly hidesKey: boolean;
 	/** Last event that the caller received, if the other instance is to continue a stream. */
 	readonly lastEventId: number | undefined;
 };
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -28,6 +28,7 @@
 import {defaultLimits, CallerListener} from './caller-listener.js';
 import {createEntryPeerServer, EntryPeerClient, type AdapterResult} from './peer-rpc.js';
 import {type Deployment} from './deployment.js';
+import {hashKey} from './key-hash.js';
 import {type EntrySettings} from './settings.js';
 import {StoreWatcher} from './store-watcher.js';
 import {TargetConnections} from './target-connections.js';
@@ -274,7 +275,7 @@
 
 	private _acceptRequest(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
 		const {headerCodec} = this.deployment;
-		const metadata = headerCodec.parseRequest(request.rawHeaders);
+		const {apiKey, ...metadata} = headerCodec.parseRequest(request.rawHeaders);
 		const id = metadata.requestId;
 		const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
 		const exchange = new Exchange({
@@ -310,6 +311,8 @@
 				model: metadata.model,
 				adapter: metadata.adapter,
 				promptTokens: metadata.promptTokens,
+				outputTokens: metadata.outputTokens,
+				...(apiKey !== undefined && this.state.workspaces && {keyHash: hashKey(apiKey)}),
 				promptParts: metadata.promptParts,
 				lastEventId: metadata.lastEventId,
 				resumes: metadata.resumes,
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -19,9 +19,11 @@
 	readonly body: Buffer;
 };
 
+type ExchangeMetadata = Omit<RequestMetadata, 'apiKey'>;
+
 export type ExchangeOptions = {
 	readonly id: string;
-	readonly metadata: RequestMetadata;
+	readonly metadata: ExchangeMetadata;
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly body: Buffer;
@@ -37,7 +39,7 @@
 
 export class Exchange {
 	readonly id: string;
-	readonly metadata: RequestMetadata;
+	readonly metadata: ExchangeMetadata;
 	readonly body: Buffer;
 	isFinished = false;
 	/** Id of the last event that the caller has received, in this response or in an earlier one that it resumes. */
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -123,14 +123,16 @@
 		}
 	}
 
-	private _buildHeaders(exchange: Exchange, {targetId, remainingMs, rank, relayed}: EntryEffectOf<'send'>): string[] {
+	private _buildHeaders(exchange: Exchange, {targetId, remainingMs, rank, relayed, hidesKey, workspace}: EntryEffectOf<'send'>): string[] {
 		const {headerCodec} = this._options;
 		const headers = withoutHopByHopHeaders(exchange.headers, ['content-length']);
 		const lastEventId = exchange.headersSent ? exchange.lastEventId : undefined;
 		return relayed
-			? headerCodec.buildRelayHeaders(headers, {relayed, remainingMs, lastEventId})
+			? headerCodec.buildRelayHeaders(headers, {
+				relayed, remainingMs, hidesKey, lastEventId,
+			})
 			: headerCodec.buildTargetHeaders(headers, {
-				targetId, remainingMs, rank, lastEventId,
+				targetId, remainingMs, rank, hidesKey, workspace, lastEventId,
 			});
 	}
 
