pollenarch check: a configuration is checked before it is sent

Cause: errors of a configuration showed only after it was sent, and entries that can never match or limits that contradict each other never. Figures: golden files of a broken, a changed and a sound document; a property test over 400 changed documents finds errors exactly where the decoder refuses. Conclusion: whole but for limits that only settings know (the retry budget).

--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -15,6 +15,8 @@
 	unavailable: 5,
 	/** The resource does not exist. */
 	unknown: 6,
+	/** A configuration is valid, but the check found entries that never match, or contradictions. */
+	findings: 7,
 } as const;
 
 export type ExitCodeName = keyof typeof exitCodes;
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -8,8 +8,11 @@
 import * as mergePatch from 'json-merge-patch';
 import {type Either} from 'purify-ts';
 import * as yaml from 'yaml';
+import {checkFile, exitCodeOf, formatFinding} from './check.js';
 import {completionScript} from './completion.js';
 import {OperatorClient, type Failure} from './client.js';
+import {type ConfigurationForm} from './configuration-form.js';
+import {embeddedForm} from './embedded-form.js';
 import {exitCodes} from './exit-codes.js';
 import {formatStatus} from './status.js';
 import {createStory, type Story} from './story.js';
@@ -23,9 +26,9 @@
 const POLL_INTERVAL_MS = 500;
 
 /** Runs a command line; commander has already printed the help or mistake, and the exit code is set, when it throws. */
-export async function runProgram(args: readonly string[]): Promise<void> {
+export async function runProgram(args: readonly string[], options: ProgramOptions = {}): Promise<void> {
 	try {
-		await createProgram().parseAsync([...args]);
+		await createProgram(options).parseAsync([...args]);
 	} catch (error) {
 		if (!(error instanceof CommanderError)) {
 			throw error;
@@ -33,7 +36,12 @@
 	}
 }
 
-export function createProgram(): Command {
+export type ProgramOptions = {
+	/** Forms of configurations that `check` knows. */
+	readonly forms?: readonly ConfigurationForm[];
+};
+
+export function createProgram({forms = [embeddedForm]}: ProgramOptions = {}): Command {
 	const program = new Command('pollenarch')
 		.description('Command line client for operators of pollenarch')
 		.addOption(new Option('--address <url>', 'base URL of a daemon\'s operator listener').env('POLLENARCH_ADDRESS').default('http://127.0.0.1:8090'))
@@ -45,6 +53,7 @@
 	addViewCommands(program);
 	addConfigurationCommands(program);
 	addProcessCommands(program);
+	addCheckCommand(program, forms);
 	program.command('story <request> [logs...]')
 		.description('log records of one request in order of time, from log files or standard input')
 		.action((request: string, files: string[]) => {
@@ -133,6 +142,23 @@
 		});
 }
 
+function addCheckCommand(program: Command, forms: readonly ConfigurationForm[]): void {
+	program.command('check <file>')
+		.description('check a configuration before it is sent (JSON or YAML; - for standard input)')
+		.option('--against <file>', 'the version in force: also print what differs from it')
+		.action((file: string, {against}: {against?: string}) => {
+			try {
+				const result = checkFile({file, against, forms});
+				const lines = globalOptions(program).json ? [JSON.stringify(result.findings)] : result.findings.map(finding => formatFinding(finding));
+				process.stdout.write(lines.map(line => `${line}\n`).join(''));
+				process.exitCode = exitCodeOf(result);
+			} catch (error) {
+				process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+				process.exitCode = exitCodes.usage;
+			}
+		});
+}
+
 function addProcessCommands(program: Command): void {
 	program.command('dump')
 		.description('complete state of the process as JSON')
--- a/src/core/entry/configuration.ts
+++ b/src/core/entry/configuration.ts
@@ -105,7 +105,7 @@
 }
 
 /** Host names are compared case-insensitively and without the port (RFC 9110, section 4.2.3). */
-function normalizeHost(host: string): string {
+export function normalizeHost(host: string): string {
 	return host.toLowerCase().replace(/:\d*$/v, '');
 }
 
