Withdrawn keys: the age of the configuration is tracked and bounded

Cause: with strictRevoke no request may be sent under a key later than revokeMs after its withdrawal, also by an instance that is cut off from the store, was suspended or read an answer late. Change: configuration-age.ts records when the version held was last known to be the newest: the sending of the read that confirmed it, by the monotonic clock, corrected for the time for which it may have stood still, and by the time of day; the larger age counts. Peers confirm by the store's clock. A step of more than 200 ms between the two clocks discards the offset to the store's clock until this instance's next read, which is sent at once; the offset is read anew every ten minutes, since the clocks drift. From the bound less 300 ms on, requests with a key go to a peer that is in touch with the store, which checks the key by its hash, or get 503 (1110). The key is checked before each sending and whenever the wait of a request is checked: 401 if a newer version has withdrawn it, 502 if the request may have run. Log events 105, 507, 508; try-sent, request-relayed and request-refused carry the age. Ruled out: counting the answers to long polls as fresh by the store's clock (they count from their sending, twenty seconds before); a per-event sum of the larger clock (rounding adds up). A step of the time of day that happens while the process is suspended hides as much of the suspension; no local clock can tell.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -3,6 +3,7 @@
 when it is known that it cannot be served.
 */
 import {type ResultName} from '../result-codes.js';
+import {roundedAgeMs} from './configuration-age.js';
 import {findRoute, pickDestination, type Route} from './configuration.js';
 import {close, refuse} from './closing.js';
 import {recordArrival} from './demand.js';
@@ -45,7 +46,7 @@
 	}
 
 	const {service} = resolution;
-	const identity = authenticate(state, {keyHash: arrival.keyHash, route: resolution.route, relayed});
+	const identity = authenticate(context, {keyHash: arrival.keyHash, route: resolution.route, relayed});
 	if ('code' in identity) {
 		refuseArrival(context, arrival, identity);
 		return;
@@ -164,6 +165,6 @@
 function refuseArrival(context: EntryContext, arrival: EntryArrival, refusal: Refusal): void {
 	context.effects.push({kind: 'refuse', requestId: arrival.id, ...refusal});
 	logEvent(context, 'request-refused', {
-		requestId: arrival.id, code: refusal.code, detail: refusal.detail, host: arrival.host, path: arrival.path, configurationVersion: context.state.configuration?.version,
+		requestId: arrival.id, code: refusal.code, detail: refusal.detail, host: arrival.host, path: arrival.path, configurationVersion: context.state.configuration?.version, configurationAgeMs: roundedAgeMs(context),
 	});
 }
--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -4,6 +4,7 @@
 an occasional beacon to a random instance of another zone keeps the zones connected.
 */
 import {announcedBrittleness} from './brittle-services.js';
+import {confirmedAsOfStoreMs} from './configuration-watch.js';
 import {localDemand} from './demand.js';
 import {announcedLoad} from './load-announcements.js';
 import {
@@ -156,13 +157,13 @@
 
 export function createBeacon(context: EntryContext): Beacon {
 	const {state, nowMs} = context;
-	const {registry, configuration, configurationWatch} = state;
+	const {registry, configuration} = state;
 	const held = holdsLease(context);
 	return {
 		from: state.self,
 		isLeaving: state.lifecycle === 'draining',
 		configurationVersion: configuration?.version ?? 0,
-		configurationAsOfStoreMs: configurationWatch.asOfStoreMs,
+		configurationAsOfStoreMs: confirmedAsOfStoreMs(state),
 		registry: {
 			revision: registry.revision, digest: registry.digest, asOfStoreMs: registry.asOfStoreMs, isRead: canReadStore(state, nowMs),
 		},
--- a/src/core/entry/configuration-watch.ts
+++ b/src/core/entry/configuration-watch.ts
@@ -4,10 +4,13 @@
 silent. One instance of each zone, the one that reads the registry, therefore also asks
 the store on another connection, and its beacons confirm the version to its peers.
 */
+import {
+	confirmByPeer, confirmByRead, configurationAgeMs, isAgeBounded, needsOwnRead, watchConfigurationAge,
+} from './configuration-age.js';
 import {type EntryEventOf} from './event.js';
 import {type Beacon} from './peer-messages.js';
 import {canReadStore, isDueAsReader} from './registry-readers.js';
-import {logEvent, type EntryContext} from './state.js';
+import {logEvent, type EntryContext, type EntryState} from './state.js';
 
 /** With a hedged check and the beacons of a zone, a version is in force everywhere within two seconds. */
 const CHECK_INTERVAL_MS = 1000;
@@ -16,7 +19,12 @@
 /** Several checks in a row, by several instances, have brought no answer. */
 const UNCONFIRMED_MS = 4000;
 
-export function handleConfigurationChecked(context: EntryContext, {sentAtMs, storeMs}: EntryEventOf<'configuration-checked'>): void {
+export function handleConfigurationChecked(context: EntryContext, event: EntryEventOf<'configuration-checked'>): void {
+	if (isAgeBounded(context.state)) {
+		confirmByRead(context, event);
+	}
+
+	const {sentAtMs, storeMs} = event;
 	const {configurationWatch, registry} = context.state;
 	// The answer to a poll may be much younger than the poll.
 	const answeredAtMs = registry.storeOffsetMs === undefined ? sentAtMs : Math.min(context.nowMs, storeMs + registry.storeOffsetMs);
@@ -26,7 +34,12 @@
 }
 
 /** A peer that holds the same version may have heard from the store later. */
-export function confirmConfiguration(context: EntryContext, {configurationVersion, configurationAsOfStoreMs}: Beacon): void {
+export function confirmConfiguration(context: EntryContext, beacon: Beacon): void {
+	if (isAgeBounded(context.state)) {
+		confirmByPeer(context, beacon);
+	}
+
+	const {configurationVersion, configurationAsOfStoreMs} = beacon;
 	const {configuration, configurationWatch, registry} = context.state;
 	if (configurationAsOfStoreMs === undefined || registry.storeOffsetMs === undefined || configurationVersion !== configuration?.version) {
 		return;
@@ -51,20 +64,37 @@
 
 export function watchConfiguration(context: EntryContext): void {
 	const {state, nowMs, effects} = context;
-	const {configuration, configurationWatch} = state;
+	const {configuration, configurationAge, configurationWatch} = state;
 	if (!configuration) {
 		return;
 	}
 
-	const ageMs = nowMs - configurationWatch.confirmedAtMs;
+	watchConfigurationAge(context);
+	const ageMs = unconfirmedForMs(context);
 	if (!configurationWatch.isUnconfirmed && ageMs > UNCONFIRMED_MS) {
 		configurationWatch.isUnconfirmed = true;
 		logEvent(context, 'configuration-unconfirmed', {version: configuration.version, ageMs: Math.round(ageMs)});
 	}
 
 	// While the store does not answer, the reads of the registry show when it does again.
-	if (canReadStore(state, nowMs) && isDueAsReader(context, configurationWatch.confirmedAtMs + CHECK_INTERVAL_MS) && nowMs - configurationWatch.checkSentAtMs >= HEDGED_CHECK_DELAY_MS) {
+	const isDue = canReadStore(state, nowMs) && isDueAsReader(context, nowMs - ageMs + CHECK_INTERVAL_MS) && nowMs - configurationWatch.checkSentAtMs >= HEDGED_CHECK_DELAY_MS;
+	const isNeededHere = isAgeBounded(state) && needsOwnRead(context);
+	if (isNeededHere) {
+		configurationAge.readSentAtMs = nowMs;
+	}
+
+	if (isDue || isNeededHere) {
 		configurationWatch.checkSentAtMs = nowMs;
 		effects.push({kind: 'check-configuration'});
 	}
 }
+
+/** Where the age has a bound, the readers of a zone keep that age low, which does not count the answers to long polls. */
+function unconfirmedForMs(context: EntryContext): number {
+	return isAgeBounded(context.state) ? configurationAgeMs(context) : context.nowMs - context.state.configurationWatch.confirmedAtMs;
+}
+
+/** When the version held was known to be the newest, on the store's clock, for peers; 0 if that is not known. */
+export function confirmedAsOfStoreMs(state: EntryState): number {
+	return isAgeBounded(state) ? state.configurationAge.confirmation?.asOfStoreMs ?? 0 : state.configurationWatch.asOfStoreMs;
+}
--- a/src/core/entry/dispatch.ts
+++ b/src/core/entry/dispatch.ts
@@ -5,6 +5,7 @@
 */
 import {fetchAdapter} from './adapter-fetching.js';
 import {refuse} from './closing.js';
+import {passOnOrRefuse} from './key-checks.js';
 import {isLeaseVacant, leaseReturnMs} from './lease.js';
 import {culpritOf, quarantineRefusal} from './quarantine.js';
 import {queueKeyOf, queueOf} from './queues.js';
@@ -17,9 +18,14 @@
 import {sendTry} from './send.js';
 import {targetsOf} from './targets.js';
 import {type EntryRequest} from './types.js';
+import {type WaitingQueue} from './waiting-queue.js';
 
 export function enqueue(context: EntryContext, request: EntryRequest): void {
 	request.phase = 'queued';
+	if (passOnOrRefuse(context, request)) {
+		return;
+	}
+
 	queueOf(context.state, request.queueKey).push(request);
 	dispatchQueue(context, request.queueKey);
 	const {state} = context;
@@ -53,9 +59,7 @@
 
 	const {nowMs} = context;
 	for (let request = queue.peek(nowMs); request; request = queue.peek(nowMs)) {
-		const culprit = culpritOf(context, request);
-		if (culprit !== undefined) {
-			refuse(context, request, quarantineRefusal(context, culprit, request.mayHaveRun));
+		if (isKeptBack(context, queue, request)) {
 			continue;
 		}
 
@@ -63,7 +67,7 @@
 			const peer = chooseRelay(context, request);
 			if (peer) {
 				queue.shift(nowMs);
-				sendRelay(context, request, peer);
+				sendRelay(context, request, peer, 'targets-unreached');
 				continue;
 			}
 
@@ -96,6 +100,21 @@
 	}
 }
 
+/** Whether no target may get the request, for its API key or for what it contains. It is passed on or refused then. */
+function isKeptBack(context: EntryContext, queue: WaitingQueue, request: EntryRequest): boolean {
+	if (passOnOrRefuse(context, request)) {
+		queue.remove(request);
+		return true;
+	}
+
+	const culprit = culpritOf(context, request);
+	if (culprit !== undefined) {
+		refuse(context, request, quarantineRefusal(context, culprit, request.mayHaveRun));
+	}
+
+	return culprit !== undefined;
+}
+
 /** Whether a target that serves requests holds the adapter of a request, even if it is full. */
 function isAdapterHeld({state, nowMs}: EntryContext, request: EntryRequest): boolean {
 	const name = `${request.arrival.model}/${request.arrival.adapter}`;
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -31,7 +31,7 @@
 	| {readonly kind: 'tick'}
 	| {readonly kind: 'configuration-read'; readonly configuration: EntryConfiguration}
 	/** The store has answered whether there is a newer configuration than the last one read; `sentAtMs` and `storeMs` as for the registry. */
-	| {readonly kind: 'configuration-checked'; readonly sentAtMs: number; readonly storeMs: number}
+	| {readonly kind: 'configuration-checked'; readonly sentAtMs: number; readonly sentAtWallMs?: number; readonly storeMs: number}
 	| {
 		readonly kind: 'registry-read';
 		readonly revision: number;
@@ -40,8 +40,9 @@
 		readonly isFullSnapshot: boolean;
 		/** Revisions below this one are from before the store was last restored from an older copy; absent if it never was. */
 		readonly eraRevision?: number;
-		/** When the read was sent, by the monotonic clock. */
+		/** When the read was sent, by the monotonic clock, and by the time of day where that is known. */
 		readonly sentAtMs: number;
+		readonly sentAtWallMs?: number;
 		/** The store's own monotonic clock when it responded. */
 		readonly storeMs: number;
 	}
--- a/src/core/entry/patience.ts
+++ b/src/core/entry/patience.ts
@@ -5,6 +5,7 @@
 */
 import {refuse} from './closing.js';
 import {expectedWait, type ExpectedWait} from './expected-wait.js';
+import {passOnOrRefuse} from './key-checks.js';
 import {queueOf} from './queues.js';
 import {canServe} from './selection.js';
 import {
@@ -51,9 +52,16 @@
 
 export function handlePatience(context: EntryContext, timer: Timer): void {
 	const request = context.state.open.get(timer.requestId);
-	if (request && request.phase !== 'running' && request.tries.length === timer.tryNumber) {
-		refuseOrWait(context, request);
+	if (!request || request.phase === 'running' || request.tries.length !== timer.tryNumber) {
+		return;
 	}
+
+	if (request.phase === 'queued' && passOnOrRefuse(context, request)) {
+		queueOf(context.state, request.queueKey).remove(request);
+		return;
+	}
+
+	refuseOrWait(context, request);
 }
 
 function refuseWaiting(context: EntryContext, request: EntryRequest, {waitMs, returnMs, reason}: ExpectedWait): void {
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -7,6 +7,7 @@
 import {expireFetches, handleAdapterRequested, handleAdapterResolved} from './adapters.js';
 import {handleArrival, handleCallerLeft} from './admission.js';
 import {adoptConfiguration} from './configuration-adoption.js';
+import {watchClocks} from './configuration-age.js';
 import {handleConfigurationChecked, watchConfiguration} from './configuration-watch.js';
 import {expireSuspects, handleTargetProbed} from './crash-suspects.js';
 import {updateDemandRates} from './demand.js';
@@ -97,6 +98,7 @@
 		state, nowMs: event.nowMs, wallMs: event.wallMs, effects: [],
 	};
 	const handler = handlers[event.kind] as (context: EntryContext, event: EntryEvent) => void;
+	watchClocks(context);
 	handler(context, event);
 	announceLoads(context);
 	return context.effects;
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -7,6 +7,7 @@
 import {type TargetId} from '../types.js';
 import {recordTargetCrash} from './crash-suspects.js';
 import {markLeaving} from './leaving.js';
+import {isAgeBounded, learnStoreClock} from './configuration-age.js';
 import {type EntryEventOf} from './event.js';
 import {dispatchAll} from './dispatch.js';
 import {isDueAsReader} from './registry-readers.js';
@@ -53,6 +54,10 @@
 	registry.isReadNews = true;
 	// The store read its clock after the request was sent. Equating the two times never makes a copy look fresher than it is.
 	registry.storeOffsetMs = event.sentAtMs - event.storeMs;
+	if (isAgeBounded(state)) {
+		learnStoreClock(context, event);
+	}
+
 	registry.eraRevision = Math.max(registry.eraRevision, event.eraRevision ?? 0);
 	// An answer that was overtaken by a later one is older by the store's clock too.
 	if (event.revision < registry.revision && event.storeMs > registry.asOfStoreMs) {
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -5,8 +5,10 @@
 refuses it. The newer of the two configurations decides how it is served, so that a caller
 whose instance has adopted a version does not see an older one. Such a try counts as one
 run, since the other instance runs it at most once; the rest of the attempts and the retry
-budget stay with this one.
+budget stay with this one. A request is passed on in the same way if this instance cannot tell whether its API key
+is still in force; the other instance checks the key by its hash.
 */
+import {roundedAgeMs} from './configuration-age.js';
 import {countsAsHolder} from './holders.js';
 import {type Peer} from './peer-messages.js';
 import {PEER_SILENT_MS} from './peers.js';
@@ -21,6 +23,8 @@
 /** Costs, in the same unit: an instance that was not heard from lately, and the random part that spreads requests. */
 const UNHEARD_COST = 2;
 const JITTER_COST = 0.5;
+/** A peer of the zone is heard from about once a second where the zone is large; after two, its word on the store is old. */
+const INFORMED_MS = 2000;
 /** Time for which an instance gets nothing more after it could not be reached, or did not reach the targets itself. */
 const AVOIDED_MS = 1000;
 /** Time reserved for the response to get back to this instance. */
@@ -44,7 +48,7 @@
 
 /** The instance that a request is passed on to, undefined if none is known that may reach its targets. */
 export function chooseRelay(context: EntryContext, request: EntryRequest): Peer | undefined {
-	const {state, nowMs} = context;
+	const {state} = context;
 	if (request.arrival.relayed) {
 		return undefined;
 	}
@@ -53,16 +57,11 @@
 	let best: Peer | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const peer of state.peers.values()) {
-		const mayReach = !peer.isCutOff && holders.some(({id}) => !peer.unreached.has(id));
-		if (peer.instance.callerAddress === undefined || peer.isLeaving || nowMs < peer.avoidedUntilMs || !mayReach) {
+		if (!isEligible(context, peer) || !holders.some(({id}) => !peer.unreached.has(id))) {
 			continue;
 		}
 
-		const isHeard = nowMs - peer.beaconReceivedAtMs < PEER_SILENT_MS;
-		const cost = (peer.relays.size / RELAYS_PER_ZONE)
-			+ (peer.instance.zone === state.self.zone ? 0 : 1)
-			+ (isHeard ? 0 : UNHEARD_COST)
-			+ (randomFraction(context) * JITTER_COST);
+		const cost = relayCost(context, peer);
 		if (cost < bestCost) {
 			best = peer;
 			bestCost = cost;
@@ -72,7 +71,43 @@
 	return best;
 }
 
-export function sendRelay(context: EntryContext, request: EntryRequest, peer: Peer): void {
+/** The instance that a request is passed on to since this one cannot tell whether its key is in force: one that was in touch with the store by its last beacon. */
+export function chooseInformedPeer(context: EntryContext, request: EntryRequest): Peer | undefined {
+	const {state, nowMs} = context;
+	if (request.arrival.relayed) {
+		return undefined;
+	}
+
+	const version = state.configuration?.version ?? 0;
+	let best: Peer | undefined;
+	let bestCost = Number.POSITIVE_INFINITY;
+	for (const peer of state.peers.values()) {
+		const isInformed = peer.canReadStore && peer.configurationVersion >= version && nowMs - peer.beaconReceivedAtMs < INFORMED_MS;
+		const cost = isInformed && isEligible(context, peer) ? relayCost(context, peer) : Number.POSITIVE_INFINITY;
+		if (cost < bestCost) {
+			best = peer;
+			bestCost = cost;
+		}
+	}
+
+	return best;
+}
+
+function isEligible({nowMs}: EntryContext, peer: Peer): boolean {
+	return peer.instance.callerAddress !== undefined && !peer.isLeaving && !peer.isCutOff && nowMs >= peer.avoidedUntilMs;
+}
+
+function relayCost(context: EntryContext, peer: Peer): number {
+	const isHeard = context.nowMs - peer.beaconReceivedAtMs < PEER_SILENT_MS;
+	return (peer.relays.size / RELAYS_PER_ZONE)
+		+ (peer.instance.zone === context.state.self.zone ? 0 : 1)
+		+ (isHeard ? 0 : UNHEARD_COST)
+		+ (randomFraction(context) * JITTER_COST);
+}
+
+export type RelayReason = 'targets-unreached' | 'configuration-outdated';
+
+export function sendRelay(context: EntryContext, request: EntryRequest, peer: Peer, reason: RelayReason): void {
 	const {state, nowMs, effects} = context;
 	const {route} = request;
 	const releases = new Set(targetsOf(state, request.service).map(({entry}) => entry.release));
@@ -110,9 +145,11 @@
 		requestId: request.id,
 		tryNumber: attempt.number,
 		instanceId: peer.instance.id,
+		reason,
 		zone: peer.instance.zone,
 		inFlight: peer.relays.size,
 		configurationVersion: state.configuration?.version,
+		configurationAgeMs: roundedAgeMs(context),
 		delivered: request.delivered,
 		workspace: request.workspace?.name,
 		heardAgoMs: Math.round(nowMs - peer.beaconReceivedAtMs),
@@ -125,8 +162,11 @@
 	}
 }
 
-function describeRelay({state: {self, configuration}}: EntryContext, {service, release, route, workspace, arrival}: EntryRequest, peer: Peer): Relayed {
+function describeRelay({state}: EntryContext, request: EntryRequest, peer: Peer): Relayed {
+	const {self, configuration} = state;
+	const {service, release, route, arrival} = request;
 	const configurationVersion = configuration?.version ?? 0;
+	const {workspace} = sentWorkspace(state, request);
 	return {
 		by: self.id,
 		boot: self.boot,
@@ -134,7 +174,7 @@
 		release,
 		configurationVersion,
 		route: peer.configurationVersion < configurationVersion ? route : undefined,
-		...(workspace && {workspace: workspace.name, keyHash: keyHashOf(arrival)}),
+		...(workspace !== undefined && {workspace, keyHash: keyHashOf(arrival)}),
 	};
 }
 
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -2,6 +2,7 @@
 Sends a try to its target and sets the timer that detects a silent one.
 */
 import {upperLimitMs} from '../request/estimate.js';
+import {roundedAgeMs} from './configuration-age.js';
 import {countInstances} from './peers.js';
 import {takePermit} from './rate-permits.js';
 import {tokensToRead} from './reading-speed.js';
@@ -66,6 +67,7 @@
 		inFlight: target.inFlight.size,
 		limitPerSecond: target.rateLimit?.perSecond,
 		configurationVersion: state.configuration?.version,
+		configurationAgeMs: request.workspace && roundedAgeMs(context),
 		registryRevision: state.registry.revision,
 		registryAgeMs: Math.round(nowMs - state.registry.freshAtMs),
 		waitedMs: Math.round(nowMs - request.arrivedAtMs),
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -11,6 +11,7 @@
 import {type RequestId, type TargetId} from '../types.js';
 import {CrashEvidence} from '../request/crash-evidence.js';
 import {type EntryConfiguration, type RouteIndex} from './configuration.js';
+import {createConfigurationAge, type ConfigurationAge} from './configuration-age.js';
 import {type EntryEffect} from './effect.js';
 import {type ComingCopy, type HeldAdapter, type Peers} from './peer-messages.js';
 import {OrderTracker} from './order-tracker.js';
@@ -85,6 +86,8 @@
 		/** Whether it is logged that this has not been known for a while. */
 		isUnconfirmed: boolean;
 	};
+	/** Maintained where the age of the configuration has a bound. */
+	readonly configurationAge: ConfigurationAge;
 	readonly targets: Map<TargetId, Target>;
 	registry: {
 		revision: number;
@@ -188,6 +191,7 @@
 		configurationWatch: {
 			confirmedAtMs: Number.NEGATIVE_INFINITY, asOfStoreMs: 0, checkSentAtMs: Number.NEGATIVE_INFINITY, isUnconfirmed: false,
 		},
+		configurationAge: createConfigurationAge(),
 		targets: new Map(),
 		registry: {
 			revision: 0,
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -16,6 +16,7 @@
 import {dispatchTarget, enqueue} from './dispatch.js';
 import {queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
+import {keyStanding} from './key-checks.js';
 import {markLeaving} from './leaving.js';
 import {addReading, createReadingSpeed} from './reading-speed.js';
 import {recordHeard, recordUnreached} from './reachability.js';
@@ -23,7 +24,7 @@
 import {recordStatedLimit} from './rate-limit.js';
 import {chooseTarget} from './selection.js';
 import {
-	avoidRelay, chooseRelay, isUnreached, sendRelay,
+	avoidRelay, chooseInformedPeer, chooseRelay, isUnreached, sendRelay,
 } from './relay.js';
 import {sendTry} from './send.js';
 import {recordOrigin} from './stream-origins.js';
@@ -449,12 +450,17 @@
 
 /** Another target that can serve the request at once or, if this instance reaches none, another instance. */
 function chooseReplacement(context: EntryContext, request: EntryRequest, {targetId}: EntryTry): Replacement | undefined {
-	if (isUnreached(context, request)) {
-		const peer = chooseRelay(context, request);
+	const standing = keyStanding(context, request);
+	if (standing === 'withdrawn') {
+		return undefined;
+	}
+
+	if (standing === 'unconfirmed' || isUnreached(context, request)) {
+		const peer = standing === 'unconfirmed' ? chooseInformedPeer(context, request) : chooseRelay(context, request);
 		return peer && peer.instance.id !== targetId
 			? {
 				send() {
-					sendRelay(context, request, peer);
+					sendRelay(context, request, peer, standing === 'unconfirmed' ? 'configuration-outdated' : 'targets-unreached');
 				},
 			}
 			: undefined;
--- a/src/core/entry/workspaces.ts
+++ b/src/core/entry/workspaces.ts
@@ -3,8 +3,10 @@
 by their hashes in an index that is built when a configuration is adopted.
 */
 import {type ResultName} from '../result-codes.js';
+import {isConfigurationOutdated} from './configuration-age.js';
 import {type Route} from './configuration.js';
-import {type EntryState} from './state.js';
+import {OUTDATED_RETRY_MS, outdatedDetail} from './key-checks.js';
+import {type EntryContext, type EntryState} from './state.js';
 import {type EntryArrival, type EntryRequest, type Relayed} from './types.js';
 import {type Workspace} from './workspace.js';
 
@@ -49,8 +51,8 @@
 }
 
 /** The workspace that a request belongs to, undefined if it needs none, or the reason why it is refused. */
-export function authenticate(state: EntryState, {keyHash, route, relayed}: Claims): {readonly workspace: Workspace | undefined} | KeyRefusal {
-	const {workspaces, configuration} = state;
+export function authenticate(context: EntryContext, {keyHash, route, relayed}: Claims): {readonly workspace: Workspace | undefined} | KeyRefusal {
+	const {workspaces, configuration} = context.state;
 	const isBehind = relayed !== undefined && relayed.configurationVersion > (configuration?.version ?? 0);
 	if (route.isPublic === true || (!workspaces && !(isBehind && relayed.workspace !== undefined))) {
 		return {workspace: undefined};
@@ -69,7 +71,14 @@
 	}
 
 	const workspace = workspaces?.byKeyHash.get(hash);
-	return workspace ? {workspace} : {code: 'api-key-unknown'};
+	if (workspace) {
+		return {workspace};
+	}
+
+	// A newer version may have added the key.
+	return isConfigurationOutdated(context)
+		? {code: 'configuration-outdated', retryAfterMs: OUTDATED_RETRY_MS, detail: outdatedDetail(context)}
+		: {code: 'api-key-unknown'};
 }
 
 /** A workspace that only a newer configuration contains. */
@@ -91,6 +100,8 @@
 	readonly workspace: string | undefined;
 };
 
-export function sentWorkspace({workspaces}: EntryState, {workspace}: EntryRequest): SentWorkspace {
-	return {hidesKey: workspaces !== undefined || workspace !== undefined, workspace: workspace?.name};
+export function sentWorkspace({workspaces}: EntryState, {workspace, arrival}: EntryRequest): SentWorkspace {
+	// A newer version may have given the key to another workspace.
+	const holder = workspace && workspaces?.byKeyHash.get(keyHashOf(arrival) ?? '');
+	return {hidesKey: workspaces !== undefined || workspace !== undefined, workspace: (holder ?? workspace)?.name};
 }
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -78,8 +78,8 @@
 	}
 
 	private async _readConfiguration(waitMs: number): Promise<StoreFailure | undefined> {
-		const {deployment: {store, documents}, clock, dispatch} = this._options;
-		const sentAtMs = clock.monotonicMs();
+		const {deployment: {store, documents}, dispatch} = this._options;
+		const sent = this._sendTimes();
 		const afterRevision = this._configurationRevision;
 		const page = afterRevision === undefined
 			? await store.read(documents.configurationTable)
@@ -99,7 +99,7 @@
 				this._dispatchConfiguration(rows);
 				if (revision >= heldRevision) {
 					// An older answer does not tell whether there is a newer version now.
-					dispatch({kind: 'configuration-checked', sentAtMs, storeMs});
+					dispatch({kind: 'configuration-checked', ...sent, storeMs});
 				}
 
 				return undefined;
@@ -108,9 +108,9 @@
 	}
 
 	async readRegistry(): Promise<void> {
-		const {deployment, dispatch, clock} = this._options;
+		const {deployment, dispatch} = this._options;
 		const {store, documents} = deployment;
-		const sentAtMs = clock.monotonicMs();
+		const sent = this._sendTimes();
 		let isFullSnapshot = this._registryRevision === 0;
 		let page = isFullSnapshot
 			? await store.read(documents.registryTable)
@@ -141,7 +141,7 @@
 			removed: latest.filter(({key}) => !readable.has(key)).map(({key}) => key),
 			isFullSnapshot,
 			eraRevision,
-			sentAtMs,
+			...sent,
 			storeMs,
 		});
 	}
--- a/test/standins/entry-harness.ts
+++ b/test/standins/entry-harness.ts
@@ -10,7 +10,7 @@
 import {createEntryState} from '../../src/core/entry/state.js';
 import {type Beacon} from '../../src/core/entry/peer-messages.js';
 import {type TargetEntry} from '../../src/core/entry/target.js';
-import {type EntryArrival, type EntryInstance} from '../../src/core/entry/types.js';
+import {type EntryArrival, type EntryBounds, type EntryInstance} from '../../src/core/entry/types.js';
 
 const TICK_INTERVAL_MS = 50;
 
@@ -131,13 +131,13 @@
 	storeClockOffsetMs = 500_000;
 	private _revision = 1;
 
-	constructor(readonly self: EntryInstance = instance('a'), {startMs = 1000}: {readonly startMs?: number} = {}) {
+	constructor(readonly self: EntryInstance = instance('a'), {startMs = 1000, bounds = {}}: {readonly startMs?: number; readonly bounds?: Partial<EntryBounds>} = {}) {
 		this.nowMs = startMs;
 		this.dispatch({
 			kind: 'started',
 			self,
 			bounds: {
-				graceMs: 8000, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 100,
+				graceMs: 8000, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 100, ...bounds,
 			},
 			seed: 7,
 		});
@@ -173,7 +173,7 @@
 	readRegistry(entries: readonly TargetEntry[]): this {
 		this._revision++;
 		this.dispatch({
-			kind: 'registry-read', revision: this._revision, entries, removed: [], isFullSnapshot: true, sentAtMs: this.nowMs, storeMs: this.storeMs,
+			kind: 'registry-read', revision: this._revision, entries, removed: [], isFullSnapshot: true, sentAtMs: this.nowMs, sentAtWallMs: this.nowMs + this.wallOffsetMs, storeMs: this.storeMs,
 		});
 		return this;
 	}
@@ -181,11 +181,27 @@
 	/** Delivers a read of the registry that brings no change. */
 	confirmRegistry(): this {
 		this.dispatch({
-			kind: 'registry-read', revision: this.state.registry.revision, entries: [], removed: [], isFullSnapshot: false, sentAtMs: this.nowMs, storeMs: this.storeMs,
+			kind: 'registry-read', revision: this.state.registry.revision, entries: [], removed: [], isFullSnapshot: false, sentAtMs: this.nowMs, sentAtWallMs: this.nowMs + this.wallOffsetMs, storeMs: this.storeMs,
 		});
 		return this;
 	}
 
+	/** Delivers the answer to a check that there is no newer configuration. */
+	checkConfiguration(sentAgoMs = 0): this {
+		const sentAtMs = this.nowMs - sentAgoMs;
+		this.dispatch({
+			kind: 'configuration-checked', sentAtMs, sentAtWallMs: sentAtMs + this.wallOffsetMs, storeMs: this.storeMs,
+		});
+		return this;
+	}
+
+	/** Suspends the process: its monotonic clock stands still, while the time of day and the store's clock go on. */
+	suspend(durationMs: number): this {
+		this.wallOffsetMs += durationMs;
+		this.storeClockOffsetMs += durationMs;
+		return this;
+	}
+
 	arrive(id: string, path = '/records/1', overrides: EntryArrivalOverrides = {}): EntryEffect[] {
 		return this.dispatch({
 			kind: 'request-arrived',
