--- a/src/core/entry/configuration-age.test.ts
+++ b/src/core/entry/configuration-age.test.ts
@@ -37,7 +37,7 @@
 
 function ageOf(core: EntryHarness): number {
 	return configurationAgeMs({
-		state: core.state, nowMs: core.nowMs, wallMs: core.nowMs + core.wallOffsetMs, effects: [],
+		state: core.state, nowMs: core.nowMs, wallMs: core.nowMs + core.wallOffsetMs,
 	});
 }
 
--- a/src/core/entry/configuration-age.ts
+++ b/src/core/entry/configuration-age.ts
@@ -34,6 +34,8 @@
 	isOutdated: boolean;
 };
 
+type Clocks = Pick<EntryContext, 'state' | 'nowMs' | 'wallMs'>;
+
 /** No version newer than the one held was acknowledged before this time. */
 type Confirmation = {
 	/** By the monotonic clock with the time for which it stood still. */
@@ -159,7 +161,7 @@
 }
 
 /** The longest time for which a newer version may have been in the store. */
-export function configurationAgeMs(context: EntryContext): number {
+export function configurationAgeMs(context: Clocks): number {
 	const {confirmation} = context.state.configurationAge;
 	return confirmation ? Math.max(correctedNowMs(context) - confirmation.correctedMs, context.wallMs - confirmation.wallMs) : Number.POSITIVE_INFINITY;
 }
@@ -190,6 +192,6 @@
 	});
 }
 
-function correctedNowMs({state: {configurationAge}, nowMs}: EntryContext): number {
+function correctedNowMs({state: {configurationAge}, nowMs}: Clocks): number {
 	return nowMs + configurationAge.stoodStillMs;
 }
--- a/src/core/entry/configuration-watch.ts
+++ b/src/core/entry/configuration-watch.ts
@@ -89,8 +89,8 @@
 	}
 }
 
-/** Where the age has a bound, the readers of a zone keep that age low, which does not count the answers to long polls. */
-function unconfirmedForMs(context: EntryContext): number {
+/** For how long it has not been known whether the version held is the newest. Where the age has a bound, the readers of a zone keep that age low, which does not count the answers to long polls. */
+export function unconfirmedForMs(context: Pick<EntryContext, 'state' | 'nowMs' | 'wallMs'>): number {
 	return isAgeBounded(context.state) ? configurationAgeMs(context) : context.nowMs - context.state.configurationWatch.confirmedAtMs;
 }
 
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -87,7 +87,9 @@
 			this.dispatch(event);
 		};
 
-		const metrics = new EntryMetrics({state: this.state, monotonicMs: () => clock.monotonicMs(), droppedLines: () => this.log.droppedLines});
+		const metrics = new EntryMetrics({
+			state: this.state, monotonicMs: () => clock.monotonicMs(), wallMs: () => clock.now().getTime(), droppedLines: () => this.log.droppedLines,
+		});
 		this._metrics = metrics;
 		this.log.setObserver((event, fields) => {
 			metrics.recordEvent(event, fields);
--- a/src/entry/entry-metrics.test.ts
+++ b/src/entry/entry-metrics.test.ts
@@ -21,7 +21,9 @@
 			},
 		},
 	});
-	const metrics = new EntryMetrics({state: createEntryState(), monotonicMs: () => nowMs, droppedLines: () => log.droppedLines});
+	const metrics = new EntryMetrics({
+		state: createEntryState(), monotonicMs: () => nowMs, wallMs: () => nowMs, droppedLines: () => log.droppedLines,
+	});
 	log.setObserver((event, fields) => {
 		metrics.recordEvent(event, fields);
 	});
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -7,6 +7,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import {type LogEventName} from '../core/log-events.js';
+import {unconfirmedForMs} from '../core/entry/configuration-watch.js';
 import {unreachedTargets} from '../core/entry/reachability.js';
 import {isLimited, isUsable} from '../core/entry/target.js';
 import {type EntryState} from '../core/entry/state.js';
@@ -19,6 +20,7 @@
 export type EntryMetricsOptions = {
 	readonly state: EntryState;
 	readonly monotonicMs: () => number;
+	readonly wallMs: () => number;
 	readonly droppedLines: () => number;
 };
 
@@ -62,7 +64,7 @@
 		},
 	};
 
-	constructor({state, monotonicMs, droppedLines}: EntryMetricsOptions) {
+	constructor({state, monotonicMs, wallMs, droppedLines}: EntryMetricsOptions) {
 		const gauges: ReadonlyArray<readonly [name: string, help: string, read: () => number]> = [
 			['pollenarch_open_requests', 'Requests without a final answer.', () => state.open.size],
 			['pollenarch_waiting_requests', 'Requests that wait for room at a target.', () => [...state.queues.values()].reduce((sum, {waiting}) => sum + waiting, 0)],
@@ -72,8 +74,8 @@
 			['pollenarch_known_crashes', 'Crashes of targets of the last hour with something blamed for them or cleared.', () => state.crashEvidence.size],
 			['pollenarch_known_instances', 'Other instances that are known.', () => state.peers.size],
 			['pollenarch_configuration_version', 'Version of the configuration in force.', () => state.configuration?.version ?? 0],
-			['pollenarch_configuration_age_seconds', 'Time since the configuration in force was last known to be the newest.', () => Number.isFinite(state.configurationWatch.confirmedAtMs) ? (monotonicMs() - state.configurationWatch.confirmedAtMs) * SECONDS_PER_MS : -1],
-			['pollenarch_registry_age_seconds', 'Age of the copy of the registry.', () => Number.isFinite(state.registry.freshAtMs) ? (monotonicMs() - state.registry.freshAtMs) * SECONDS_PER_MS : -1],
+			['pollenarch_configuration_age_seconds', 'Time since the configuration in force was last known to be the newest.', () => toSeconds(unconfirmedForMs({state, nowMs: monotonicMs(), wallMs: wallMs()}))],
+			['pollenarch_registry_age_seconds', 'Age of the copy of the registry.', () => toSeconds(monotonicMs() - state.registry.freshAtMs)],
 			['pollenarch_lease_held', 'Whether this instance gives orders to engines.', () => state.lease.held ? 1 : 0],
 			['pollenarch_lines_left_out', 'Log lines that were left out since the start.', droppedLines],
 		];
@@ -121,3 +123,8 @@
 function toText(value: unknown): string {
 	return typeof value === 'string' ? value : '';
 }
+
+/** -1 for an age that is not known. */
+function toSeconds(ageMs: number): number {
+	return Number.isFinite(ageMs) ? ageMs * SECONDS_PER_MS : -1;
+}
