The modelled fleet knows workspaces, withdrawn keys and a store that refuses instances

Cause: the bound on withdrawn keys depends on a whole deployment's beacons and reads. Change: patterns may have workspaces and the events withdraw-key and store-refuses; two invariants: no request sent under a key withdrawn 5 s ago or longer, no 401 for a key in force. Runs without workspaces draw the same random numbers and handle the same effects as before.

--- a/src/experiment/deployment-configuration.ts
+++ b/src/experiment/deployment-configuration.ts
@@ -17,7 +17,12 @@
 	return `model-${index}`;
 }
 
-export function createConfiguration({kinds, models, engine}: Pattern): EntryConfiguration {
+/** Stands for the hash of the workspace's key. */
+export function keyHashOf(workspace: number): string {
+	return `key-${workspace}`;
+}
+
+export function createConfiguration({kinds, models, engine, workspaces}: Pattern): EntryConfiguration {
 	return {
 		version: 1,
 		routes: kinds.map(kind => ({
@@ -58,5 +63,8 @@
 		limits: {
 			headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
+		workspaces: Array.from({length: workspaces}, (_, index) => ({
+			name: `workspace-${index}`, keyHashes: [keyHashOf(index)], rank: undefined, quota: undefined,
+		})),
 	};
 }
--- a/src/experiment/experiment.test.ts
+++ b/src/experiment/experiment.test.ts
@@ -66,6 +66,13 @@
 	}
 });
 
+// Guards against withdrawn keys that count for too long, and against callers with a key in force who are refused meanwhile.
+test('withdrawn keys are refused in time while the store refuses instances, a zone is cut off and the store is away', () => {
+	const {all, violations} = runOnce({pattern: {...shippedPattern('withdrawn-keys'), instancesPerZone: 4}, seed: 1, without: []});
+	assert.deepEqual(violations, []);
+	assert.ok(all['in-time'] > 0.7, `${all['in-time']} in time`);
+});
+
 test('each mechanism can be switched off without a violation', () => {
 	for (const mechanism of mechanismNames) {
 		assert.deepEqual(runOnce({pattern: smallPattern(), seed: 2, without: [mechanism]}).violations, [], mechanism);
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -14,10 +14,10 @@
 import {type EntryInstance, type TryOutcome} from '../core/entry/types.js';
 import {type Attempt, Callers, type Resumptions} from './callers.js';
 import {
-	createConfiguration, hasRoom, HOST, MODEL_SERVICE, modelName, PLAIN_SERVICE,
+	createConfiguration, hasRoom, HOST, keyHashOf, MODEL_SERVICE, modelName, PLAIN_SERVICE,
 } from './deployment-configuration.js';
 import {ModeledEngine} from './engine-model.js';
-import {Invariants} from './invariants.js';
+import {Invariants, REVOKE_MS} from './invariants.js';
 import {ModeledNetwork} from './modeled-network.js';
 import {ModeledStore} from './modeled-store.js';
 import {type Outcome} from './outcomes.js';
@@ -112,7 +112,11 @@
 	private readonly _instanceByBeaconAddress: ReadonlyMap<string, Instance>;
 	private readonly _targets = new Map<string, ModelTarget>();
 	private readonly _callers: Callers<Instance>;
-	private readonly _configuration: EntryConfiguration;
+	private _configuration: EntryConfiguration;
+	/** When the key of a workspace was withdrawn. */
+	private readonly _keysWithdrawnAtMs = new Map<number, number>();
+	/** Instances whose calls the store refuses. */
+	private readonly _refusedByStore = new Set<string>();
 	private readonly _rateLimits = new RateLimitMonitor({simulation: this.simulation, onViolation: text => this.violations.push(text)});
 	private readonly _invariants = new Invariants({simulation: this.simulation, onViolation: text => this.violations.push(text)});
 
@@ -264,10 +268,11 @@
 		const startedAtMs = this._random.uniform() * 300;
 		this._later(instance, startedAtMs, () => {
 			this._dispatch(instance, {
-				kind: 'started', self, bounds: BOUNDS, seed: Math.floor(this._random.uniform() * MAX_SEED), mechanisms: this._options.mechanisms,
+				kind: 'started', self, bounds: this._options.pattern.workspaces > 0 ? {...BOUNDS, revocation: {isStrict: true, withinMs: REVOKE_MS}} : BOUNDS, seed: Math.floor(this._random.uniform() * MAX_SEED), mechanisms: this._options.mechanisms,
 			});
 			this._dispatch(instance, {kind: 'instances-read', instances: this._instances.map(({identity}) => identity)});
 			this._dispatch(instance, {kind: 'configuration-read', configuration: this._configuration});
+			this._checkConfiguration(instance);
 			this._tick(instance);
 		});
 	}
@@ -312,15 +317,23 @@
 			this._callers.complete(requestId);
 		},
 		refuse: (_, {requestId, retryAfterMs, code}) => {
+			const attempt = this._callers.open.get(requestId);
+			if (attempt && code === 'api-key-unknown') {
+				this._invariants.checkKeyRefused(requestId, this._keysWithdrawnAtMs.get(attempt.generated.workspace ?? -1));
+			}
+
 			this._callers.refuse(requestId, retryAfterMs, code === 'target-failed' || code === 'target-timeout');
 		},
 		'break-off': (_, {requestId}) => {
 			this._callers.finish(requestId, 'failed');
 		},
+		'check-configuration': instance => {
+			this._checkConfiguration(instance);
+		},
 		'read-registry': instance => {
 			const sentAtMs = this.simulation.nowMs;
 			this._later(instance, this._options.pattern.storeMs, () => {
-				this._dispatch(instance, this._store.isDown
+				this._dispatch(instance, this._isRefused(instance)
 					? {kind: 'registry-read-failed'}
 					: {
 						kind: 'registry-read',
@@ -364,12 +377,12 @@
 		},
 		'read-releases': instance => {
 			this._later(instance, this._options.pattern.storeMs, () => {
-				this._dispatch(instance, {kind: 'releases-read', row: this._store.isDown ? undefined : this._store.readReleases(this.simulation.nowMs + 1)});
+				this._dispatch(instance, {kind: 'releases-read', row: this._isRefused(instance) ? undefined : this._store.readReleases(this.simulation.nowMs + 1)});
 			});
 		},
 		'write-releases': (instance, {expectedRevision, record}) => {
 			this._later(instance, this._options.pattern.storeMs, () => {
-				this._dispatch(instance, {kind: 'releases-written', revision: this._store.isDown ? undefined : this._store.writeReleases(expectedRevision, record)});
+				this._dispatch(instance, {kind: 'releases-written', revision: this._isRefused(instance) ? undefined : this._store.writeReleases(expectedRevision, record)});
 			});
 		},
 		beacon: (instance, {addresses, beacon}) => {
@@ -395,11 +408,33 @@
 		},
 	};
 
+	private _isRefused({identity}: Instance): boolean {
+		return this._store.isDown || this._refusedByStore.has(identity.id);
+	}
+
+	/** Only where there are workspaces: nothing else depends on the age of the configuration. The long polls of the feed are not modelled. */
+	private _checkConfiguration(instance: Instance): void {
+		const {workspaces, storeMs} = this._options.pattern;
+		if (workspaces === 0) {
+			return;
+		}
+
+		const sentAtMs = this.simulation.nowMs;
+		this._later(instance, storeMs, () => {
+			if (!this._isRefused(instance)) {
+				this._dispatch(instance, {kind: 'configuration-read', configuration: this._configuration});
+				this._dispatch(instance, {
+					kind: 'configuration-checked', sentAtMs, sentAtWallMs: sentAtMs + WALL_OFFSET_MS, storeMs: this.simulation.nowMs + 1,
+				});
+			}
+		});
+	}
+
 	private _callStore(instance: Instance, call: () => ReturnType<ModeledStore['readLease']>): void {
 		const sentAtMs = this.simulation.nowMs;
 		this._later(instance, this._options.pattern.storeMs, () => {
 			this._dispatch(instance, {
-				kind: 'lease-request-completed', result: this._store.isDown ? {kind: 'unknown'} : call(), sentAtMs, sentAtWallMs: sentAtMs + WALL_OFFSET_MS,
+				kind: 'lease-request-completed', result: this._isRefused(instance) ? {kind: 'unknown'} : call(), sentAtMs, sentAtWallMs: sentAtMs + WALL_OFFSET_MS,
 			});
 		});
 	}
@@ -490,7 +525,7 @@
 		return candidates[Math.floor(this._random.uniform() * candidates.length)] ?? this._instances.find(({isUp}) => isUp);
 	}
 
-	private _submit({id, instance, resumed, generated: {kind, model, adapter, parts}}: Attempt<Instance>, deadlineMs: number): void {
+	private _submit({id, instance, resumed, generated: {kind, model, adapter, parts, workspace}}: Attempt<Instance>, deadlineMs: number): void {
 		this._dispatch(instance, {
 			kind: 'request-arrived',
 			arrival: {
@@ -502,6 +537,7 @@
 				adapter,
 				promptParts: parts.map(part => part.id),
 				promptTokens: parts.length === 0 ? undefined : parts.reduce((sum, {tokens}) => sum + tokens, 0),
+				keyHash: workspace === undefined ? undefined : keyHashOf(workspace),
 				deadlineMs,
 				lastEventId: resumed?.events,
 				resumes: resumed?.id,
@@ -516,6 +552,7 @@
 			return;
 		}
 
+		this._invariants.checkKeySent(requestId, this._keysWithdrawnAtMs.get(attempt.generated.workspace ?? -1));
 		const delayMs = this._delayTo(instance, target);
 		const respond: TrySending['respond'] = event => {
 			const perSecond = this._rateLimits.limitOf(targetId);
@@ -745,6 +782,26 @@
 				this._store.isDown = false;
 			});
 		},
+		'store-refuses': ({forS, share}) => {
+			const refused = this._instances.filter((_, index) => index % Math.max(1, Math.round(1 / share)) === 0).map(({identity}) => identity.id);
+			for (const id of refused) {
+				this._refusedByStore.add(id);
+			}
+
+			this.simulation.schedule(forS * 1000, () => {
+				for (const id of refused) {
+					this._refusedByStore.delete(id);
+				}
+			});
+		},
+		'withdraw-key': ({workspace}) => {
+			this._keysWithdrawnAtMs.set(workspace, this.simulation.nowMs);
+			this._configuration = {
+				...this._configuration,
+				version: this._configuration.version + 1,
+				workspaces: this._configuration.workspaces?.map((known, index) => index === workspace ? {...known, keyHashes: []} : known),
+			};
+		},
 		'zone-cut': ({forS}) => {
 			this._network.isCut = true;
 			this.simulation.schedule(forS * 1000, () => {
--- a/src/experiment/invariants.ts
+++ b/src/experiment/invariants.ts
@@ -7,6 +7,8 @@
 import {type EntryState} from '../core/entry/state.js';
 import {type Simulation} from './simulation.js';
 
+/** Time after which no request may be sent under a withdrawn key, as for the deployments. */
+export const REVOKE_MS = 5000;
 /** Sum of the shares of a common limit, with a tolerance for instances that have just joined. */
 const MAX_SHARES = 1.1;
 
@@ -49,6 +51,21 @@
 		}
 	}
 
+	/** No instance sends a request under a withdrawn key later than the bound. */
+	checkKeySent(requestId: string, withdrawnAtMs: number | undefined): void {
+		const sinceMs = this._options.simulation.nowMs - (withdrawnAtMs ?? Number.POSITIVE_INFINITY);
+		if (sinceMs > REVOKE_MS) {
+			this._report(`${requestId} was sent ${Math.round(sinceMs)} ms after its key was withdrawn`);
+		}
+	}
+
+	/** Callers whose key is in force are not told that it is unknown. */
+	checkKeyRefused(requestId: string, withdrawnAtMs: number | undefined): void {
+		if (withdrawnAtMs === undefined) {
+			this._report(`${requestId} was refused for its key, which is in force`);
+		}
+	}
+
 	private _report(text: string): void {
 		this._options.onViolation(`${Math.round(this._options.simulation.nowMs)} ms: ${text}`);
 	}
--- a/src/experiment/pattern.ts
+++ b/src/experiment/pattern.ts
@@ -101,6 +101,12 @@
 		kind: z.literal('release'), atS: seconds, forS: seconds, share: z.number().min(0).max(1).default(1), leaveS: seconds.default(1),
 	}),
 	z.strictObject({kind: z.literal('store-down'), atS: seconds, forS: seconds}),
+	/** The store refuses the calls of a share of the instances. */
+	z.strictObject({
+		kind: z.literal('store-refuses'), atS: seconds, forS: seconds, share: z.number().min(0).max(1),
+	}),
+	/** A new version of the configuration withdraws the key of a workspace, whose callers go on sending it. */
+	z.strictObject({kind: z.literal('withdraw-key'), atS: seconds, workspace: z.number().int().nonnegative()}),
 	/** Messages between the first zone and the others are lost. */
 	z.strictObject({kind: z.literal('zone-cut'), atS: seconds, forS: seconds}),
 	z.strictObject({
@@ -125,6 +131,8 @@
 	lengthS: positive.default(30),
 	engine: engineSchema.prefault({}),
 	serviceSlots: count.default(6),
+	/** Workspaces, one key each, whose callers take turns; withdrawn keys must be refused in time by all instances. Without any, callers need no key. */
+	workspaces: z.number().int().nonnegative().default(0),
 	models: modelsSchema,
 	kinds: z.array(kindSchema).min(1),
 	events: z.array(eventSchema).default([]),
--- a/src/experiment/workload.ts
+++ b/src/experiment/workload.ts
@@ -15,13 +15,15 @@
 	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 	readonly outputTokens: number;
 	readonly workMs: number;
+	/** Index of the workspace of its caller; undefined where there are none. */
+	readonly workspace: number | undefined;
 };
 
 /** Interval in which rates are taken as constant. */
 const SLICE_MS = 50;
 
 export function generateRequests(pattern: Pattern, random: RandomSource): GeneratedRequest[] {
-	const requests: GeneratedRequest[] = [];
+	const requests: Array<Omit<GeneratedRequest, 'workspace'>> = [];
 	for (const kind of pattern.kinds) {
 		for (let fromMs = 0; fromMs < pattern.lengthS * 1000; fromMs += SLICE_MS) {
 			const perSlice = kind.perSecond * burstFactor(pattern, kind, fromMs) * SLICE_MS / 1000;
@@ -31,7 +33,8 @@
 		}
 	}
 
-	return requests.sort((a, b) => a.atMs - b.atMs);
+	// Callers of all workspaces take turns, without a random number, so that patterns without workspaces are as before.
+	return requests.sort((a, b) => a.atMs - b.atMs).map((request, index) => ({...request, workspace: pattern.workspaces === 0 ? undefined : index % pattern.workspaces}));
 }
 
 function burstFactor({events}: Pattern, {name}: RequestKind, atMs: number): number {
@@ -45,7 +48,7 @@
 	return factor;
 }
 
-function generateRequest(pattern: Pattern, kind: RequestKind, {atMs, random}: {atMs: number; random: RandomSource}): GeneratedRequest {
+function generateRequest(pattern: Pattern, kind: RequestKind, {atMs, random}: {atMs: number; random: RandomSource}): Omit<GeneratedRequest, 'workspace'> {
 	const zone = Math.floor(random.uniform() * pattern.zones);
 	const {prompt} = kind;
 	if (!prompt) {
