--- a/src/core/entry/configuration-age.test.ts
+++ b/src/core/entry/configuration-age.test.ts
@@ -285,6 +285,16 @@
 	assert.equal(effectsOfKind(advanceUnconfirmed(core, 1500), 'send').length, 0);
 });
 
+test('when a newer version contains no workspaces any more, requests are served without keys at any age', () => {
+	const core = start();
+	core.readRegistry([targetEntry('t0'), targetEntry('t1')]);
+	core.arrive('r1', undefined, {keyHash: 'hash-1'});
+	core.dispatch({kind: 'configuration-read', configuration: configuration({version: 2, workspaces: []})});
+	core.suspend(REVOKE_MS);
+	assert.equal(ask(core), 'sent');
+	assert.equal(effectsOfKind(core.endTry('r1', 1, 'failed'), 'send').length, 1);
+});
+
 test('a request whose key has moved to another workspace is sent in the name of that one', () => {
 	const core = start();
 	core.readRegistry([targetEntry('t0'), targetEntry('t1')]);
--- a/src/core/entry/key-checks.ts
+++ b/src/core/entry/key-checks.ts
@@ -17,12 +17,13 @@
 type KeyStanding = 'in-force' | 'withdrawn' | 'unconfirmed';
 
 export function keyStanding(context: EntryContext, request: EntryRequest): KeyStanding {
-	if (!request.workspace) {
+	const {workspaces, configuration} = context.state;
+	const {arrival} = request;
+	// A newer version may contain no workspaces any more; what a peer passed on by a newer version than this instance's does belong to one.
+	if (!request.workspace || (!workspaces && !arrival.relayed)) {
 		return 'in-force';
 	}
 
-	const {workspaces, configuration} = context.state;
-	const {arrival} = request;
 	const hash = keyHashOf(arrival);
 	// A peer that passed the request on by a newer version has checked the key by that version.
 	const isJudge = (arrival.relayed?.configurationVersion ?? 0) <= (configuration?.version ?? 0);
