--- a/test/standins/relay.ts
+++ b/test/standins/relay.ts
@@ -15,6 +15,8 @@
 
 	/** Starts to forward what was held up, for each connection that came during {@link hold}. */
 	private readonly _heldConnections = new Set<() => void>();
+	/** Number of connections accepted so far. */
+	accepted = 0;
 	private _targetUrl: URL | undefined;
 	private _isBlocked = false;
 	private _isHolding = false;
@@ -50,6 +52,14 @@
 		}
 	}
 
+	/** Stops forwarding on all open connections for good, without closing them; new ones work. */
+	silence(): void {
+		for (const socket of this._sockets) {
+			socket.unpipe();
+			socket.pause();
+		}
+	}
+
 	/** Closes all open connections and forwards new ones again. */
 	unblock(): void {
 		this._isBlocked = false;
@@ -96,6 +106,7 @@
 	}
 
 	private _accept(socket: Socket): void {
+		this.accepted++;
 		this._track(socket);
 		if (this._isBlocked || !this._targetUrl) {
 			socket.pause();
