Calls between instances go on over new connections

Cause: a pull waited for 800 ms on a kept connection that had gone silent and then failed, so that what a peer knows arrived up to one pull later; a call for an adapter failed after 1 s. A failed call also destroyed the agent with all its connections, and so ended other calls to the same peer.

--- a/src/entry/peer-rpc.ts
+++ b/src/entry/peer-rpc.ts
@@ -7,13 +7,9 @@
 import {type KnownVersions, type StateTransfer} from '../core/entry/peer-messages.js';
 import {PEER_MESSAGE_BYTES_MAX, PeerConnections} from '../daemon/peer/connections.js';
 import {EntryPeerService} from '../daemon/peer/gen/entry_pb.js';
+import {callTimes} from './call-times.js';
 import {decodePeerMessage, encodePeerMessage} from './peer-codec.js';
 
-/** Allows for many round trips between zones; the connection of a call that takes longer is closed. */
-const PULL_TIMEOUT_MS = 800;
-/** Covers an order to the engine and the round trip to the peer. */
-const ENSURE_ADAPTER_TIMEOUT_MS = 1000;
-
 export type AdapterResult = {
 	readonly isHeld: boolean;
 	readonly sequence: number;
@@ -47,15 +43,15 @@
 
 	/** Returns what is newer at the peer, or undefined when the call fails or times out. */
 	async pull(address: string, known: KnownVersions): Promise<StateTransfer | undefined> {
-		return this._connections.call(`http://${address}`, async client => {
-			const {transfer} = await client.pull({holdings: encodePeerMessage(known)}, {timeoutMs: PULL_TIMEOUT_MS});
+		return this._connections.call(`http://${address}`, callTimes.peerPull, async (client, options) => {
+			const {transfer} = await client.pull({holdings: encodePeerMessage(known)}, options);
 			return decodePeerMessage<StateTransfer>(transfer);
 		});
 	}
 
 	async ensureAdapter(address: string, {targetId, model, adapter}: {targetId: string; model: string; adapter: string}): Promise<AdapterResult | undefined> {
-		return this._connections.call(`http://${address}`, async client => {
-			const {isHeld, sequence} = await client.ensureAdapter({targetId, model, adapter}, {timeoutMs: ENSURE_ADAPTER_TIMEOUT_MS});
+		return this._connections.call(`http://${address}`, callTimes.peerAdapter, async (client, options) => {
+			const {isHeld, sequence} = await client.ensureAdapter({targetId, model, adapter}, options);
 			return {isHeld, sequence: Number(sequence)};
 		});
 	}
