Requests, reports and orders leave connections that have gone silent

Cause: after a request had found its kept connection to a target silent, the next one got another silent connection of the pool. A report on a silent kept connection failed after 0.8 s, and its engine counted as unreachable. An order asked undici for a reset, which closes the connection after the response but does not open one for the request: orders were written to connections that a report had left.

Change: src/entry/kept-connections.ts keeps connections by address in place of undici's pool, so that the idle ones are closed once a request was aborted after 250 ms of silence on a kept one. A response that is not the target's own to this request now closes its connection also if it had been read completely. Limits, the idle time of 2 s and which requests use kept connections stay as they were.

--- /dev/null
+++ b/src/entry/kept-connections.ts
@@ -0,0 +1,292 @@
+/**
+HTTP connections to many addresses, kept open after a response for later requests. Each
+request has a connection to itself: an idle one if the request may use it and there is
+one, else a new one. Unlike undici's pool, it never makes a request wait for a connection
+that is in use, states whether a connection has carried a response before, and can drop
+one whose response was not sound.
+*/
+import {type Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
+import {buildConnector, type Dispatcher} from 'undici';
+import {GuardedClient} from '../daemon/gateways/guarded-client.js';
+import {ABORTED_SILENCE_MS} from './call-times.js';
+
+export type IdleRule = {
+	/** How long a connection may be idle before it is used again, if the server states no time. */
+	readonly defaultMs: number;
+	/** Limit for the time that a server states with `Keep-Alive: timeout=N`. */
+	readonly maxMs: number;
+	/** How much sooner than the server a connection is closed. */
+	readonly marginMs: number;
+};
+
+export type KeptConnectionsOptions = {
+	readonly connectMs: number;
+	readonly idle: IdleRule;
+	readonly maxResponseBytes?: number;
+	/** Called for each connection that is opened, and for each that is used again. */
+	readonly onUse?: (use: ConnectionUse) => void;
+};
+
+/** Why a connection was opened, or that one was used again. */
+export type ConnectionUse = 'reused' | 'none-idle' | 'not-allowed';
+
+export type KeptRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: string[];
+	readonly body: Buffer | string | undefined;
+	readonly signal: AbortSignal;
+	/** Whether the request may be sent over a connection that has carried others. */
+	readonly mayReuse: boolean;
+	/** Whether the connection may be kept after the response. */
+	readonly mayKeep: boolean;
+	/** Number of connections to the address above which none is kept. */
+	readonly maxConnections: number;
+};
+
+export type KeptResponse = {
+	readonly status: number;
+	readonly headers: string[];
+	readonly body: Dispatcher.ResponseData['body'];
+	/** Whether the connection had carried another response before. */
+	readonly isReused: boolean;
+	/**
+	Whether the connection was reset after the response headers arrived. undici takes a reset for the regular end of a
+	response without a length.
+	*/
+	readonly wasReset: () => boolean;
+	/** Closes the connection, whatever has been read of the response. */
+	readonly drop: () => void;
+};
+
+type Connection = {
+	readonly client: GuardedClient;
+	/** Number of sockets that the client has opened: one that was closed while it was idle is replaced before a request is written. */
+	sockets: number;
+	/** The socket that carried the last response, by its number. */
+	usedSocket: number;
+	resets: number;
+	idleSinceMs: number;
+	idleLimitMs: number;
+};
+
+type Peer = {
+	busy: number;
+	/** The last one was used last. */
+	readonly idle: Connection[];
+};
+
+/** A connection in use. */
+type Usage = {
+	readonly address: string;
+	readonly peer: Peer;
+	readonly connection: Connection;
+};
+
+const MS_PER_S = 1000;
+
+export class KeptConnections {
+	private readonly _peers = new Map<string, Peer>();
+	private readonly _clients = new Set<GuardedClient>();
+	private readonly _connectSocket: buildConnector.connector;
+
+	constructor(private readonly _options: KeptConnectionsOptions) {
+		this._connectSocket = buildConnector({timeout: _options.connectMs});
+	}
+
+	hasIdle(address: string): boolean {
+		return this._peers.get(address)?.idle.some(connection => isUsable(connection)) ?? false;
+	}
+
+	async request(address: string, request: KeptRequest): Promise<KeptResponse> {
+		const peer = this._peer(address);
+		const kept = request.mayReuse ? takeIdle(peer) : undefined;
+		const connection = kept ?? this._open(address, peer);
+		if (!kept) {
+			this._options.onUse?.(request.mayReuse ? 'none-idle' : 'not-allowed');
+		}
+
+		peer.busy++;
+		const sentAtMs = performance.now();
+		try {
+			const {method, path, headers, body, signal} = request;
+			const response = await connection.client.request({
+				method, path, headers, body, signal, responseHeaders: 'raw',
+			});
+			if (kept) {
+				this._options.onUse?.(connection.sockets === connection.usedSocket ? 'reused' : 'none-idle');
+			}
+
+			return this._receive({address, peer, connection}, request, response);
+		} catch (error) {
+			peer.busy--;
+			this._forgetUnused(address, peer);
+			this._close(connection);
+			if (kept && request.signal.aborted && performance.now() - sentAtMs >= ABORTED_SILENCE_MS) {
+				this._dropIdle(address, sentAtMs);
+			}
+
+			throw error;
+		}
+	}
+
+	async close(): Promise<void> {
+		const clients = [...this._clients];
+		this._peers.clear();
+		await Promise.all(clients.map(async client => client.destroy()));
+	}
+
+	private _receive({address, peer, connection}: Usage, request: KeptRequest, {statusCode, headers: parsed, body}: Dispatcher.ResponseData): KeptResponse {
+		const headers = parsed as unknown as string[];
+		const isReused = connection.sockets === connection.usedSocket;
+		connection.usedSocket = connection.sockets;
+		const resetsBefore = connection.resets;
+		let isDropped = false;
+		let isEnded = false;
+		const end = (isComplete: boolean) => {
+			if (isEnded) {
+				return;
+			}
+
+			isEnded = true;
+			peer.busy--;
+			if (isComplete && !isDropped && request.mayKeep) {
+				this._keep(peer, connection, request.maxConnections, headers);
+			} else {
+				this._close(connection);
+			}
+
+			this._forgetUnused(address, peer);
+		};
+
+		body.once('end', () => {
+			end(true);
+		});
+		body.once('close', () => {
+			end(false);
+		});
+		return {
+			status: statusCode,
+			headers,
+			body,
+			isReused,
+			wasReset: () => connection.resets > resetsBefore,
+			drop: () => {
+				isDropped = true;
+				this._close(connection);
+			},
+		};
+	}
+
+	/** Keeps a connection whose response is complete, unless the server closes it. */
+	private _keep(peer: Peer, connection: Connection, maxConnections: number, headers: readonly string[]): void {
+		connection.idleSinceMs = performance.now();
+		connection.idleLimitMs = idleLimitMs(this._options.idle, headers);
+		// undici has closed the connection by now if the response was not well formed or stated `Connection: close`.
+		if (!isUsable(connection) || peer.busy >= maxConnections) {
+			this._close(connection);
+			return;
+		}
+
+		peer.idle.push(connection);
+		while (peer.idle.length + peer.busy > maxConnections) {
+			this._close(peer.idle.shift()!);
+		}
+	}
+
+	private _peer(address: string): Peer {
+		let peer = this._peers.get(address);
+		if (!peer) {
+			peer = {busy: 0, idle: []};
+			this._peers.set(address, peer);
+		}
+
+		return peer;
+	}
+
+	private _forgetUnused(address: string, peer: Peer): void {
+		if (peer.busy === 0 && peer.idle.length === 0 && this._peers.get(address) === peer) {
+			this._peers.delete(address);
+		}
+	}
+
+	private _open(address: string, peer: Peer): Connection {
+		const {idle, maxResponseBytes} = this._options;
+		const client = new GuardedClient(`http://${address}`, {
+			pipelining: 1,
+			keepAliveTimeout: idle.defaultMs,
+			keepAliveMaxTimeout: idle.maxMs,
+			keepAliveTimeoutThreshold: idle.marginMs,
+			// Silence is noticed by those who send requests, from the usual response times.
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			maxResponseSize: maxResponseBytes,
+			connect: (options, callback) => {
+				this._connectSocket(options, (...result) => {
+					const [error, socket] = result;
+					if (error === null) {
+						connection.sockets++;
+						// undici also destroys a connection that ended a response in the regular way with an error, which counts: a target that
+						// goes down may close its connections in that way.
+						socket.on('error', () => {
+							connection.resets++;
+						});
+					}
+
+					callback(...result);
+				});
+			},
+		});
+		const connection: Connection = {
+			client, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
+		};
+		this._clients.add(client);
+		client.on('disconnect', () => {
+			const index = peer.idle.indexOf(connection);
+			if (index !== -1) {
+				peer.idle.splice(index, 1);
+				this._forgetUnused(address, peer);
+				this._close(connection);
+			}
+		});
+		return connection;
+	}
+
+	/** Closes the idle connections that have brought nothing since a time. */
+	private _dropIdle(address: string, sinceMs: number): void {
+		const peer = this._peers.get(address);
+		if (!peer) {
+			return;
+		}
+
+		for (const connection of peer.idle.filter(({idleSinceMs}) => idleSinceMs < sinceMs)) {
+			peer.idle.splice(peer.idle.indexOf(connection), 1);
+			this._close(connection);
+		}
+
+		this._forgetUnused(address, peer);
+	}
+
+	private _close({client}: Connection): void {
+		this._clients.delete(client);
+		void client.destroy();
+	}
+}
+
+/** Takes the idle connection that was used last, which the server keeps open the longest. */
+function takeIdle({idle}: Peer): Connection | undefined {
+	const index = idle.findLastIndex(connection => isUsable(connection));
+	return index === -1 ? undefined : idle.splice(index, 1)[0];
+}
+
+function isUsable({client, idleSinceMs, idleLimitMs: limitMs}: Connection): boolean {
+	return client.stats.connected && performance.now() - idleSinceMs < limitMs;
+}
+
+/** How long a connection may be idle after a response with these headers. */
+function idleLimitMs({defaultMs, maxMs, marginMs}: IdleRule, headers: readonly string[]): number {
+	const index = headers.findIndex((name, position) => position % 2 === 0 && name.toLowerCase() === 'keep-alive');
+	const stated = index === -1 ? undefined : /(?:^|[\s,])timeout=(?<seconds>\d+)/iv.exec(headers[index + 1]!)?.groups?.seconds;
+	return stated === undefined ? defaultMs : Math.min(maxMs, (Number(stated) * MS_PER_S) - marginMs);
+}
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -141,6 +141,8 @@
 		if (fault) {
 			body.on('error', () => undefined);
 			body.destroy();
+			// The response may have been read completely, and another one may follow it.
+			response.drop();
 			// What a response that may not be the target's own states about it does not count.
 			return {
 				outcome: 'broken', status, load, rateLimit: undefined, isLeaving: undefined, reason: fault,
