A target that is unreached makes an instance probe three others, not all

Cause: when a connection to a target could not be opened, each instance probed every other target of its service that it had not heard from within 300 ms. With 100 instances and 78 engines, one dead engine caused up to 7,700 connections.

Change: three others are probed, of the instance's own zone first and those heard longest ago, ties at random. The rest is probed once none of them is reached. Nothing is probed if another target of the service was heard, or answered a probe, after the failed connection was begun.

--- a/src/core/entry/reachability.ts
+++ b/src/core/entry/reachability.ts
@@ -1,12 +1,15 @@
 /**
 Which targets this instance reaches. A target whose connection cannot be opened is
 unreached until a connection is accepted or something is heard from it; it is probed
-meanwhile, since requests go elsewhere. If one target is unreached, the others of its
-service are probed at once, so that a network partition of this instance shows before
-requests have tried them all.
+meanwhile, since requests go elsewhere. If one target is unreached, a few others of its
+service are probed at once, and the rest if none of these is reached, so that a network
+partition of this instance shows before requests have tried them all, and a target that is
+down does not make every instance probe every other one.
 */
 import {type TargetId} from '../types.js';
-import {logEvent, type EntryContext, type EntryState} from './state.js';
+import {
+	logEvent, randomFraction, type EntryContext, type EntryState,
+} from './state.js';
 import {isListed, type Target} from './target.js';
 import {targetsOf} from './targets.js';
 
@@ -16,6 +19,8 @@
 const SUSPECTED_PROBE_INTERVAL_MS = 100;
 /** A target heard from within this time need not be probed when another one is unreached. */
 const RECENTLY_HEARD_MS = 300;
+/** Enough for a target that is down, and a neighbour of it, not to look like a partition of this instance. */
+const SAMPLE_TARGETS = 3;
 
 /** Something came from the target. */
 export function recordHeard(context: EntryContext, target: Target): void {
@@ -33,11 +38,9 @@
 	target.unreachedSinceMs = sinceMs;
 	state.probedTargets.add(target.id);
 	const service = targetsOf(state, target.entry.service).filter(other => isListed(other, nowMs));
-	for (const other of service) {
-		if (other.unreachedSinceMs === undefined && nowMs - other.heardAtMs >= RECENTLY_HEARD_MS) {
-			other.probe.isWanted = true;
-			state.probedTargets.add(other.id);
-		}
+	for (const other of targetsToProbe(context, target, service, sinceMs)) {
+		other.probe.isWanted = true;
+		state.probedTargets.add(other.id);
 	}
 
 	if (service.length > 0 && service.every(other => other.unreachedSinceMs !== undefined)) {
@@ -48,6 +51,36 @@
 	}
 }
 
+/** Which other targets of a service show whether this instance is cut off from it, after a connection to one, begun at `sinceMs`, could not be opened. */
+function targetsToProbe(context: EntryContext, unreached: Target, service: readonly Target[], sinceMs: number): readonly Target[] {
+	const {state, nowMs} = context;
+	const others = service.filter(({unreachedSinceMs}) => unreachedSinceMs === undefined);
+	const isSampled = others.some(({probe}) => probe.isWanted);
+	if (isSampled || others.some(other => Math.max(other.heardAtMs, other.probe.answeredAtMs) > sinceMs)) {
+		// The answers of the sample are awaited, or another target has been reached meanwhile.
+		return [];
+	}
+
+	const candidates = others.filter(({heardAtMs}) => nowMs - heardAtMs >= RECENTLY_HEARD_MS);
+	if (unreached.probe.isWanted) {
+		// It was the last of the sample, and none of it was reached.
+		return candidates;
+	}
+
+	return candidates
+		.map(target => ({
+			target, zoneRank: target.entry.zone === state.self.zone ? 0 : 1, heardAtMs: target.heardAtMs, tieBreak: randomFraction(context),
+		}))
+		.toSorted((a, b) => a.zoneRank - b.zoneRank || compare(a.heardAtMs, b.heardAtMs) || a.tieBreak - b.tieBreak)
+		.slice(0, SAMPLE_TARGETS)
+		.map(({target}) => target);
+}
+
+/** Unlike a difference, also defined for two times of minus infinity. */
+function compare(a: number, b: number): number {
+	return a === b ? 0 : (a < b ? -1 : 1);
+}
+
 export function markReached(context: EntryContext, target: Target): void {
 	const {state} = context;
 	target.probe.isWanted = false;
