--- a/deploy/bundle.ts
+++ b/deploy/bundle.ts
@@ -3,6 +3,7 @@
 that a restarted process is ready sooner. Must run with the same V8 flags as the
 program, because V8 rejects a code cache that was created with other flags.
 */
+import {Buffer} from 'node:buffer';
 import {readFileSync, writeFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
 import process from 'node:process';
@@ -24,6 +25,7 @@
 	Agent: require('undici/lib/dispatcher/agent.js'),
 	Client: require('undici/lib/dispatcher/client.js'),
 	Pool: require('undici/lib/dispatcher/pool.js'),
+	Headers: require('undici/lib/web/fetch/headers.js').Headers,
 	errors: require('undici/lib/core/errors.js'),
 	buildConnector: require('undici/lib/core/connect.js'),
 };
@@ -37,6 +39,15 @@
 	},
 };
 
+/** Leaves out the compilers that fastify requires only for servers with schemas, of which the program has none. */
+const schemaCompilersPlugin: Plugin = {
+	name: 'schema-compilers',
+	setup(bundler) {
+		bundler.onResolve({filter: /^@fastify\/(?:ajv-compiler|fast-json-stringify-compiler)$/}, () => ({path: 'schema-compilers', namespace: 'schema-compilers'}));
+		bundler.onLoad({filter: /.*/, namespace: 'schema-compilers'}, () => ({contents: 'module.exports = () => undefined;'}));
+	},
+};
+
 await build({
 	entryPoints: ['platform/main.ts'],
 	outfile: bundleFile,
@@ -47,10 +58,14 @@
 	minifyWhitespace: true,
 	minifySyntax: true,
 	logLevel: 'error',
-	plugins: [undiciPlugin],
+	plugins: [undiciPlugin, schemaCompilersPlugin],
 });
 const wrappedSource = `(function (exports, require, module, __filename, __dirname) {${readFileSync(bundleFile, 'utf8')}\n})`;
-writeFileSync(`${outputFolder}/pollenarch.source.js`, wrappedSource);
+if (Buffer.from(wrappedSource, 'latin1').toString('latin1') !== wrappedSource) {
+	throw new Error('the bundle contains characters outside of ISO 8859-1, in which it is stored because that is the fastest to read');
+}
+
+writeFileSync(`${outputFolder}/pollenarch.source.js`, wrappedSource, 'latin1');
 const script = new Script(wrappedSource, {filename: bundleFile});
 // V8 caches only functions that have been compiled, so the program runs once to include the functions used at startup.
 // Without settings it reports the error and exits immediately.
@@ -62,11 +77,14 @@
 writeFileSync(`${outputFolder}/start.cjs`, `'use strict';
 const {readFileSync} = require('node:fs');
 const {join} = require('node:path');
+const {setFlagsFromString} = require('node:v8');
 const {Script} = require('node:vm');
 
-const script = new Script(readFileSync(join(__dirname, 'pollenarch.source.js'), 'utf8'), {
+const script = new Script(readFileSync(join(__dirname, 'pollenarch.source.js'), 'latin1'), {
 	filename: join(__dirname, 'pollenarch.cjs'),
 	cachedData: readFileSync(join(__dirname, 'pollenarch.cache')),
 });
 script.runInThisContext()(exports, require, module, __filename, __dirname);
+// Keeps the heap small. It is set here because flags of the command line make V8 reject the code cache of the built-in modules.
+setFlagsFromString('--heap-growing-percent=50');
 `);
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -7,10 +7,11 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {fastify, type FastifyInstance} from 'fastify';
+import {type FastifyInstance} from 'fastify';
 import {type CallerLimits} from '../core/entry/configuration.js';
 import {createProblem} from '../daemon/problem.js';
 import {type ResultName} from '../core/result-codes.js';
+import {createHttpServer} from './http-server.js';
 
 /** Apply until a configuration has been read. */
 export const defaultLimits: CallerLimits = {
@@ -44,7 +45,7 @@
 	private _idleCloseTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly _options: CallerListenerOptions) {
-		this._app = fastify({
+		this._app = createHttpServer({
 			serverFactory: handler => {
 				this._server = createServer({
 					maxHeaderSize: PARSER_HEADER_BYTES_MAX,
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -7,7 +7,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {fastify, type FastifyInstance} from 'fastify';
+import {type FastifyInstance} from 'fastify';
 import {systemClock, type Clock} from '../core/clock.js';
 import {type EntryEffect} from '../core/entry/effect.js';
 import {type EntryEvent, type Untimed} from '../core/entry/event.js';
@@ -25,6 +25,7 @@
 import {EntryLog} from './entry-log.js';
 import {EntryMetrics} from './entry-metrics.js';
 import {Exchange} from './exchange.js';
+import {createHttpServer} from './http-server.js';
 import {defaultLimits, CallerListener} from './caller-listener.js';
 import {createEntryPeerServer, EntryPeerClient, type AdapterResult} from './peer-rpc.js';
 import {type Deployment} from './deployment.js';
@@ -223,13 +224,13 @@
 	}
 
 	private _createReadinessServer(): FastifyInstance {
-		const server = fastify({forceCloseConnections: true});
+		const server = createHttpServer({forceCloseConnections: true});
 		server.get('/v1/ready', async (_request, reply) => reply.code(this.isReady ? 200 : 503).send());
 		return server;
 	}
 
 	private _createMetricsServer(): FastifyInstance {
-		const server = fastify({forceCloseConnections: true});
+		const server = createHttpServer({forceCloseConnections: true});
 		server.get('/metrics', async (_request, reply) => {
 			const {registry} = this._metrics;
 			return reply.type(registry.contentType).send(await registry.metrics());
--- a/src/entry/peer-rpc.ts
+++ b/src/entry/peer-rpc.ts
@@ -3,12 +3,17 @@
 */
 import {type ConnectRouter} from '@connectrpc/connect';
 import {fastifyConnectPlugin} from '@connectrpc/connect-fastify';
-import {fastify, type FastifyInstance} from 'fastify';
+import {type FastifyInstance} from 'fastify';
+import {Headers} from 'undici';
 import {type KnownVersions, type StateTransfer} from '../core/entry/peer-messages.js';
 import {PEER_MESSAGE_BYTES_MAX, PeerConnections} from '../daemon/peer/connections.js';
 import {EntryPeerService} from '../daemon/peer/gen/entry_pb.js';
+import {createHttpServer} from './http-server.js';
 import {decodePeerMessage, encodePeerMessage} from './peer-codec.js';
 
+// The first use of the built-in class loads all of the built-in fetch, which takes 40 ms of processor time.
+globalThis.Headers = Headers as unknown as typeof globalThis.Headers;
+
 /** Allows for many round trips between zones; the connection of a call that takes longer is closed. */
 const PULL_TIMEOUT_MS = 800;
 /** Covers an order to the engine and the round trip to the peer. */
@@ -26,7 +31,7 @@
 };
 
 export async function createEntryPeerServer(handler: EntryPeerHandler): Promise<FastifyInstance> {
-	const server = fastify({forceCloseConnections: true});
+	const server = createHttpServer({forceCloseConnections: true});
 	await server.register(fastifyConnectPlugin, {
 		readMaxBytes: PEER_MESSAGE_BYTES_MAX,
 		routes(router: ConnectRouter) {
--- a/test/standins/platform-process.ts
+++ b/test/standins/platform-process.ts
@@ -18,8 +18,8 @@
 import {freePorts} from './free-ports.js';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
-/** As in deploy/system.toml; the compiled form is only accepted under the flags that it was compiled with. */
-const nodeOptions = ['--max-old-space-size=128', '--single-threaded', '--always-sparkplug', '--no-memory-reducer'];
+/** The flags of the deploy file; the code cache is only accepted under the flags that it was created with. */
+export const nodeOptions: readonly string[] = /^run = "node (?<flags>.*) target\/start\.cjs"$/mv.exec(readFileSync(path.join(root, 'deploy/system.toml'), 'utf8'))!.groups!.flags!.split(' ');
 /** Many times the size of the repository's files. */
 const ARCHIVE_BYTES_MAX = 256 * 1024 * 1024;
 const READINESS_POLLS = 400;
@@ -35,13 +35,13 @@
 };
 
 export class PlatformBundle {
-	private readonly _folder = mkdtempSync(path.join(tmpdir(), 'pollenarch-process-'));
+	readonly folder = mkdtempSync(path.join(tmpdir(), 'pollenarch-process-'));
 	private _files = 0;
 
 	/** `commit`: the build of that commit rather than of the working tree, with the packages of the working tree. */
 	async build(commit?: string): Promise<void> {
 		const sources = commit === undefined ? root : this._checkOut(commit);
-		const bundled = spawn(process.execPath, [...nodeOptions, '--import', 'tsx', 'deploy/bundle.ts', this._folder], {cwd: sources, stdio: 'inherit'});
+		const bundled = spawn(process.execPath, [...nodeOptions, '--import', 'tsx', 'deploy/bundle.ts', this.folder], {cwd: sources, stdio: 'inherit'});
 		const [code] = await once(bundled, 'close') as [number];
 		if (code !== 0) {
 			throw new Error(`the bundle could not be built: exit code ${code}`);
@@ -49,7 +49,7 @@
 	}
 
 	private _checkOut(commit: string): string {
-		const sources = path.join(this._folder, 'sources');
+		const sources = path.join(this.folder, 'sources');
 		mkdirSync(sources);
 		const archive = spawnSync('git', ['archive', commit], {cwd: root, maxBuffer: ARCHIVE_BYTES_MAX});
 		if (archive.status !== 0) {
@@ -67,13 +67,13 @@
 
 	start(document: unknown): ChildProcess {
 		this._files++;
-		const file = path.join(this._folder, `settings-${this._files}.yaml`);
+		const file = path.join(this.folder, `settings-${this._files}.yaml`);
 		writeFileSync(file, yaml.stringify(document));
-		return spawn(process.execPath, [...nodeOptions, path.join(this._folder, 'start.cjs')], {cwd: root, env: {...process.env, POLLENARCH_SETTINGS: file}});
+		return spawn(process.execPath, [...nodeOptions, path.join(this.folder, 'start.cjs')], {cwd: root, env: {...process.env, POLLENARCH_SETTINGS: file}});
 	}
 
 	remove(): void {
-		rmSync(this._folder, {recursive: true});
+		rmSync(this.folder, {recursive: true});
 	}
 }
 
