Fourth figure of the load header: momentary slowness of targets

Cause: targets on shared hosts state how long work takes there at the moment; it was ignored. A target keeps it with its time; it counts for 300 ms and reaches peers, with its age, as an optional member of load announcements and beacons, at most 12 targets in a message. The end of a stream repeats the head's figures, which are as old as the stream, so it does not renew it. Conclusion: the base of the choice by expected time.

--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -15,6 +15,7 @@
 import {isCutOff, unreachedTargets} from './reachability.js';
 import {canReadStore} from './registry-readers.js';
 import {takeAnnouncedChange} from './registry-transfer.js';
+import {announcedSlowness} from './slowness.js';
 import {randomFraction, type EntryContext} from './state.js';
 
 const BEACON_INTERVAL_MS = 300;
@@ -181,6 +182,7 @@
 		crashDigest: state.crashEvidence.digest,
 		rateLimits: announcedLimits(context),
 		brittle: orNone(announcedBrittleness(context)),
+		slowness: announcedSlowness(context, state.targets.values()),
 		unreached: orNone(unreachedTargets(state).slice(0, MAX_UNREACHED)),
 		isCutOff: isCutOff(state, nowMs) || undefined,
 	};
--- a/src/core/entry/load-announcements.ts
+++ b/src/core/entry/load-announcements.ts
@@ -10,6 +10,7 @@
 import {type EntryEventOf} from './event.js';
 import {type AnnouncedLoad} from './peer-messages.js';
 import {countInstances, liveInstances} from './peers.js';
+import {adoptSlowness, announcedSlowness} from './slowness.js';
 import {type EntryContext} from './state.js';
 import {ownUnreadTokens, type Target} from './target.js';
 import {type EntryInstance} from './types.js';
@@ -24,7 +25,8 @@
 }
 
 /** Announces the loads that the current event has changed. */
-export function announceLoads({state, nowMs, effects}: EntryContext): void {
+export function announceLoads(context: EntryContext): void {
+	const {state, nowMs, effects} = context;
 	if (state.loadsToAnnounce.size === 0) {
 		return;
 	}
@@ -42,7 +44,7 @@
 	const far = rotate(peers.filter(({zone}) => !zones.has(zone)), state.self.id);
 	const addresses = [...near, ...far].slice(0, MAX_RECEIVERS).map(({beaconAddress}) => beaconAddress);
 	if (targets.length > 0 && addresses.length > 0 && state.mechanisms.has('load-announcements')) {
-		effects.push({kind: 'announce-load', addresses, announcement: {from: state.self.id, loads: targets.map(target => announcedLoad(target))}});
+		effects.push({kind: 'announce-load', addresses, announcement: {from: state.self.id, loads: targets.map(target => announcedLoad(target)), slowness: announcedSlowness(context, targets)}});
 	}
 }
 
@@ -52,11 +54,13 @@
 	return [...instances.slice(start), ...instances.slice(0, start)];
 }
 
-export function handleLoadAnnouncement(context: EntryContext, {announcement: {from, loads}}: EntryEventOf<'load-announced'>): void {
+export function handleLoadAnnouncement(context: EntryContext, {announcement: {from, loads, slowness}}: EntryEventOf<'load-announced'>): void {
 	const {state, nowMs} = context;
 	for (const [targetId, inFlight, unreadTokens = 0] of loads) {
 		// Waiting requests are dispatched at the next tick. Ticks of instances differ, so that not all send to a relieved engine at once.
 		state.targets.get(targetId)?.peerLoads.set(from, {inFlight, unreadTokens, atMs: nowMs});
 		state.peers.get(from)?.loadedTargets.add(targetId);
 	}
+
+	adoptSlowness(context, slowness ?? []);
 }
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -75,10 +75,15 @@
 /** What one instance has in flight at a target. */
 export type AnnouncedLoad = readonly [targetId: TargetId, inFlight: number, unreadTokens?: number];
 
+/** How long work takes at a target, in percent of the usual time, and the time since the target stated it. */
+export type AnnouncedSlowness = readonly [targetId: TargetId, percent: number, agoMs: number];
+
 /** Sent between beacons when an instance's load on engines changes, since a beacon is older than the time that a prompt takes to be read. */
 export type LoadAnnouncement = {
 	readonly from: InstanceId;
 	readonly loads: readonly AnnouncedLoad[];
+	/** Absent if none is known. */
+	readonly slowness?: readonly AnnouncedSlowness[];
 };
 
 /** A target's rate limit, or that it has lifted one. */
@@ -169,6 +174,8 @@
 	readonly isCutOff?: boolean;
 	/** Services whose targets fall over when they turn too many requests away. */
 	readonly brittle?: readonly AnnouncedBrittleness[];
+	/** What targets stated just now; absent if none did. */
+	readonly slowness?: readonly AnnouncedSlowness[];
 	/** Undefined from instances of an earlier release. */
 	readonly rateLimits?: readonly AnnouncedLimit[];
 };
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -17,6 +17,7 @@
 import {adoptRegistry, announceChange, updateFreshness} from './registry.js';
 import {registryTransfer} from './registry-transfer.js';
 import {leaseStatus} from './beacon-sender.js';
+import {adoptSlowness} from './slowness.js';
 import {logEvent, type EntryContext} from './state.js';
 import {type EntryInstance} from './types.js';
 
@@ -48,6 +49,7 @@
 	confirmConfiguration(context, beacon);
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
+	adoptSlowness(context, beacon.slowness ?? []);
 	adoptAnnouncedLimits(context, beacon.rateLimits ?? []);
 	for (const brittleness of beacon.brittle ?? []) {
 		adoptBrittleness(context, brittleness);
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -58,6 +58,8 @@
 	readonly running: number;
 	readonly waiting: number;
 	readonly slots: number;
+	/** How long work takes there at this moment, as a multiple of the usual time; absent if the target does not state it. */
+	readonly slowness?: number;
 };
 
 /** What the head of a target's response states about the rate of requests. */
@@ -121,6 +123,8 @@
 	loadReceivedAtMs: number;
 	/** This instance's requests in flight there when that load arrived. */
 	ownAtLoad: number;
+	/** How long work takes there, as a multiple of the usual time, as last stated to this instance or a peer; undefined if it never was. */
+	slowness: {readonly factor: number; readonly statedAtMs: number} | undefined;
 	/** Nothing is sent to it before this time, after connection failures. */
 	backoffUntilMs: number;
 	/** Nothing is sent to it before this time, which it has named when it turned a request away. */
@@ -180,6 +184,7 @@
 		loadTotal: 0,
 		loadReceivedAtMs: Number.NEGATIVE_INFINITY,
 		ownAtLoad: 0,
+		slowness: undefined,
 		backoffUntilMs: Number.NEGATIVE_INFINITY,
 		closedUntilMs: Number.NEGATIVE_INFINITY,
 		failures: 0,
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -26,11 +26,12 @@
 	avoidRelay, chooseRelay, isUnreached, sendRelay,
 } from './relay.js';
 import {sendTry} from './send.js';
+import {recordSlowness} from './slowness.js';
 import {recordOrigin} from './stream-origins.js';
 import {
 	logEvent, type Timer, type EntryContext, type EntryState,
 } from './state.js';
-import {recordLoad, type Target} from './target.js';
+import {recordLoad, type Target, type TargetLoad} from './target.js';
 import {targetsOf} from './targets.js';
 import {type EntryRequest, type EntryTry, type TryOutcome} from './types.js';
 
@@ -153,6 +154,7 @@
 		recordReading(state, request, attempt, nowMs);
 		if (event.load) {
 			recordLoad(target, event.load, nowMs);
+			recordStatedSlowness(context, target, event.load);
 		}
 
 		if (event.rateLimit) {
@@ -179,6 +181,13 @@
 	request.mayHaveRun = true;
 }
 
+/** Records what the head of a response states. That of a stream that ends is as old as the stream. */
+function recordStatedSlowness({nowMs}: EntryContext, target: Target, {slowness}: TargetLoad): void {
+	if (slowness !== undefined) {
+		recordSlowness(target, slowness, nowMs);
+	}
+}
+
 function recordReading(state: EntryState, request: EntryRequest, attempt: EntryTry, nowMs: number): void {
 	if (attempt.unreadTokens === 0) {
 		return;
@@ -210,6 +219,10 @@
 		recordLimits(context, target, {attempt, event});
 	}
 
+	if (target && event.load && !attempt.hasBegun) {
+		recordStatedSlowness(context, target, event.load);
+	}
+
 	endTry(context, request, attempt, event.outcome);
 	if (target && event.load) {
 		recordLoad(target, event.load, nowMs);
