--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -27,11 +27,13 @@
 	avoidRelay, chooseInformedPeer, chooseRelay, isUnreached, sendRelay,
 } from './relay.js';
 import {sendTry} from './send.js';
+import {recordSlowness} from './slowness.js';
 import {recordOrigin} from './stream-origins.js';
 import {
-	logEvent, type Timer, type EntryContext, type EntryState,
+	logEvent, type Timer, type EntryContext,
 } from './state.js';
-import {recordLoad, type Target} from './target.js';
+import {addSpeedSample} from './target-speeds.js';
+import {recordLoad, type Target, type TargetLoad} from './target.js';
 import {targetsOf} from './targets.js';
 import {type EntryRequest, type EntryTry, type TryOutcome} from './types.js';
 
@@ -153,11 +155,13 @@
 
 	if (target && !attempt.hasBegun) {
 		addSample(target.firstByte, nowMs - attempt.startedAtMs);
-		recordReading(state, request, attempt, nowMs);
 		if (event.load) {
 			recordLoad(target, event.load, nowMs);
+			recordStatedSlowness(context, target, event.load);
 		}
 
+		recordReading(context, target, {request, attempt});
+
 		if (event.rateLimit) {
 			recordStatedLimit(context, target, attempt, event.rateLimit);
 			recordStatedBrittleness(context, target, attempt, event.rateLimit.declinesPerSecond);
@@ -182,7 +186,22 @@
 	request.mayHaveRun = true;
 }
 
-function recordReading(state: EntryState, request: EntryRequest, attempt: EntryTry, nowMs: number): void {
+/** Records what the head of a response states. That of a stream that ends is as old as the stream. */
+function recordStatedSlowness({state, nowMs}: EntryContext, target: Target, {slowness}: TargetLoad): void {
+	if (slowness !== undefined) {
+		recordSlowness(state, target, {factor: slowness, statedAtMs: nowMs});
+	}
+}
+
+/** Plain services show their speed by whole responses. */
+function recordServiceTime(context: EntryContext, target: Target | undefined, {request, attempt}: {readonly request: EntryRequest; readonly attempt: EntryTry}): void {
+	if (target && request.arrival.model === undefined) {
+		addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms: context.nowMs - attempt.startedAtMs});
+	}
+}
+
+function recordReading(context: EntryContext, target: Target, {request, attempt}: {readonly request: EntryRequest; readonly attempt: EntryTry}): void {
+	const {state, nowMs} = context;
 	if (attempt.unreadTokens === 0) {
 		return;
 	}
@@ -193,7 +212,9 @@
 		state.readingSpeeds.set(request.queueKey, speed);
 	}
 
-	addReading(speed, attempt.unreadTokens, nowMs - attempt.startedAtMs);
+	const ms = nowMs - attempt.startedAtMs;
+	addReading(speed, attempt.unreadTokens, ms);
+	addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms});
 }
 
 export function handleTryEnded(context: EntryContext, event: EntryEventOf<'try-ended'>): void {
@@ -213,6 +234,10 @@
 		recordLimits(context, target, {attempt, event});
 	}
 
+	if (target && event.load && !attempt.hasBegun) {
+		recordStatedSlowness(context, target, event.load);
+	}
+
 	endTry(context, request, attempt, event.outcome);
 	if (target && event.load) {
 		recordLoad(target, event.load, nowMs);
@@ -223,6 +248,7 @@
 	}
 
 	if (event.outcome === 'answered') {
+		recordServiceTime(context, target, {request, attempt});
 		completeRequest(context, request, {target, status: event.status});
 		return;
 	}
