Requests of all kinds reuse connections to targets where the setting says so

Cause: each non-repeatable request and each retry opened a connection of its own, and idle ones were closed after 2 s, while an instance uses any one engine about once every ten seconds.

Change: with connections.reuse all, a request uses an idle connection if the last response on it was complete and accepted, for as long as Keep-Alive states, less 1 s, at most 15 s, and for 2 s without the header. Only a request that follows a failure of its own, or is passed on, opens one in any case. Anything that arrives on an idle connection closes it, a response that does not name its request is dropped with its connection, and what was written to a connection that then closes is not sent again. Idle connections of all instances take at most half of a target's limit. The core prefers targets with an idle connection among those of about equal cost (connection-cost.ts). Two counters tell new connections by reason and reused ones.

Conclusion: the new tests pass; the share of new connections on a deployment has not been measured. The default is unchanged, except that in it, too, bytes on an idle connection now close it at once.

--- a/src/core/entry/effect.ts
+++ b/src/core/entry/effect.ts
@@ -31,6 +31,8 @@
 		/** Whether a server error is the final response and forwarded to the caller. */
 		readonly forwardsErrors: boolean;
 		readonly maxConnections: number;
+		/** How many idle connections to the target this instance may keep for any requests, if reuse for all is set. */
+		readonly maxIdleConnections: number;
 		/** Present if the address is another instance's, which the request is passed on to. */
 		readonly relayed?: Relayed;
 	}
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -102,6 +102,7 @@
 		isStream: route.isStream,
 		forwardsErrors: route.repeat === 'once',
 		maxConnections: RELAYS_PER_ZONE,
+		maxIdleConnections: 0,
 		relayed: describeRelay(context, request, peer),
 	});
 	logEvent(context, 'request-relayed', {
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -6,6 +6,7 @@
 */
 import fnv1a from '@sindresorhus/fnv1a';
 import {BRITTLE_FILL_FACTOR, isAtBrittleShare, isBrittle} from './brittle-services.js';
+import {newConnectionCost} from './connection-cost.js';
 import {countsAsHolder} from './holders.js';
 import {canAskForPermit, maySend} from './rate-permits.js';
 import {isCopyRecent} from './registry-age.js';
@@ -141,6 +142,7 @@
 		+ (readingMs / request.route.objectiveMs)
 		+ (entry.zone === state.self.zone ? 0 : OTHER_ZONE_COST)
 		+ (target.failureRate * FAILURE_COST)
+		+ newConnectionCost(state, target)
 		+ (entry.slowLeftMs > 0 ? WARM_UP_COST : 0)
 		+ (request.tries.some(({targetId}) => targetId === target.id) ? TRIED_COST : 0)
 		+ (randomFraction(context) * JITTER_COST);
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -12,6 +12,10 @@
 /** Bounds of the time after which a target without a response is considered silent, as multiples of the latency objective. */
 const MIN_SILENCE_FACTOR = 1.2;
 const MAX_SILENCE_FACTOR = 3;
+/** Connections that an instance may keep for a short time even if its share is smaller. */
+const MIN_CONNECTIONS = 4;
+/** Part of an instance's share that idle connections may take; the rest is left to instances that send more than others. */
+const IDLE_SHARE = 0.5;
 /** Time reserved for the response to get back to this instance. */
 const RESPONSE_MARGIN_MS = 5;
 
@@ -49,7 +53,8 @@
 		usesFreshConnection: route.repeat === 'once' || isRetry,
 		isStream: route.isStream,
 		forwardsErrors: route.repeat === 'once',
-		maxConnections: connectionShare(context, target),
+		maxConnections: Math.max(MIN_CONNECTIONS, Math.floor(connectionShare(context, target))),
+		maxIdleConnections: Math.round(connectionShare(context, target) * IDLE_SHARE),
 	});
 	logEvent(context, 'try-sent', {
 		requestId: request.id,
@@ -75,8 +80,8 @@
 	}
 }
 
-/** This instance's share of the connections that the target accepts, leaving room for instances not known yet. */
+/** This instance's share of the connections that the target accepts from all instances, leaving room for one not known yet. */
 function connectionShare({state, nowMs}: EntryContext, target: Target): number {
 	const limit = state.configuration?.services.get(target.entry.service)?.maxConnections ?? target.entry.slots;
-	return Math.max(4, Math.floor(limit / (countInstances(state, nowMs) + 1)));
+	return limit / (countInstances(state, nowMs) + 1);
 }
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -129,6 +129,8 @@
 	readonly survivals: RecentMap<number>;
 	/** When a request with a fingerprint at fault was last sent to learn whether it still crashes targets. */
 	readonly crashTrials: RecentMap<number>;
+	/** Whether a connection to an address is idle and may be used for any request; set by the daemon where all requests reuse connections. */
+	hasIdleConnection: (address: string) => boolean;
 	/** Targets that are probed. */
 	readonly probedTargets: Set<TargetId>;
 	/** Services whose targets have stated how many requests a second they can turn away. */
@@ -214,6 +216,7 @@
 		crashesPulledAtMs: Number.NEGATIVE_INFINITY,
 		survivals: new RecentMap(MAX_SURVIVALS),
 		crashTrials: new RecentMap(MAX_CRASH_TRIALS),
+		hasIdleConnection: () => true,
 		probedTargets: new Set(),
 		brittleServices: new Map(),
 		unreachedServices: new Set(),
--- a/src/daemon/gateways/guarded-client.ts
+++ b/src/daemon/gateways/guarded-client.ts
@@ -1,10 +1,12 @@
 /**
-HTTP client that guards against two things that undici leaves open. It closes its
+HTTP client that guards against three things that undici leaves open. It closes its
 connection when a server sends bytes that bring no content: a head, interim responses,
 chunk framing or trailers without end. And it resets the connection of a request that is
 aborted: closed in the regular way, the kernel would go on sending bytes that the server
 has not acknowledged, and a request that nobody waits for any more would still arrive
-once a broken path has healed.
+once a broken path has healed. And it closes an idle connection on which anything arrives:
+undici does so only once a complete head has arrived, so that the rest of a response that
+nobody asked for could be taken for the response to the next request.
 */
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
@@ -25,12 +27,15 @@
 	private _receivedBytes = 0;
 	private _startBytes = 0;
 	private _contentBytes = 0;
+	/** Bytes received when the last response was complete; undefined while a request runs, and before the first one. */
+	private _idleBytes: number | undefined;
 
 	watch(socket: Socket): void {
 		this._socket = socket;
 		this._receivedBytes = 0;
 		this._startBytes = 0;
 		this._contentBytes = 0;
+		this._idleBytes = undefined;
 		socket.on('readable', () => {
 			this._check(socket);
 		});
@@ -43,7 +48,12 @@
 		this._socket?.resetAndDestroy();
 	}
 
+	endResponse(): void {
+		this._idleBytes = this._socket?.bytesRead;
+	}
+
 	beginResponse(): void {
+		this._idleBytes = undefined;
 		this._startBytes = this._socket?.bytesRead ?? 0;
 		this._contentBytes = 0;
 	}
@@ -53,6 +63,12 @@
 	}
 
 	private _check(socket: Socket): void {
+		if (this._idleBytes !== undefined && socket.bytesRead > this._idleBytes) {
+			// An informational error, after which undici sends a request that waits for this connection over a new one.
+			socket.destroy(new errors.InformationalError('bytes on an idle connection'));
+			return;
+		}
+
 		const framingBytes = this._receivedBytes - this._startBytes - this._contentBytes;
 		if (framingBytes > FRAMING_BYTES_MAX + (this._contentBytes * FRAMING_PER_CONTENT_BYTE)) {
 			socket.destroy(new Error('the server sends bytes without content'));
@@ -106,6 +122,7 @@
 
 	onComplete(trailers: Buffer[]): void {
 		this._isEnded = true;
+		this._meter.endResponse();
 		this._handler.onComplete(trailers);
 	}
 
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -69,7 +69,7 @@
 	private readonly _settings: EntrySettings;
 	private readonly _clock: Clock;
 	private readonly _effectHandlers: EntryEffectHandlers;
-	readonly connections = new TargetConnections();
+	readonly connections: TargetConnections;
 	private readonly _metrics: EntryMetrics;
 	private readonly _servers: FastifyInstance[] = [];
 	private _tickTimer: NodeJS.Timeout | undefined;
@@ -88,6 +88,17 @@
 
 		const metrics = new EntryMetrics({state: this.state, monotonicMs: () => clock.monotonicMs(), droppedLines: () => this.log.droppedLines});
 		this._metrics = metrics;
+		const {reuse} = settings.connections;
+		this.connections = new TargetConnections({
+			reuse,
+			onConnection(use) {
+				metrics.recordConnection(use);
+			},
+		});
+		if (reuse === 'all') {
+			this.state.hasIdleConnection = address => this.connections.hasIdle(address);
+		}
+
 		this.log.setObserver((event, fields) => {
 			metrics.recordEvent(event, fields);
 		});
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -10,6 +10,7 @@
 import {unreachedTargets} from '../core/entry/reachability.js';
 import {isLimited, isUsable} from '../core/entry/target.js';
 import {type EntryState} from '../core/entry/state.js';
+import {type OpeningReason} from './target-connections.js';
 
 const SECONDS_PER_MS = 0.001;
 /** Seconds; they surround the response-time objectives of current routes, 150 ms to 4 s. */
@@ -36,6 +37,8 @@
 	private readonly _orders = this._counter('pollenarch_engine_orders_total', 'Answers to orders to engines.', ['outcome']);
 	private readonly _moves = this._counter('pollenarch_moves_total', 'Copies planned to be loaded or unloaded.', ['kind', 'reason']);
 	private readonly _storeCalls = this._counter('pollenarch_store_calls_total', 'Calls to the platform\'s store.', ['kind', 'outcome']);
+	private readonly _newConnections = this._counter('pollenarch_new_connections_total', 'Connections opened to targets, and to other instances for requests.', ['reason']);
+	private readonly _reusedConnections = this._counter('pollenarch_reused_connections_total', 'Requests to targets over a connection that had carried others.', []);
 	private readonly _events = this._counter('pollenarch_events_total', 'Log events, written or left out.', ['event']);
 
 	private readonly _handlers: Partial<Record<LogEventName, (fields: Fields) => void>> = {
@@ -95,6 +98,14 @@
 		this._storeCalls.inc({kind, outcome});
 	}
 
+	recordConnection(use: 'reused' | OpeningReason): void {
+		if (use === 'reused') {
+			this._reusedConnections.inc();
+		} else {
+			this._newConnections.inc({reason: use});
+		}
+	}
+
 	private _recordRequestEnd(outcome: string, fields: Fields): void {
 		this._requests.inc({outcome, route: toText(fields.route)});
 		this._duration.observe({outcome}, Number(fields.tookMs) * SECONDS_PER_MS);
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -44,6 +44,8 @@
 	lastEventId: number;
 	/** Number of events of this response that were passed to the caller. */
 	delivered = 0;
+	/** Number of tries that a target has answered. */
+	soundTries = 0;
 	/** Last complete response of a target, kept until the core delivers it. */
 	bufferedResponse: BufferedResponse | undefined;
 	private readonly _request: IncomingMessage;
--- a/src/entry/kept-connections.ts
+++ b/src/entry/kept-connections.ts
@@ -7,6 +7,7 @@
 */
 import {type Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
+import {setImmediate} from 'node:timers/promises';
 import {buildConnector, type Dispatcher} from 'undici';
 import {GuardedClient} from '../daemon/gateways/guarded-client.js';
 import {ABORTED_SILENCE_MS} from './call-times.js';
@@ -24,13 +25,8 @@
 	readonly connectMs: number;
 	readonly idle: IdleRule;
 	readonly maxResponseBytes?: number;
-	/** Called for each connection that is opened, and for each that is used again. */
-	readonly onUse?: (use: ConnectionUse) => void;
 };
 
-/** Why a connection was opened, or that one was used again. */
-export type ConnectionUse = 'reused' | 'none-idle' | 'not-allowed';
-
 export type KeptRequest = {
 	readonly method: string;
 	readonly path: string;
@@ -41,8 +37,12 @@
 	readonly mayReuse: boolean;
 	/** Whether the connection may be kept after the response. */
 	readonly mayKeep: boolean;
-	/** Number of connections to the address above which none is kept. */
+	/** Number of connections to the address, idle and in use, above which idle ones are closed. */
 	readonly maxConnections: number;
+	/** Number of idle connections to the address above which the oldest is closed. */
+	readonly maxIdle: number;
+	/** Called with whether the request is sent over a connection that has carried others, once for each socket that it is given. */
+	readonly onConnection?: (isReused: boolean) => void;
 };
 
 export type KeptResponse = {
@@ -84,10 +84,27 @@
 	readonly connection: Connection;
 };
 
+type LearnedLimit = {
+	readonly limitMs: number;
+	readonly untilMs: number;
+};
+
 const MS_PER_S = 1000;
+/** Part of the idle time after which a connection was found closed, up to which others to the same address are used. */
+const LEARNED_SHARE = 0.5;
+/** A connection that is closed sooner was not closed for being idle. */
+const LEARNED_MIN_MS = 100;
+/** How long that holds: the connection may have been closed for another reason, such as a restart. */
+const LEARNED_FOR_MS = 30_000;
+/** More than the addresses of a large deployment. */
+const LEARNED_ADDRESSES_MAX = 2000;
+/** How much sooner than intended a timer of undici may close a connection. */
+const OWN_CLOSE_MS = 50;
 
 export class KeptConnections {
 	private readonly _peers = new Map<string, Peer>();
+	/** Idle times of addresses that close connections sooner than they state. */
+	private readonly _learned = new Map<string, LearnedLimit>();
 	private readonly _clients = new Set<GuardedClient>();
 	private readonly _connectSocket: buildConnector.connector;
 
@@ -103,26 +120,31 @@
 		const peer = this._peer(address);
 		const kept = request.mayReuse ? takeIdle(peer) : undefined;
 		const connection = kept ?? this._open(address, peer);
-		if (!kept) {
-			this._options.onUse?.(request.mayReuse ? 'none-idle' : 'not-allowed');
-		}
-
 		peer.busy++;
+		this._closeSurplus(peer, request);
 		const sentAtMs = performance.now();
+		const idleMs = sentAtMs - connection.idleSinceMs;
 		try {
+			if (kept) {
+				// What the server has sent or closed meanwhile is read before the request is written, so that it goes over a new connection.
+				await setImmediate();
+			}
+
 			const {method, path, headers, body, signal} = request;
 			const response = await connection.client.request({
 				method, path, headers, body, signal, responseHeaders: 'raw',
 			});
-			if (kept) {
-				this._options.onUse?.(connection.sockets === connection.usedSocket ? 'reused' : 'none-idle');
-			}
-
+			request.onConnection?.(isReused(connection));
 			return this._receive({address, peer, connection}, request, response);
 		} catch (error) {
+			request.onConnection?.(isReused(connection));
 			peer.busy--;
 			this._forgetUnused(address, peer);
 			this._close(connection);
+			if (isReused(connection) && !request.signal.aborted) {
+				this._learn(address, idleMs);
+			}
+
 			if (kept && request.signal.aborted && performance.now() - sentAtMs >= ABORTED_SILENCE_MS) {
 				this._dropIdle(address, sentAtMs);
 			}
@@ -139,7 +161,7 @@
 
 	private _receive({address, peer, connection}: Usage, request: KeptRequest, {statusCode, headers: parsed, body}: Dispatcher.ResponseData): KeptResponse {
 		const headers = parsed as unknown as string[];
-		const isReused = connection.sockets === connection.usedSocket;
+		const wasUsed = isReused(connection);
 		connection.usedSocket = connection.sockets;
 		const resetsBefore = connection.resets;
 		let isDropped = false;
@@ -152,7 +174,7 @@
 			isEnded = true;
 			peer.busy--;
 			if (isComplete && !isDropped && request.mayKeep) {
-				this._keep(peer, connection, request.maxConnections, headers);
+				this._keep({address, peer, connection}, request, headers);
 			} else {
 				this._close(connection);
 			}
@@ -170,7 +192,7 @@
 			status: statusCode,
 			headers,
 			body,
-			isReused,
+			isReused: wasUsed,
 			wasReset: () => connection.resets > resetsBefore,
 			drop: () => {
 				isDropped = true;
@@ -180,18 +202,23 @@
 	}
 
 	/** Keeps a connection whose response is complete, unless the server closes it. */
-	private _keep(peer: Peer, connection: Connection, maxConnections: number, headers: readonly string[]): void {
+	private _keep({address, peer, connection}: Usage, request: KeptRequest, headers: readonly string[]): void {
 		connection.idleSinceMs = performance.now();
-		connection.idleLimitMs = idleLimitMs(this._options.idle, headers);
+		connection.idleLimitMs = Math.min(idleLimitMs(this._options.idle, headers), this._learnedLimitMs(address));
 		// undici has closed the connection by now if the response was not well formed or stated `Connection: close`.
-		if (!isUsable(connection) || peer.busy >= maxConnections) {
+		if (!isUsable(connection)) {
 			this._close(connection);
 			return;
 		}
 
 		peer.idle.push(connection);
-		while (peer.idle.length + peer.busy > maxConnections) {
-			this._close(peer.idle.shift()!);
+		this._closeSurplus(peer, request);
+	}
+
+	/** Closes the idle connections that were used the longest ago, as far as there are too many. */
+	private _closeSurplus({idle, busy}: Peer, {maxConnections, maxIdle}: KeptRequest): void {
+		while (idle.length > Math.min(maxIdle, Math.max(0, maxConnections - busy))) {
+			this._close(idle.shift()!);
 		}
 	}
 
@@ -247,12 +274,36 @@
 			if (index !== -1) {
 				peer.idle.splice(index, 1);
 				this._forgetUnused(address, peer);
+				const idleMs = performance.now() - connection.idleSinceMs;
+				if (idleMs < connection.idleLimitMs - OWN_CLOSE_MS) {
+					this._learn(address, idleMs);
+				}
+
 				this._close(connection);
 			}
 		});
 		return connection;
 	}
 
+	/** A connection was found closed after this idle time. */
+	private _learn(address: string, idleMs: number): void {
+		if (idleMs < LEARNED_MIN_MS) {
+			return;
+		}
+
+		const limitMs = Math.min(idleMs * LEARNED_SHARE, this._learnedLimitMs(address));
+		this._learned.delete(address);
+		this._learned.set(address, {limitMs, untilMs: performance.now() + LEARNED_FOR_MS});
+		if (this._learned.size > LEARNED_ADDRESSES_MAX) {
+			this._learned.delete(this._learned.keys().next().value!);
+		}
+	}
+
+	private _learnedLimitMs(address: string): number {
+		const learned = this._learned.get(address);
+		return learned && performance.now() < learned.untilMs ? learned.limitMs : Number.POSITIVE_INFINITY;
+	}
+
 	/** Closes the idle connections that have brought nothing since a time. */
 	private _dropIdle(address: string, sinceMs: number): void {
 		const peer = this._peers.get(address);
@@ -274,6 +325,11 @@
 	}
 }
 
+/** Whether the socket of a connection has carried a response. One that was closed while it was idle has been replaced. */
+function isReused({sockets, usedSocket}: Connection): boolean {
+	return usedSocket > 0 && sockets === usedSocket;
+}
+
 /** Takes the idle connection that was used last, which the server keeps open the longest. */
 function takeIdle({idle}: Peer): Connection | undefined {
 	const index = idle.findLastIndex(connection => isUsable(connection));
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -1,7 +1,9 @@
 /**
 Connections to targets. By default, a fresh connection serves each request that must run
-at most once or is retried, since a stale one could lose a request of the former kinds or
-have it executed twice; the others use connections that earlier ones have left.
+at most once or is retried, since a stale one could lose a request of the former kind or
+have it executed twice; the others use connections that earlier ones have left. Where all
+requests reuse connections, only those open one that follow a failure of their own.
+docs/design/0013-connection-reuse.md gives the reasons.
 */
 import {type Buffer} from 'node:buffer';
 import {connect} from 'node:net';
@@ -13,6 +15,8 @@
 
 /** Short enough to close idle connections before targets do. */
 const SHORT_IDLE: IdleRule = {defaultMs: 2000, maxMs: 2000, marginMs: 2000};
+/** For requests of all kinds: as long as the target states, less a second for what is under way and for timers that fire early. */
+export const STATED_IDLE: IdleRule = {defaultMs: 2000, maxMs: 15_000, marginMs: 1000};
 /** Limits for the rest of a response that is only read to keep its connection. */
 const DISCARDED_BYTES_MAX = 16 * 1024;
 const DISCARD_TIMEOUT_MS = 200;
@@ -26,23 +30,67 @@
 	readonly headers: string[];
 	readonly body: Buffer | undefined;
 	readonly signal: AbortSignal;
+	/** Whether the request opens a connection unless all requests reuse them. */
 	readonly usesFreshConnection: boolean;
+	/** Whether the request opens a connection in any case, since an earlier try of it failed or went to another instance. */
+	readonly followsFailure?: boolean;
 	readonly maxConnections: number;
+	/** Where all requests reuse connections; without limit if absent. */
+	readonly maxIdleConnections?: number;
+};
+
+export type ReuseMode = 'repeatable' | 'all';
+
+/** Why a connection was opened. */
+export type OpeningReason = 'none-idle' | 'must-run-once' | 'retry' | 'probe';
+
+export type TargetConnectionsOptions = {
+	readonly reuse?: ReuseMode;
+	/** Called for each request that is given a connection, and for each probe. */
+	readonly onConnection?: (use: 'reused' | OpeningReason) => void;
 };
 
 export type TargetResponse = Omit<KeptResponse, 'headers'> & {
 	readonly headers: RawHeaders;
+	/** Whether the connection may bring a second response to a request that it carried before, so that a response has to name its request. */
+	readonly mustNameRequest: boolean;
 };
 
 export class TargetConnections {
-	private readonly _connections = new KeptConnections({connectMs: callTimes.targetRequest.connectMs, idle: SHORT_IDLE});
+	private readonly _connections: KeptConnections;
+
+	constructor(private readonly _options: TargetConnectionsOptions = {}) {
+		this._connections = new KeptConnections({connectMs: callTimes.targetRequest.connectMs, idle: this._reusesAll ? STATED_IDLE : SHORT_IDLE});
+	}
 
-	async request(address: string, {usesFreshConnection, ...request}: TargetRequest): Promise<TargetResponse> {
-		return this._connections.request(address, {...request, mayReuse: !usesFreshConnection, mayKeep: !usesFreshConnection});
+	private get _reusesAll(): boolean {
+		return this._options.reuse === 'all';
+	}
+
+	/** Whether a request that follows no failure would use a connection that is open. */
+	hasIdle(address: string): boolean {
+		return this._connections.hasIdle(address);
+	}
+
+	async request(address: string, {usesFreshConnection, followsFailure = false, maxIdleConnections = Number.POSITIVE_INFINITY, ...request}: TargetRequest): Promise<TargetResponse> {
+		const reusesAll = this._reusesAll;
+		const mayReuse = reusesAll ? !followsFailure : !usesFreshConnection;
+		const reason = mayReuse ? 'none-idle' : (followsFailure ? 'retry' : 'must-run-once');
+		const response = await this._connections.request(address, {
+			...request,
+			mayReuse,
+			mayKeep: reusesAll || !usesFreshConnection,
+			maxIdle: reusesAll ? maxIdleConnections : request.maxConnections,
+			onConnection: isReused => {
+				this._options.onConnection?.(isReused ? 'reused' : reason);
+			},
+		});
+		return {...response, mustNameRequest: reusesAll && response.isReused};
 	}
 
 	/** Opens a connection and closes it at once. */
 	async probe(address: string): Promise<ProbeOutcome> {
+		this._options.onConnection?.('probe');
 		const {hostname, port} = new URL(`http://${address}`);
 		return new Promise(resolve => {
 			const socket = connect({host: hostname, port: Number(port)});
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -29,6 +29,9 @@
 /** Statuses of an instance's own responses that say nothing of whether a target ran the request; all others say that none did. */
 const unknownOutcomeStatuses: ReadonlySet<number> = new Set([502, 504]);
 
+/** Outcomes of tries that a target answered, which say nothing against other connections. */
+const soundOutcomes: ReadonlySet<TryOutcome> = new Set(['answered', 'failed', 'not-run']);
+
 export type TryRunnerOptions = {
 	readonly headerCodec: HeaderCodec;
 	readonly connections: TargetConnections;
@@ -79,6 +82,10 @@
 
 		const {timing, ...result} = ended;
 		exchange.endTry(tryNumber);
+		if (soundOutcomes.has(result.outcome)) {
+			exchange.soundTries++;
+		}
+
 		if (!signal.aborted) {
 			this._options.dispatch({
 				kind: 'try-ended', requestId: exchange.id, tryNumber, delivered: exchange.delivered, ...result, ...timing,
@@ -97,7 +104,9 @@
 				body: exchange.body.length > 0 || hasLength(exchange.headers) ? exchange.body : undefined,
 				signal,
 				usesFreshConnection: effect.usesFreshConnection,
+				followsFailure: effect.relayed !== undefined || exchange.soundTries < effect.tryNumber - 1,
 				maxConnections: effect.maxConnections,
+				maxIdleConnections: effect.maxIdleConnections,
 			});
 		} catch (error) {
 			return {outcome: isUnwritten(error) ? 'not-sent' : 'broken', isRefused: errorCode(error) === REFUSED_CODE, reason: errorCode(error) || String(error)};
@@ -312,7 +321,11 @@
 }
 
 /** Returns why a response is rejected as not the target's own response to this request, or undefined if it is accepted. */
-function rejectionReason(exchange: Exchange, {status, headers}: TargetResponse, metadata: ResponseMetadata): string | undefined {
+function rejectionReason(exchange: Exchange, {status, headers, mustNameRequest}: TargetResponse, metadata: ResponseMetadata): string | undefined {
+	if (metadata.requestId === undefined && mustNameRequest) {
+		return 'the answer on a reused connection names no request';
+	}
+
 	if (metadata.requestId !== undefined && metadata.requestId !== exchange.id) {
 		return 'the answer belongs to another request';
 	}
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -175,13 +175,15 @@
 How a runner handles one request; `answer` sends a complete response, `pause` one with a long pause after its first event,
 `close-delimited` one that ends with its connection, `close-inside` a stream that ends so inside an event.
 */
-export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'unsigned-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
+export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'unsigned-error' | 'nameless-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
 
 export type ReceivedRequest = {
 	readonly method: string;
 	readonly path: string;
 	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 	readonly body: string;
+	/** Tells connections apart. */
+	readonly remotePort: number | undefined;
 };
 
 export class FakeRunner {
@@ -261,7 +263,7 @@
 		}
 
 		this.receivedRequests.push({
-			method: request.method ?? '', path, headers: request.headers, body,
+			method: request.method ?? '', path, headers: request.headers, body, remotePort: request.socket.remotePort,
 		});
 		response.on('close', () => {
 			this.abortedRequests += response.writableFinished ? 0 : 1;
@@ -317,6 +319,12 @@
 				break;
 			}
 
+			case 'nameless-error': {
+				response.writeHead(500).end('of another request');
+
+				break;
+			}
+
 			case 'reset': {
 				socket.resetAndDestroy();
 
--- a/test/standins/platform-instance.ts
+++ b/test/standins/platform-instance.ts
@@ -36,11 +36,13 @@
 	readonly zone?: string;
 	/** Retries allowed in ten seconds beside a fifth of the requests. */
 	readonly repeatSlack?: number;
+	/** Which requests reuse connections to targets. */
+	readonly reuse?: 'repeatable' | 'all';
 	/** The address at which this instance connects to a target, given its address in the registry. */
 	readonly addressOf?: (address: string) => string;
 };
 
-export async function startPlatformInstance({id, storeAddress, zone = 'north', repeatSlack = 1000, addressOf = address => address}: PlatformInstanceOptions): Promise<PlatformInstance> {
+export async function startPlatformInstance({id, storeAddress, zone = 'north', repeatSlack = 1000, reuse = 'repeatable', addressOf = address => address}: PlatformInstanceOptions): Promise<PlatformInstance> {
 	const ports = await freePorts(4);
 	const [callers, readiness, peers, beacons] = ports.map(port => `127.0.0.1:${port}`) as [string, string, string, string];
 	const daemon = await EntryDaemon.start({
@@ -50,12 +52,13 @@
 				callers, readiness, peers, beacons,
 			},
 			store: {address: storeAddress},
+			connections: {reuse},
 			bounds: {
 				graceMs: 8000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack,
 			},
 		}),
 		deployment: {
-			store: createRowStore(storeAddress), documents, headerCodec, engines: createEngineClient(),
+			store: createRowStore(storeAddress), documents, headerCodec, engines: createEngineClient({reuse}),
 		},
 		log: new EntryLog({level: 'silent', instanceId: id, clock: systemClock}),
 	});
--- /dev/null
+++ b/test/unit/reused-connections.test.ts
@@ -0,0 +1,92 @@
+/**
+A complete daemon that reuses connections to runners for requests of all kinds: nothing
+reaches the wrong caller, and nothing that must run at most once runs twice.
+*/
+import assert from 'node:assert/strict';
+import {
+	after, before, test, type TestContext,
+} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {request as httpRequest} from 'undici';
+import {FakeRunner, FakeStore} from '../standins/fake-store-and-runner.js';
+import {startPlatformInstance, streamConfiguration, type PlatformInstance} from '../standins/platform-instance.js';
+
+const configuration = {
+	...streamConfiguration,
+	routes: [
+		...streamConfiguration.routes,
+		{
+			name: 'sign', host: 'a.example', prefix: '/sign/', kind: 'non_idempotent', timeoutMs: 1500, targetLatencyMs: 200, priority: 1, service: 'llm', maxAttempts: 1,
+		},
+	],
+};
+
+const store = new FakeStore();
+const runner = new FakeRunner('t-1');
+let instance: PlatformInstance;
+let counter = 0;
+const limit = {timeout: 10_000};
+
+before(async () => {
+	await runner.start();
+	const storeAddress = await store.start();
+	store.put('op', 'config', configuration);
+	store.put('servers', runner.id, runner.entry('llm', 'north'));
+	instance = await startPlatformInstance({id: 'instance-1', storeAddress, reuse: 'all'});
+	while (!instance.daemon.isReady || instance.daemon.state.targets.size === 0) {
+		await delay(20);
+	}
+});
+
+after(async () => {
+	await instance.daemon.stop();
+	store.stop();
+	runner.stop();
+});
+
+async function send(path: string): Promise<{id: string; status: number; text: string}> {
+	counter++;
+	const id = `r${counter}`;
+	const {statusCode, body} = await httpRequest(`http://${instance.callers}${path}`, {
+		method: 'POST', body: `body of ${id}`, headers: {host: 'a.example', 'x-pollenarch-request-id': id, 'x-pollenarch-request-deadline': '1500'},
+	});
+	return {id, status: statusCode, text: await body.text()};
+}
+
+function arrivalsOf(id: string): number {
+	return runner.receivedRequests.filter(({headers}) => headers['x-pollenarch-request-id'] === id).length;
+}
+
+async function keepConnection(t: TestContext): Promise<void> {
+	while (!instance.daemon.connections.hasIdle(runner.address)) {
+		await delay(5, undefined, {signal: t.signal});
+	}
+}
+
+test('many requests that must run at most once need one connection', limit, async t => {
+	for (let count = 0; count < 10; count++) {
+		const {id, status, text} = await send('/sign/1');
+		assert.deepEqual([status, text], [200, `answer of t-1 to ${id}`]);
+		assert.equal(arrivalsOf(id), 1);
+		await keepConnection(t);
+	}
+
+	assert.equal(new Set(runner.receivedRequests.map(({remotePort}) => remotePort)).size, 1);
+});
+
+// Guards against a late second answer to an earlier request that reaches the caller of the next one, or says "not run" in its place.
+for (const behaviour of ['foreign', 'nameless-error', 'reset', 'truncate'] as const) {
+	test(`a request that must run at most once gets no answer of another one, and runs once, when a kept connection brings: ${behaviour}`, limit, async t => {
+		await send('/sign/1');
+		await keepConnection(t);
+		runner.behaviours = [behaviour];
+		const {id, status} = await send('/sign/1');
+		assert.equal(status, 502);
+		assert.equal(arrivalsOf(id), 1);
+		const next = await send('/sign/1');
+		assert.deepEqual([next.status, next.text], [200, `answer of t-1 to ${next.id}`]);
+		const [first, second, third] = runner.receivedRequests.slice(-3).map(({remotePort}) => remotePort);
+		assert.equal(second, first, 'it was sent over the kept connection');
+		assert.notEqual(third, second, 'the connection is not used again');
+	});
+}
