--- a/src/core/entry/effect.ts
+++ b/src/core/entry/effect.ts
@@ -35,6 +35,8 @@
 		readonly hidesKey: boolean;
 		/** Name of the workspace that the request belongs to, undefined for none. */
 		readonly workspace: string | undefined;
+		/** How many idle connections to the target this instance may keep for any requests, if reuse for all is set. */
+		readonly maxIdleConnections: number;
 		/** Present if the address is another instance's, which the request is passed on to. */
 		readonly relayed?: Relayed;
 	}
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -140,6 +140,7 @@
 		forwardsErrors: route.repeat === 'once',
 		maxConnections: RELAYS_PER_ZONE,
 		...sentWorkspace(state, request),
+		maxIdleConnections: 0,
 		relayed: describeRelay(context, request, peer),
 	});
 	logEvent(context, 'request-relayed', {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -71,7 +71,7 @@
 	private readonly _settings: EntrySettings;
 	private readonly _clock: Clock;
 	private readonly _effectHandlers: EntryEffectHandlers;
-	readonly connections = new TargetConnections();
+	readonly connections: TargetConnections;
 	private readonly _metrics: EntryMetrics;
 	private readonly _servers: FastifyInstance[] = [];
 	private _tickTimer: NodeJS.Timeout | undefined;
@@ -92,6 +92,17 @@
 			state: this.state, monotonicMs: () => clock.monotonicMs(), wallMs: () => clock.now().getTime(), droppedLines: () => this.log.droppedLines,
 		});
 		this._metrics = metrics;
+		const {reuse} = settings.connections;
+		this.connections = new TargetConnections({
+			reuse,
+			onConnection(use) {
+				metrics.recordConnection(use);
+			},
+		});
+		if (reuse === 'all') {
+			this.state.hasIdleConnection = address => this.connections.hasIdle(address);
+		}
+
 		this.log.setObserver((event, fields) => {
 			metrics.recordEvent(event, fields);
 		});
