--- a/src/core/entry/effect.ts
+++ b/src/core/entry/effect.ts
@@ -7,7 +7,7 @@
 import {type RequestId, type TargetId} from '../types.js';
 import {type EntryConfiguration} from './configuration.js';
 import {
-	type Beacon, type KnownVersions, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest,
+	type Beacon, type KnownVersions, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant,
 } from './peer-messages.js';
 import {type ReleaseRecord} from './release-record.js';
 import {
@@ -66,6 +66,8 @@
 	| {readonly kind: 'announce-load'; readonly addresses: readonly string[]; readonly announcement: LoadAnnouncement}
 	| {readonly kind: 'ask-permits'; readonly address: string; readonly request: PermitRequest}
 	| {readonly kind: 'grant-permits'; readonly address: string; readonly grant: PermitGrant}
+	| {readonly kind: 'ask-quota'; readonly address: string; readonly ask: QuotaAsk}
+	| {readonly kind: 'grant-quota'; readonly address: string; readonly grant: QuotaGrant}
 	| {readonly kind: 'announce-origins'; readonly addresses: readonly string[]; readonly announcement: OriginAnnouncement}
 	| {readonly kind: 'ask-origin'; readonly addresses: readonly string[]; readonly query: OriginQuery}
 	/** Requests whatever is newer at a peer. */
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -6,7 +6,7 @@
 import {type EntryConfiguration} from './configuration.js';
 import {type EnabledMechanisms} from './mechanisms.js';
 import {
-	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type StateTransfer,
+	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant, type StateTransfer,
 } from './peer-messages.js';
 import {type ReleaseRow} from './release-record.js';
 import {
@@ -97,6 +97,8 @@
 	| {readonly kind: 'load-announced'; readonly announcement: LoadAnnouncement}
 	| {readonly kind: 'permits-requested'; readonly request: PermitRequest}
 	| {readonly kind: 'permits-granted'; readonly grant: PermitGrant}
+	| {readonly kind: 'quota-asked'; readonly ask: QuotaAsk}
+	| {readonly kind: 'quota-granted'; readonly grant: QuotaGrant}
 	| {readonly kind: 'origins-announced'; readonly announcement: OriginAnnouncement}
 	| {readonly kind: 'origin-asked'; readonly query: OriginQuery}
 	| {readonly kind: 'pull-completed'; readonly transfer: StateTransfer}
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -112,6 +112,52 @@
 	readonly freeInMs: number;
 };
 
+/** What an instance needs and has used of one workspace's quota. */
+export type AskedQuota = {
+	readonly workspace: string;
+	/** Units of each request that waits. */
+	readonly needs: readonly number[];
+	/** Units that it has used without a grant since its first ask to this holder, less those that it gives back. */
+	readonly used: number;
+	/** In the first asks to a holder: units used in the last window, by age. */
+	readonly history?: readonly number[];
+};
+
+/** Asks the lease holder for units of quotas, and tells it what was used without. One ask is for all workspaces. */
+export type QuotaAsk = {
+	readonly askNumber: number;
+	readonly from: InstanceId;
+	readonly boot: string;
+	/** Host and port that receives the answer. */
+	readonly replyTo: string;
+	/** Epoch of the holder that is asked. */
+	readonly epoch: number;
+	/** Time since the sender started: what ran in its place before is not known. */
+	readonly upMs: number;
+	/** Whether this holder has not answered it yet, so that `history` is all that it has used. */
+	readonly isFirst: boolean;
+	readonly quotas: readonly AskedQuota[];
+};
+
+export type GrantedQuota = {
+	readonly workspace: string;
+	/** For the first needs of the ask: time until the units of each may be used. */
+	readonly inMs: readonly number[];
+	/** Time until there may be room for the next need; absent if all are granted. */
+	readonly roomInMs?: number;
+	/** Whether instances may use some units before they report them. */
+	readonly isOpen: boolean;
+	/** Share of the limit that is used. */
+	readonly usedShare: number;
+};
+
+export type QuotaGrant = {
+	/** Number of the ask that it answers. */
+	readonly grantNumber: number;
+	readonly epoch: number;
+	readonly quotas: readonly GrantedQuota[];
+};
+
 /** What began a stream, by the request that brought its first event. */
 export type AnnouncedOrigin = readonly [streamId: RequestId, service: string, release: string];
 
--- /dev/null
+++ b/src/core/entry/quota-state.ts
@@ -0,0 +1,110 @@
+/**
+State of quotas at an instance: what it has used, the requests that wait for units, and,
+while it holds the lease, the account that it keeps for all instances.
+*/
+import {type InstanceId, type RequestId} from '../types.js';
+import {type EntryConfiguration} from './configuration.js';
+import {type QuotaBucket, type QuotaLimit} from './quota-bucket.js';
+import {type EntryRequest} from './types.js';
+import {type UsageWindow} from './usage-window.js';
+import {type Quota} from './workspace.js';
+
+/** What this instance knows of one workspace's quota. */
+export type WorkspaceUse = {
+	readonly workspace: string;
+	limit: QuotaLimit;
+	/** Units that this instance has charged. */
+	readonly window: UsageWindow;
+	lastChargeAtMs: number;
+	/** Units charged without a grant since the first ask to the present holder, less those given back; and how many of them it has confirmed. */
+	used: number;
+	confirmed: number;
+	/** The holder's last answer, by the time at which its ask was sent. */
+	told: {readonly atMs: number; readonly isOpen: boolean; readonly usedShare: number} | undefined;
+	/** Until then, requests of as many units or more are refused without an ask. */
+	refusal: {readonly units: number; readonly untilMs: number; readonly roomAtMs: number} | undefined;
+	/** What it may use in a window while the holder does not answer. */
+	allowance: {readonly kind: AllowanceKind; units: number} | undefined;
+};
+
+/** `own`: as much as it used before. `share`: half of an equal share. */
+export type AllowanceKind = 'own' | 'share';
+
+/** A request that waits for units. */
+export type WaitingCharge = {
+	readonly request: EntryRequest;
+	readonly workspace: string;
+	readonly units: number;
+	/** Number of the last ask that names it; 0 before that. */
+	askNumber: number;
+	/** When the units that it was granted may be used. */
+	usableAtMs: number | undefined;
+};
+
+export type SentAsk = {
+	readonly sentAtMs: number;
+	/** Requests that the ask names, by workspace. */
+	readonly charges: ReadonlyMap<string, readonly WaitingCharge[]>;
+	/** What the ask states as used, by workspace. */
+	readonly used: ReadonlyMap<string, number>;
+};
+
+/** Another instance, or this one, as the holder that keeps the account knows it. */
+export type QuotaMember = {
+	readonly boot: string;
+	/** Since when it is known what runs in its place. */
+	readonly sinceMs: number;
+	heardAtMs: number;
+	lastAsk: number;
+	/** What it has stated as used, by workspace. */
+	readonly used: Map<string, number>;
+};
+
+/** The account of all quotas, which only the lease holder keeps. */
+export type QuotaAccount = {
+	readonly epoch: number;
+	readonly members: Map<InstanceId, QuotaMember>;
+	readonly buckets: Map<string, QuotaBucket>;
+	/** Share of all instances that are members, as of a moment ago. */
+	share: {readonly value: number; readonly atMs: number};
+};
+
+export type QuotaIndex = {
+	readonly configuration: EntryConfiguration | undefined;
+	readonly byWorkspace: ReadonlyMap<string, {readonly quota: Quota; readonly limit: QuotaLimit}>;
+};
+
+export type Quotas = {
+	index: QuotaIndex;
+	readonly uses: Map<string, WorkspaceUse>;
+	readonly waiting: Map<RequestId, WaitingCharge>;
+	/** Asks that have not been answered, by number; old ones are dropped. */
+	readonly sentAsks: Map<number, SentAsk>;
+	lastAskNumber: number;
+	askedAtMs: number;
+	/** The holder that is asked, by its epoch, and whether it has answered. */
+	epoch: number;
+	hasAnswered: boolean;
+	answeredAtMs: number;
+	/** Since when asks have had no answer. */
+	unansweredSinceMs: number | undefined;
+	isUnansweredLogged: boolean;
+	account: QuotaAccount | undefined;
+};
+
+export function createQuotas(): Quotas {
+	return {
+		index: {configuration: undefined, byWorkspace: new Map()},
+		uses: new Map(),
+		waiting: new Map(),
+		sentAsks: new Map(),
+		lastAskNumber: 0,
+		askedAtMs: Number.NEGATIVE_INFINITY,
+		epoch: 0,
+		hasAnswered: false,
+		answeredAtMs: Number.NEGATIVE_INFINITY,
+		unansweredSinceMs: undefined,
+		isUnansweredLogged: false,
+		account: undefined,
+	};
+}
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -27,6 +27,9 @@
 import {handleRegistryRead, handleRegistryReadFailure, refreshRegistry} from './registry.js';
 import {announceLoads, handleLoadAnnouncement} from './load-announcements.js';
 import {handlePermitGrant, handlePermitRequest} from './rate-permits.js';
+import {
+	handleQuotaAsk, handleQuotaGrant, handleQuotaTimeout, runQuotas,
+} from './quotas.js';
 import {handleBeacon, handlePullCompleted, addPeers} from './peer-sync.js';
 import {sendBeacons} from './beacon-sender.js';
 import {
@@ -83,6 +86,8 @@
 	'load-announced': handleLoadAnnouncement,
 	'permits-requested': handlePermitRequest,
 	'permits-granted': handlePermitGrant,
+	'quota-asked': handleQuotaAsk,
+	'quota-granted': handleQuotaGrant,
 	'origins-announced'(context, event) {
 		handleOriginsAnnounced(context, event);
 		continueResolved(context);
@@ -118,6 +123,7 @@
 	runOrders(context);
 	runPlacement(context);
 	sendBeacons(context);
+	runQuotas(context);
 	runDrain(context);
 }
 
@@ -126,6 +132,7 @@
 	patience: handlePatience,
 	silence: handleSilence,
 	origin: handleOriginTimeout,
+	quota: handleQuotaTimeout,
 };
 
 function fireTimers(context: EntryContext): void {
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -16,6 +16,7 @@
 import {OrderTracker} from './order-tracker.js';
 import {createLease, type Lease} from './lease-state.js';
 import {allMechanisms, type EnabledMechanisms} from './mechanisms.js';
+import {createQuotas, type Quotas} from './quota-state.js';
 import {type ReadingSpeed} from './reading-speed.js';
 import {createKnownReleases, type KnownReleases} from './release-record.js';
 import {type RetryBudget} from './retry-budget.js';
@@ -34,8 +35,8 @@
 export type Timer = {
 	readonly atMs: number;
 	readonly requestId: RequestId;
-	/** `deadline` ends the request, `patience` checks how long it has waited, `silence` checks the try `tryNumber` for progress, `origin` ends the wait for what began the stream. */
-	readonly kind: 'deadline' | 'patience' | 'silence' | 'origin';
+	/** `deadline` ends the request, `patience` checks how long it has waited, `silence` checks the try `tryNumber` for progress, `origin` ends the wait for what began the stream, `quota` the wait for its quota. */
+	readonly kind: 'deadline' | 'patience' | 'silence' | 'origin' | 'quota';
 	readonly tryNumber: number;
 };
 
@@ -160,6 +161,7 @@
 	readonly loadsToAnnounce: Set<TargetId>;
 	readonly lease: Lease;
 	readonly orderTracker: OrderTracker;
+	readonly quotas: Quotas;
 	/** Requests that wait for an adapter to be loaded, by `target model/adapter`. */
 	readonly adapterFetches: Map<string, {sinceMs: number; readonly requests: Set<RequestId>}>;
 };
@@ -233,6 +235,7 @@
 		beaconsSentAtMs: Number.NEGATIVE_INFINITY,
 		lease: createLease(),
 		orderTracker: new OrderTracker(),
+		quotas: createQuotas(),
 		adapterFetches: new Map(),
 	};
 }
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -132,8 +132,15 @@
 	longestPauseMs?: number;
 };
 
-/** `resolving`: waits to learn what began its stream. `queued`: waits for capacity. `fetching`: waits for its adapter to be loaded. `running`: a try is in flight. */
-export type RequestPhase = 'resolving' | 'queued' | 'fetching' | 'running';
+/** What a request counts as in its workspace's quota. */
+export type QuotaCharge = {
+	readonly workspace: string;
+	readonly units: number;
+	readonly atMs: number;
+};
+
+/** `charging`: waits for its workspace's quota. `resolving`: waits to learn what began its stream. `queued`: waits for capacity. `fetching`: waits for its adapter to be loaded. `running`: a try is in flight. */
+export type RequestPhase = 'charging' | 'resolving' | 'queued' | 'fetching' | 'running';
 
 export type EntryRequest = {
 	readonly id: RequestId;
@@ -157,6 +164,8 @@
 	patienceEndsAtMs: number;
 	readonly tries: EntryTry[];
 	phase: RequestPhase;
+	/** Present once it was charged to a quota. */
+	charge?: QuotaCharge;
 	/** Stream events delivered to the caller. */
 	delivered: number;
 	/** Whether a response head was forwarded to the caller; after that no other response can be sent. */
--- a/src/core/result-codes.ts
+++ b/src/core/result-codes.ts
@@ -37,6 +37,7 @@
 	'no-configuration': {number: 1107, status: 503, title: 'This instance knows no configuration yet'},
 	'stream-not-resumable': {number: 1108, status: 503, title: 'The stream cannot go on, since what began it is not there or not known'},
 	'targets-unreached': {number: 1109, status: 421, title: 'This instance reaches none of the targets'},
+	'quota-exceeded': {number: 1110, status: 429, title: 'The quota of the workspace is used up'},
 	'claim-unavailable': {number: 1201, status: 503, title: 'The claim could not be confirmed before the deadline'},
 	'outcome-unknown': {number: 1202, status: 409, title: 'An earlier run of this key has an unknown outcome'},
 	'run-in-progress': {number: 1203, status: 409, title: 'An earlier run of this key has not finished'},
--- a/src/entry/datagram-codec.ts
+++ b/src/entry/datagram-codec.ts
@@ -6,16 +6,16 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
 import {
-	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest,
+	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant,
 } from '../core/entry/peer-messages.js';
 
-export type Datagram = Beacon | LoadAnnouncement | PermitRequest | PermitGrant | OriginAnnouncement | OriginQuery;
+export type Datagram = Beacon | LoadAnnouncement | PermitRequest | PermitGrant | OriginAnnouncement | OriginQuery | QuotaAsk | QuotaGrant;
 
-export type DatagramEvent = Untimed<EntryEventOf<'beacon-received' | 'load-announced' | 'permits-requested' | 'permits-granted' | 'origins-announced' | 'origin-asked'>>;
+export type DatagramEvent = Untimed<EntryEventOf<'beacon-received' | 'load-announced' | 'permits-requested' | 'permits-granted' | 'origins-announced' | 'origin-asked' | 'quota-asked' | 'quota-granted'>>;
 
 /** Members of which each kind of datagram has one: a list, or something else. */
 const listMembers = ['loads', 'inMs', 'origins'];
-const otherMembers = ['wanted', 'streamId'];
+const otherMembers = ['wanted', 'streamId', 'askNumber', 'grantNumber'];
 /** Datagrams of other programs must not fill the memory when they are inflated. */
 const JSON_BYTES_MAX = 512 * 1024;
 const OPENING_BRACE = 0x7B;
@@ -86,5 +86,13 @@
 		return {kind: 'origin-asked', query: datagram};
 	}
 
+	if ('askNumber' in datagram) {
+		return {kind: 'quota-asked', ask: datagram};
+	}
+
+	if ('grantNumber' in datagram) {
+		return {kind: 'quota-granted', grant: datagram};
+	}
+
 	return 'wanted' in datagram ? {kind: 'permits-requested', request: datagram} : {kind: 'permits-granted', grant: datagram};
 }
--- a/src/entry/effect-handlers.ts
+++ b/src/entry/effect-handlers.ts
@@ -101,6 +101,12 @@
 		'grant-permits'({address, grant}) {
 			daemon.datagramSocket.send([address], grant);
 		},
+		'ask-quota'({address, ask}) {
+			daemon.datagramSocket.send([address], ask);
+		},
+		'grant-quota'({address, grant}) {
+			daemon.datagramSocket.send([address], grant);
+		},
 		'announce-origins'({addresses, announcement}) {
 			daemon.datagramSocket.send(addresses, announcement);
 		},
