Quotas: admission by quota, asks and grants, fair queueing across workspaces (in progress)

Change: requests of workspaces with a quota are charged before they are queued; the lease holder keeps the account; waiting requests are served by start-time fair queueing across workspaces.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -6,13 +6,12 @@
 import {findRoute, pickDestination, type Route} from './configuration.js';
 import {close, refuse} from './closing.js';
 import {recordArrival} from './demand.js';
-import {enqueue} from './dispatch.js';
 import {beginTrial, culpritOf, quarantineRefusal} from './quarantine.js';
 import {pullFrom} from './peer-sync.js';
 import {queueKeyOf, queueOf} from './queues.js';
+import {admitByQuota} from './quotas.js';
 import {type EntryEventOf} from './event.js';
 import {retryBudget} from './retry-budgets.js';
-import {resumeStream} from './stream-origins.js';
 import {logEvent, randomFraction, type EntryContext} from './state.js';
 import {type EntryArrival, type EntryRequest, type Relayed} from './types.js';
 import {authenticate, routeFor} from './workspaces.js';
@@ -88,7 +87,7 @@
 	};
 	state.open.set(request.id, request);
 	recordArrival(context, request);
-	const waitMs = queueOf(state, request.queueKey).expectedWaitMs(route.rank);
+	const waitMs = queueOf(state, request.queueKey).expectedWaitMs(request);
 	if (waitMs > (request.patienceEndsAtMs - nowMs) * MAX_WAIT_SHARE) {
 		refuse(context, request, {code: 'deadline-unreachable', retryAfterMs: waitMs});
 		return;
@@ -97,11 +96,7 @@
 	state.timers.push({
 		atMs: request.deadlineAtMs, requestId: request.id, kind: 'deadline', tryNumber: 0,
 	});
-	if (route.isStream && (arrival.lastEventId ?? 0) > 0) {
-		resumeStream(context, request);
-	} else {
-		enqueue(context, request);
-	}
+	admitByQuota(context, request);
 }
 
 export function handleCallerLeft(context: EntryContext, {requestId}: EntryEventOf<'caller-left'>): void {
--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -12,6 +12,7 @@
 import {holdsLease} from './lease.js';
 import {announcedLimits} from './rate-limit.js';
 import {countHeard, countInstances, PEER_SILENT_MS} from './peers.js';
+import {announcedLevels} from './quota-account.js';
 import {isCutOff, unreachedTargets} from './reachability.js';
 import {canReadStore} from './registry-readers.js';
 import {takeAnnouncedChange} from './registry-transfer.js';
@@ -168,7 +169,7 @@
 		},
 		lease: held
 			? {
-				holder: state.self, epoch: held.epoch, ageMs: 0, instances: countInstances(state, nowMs),
+				holder: state.self, epoch: held.epoch, ageMs: 0, instances: countInstances(state, nowMs), quotas: announcedLevels(context, held),
 			}
 			: leaseStatus(context),
 		loads: [...state.targets.values()].filter(({inFlight}) => inFlight.size > 0).map(target => announcedLoad(target)),
@@ -194,7 +195,7 @@
 export function leaseStatus({state, nowMs}: EntryContext): Beacon['lease'] {
 	const {lastKnown} = state.lease;
 	return lastKnown && {
-		holder: lastKnown.holder, epoch: lastKnown.epoch, ageMs: Math.round(nowMs - lastKnown.claimedAtMs), instances: lastKnown.instances,
+		holder: lastKnown.holder, epoch: lastKnown.epoch, ageMs: Math.round(nowMs - lastKnown.claimedAtMs), instances: lastKnown.instances, quotas: lastKnown.quotas,
 	};
 }
 
--- a/src/core/entry/closing.ts
+++ b/src/core/entry/closing.ts
@@ -6,6 +6,7 @@
 import {recordClosed} from './demand.js';
 import {dispatchTarget} from './dispatch.js';
 import {queueOf} from './queues.js';
+import {refundCharge} from './quotas.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {type Target} from './target.js';
 import {type EntryRequest, type EntryTry} from './types.js';
@@ -42,6 +43,10 @@
 		queueOf(state, request.queueKey).remove(request);
 	}
 
+	if (outcome !== 'answered' && request.charge) {
+		refundCharge(context, request);
+	}
+
 	recordClosed(context, request);
 	logEvent(context, outcome === 'answered' ? 'request-answered' : 'request-ended', {
 		requestId: request.id,
--- a/src/core/entry/lease-state.ts
+++ b/src/core/entry/lease-state.ts
@@ -1,6 +1,7 @@
 /**
 This instance's view of the lease whose holder sends orders to engines.
 */
+import {type QuotaLevels} from './peer-messages.js';
 import {type EntryInstance, type LeaseRecord} from './types.js';
 
 export type Lease = {
@@ -15,7 +16,7 @@
 	/** Epoch of the record that was last sent to be written. */
 	requestedEpoch: number;
 	/** Newest claim of a holder, received from it or from peers. */
-	lastKnown: {readonly holder: EntryInstance; readonly epoch: number; readonly claimedAtMs: number; readonly instances: number} | undefined;
+	lastKnown: {readonly holder: EntryInstance; readonly epoch: number; readonly claimedAtMs: number; readonly instances: number; readonly quotas?: QuotaLevels} | undefined;
 	/** Largest number of instances that a holder has told of lately. */
 	instanceCount: {readonly count: number; readonly toldAtMs: number} | undefined;
 	/** Since when the last known holder's own beacons have no longer claimed the lease, undefined while they do. */
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -37,6 +37,18 @@
 	readonly ageMs: number;
 	/** Number of instances that the holder counted then; undefined from instances of an earlier release. */
 	readonly instances?: number;
+	/** Absent without quotas, and from instances of an earlier release. */
+	readonly quotas?: QuotaLevels;
+};
+
+/** What the lease holder says of the quotas of all workspaces. */
+export type QuotaLevels = {
+	readonly configurationVersion: number;
+	/**
+	One character for each workspace with a quota, in the order of that version: the used tenths of its limit, as `0` to `9`, or,
+	as `a` to `f` for 0 to 5 tenths, that instances may use some units before they report them.
+	*/
+	readonly levels: string;
 };
 
 /** Copy that is about to be unloaded and gets no new requests. */
@@ -145,10 +157,6 @@
 	readonly inMs: readonly number[];
 	/** Time until there may be room for the next need; absent if all are granted. */
 	readonly roomInMs?: number;
-	/** Whether instances may use some units before they report them. */
-	readonly isOpen: boolean;
-	/** Share of the limit that is used. */
-	readonly usedShare: number;
 };
 
 export type QuotaGrant = {
@@ -156,6 +164,7 @@
 	readonly grantNumber: number;
 	readonly epoch: number;
 	readonly quotas: readonly GrantedQuota[];
+	readonly levels: QuotaLevels;
 };
 
 /** What began a stream, by the request that brought its first event. */
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -13,6 +13,7 @@
 	type Beacon, type KnownVersions, type LeaseStatus, type Peer, type StateTransfer,
 } from './peer-messages.js';
 import {recordInstanceCount} from './peers.js';
+import {noteLevels} from './quotas.js';
 import {adoptAnnouncedLimits} from './rate-limit.js';
 import {adoptRegistry, announceChange, updateFreshness} from './registry.js';
 import {registryTransfer} from './registry-transfer.js';
@@ -136,8 +137,12 @@
 	if (!lastKnown || lease.epoch > lastKnown.epoch || (lease.epoch === lastKnown.epoch && claimedAtMs > lastKnown.claimedAtMs)) {
 		state.lease.steppedDownSinceMs = lastKnown?.epoch === lease.epoch ? state.lease.steppedDownSinceMs : undefined;
 		state.lease.lastKnown = {
-			holder: lease.holder, epoch: lease.epoch, claimedAtMs, instances: lease.instances ?? 0,
+			holder: lease.holder, epoch: lease.epoch, claimedAtMs, instances: lease.instances ?? 0, quotas: lease.quotas,
 		};
+		if (lease.quotas) {
+			noteLevels(context, {atMs: claimedAtMs, epoch: lease.epoch, told: lease.quotas});
+		}
+
 		recordInstanceCount(state, lease.instances ?? 0, nowMs);
 		// The holder needs beacons of all instances, also of those that have not heard from it themselves.
 		addPeers(context, [lease.holder]);
--- a/src/core/entry/quota-account.ts
+++ b/src/core/entry/quota-account.ts
@@ -6,17 +6,19 @@
 */
 import {type HeldLease} from './lease-state.js';
 import {
-	type AskedQuota, type GrantedQuota, type QuotaAsk, type QuotaGrant,
+	type AskedQuota, type GrantedQuota, type QuotaAsk, type QuotaGrant, type QuotaLevels,
 } from './peer-messages.js';
 import {countInstances} from './peers.js';
 import {countedWindowMs, QuotaBucket, type QuotaLimit} from './quota-bucket.js';
 import {type QuotaAccount, type QuotaMember} from './quota-state.js';
-import {quotaIndex} from './quota-index.js';
+import {formatLevel, quotaIndex} from './quota-index.js';
 import {logEvent, type EntryContext} from './state.js';
 
 /** Periods into which an instance divides the window when it tells what it has used. */
 export const HISTORY_PERIODS = 4;
 const SHARE_INTERVAL_MS = 250;
+/** Workspaces whose levels an answer names. Those of others are not known beforehand, so that their requests wait for an answer. */
+const MAX_LEVELS = 64;
 /** Beacons reach the holder every 1.5 s from a large zone. An instance that is cut off from it goes on by itself. */
 const MEMBER_SILENT_MS = 2500;
 /** A member silent for this long has been replaced. */
@@ -48,7 +50,26 @@
 		}
 	}
 
-	return {grantNumber: ask.askNumber, epoch: held.epoch, quotas};
+	return {
+		grantNumber: ask.askNumber, epoch: held.epoch, quotas, levels: describeLevels(context, account),
+	};
+}
+
+/** What the holder's beacons say of quotas; undefined if there are none. */
+export function announcedLevels(context: EntryContext, held: HeldLease): QuotaLevels | undefined {
+	return quotaIndex(context.state).size === 0 ? undefined : describeLevels(context, accountOf(context, held));
+}
+
+/** Levels of all workspaces, so that an instance knows them before it has requests of theirs. */
+function describeLevels(context: EntryContext, account: QuotaAccount): QuotaLevels {
+	const {state, nowMs} = context;
+	const share = memberShare(context, account);
+	const limits = quotaIndex(state);
+	const levels = state.quotas.index.names.slice(0, MAX_LEVELS).map(name => {
+		const bucket = bucketOf(account, name, limits.get(name)!.limit, nowMs);
+		return formatLevel({isOpen: bucket.tellOpen(nowMs, share), usedShare: bucket.usedShare(nowMs)});
+	}).join('');
+	return {configurationVersion: state.configuration?.version ?? 0, levels};
 }
 
 function accountOf(context: EntryContext, {epoch}: HeldLease): QuotaAccount {
@@ -108,9 +129,7 @@
 		inMs.push(Math.ceil(taken.inMs));
 	}
 
-	return {
-		workspace: asked.workspace, inMs, roomInMs, isOpen: bucket.tellOpen(nowMs, share), usedShare: Math.round(bucket.usedShare(nowMs) * 100) / 100,
-	};
+	return {workspace: asked.workspace, inMs, roomInMs};
 }
 
 function bucketOf({buckets}: QuotaAccount, workspace: string, limit: QuotaLimit, nowMs: number): QuotaBucket {
--- a/src/core/entry/quota-bucket.ts
+++ b/src/core/entry/quota-bucket.ts
@@ -103,7 +103,8 @@
 	take(units: number, nowMs: number, share: number): Taken {
 		const limit = this._limitNow(nowMs, share);
 		const used = this._window.sum(nowMs);
-		if (used + units > limit && !(used === 0 && share === 1)) {
+		// One that is larger than the limit could never be served otherwise. Only one part of a divided deployment has most instances.
+		if (used + units > limit && !(used === 0 && share > 0.5)) {
 			return {isGranted: false, inMs: this._window.timeUntilLess(used + units - limit, nowMs) ?? this._limit.windowMs};
 		}
 
--- a/src/core/entry/quota-state.ts
+++ b/src/core/entry/quota-state.ts
@@ -19,8 +19,6 @@
 	/** Units charged without a grant since the first ask to the present holder, less those given back; and how many of them it has confirmed. */
 	used: number;
 	confirmed: number;
-	/** The holder's last answer, by the time at which its ask was sent. */
-	told: {readonly atMs: number; readonly isOpen: boolean; readonly usedShare: number} | undefined;
 	/** Until then, requests of as many units or more are refused without an ask. */
 	refusal: {readonly units: number; readonly untilMs: number; readonly roomAtMs: number} | undefined;
 	/** What it may use in a window while the holder does not answer. */
@@ -39,6 +37,8 @@
 	askNumber: number;
 	/** When the units that it was granted may be used. */
 	usableAtMs: number | undefined;
+	/** Epoch of the holder that granted them. */
+	grantEpoch: number;
 };
 
 export type SentAsk = {
@@ -69,8 +69,18 @@
 	share: {readonly value: number; readonly atMs: number};
 };
 
+/** What the holder last said of a workspace. */
+export type ToldLevel = {
+	/** Whether instances may use some units before they report them. */
+	readonly isOpen: boolean;
+	/** Share of the limit that is used, rounded up. */
+	readonly usedShare: number;
+};
+
 export type QuotaIndex = {
 	readonly configuration: EntryConfiguration | undefined;
+	/** Workspaces with a quota, in the configuration's order. */
+	readonly names: readonly string[];
 	readonly byWorkspace: ReadonlyMap<string, {readonly quota: Quota; readonly limit: QuotaLimit}>;
 };
 
@@ -82,10 +92,16 @@
 	readonly sentAsks: Map<number, SentAsk>;
 	lastAskNumber: number;
 	askedAtMs: number;
+	/** When a request last needed units. */
+	neededAtMs: number;
+	/** When what was used without a grant is to be reported. */
+	reportAtMs: number;
 	/** The holder that is asked, by its epoch, and whether it has answered. */
 	epoch: number;
 	hasAnswered: boolean;
 	answeredAtMs: number;
+	/** The levels of all workspaces by the holder's last word, and a time before which it did not say so. */
+	told: {readonly atMs: number; readonly epoch: number; readonly levels: ReadonlyMap<string, ToldLevel>} | undefined;
 	/** Since when asks have had no answer. */
 	unansweredSinceMs: number | undefined;
 	isUnansweredLogged: boolean;
@@ -94,15 +110,18 @@
 
 export function createQuotas(): Quotas {
 	return {
-		index: {configuration: undefined, byWorkspace: new Map()},
+		index: {configuration: undefined, byWorkspace: new Map(), names: []},
 		uses: new Map(),
 		waiting: new Map(),
 		sentAsks: new Map(),
 		lastAskNumber: 0,
 		askedAtMs: Number.NEGATIVE_INFINITY,
+		neededAtMs: Number.NEGATIVE_INFINITY,
+		reportAtMs: Number.POSITIVE_INFINITY,
 		epoch: 0,
 		hasAnswered: false,
 		answeredAtMs: Number.NEGATIVE_INFINITY,
+		told: undefined,
 		unansweredSinceMs: undefined,
 		isUnansweredLogged: false,
 		account: undefined,
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -326,7 +326,7 @@
 	refuse(context, request, {
 		code: request.mayHaveRun ? mayHaveRunCode(rule) : 'no-target',
 		detail: reason,
-		retryAfterMs: request.mayHaveRun ? undefined : Math.max(MIN_RETRY_AFTER_MS, queueOf(state, request.queueKey).expectedWaitMs(request.route.rank)),
+		retryAfterMs: request.mayHaveRun ? undefined : Math.max(MIN_RETRY_AFTER_MS, queueOf(state, request.queueKey).expectedWaitMs(request)),
 	});
 }
 
