--- a/src/core/entry/quota-bucket.ts
+++ b/src/core/entry/quota-bucket.ts
@@ -9,7 +9,7 @@
 import {type Quota} from './workspace.js';
 
 /** Share of the permitted excess that the limit makes use of; the rest covers what an instance without answers uses, and differing counts of instances. */
-const OVER_SHARE = 0.5;
+const OVER_SHARE = 0.3;
 const SLACK_SHARE = 0.9;
 /** What is admitted may be executed this much later than it was counted. */
 const LAG_MS = 500;
--- a/src/core/entry/quotas.ts
+++ b/src/core/entry/quotas.ts
@@ -54,7 +54,9 @@
 const CONTINUE_MS = 8000;
 /** The holder may give out again what this instance used this long before it is noticed to be silent. */
 const NOTICE_MS = 2500;
-/** How much older than the holder's last sign of life its word of what is left may be: an instance without answers may use an equal share of that besides. */
+/** Share of its equal share of the unused limit that an instance without answers may use besides: the holder may be giving it out to others. */
+const UNUSED_SHARE = 0.5;
+/** How much older than the holder's last sign of life its word of what is left may be. */
 const USED_SHARE_VALID_MS = 2000;
 const HALF_SHARE = 0.5;
 /** Time without answers after which an instance tells its whole use again. */
@@ -548,7 +550,7 @@
 	use.allowance = {
 		kind,
 		units: kind === 'own'
-			? use.window.history(nowMs, use.limit.windowMs - NOTICE_MS, 2)[0]! + (equalShare * (1 - usedShare))
+			? use.window.history(nowMs, use.limit.windowMs - NOTICE_MS, 2)[0]! + (equalShare * (1 - usedShare) * UNUSED_SHARE)
 			// What ran here before this instance started may have used as much.
 			: equalShare * HALF_SHARE * Math.min(1, (nowMs - state.startedAtMs) / use.limit.windowMs),
 	};
