--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -129,24 +129,26 @@
 	readonly workspace: string;
 	/** Units of each request that waits. */
 	readonly needs: readonly number[];
-	/** Units that it has used without a grant since its first ask to this holder, less those that it gives back. */
+	/** All units that it has ever used less those that this account has granted it; only the change since its last ask matters. */
 	readonly used: number;
-	/** In the first asks to a holder: units used in the last window, by age. */
+	/** Until its first answer: units used in the last window, by age. */
 	readonly history?: readonly number[];
 };
 
-/** Asks the lease holder for units of quotas, and tells it what was used without. One ask is for all workspaces. */
+/** Asks the instance that keeps an account for units of quotas, and tells it what was used without. One ask is for all workspaces. */
 export type QuotaAsk = {
 	readonly askNumber: number;
 	readonly from: InstanceId;
 	readonly boot: string;
 	/** Host and port that receives the answer. */
 	readonly replyTo: string;
-	/** Epoch of the holder that is asked. */
-	readonly epoch: number;
+	/** Name of the account that is asked. */
+	readonly account: string;
+	/** Changes whenever the sender turns to the account anew. */
+	readonly session: number;
 	/** Time since the sender started: what ran in its place before is not known. */
 	readonly upMs: number;
-	/** Whether this holder has not answered it yet, so that `history` is all that it has used. */
+	/** Whether the account has not answered it yet, so that `history` is all that it has used in the window. */
 	readonly isFirst: boolean;
 	readonly quotas: readonly AskedQuota[];
 };
@@ -162,7 +164,7 @@
 export type QuotaGrant = {
 	/** Number of the ask that it answers. */
 	readonly grantNumber: number;
-	readonly epoch: number;
+	readonly account: string;
 	readonly quotas: readonly GrantedQuota[];
 	readonly levels: QuotaLevels;
 };
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -13,6 +13,7 @@
 	type Beacon, type KnownVersions, type LeaseStatus, type Peer, type StateTransfer,
 } from './peer-messages.js';
 import {recordInstanceCount} from './peers.js';
+import {holderAccount} from './quota-account.js';
 import {noteLevels} from './quotas.js';
 import {adoptAnnouncedLimits} from './rate-limit.js';
 import {adoptRegistry, announceChange, updateFreshness} from './registry.js';
@@ -140,7 +141,7 @@
 			holder: lease.holder, epoch: lease.epoch, claimedAtMs, instances: lease.instances ?? 0, quotas: lease.quotas,
 		};
 		if (lease.quotas) {
-			noteLevels(context, {atMs: claimedAtMs, epoch: lease.epoch, told: lease.quotas});
+			noteLevels(context, {atMs: claimedAtMs, account: holderAccount(lease.epoch), told: lease.quotas});
 		}
 
 		recordInstanceCount(state, lease.instances ?? 0, nowMs);
--- a/src/core/entry/quota-account.ts
+++ b/src/core/entry/quota-account.ts
@@ -1,9 +1,11 @@
 /**
-The account of quotas that the lease holder keeps for all instances. Instances tell it
-what they used before its time, so that a new holder knows the use of the window. It
-gives out the share of a limit that belongs to the instances it has heard from: others
-may go on without it, or what ran in their place may have used units that nobody knows of.
+The account of quotas that the lease holder keeps for all instances, or a deputy for those
+of its zone that the holder does not answer. Instances tell it what they used before its
+time, so that a new account knows the use of the window. It gives out the share of a limit
+that belongs to the instances it has heard from: others may ask another account, or what
+ran in their place may have used units that nobody knows of.
 */
+import {holdsLease} from './lease.js';
 import {type HeldLease} from './lease-state.js';
 import {
 	type AskedQuota, type GrantedQuota, type QuotaAsk, type QuotaGrant, type QuotaLevels,
@@ -13,6 +15,7 @@
 import {type QuotaAccount, type QuotaMember} from './quota-state.js';
 import {formatLevel, quotaIndex} from './quota-index.js';
 import {logEvent, type EntryContext} from './state.js';
+import {type EntryInstance} from './types.js';
 
 /** Periods into which an instance divides the window when it tells what it has used. */
 export const HISTORY_PERIODS = 4;
@@ -21,18 +24,34 @@
 const MAX_LEVELS = 64;
 /** Beacons reach the holder every 1.5 s from a large zone. An instance that is cut off from it goes on by itself. */
 const MEMBER_SILENT_MS = 2500;
+/** Members of a deputy's account ask at least twice in this time. */
+const DEPUTY_MEMBER_SILENT_MS = 1500;
+/** Part of its members' share that a deputy gives out: the holder may be giving it out to others until it notices that they are silent. */
+const DEPUTY_SHARE = 0.75;
 /** A member silent for this long has been replaced. */
 const MEMBER_RETENTION_MS = 60_000;
 
-/** Undefined if the ask is for another holder, or an older one than the sender's last. */
-export function answerAsk(context: EntryContext, held: HeldLease, ask: QuotaAsk): QuotaGrant | undefined {
-	if (ask.epoch !== held.epoch) {
+/** Name of a lease holder's account. */
+export function holderAccount(epoch: number): string {
+	return `holder ${epoch}`;
+}
+
+/** Name of the account that an instance keeps for others of its zone while the lease holder does not answer them. */
+export function deputyAccount({id, boot}: Pick<EntryInstance, 'id' | 'boot'>): string {
+	return `deputy ${id} ${boot}`;
+}
+
+/** Undefined if the ask is for another account, or an older one than the sender's last. */
+export function answerAsk(context: EntryContext, ask: QuotaAsk): QuotaGrant | undefined {
+	const held = holdsLease(context);
+	const isDeputy = ask.account === deputyAccount(context.state.self);
+	if (!isDeputy && (!held || ask.account !== holderAccount(held.epoch))) {
 		return undefined;
 	}
 
-	const account = accountOf(context, held);
+	const account = accountOf(context, ask.account, isDeputy);
 	const known = account.members.get(ask.from);
-	const isNew = known?.boot !== ask.boot;
+	const isNew = known?.boot !== ask.boot || known.session !== ask.session;
 	if (isNew ? !ask.isFirst : ask.askNumber <= known.lastAsk) {
 		return undefined;
 	}
@@ -51,13 +70,13 @@
 	}
 
 	return {
-		grantNumber: ask.askNumber, epoch: held.epoch, quotas, levels: describeLevels(context, account),
+		grantNumber: ask.askNumber, account: account.name, quotas, levels: describeLevels(context, account),
 	};
 }
 
 /** What the holder's beacons say of quotas; undefined if there are none. */
 export function announcedLevels(context: EntryContext, held: HeldLease): QuotaLevels | undefined {
-	return quotaIndex(context.state).size === 0 ? undefined : describeLevels(context, accountOf(context, held));
+	return quotaIndex(context.state).size === 0 ? undefined : describeLevels(context, accountOf(context, holderAccount(held.epoch), false));
 }
 
 /** Levels of all workspaces, so that an instance knows them before it has requests of theirs. */
@@ -72,23 +91,32 @@
 	return {configurationVersion: state.configuration?.version ?? 0, levels};
 }
 
-function accountOf(context: EntryContext, {epoch}: HeldLease): QuotaAccount {
-	const {quotas} = context.state;
-	if (quotas.account?.epoch !== epoch) {
-		quotas.account = {
-			epoch, members: new Map(), buckets: new Map(), share: {value: 0, atMs: Number.NEGATIVE_INFINITY},
+function accountOf(context: EntryContext, name: string, isDeputy: boolean): QuotaAccount {
+	const {accounts} = context.state.quotas;
+	let account = accounts.get(name);
+	if (!account) {
+		for (const other of accounts.values()) {
+			if (other.isDeputy === isDeputy) {
+				// A lease that was held before.
+				accounts.delete(other.name);
+			}
+		}
+
+		account = {
+			name, isDeputy, members: new Map(), buckets: new Map(), share: {value: 0, atMs: Number.NEGATIVE_INFINITY},
 		};
-		logEvent(context, 'quota-account-opened', {epoch, instances: countInstances(context.state, context.nowMs)});
+		accounts.set(name, account);
+		logEvent(context, 'quota-account-opened', {account: name, instances: countInstances(context.state, context.nowMs)});
 	}
 
-	return quotas.account;
+	return account;
 }
 
-function addMember({nowMs}: EntryContext, account: QuotaAccount, {from, boot, upMs}: QuotaAsk): QuotaMember {
+function addMember({nowMs}: EntryContext, account: QuotaAccount, {from, boot, session, upMs}: QuotaAsk): QuotaMember {
 	const earlier = account.members.get(from);
 	const member: QuotaMember = {
 		// This account has what an earlier process in its place used.
-		boot, sinceMs: Math.min(earlier?.sinceMs ?? Number.POSITIVE_INFINITY, nowMs - upMs), heardAtMs: nowMs, lastAsk: 0, used: new Map(),
+		boot, session, sinceMs: Math.min(earlier?.sinceMs ?? Number.POSITIVE_INFINITY, nowMs - upMs), heardAtMs: nowMs, lastAsk: 0, used: new Map(),
 	};
 	account.members.set(from, member);
 	account.share = {...account.share, atMs: Number.NEGATIVE_INFINITY};
@@ -153,15 +181,17 @@
 	const windowMs = countedWindowMs(state.bounds);
 	let sum = 0;
 	for (const [id, member] of account.members) {
-		const heardAtMs = id === state.self.id ? nowMs : Math.max(member.heardAtMs, state.peers.get(id)?.beaconReceivedAtMs ?? Number.NEGATIVE_INFINITY);
+		// Beacons do not show that an instance still asks a deputy.
+		const beaconAtMs = account.isDeputy ? undefined : state.peers.get(id)?.beaconReceivedAtMs;
+		const heardAtMs = id === state.self.id && !account.isDeputy ? nowMs : Math.max(member.heardAtMs, beaconAtMs ?? Number.NEGATIVE_INFINITY);
 		if (nowMs - heardAtMs >= MEMBER_RETENTION_MS) {
 			account.members.delete(id);
-		} else if (nowMs - heardAtMs < MEMBER_SILENT_MS) {
+		} else if (nowMs - heardAtMs < (account.isDeputy ? DEPUTY_MEMBER_SILENT_MS : MEMBER_SILENT_MS)) {
 			sum += Math.min(1, (nowMs - member.sinceMs) / windowMs);
 		}
 	}
 
-	const value = Math.min(1, sum / Math.max(1, countInstances(state, nowMs)));
+	const value = Math.min(1, sum / Math.max(1, countInstances(state, nowMs))) * (account.isDeputy ? DEPUTY_SHARE : 1);
 	account.share = {value, atMs: nowMs};
 	return value;
 }
--- a/src/core/entry/quota-state.ts
+++ b/src/core/entry/quota-state.ts
@@ -16,9 +16,12 @@
 	/** Units that this instance has charged. */
 	readonly window: UsageWindow;
 	lastChargeAtMs: number;
-	/** Units charged without a grant since the first ask to the present holder, less those given back; and how many of them it has confirmed. */
-	used: number;
-	confirmed: number;
+	/** All units ever charged, less those given back. */
+	total: number;
+	/** Units granted, by account, whether they were charged or not. */
+	readonly granted: Map<string, number>;
+	/** What the account that is asked now has confirmed of the difference; undefined before its first answer. */
+	confirmed: number | undefined;
 	/** Until then, requests of as many units or more are refused without an ask. */
 	refusal: {readonly units: number; readonly untilMs: number; readonly roomAtMs: number} | undefined;
 	/** What it may use in a window while the holder does not answer. */
@@ -35,13 +38,28 @@
 	readonly units: number;
 	/** Number of the last ask that names it; 0 before that. */
 	askNumber: number;
+	/** It is not asked for again before. */
+	askAgainAtMs: number;
 	/** When the units that it was granted may be used. */
 	usableAtMs: number | undefined;
-	/** Epoch of the holder that granted them. */
-	grantEpoch: number;
+};
+
+/** The account that this instance asks. */
+export type AskedAccount = {
+	readonly name: string;
+	/** Where asks are sent; undefined if this instance keeps it. */
+	readonly address: string | undefined;
+	/** Tells this time of asking it from earlier ones. */
+	readonly session: number;
+	hasAnswered: boolean;
+	answeredAtMs: number;
+	askedAtMs: number;
+	/** Since when asks have had no answer. */
+	unansweredSinceMs: number | undefined;
 };
 
 export type SentAsk = {
+	readonly account: string;
 	readonly sentAtMs: number;
 	/** Requests that the ask names, by workspace. */
 	readonly charges: ReadonlyMap<string, readonly WaitingCharge[]>;
@@ -52,6 +70,7 @@
 /** Another instance, or this one, as the holder that keeps the account knows it. */
 export type QuotaMember = {
 	readonly boot: string;
+	readonly session: number;
 	/** Since when it is known what runs in its place. */
 	readonly sinceMs: number;
 	heardAtMs: number;
@@ -60,9 +79,10 @@
 	readonly used: Map<string, number>;
 };
 
-/** The account of all quotas, which only the lease holder keeps. */
+/** The account of all quotas that the lease holder keeps, or one that an instance keeps for those of its zone while the holder does not answer them. */
 export type QuotaAccount = {
-	readonly epoch: number;
+	readonly name: string;
+	readonly isDeputy: boolean;
 	readonly members: Map<InstanceId, QuotaMember>;
 	readonly buckets: Map<string, QuotaBucket>;
 	/** Share of all instances that are members, as of a moment ago. */
@@ -91,21 +111,23 @@
 	/** Asks that have not been answered, by number; old ones are dropped. */
 	readonly sentAsks: Map<number, SentAsk>;
 	lastAskNumber: number;
-	askedAtMs: number;
 	/** When a request last needed units. */
 	neededAtMs: number;
 	/** When what was used without a grant is to be reported. */
 	reportAtMs: number;
-	/** The holder that is asked, by its epoch, and whether it has answered. */
+	/** Epoch of the lease holder whose account is `holder`. */
 	epoch: number;
-	hasAnswered: boolean;
+	holder: AskedAccount | undefined;
+	/** Asked instead while the holder does not answer. */
+	deputy: AskedAccount | undefined;
+	/** Deputies that have been tried. */
+	deputyTries: number;
 	answeredAtMs: number;
 	/** The levels of all workspaces by the holder's last word, and a time before which it did not say so. */
-	told: {readonly atMs: number; readonly epoch: number; readonly levels: ReadonlyMap<string, ToldLevel>} | undefined;
-	/** Since when asks have had no answer. */
-	unansweredSinceMs: number | undefined;
+	told: {readonly atMs: number; readonly account: string; readonly levels: ReadonlyMap<string, ToldLevel>} | undefined;
 	isUnansweredLogged: boolean;
-	account: QuotaAccount | undefined;
+	/** The accounts that this instance keeps. */
+	readonly accounts: Map<string, QuotaAccount>;
 };
 
 export function createQuotas(): Quotas {
@@ -115,15 +137,15 @@
 		waiting: new Map(),
 		sentAsks: new Map(),
 		lastAskNumber: 0,
-		askedAtMs: Number.NEGATIVE_INFINITY,
 		neededAtMs: Number.NEGATIVE_INFINITY,
 		reportAtMs: Number.POSITIVE_INFINITY,
 		epoch: 0,
-		hasAnswered: false,
+		holder: undefined,
+		deputy: undefined,
+		deputyTries: 0,
 		answeredAtMs: Number.NEGATIVE_INFINITY,
 		told: undefined,
-		unansweredSinceMs: undefined,
 		isUnansweredLogged: false,
-		account: undefined,
+		accounts: new Map(),
 	};
 }
--- a/src/core/entry/quotas.ts
+++ b/src/core/entry/quotas.ts
@@ -3,7 +3,7 @@
 admitted. The lease holder keeps the account (`quota-account.ts`); an instance asks it for
 the units of each request, or, while the holder says that there is plenty, uses some at
 once and reports them. While the holder does not answer, an instance keeps to what it used
-before, then to half of an equal share.
+before and soon asks a deputy in its zone; without either, it keeps to half of an equal share.
 */
 import {refuse} from './closing.js';
 import {enqueue} from './dispatch.js';
@@ -12,18 +12,20 @@
 import {
 	type AskedQuota, type GrantedQuota, type QuotaAsk, type QuotaLevels,
 } from './peer-messages.js';
-import {countInstances} from './peers.js';
-import {answerAsk, HISTORY_PERIODS} from './quota-account.js';
+import {countInstances, liveInstances} from './peers.js';
+import {
+	answerAsk, deputyAccount, HISTORY_PERIODS, holderAccount,
+} from './quota-account.js';
 import {unreportedLimit, type QuotaLimit} from './quota-bucket.js';
 import {parseLevel, quotaIndex, unitsOf} from './quota-index.js';
 import {
-	type AllowanceKind, type WaitingCharge, type WorkspaceUse,
+	type AllowanceKind, type AskedAccount, type WaitingCharge, type WorkspaceUse,
 } from './quota-state.js';
 import {
-	logEvent, randomFraction, type EntryContext, type EntryState, type Timer,
+	logEvent, randomFraction, type EntryContext, type Timer,
 } from './state.js';
 import {resumeStream} from './stream-origins.js';
-import {type EntryRequest} from './types.js';
+import {type EntryInstance, type EntryRequest} from './types.js';
 import {UsageWindow} from './usage-window.js';
 
 /** Several round trips between zones, and delays of a busy holder. A request waits no longer for an answer. */
@@ -59,6 +61,13 @@
 /** How much older than the holder's last sign of life its word of what is left may be. */
 const USED_SHARE_VALID_MS = 2000;
 const HALF_SHARE = 0.5;
+/** Time without answers of the holder after which a deputy is asked, and of a deputy after which another is. */
+const DEPUTY_AFTER_MS = 600;
+const DEPUTY_LOST_MS = 400;
+/** A lease whose holder has answered within this time is not vacant, though nothing else was heard of it. */
+const ANSWERED_MS = 1000;
+/** Time after its start from which an instance that knows no other takes itself for the only one. */
+const ALONE_AFTER_MS = 3000;
 /** Time without answers after which an instance tells its whole use again. */
 const FORGOTTEN_MS = 2000;
 const UNANSWERED_LOG_MS = 1000;
@@ -70,6 +79,7 @@
 /** Charges an arrived request to its workspace's quota and goes on with it, makes it wait for units, or refuses it. */
 export function admitByQuota(context: EntryContext, request: EntryRequest): void {
 	const {state, nowMs} = context;
+	const {quotas} = state;
 	const {workspace, arrival} = request;
 	const found = workspace && quotaIndex(state).get(workspace.name);
 	// The instance that passed a request on has charged it.
@@ -80,17 +90,20 @@
 
 	const units = unitsOf(arrival, found.quota);
 	const use = useOf(context, workspace.name, found.limit);
-	state.quotas.neededAtMs = nowMs;
+	quotas.neededAtMs = nowMs;
+	chooseAccount(context);
+	const asked = askedAccount(context);
 	if (isRefusedStill(use, units, nowMs)) {
 		refuseByQuota(context, request, {units, use, roomInMs: use.refusal!.roomAtMs - nowMs, reason: 'refused a moment ago'});
-	} else if (!holdsLease(context) && isOpen(context, use, units)) {
-		charge(context, request, use, units, true);
+	} else if (asked?.address !== undefined && isOpen(context, asked, use, units)) {
+		charge(context, request, use, units);
+		planReport(context, use);
 		proceed(context, request);
 		report(context);
-	} else if (canAsk(context)) {
+	} else if (asked && asked.unansweredSinceMs === undefined) {
 		request.phase = 'charging';
-		state.quotas.waiting.set(request.id, {
-			request, workspace: workspace.name, units, askNumber: 0, usableAtMs: undefined, grantEpoch: 0,
+		quotas.waiting.set(request.id, {
+			request, workspace: workspace.name, units, askNumber: 0, askAgainAtMs: 0, usableAtMs: undefined,
 		});
 		state.timers.push({
 			atMs: nowMs + ANSWER_TIMEOUT_MS, requestId: request.id, kind: 'quota', tryNumber: 0,
@@ -103,21 +116,20 @@
 }
 
 /** Gives back the units of a request that no target has executed. */
-export function refundCharge({state, nowMs}: EntryContext, {charge: charged, mayHaveRun, tries}: EntryRequest): void {
+export function refundCharge(context: EntryContext, {charge: charged, mayHaveRun, tries}: EntryRequest): void {
+	const {state, nowMs} = context;
 	const hasRun = mayHaveRun || tries.some(({outcome}) => outcome !== 'not-sent' && outcome !== 'not-run');
 	const use = charged && state.quotas.uses.get(charged.workspace);
-	if (!use || hasRun || nowMs - charged.atMs > MAX_REFUND_AGE_MS) {
-		return;
+	if (use && !hasRun && nowMs - charged.atMs <= MAX_REFUND_AGE_MS) {
+		use.window.add(-charged.units, nowMs, nowMs - charged.atMs);
+		use.total -= charged.units;
+		planReport(context, use);
 	}
-
-	use.window.add(-charged.units, nowMs, nowMs - charged.atMs);
-	addUngranted(state, use, -charged.units, nowMs);
 }
 
-/** Answers another instance's ask if this one holds the lease. */
+/** Answers the ask of another instance if this one keeps the account. */
 export function handleQuotaAsk(context: EntryContext, {ask}: EntryEventOf<'quota-asked'>): void {
-	const held = holdsLease(context);
-	const grant = held && answerAsk(context, held, ask);
+	const grant = answerAsk(context, ask);
 	if (grant) {
 		context.effects.push({kind: 'grant-quota', address: ask.replyTo, grant});
 	}
@@ -127,20 +139,22 @@
 	const {state, nowMs} = context;
 	const {quotas} = state;
 	const ask = quotas.sentAsks.get(grant.grantNumber);
-	if (!ask || grant.epoch !== quotas.epoch) {
+	const account = [quotas.holder, quotas.deputy].find(asked => asked?.name === grant.account);
+	if (!ask || !account || ask.account !== grant.account) {
 		return;
 	}
 
 	quotas.sentAsks.delete(grant.grantNumber);
-	quotas.hasAnswered = true;
-	quotas.answeredAtMs = nowMs;
-	noteAnswered(context);
-	noteLevels(context, {atMs: ask.sentAtMs, epoch: grant.epoch, told: grant.levels});
+	noteAnswered(context, account);
+	noteLevels(context, {atMs: ask.sentAtMs, account: account.name, told: grant.levels});
 	for (const granted of grant.quotas) {
 		const use = quotas.uses.get(granted.workspace);
 		if (use) {
-			use.confirmed = ask.used.get(granted.workspace) ?? use.confirmed;
-			applyGrant(context, use, granted, ask.charges.get(granted.workspace) ?? []);
+			if (account === askedAccount(context)) {
+				use.confirmed = ask.used.get(granted.workspace) ?? use.confirmed;
+			}
+
+			applyGrant(context, use, granted, {account: account.name, charges: ask.charges.get(granted.workspace) ?? []});
 		}
 	}
 
@@ -165,11 +179,14 @@
 	if (!use || !quotaIndex(state).has(use.workspace)) {
 		proceed(context, waiting.request);
 	} else if (waiting.usableAtMs === undefined) {
-		quotas.unansweredSinceMs ??= waiting.request.arrivedAtMs;
+		const asked = askedAccount(context);
+		if (asked && asked.answeredAtMs < waiting.request.arrivedAtMs) {
+			asked.unansweredSinceMs ??= waiting.request.arrivedAtMs;
+		}
+
 		decideAlone(context, waiting.request, use, waiting.units);
 	} else {
-		// A holder that has taken over since does not know of the grant.
-		charge(context, waiting.request, use, waiting.units, waiting.grantEpoch !== quotas.epoch);
+		charge(context, waiting.request, use, waiting.units);
 		proceed(context, waiting.request);
 	}
 }
@@ -182,14 +199,15 @@
 		return;
 	}
 
-	if (quotas.unansweredSinceMs !== undefined && !quotas.isUnansweredLogged && nowMs - quotas.unansweredSinceMs >= UNANSWERED_LOG_MS) {
+	const sinceMs = quotas.holder?.unansweredSinceMs;
+	if (sinceMs !== undefined && !quotas.isUnansweredLogged && nowMs - sinceMs >= UNANSWERED_LOG_MS) {
 		quotas.isUnansweredLogged = true;
 		logEvent(context, 'quota-unanswered', {
-			holder: state.lease.lastKnown?.holder.id, epoch: quotas.epoch, sinceMs: Math.round(nowMs - quotas.unansweredSinceMs), isVacant: isLeaseVacant(context), instances: countInstances(state, nowMs),
+			holder: state.lease.lastKnown?.holder.id, account: quotas.holder?.name, deputy: quotas.deputy?.name, sinceMs: Math.round(nowMs - sinceMs), isVacant: isLeaseVacant(context), instances: countInstances(state, nowMs),
 		});
 	}
 
-	followHolder(context);
+	chooseAccount(context);
 	report(context);
 	askIfDue(context);
 }
@@ -202,21 +220,30 @@
 	}
 }
 
-function charge({state, nowMs}: EntryContext, request: EntryRequest, use: WorkspaceUse, units: number, isUngranted: boolean): void {
+function charge({nowMs}: EntryContext, request: EntryRequest, use: WorkspaceUse, units: number): void {
 	request.charge = {workspace: use.workspace, units, atMs: nowMs};
 	use.window.add(units, nowMs);
 	use.lastChargeAtMs = nowMs;
-	if (isUngranted) {
-		addUngranted(state, use, units, nowMs);
-	}
+	use.total += units;
 }
 
-/** Counts units that the holder has to be told of, since they were used without a grant or, if negative, are given back. */
-function addUngranted(state: EntryState, use: WorkspaceUse, units: number, nowMs: number): void {
-	const {quotas} = state;
-	use.used += units;
-	const isMuch = use.used - use.confirmed > unreportedLimit(use.limit, countInstances(state, nowMs)) / 2;
-	quotas.reportAtMs = Math.min(quotas.reportAtMs, quotas.askedAtMs + (isMuch ? MIN_ASK_INTERVAL_MS : REPORT_INTERVAL_MS));
+/** Units that the account does not know of, since they were used without a grant or, if negative, are given back. */
+function unreported(use: WorkspaceUse, account: string): number {
+	return use.confirmed === undefined ? 0 : ungranted(use, account) - use.confirmed;
+}
+
+function ungranted({total, granted}: WorkspaceUse, account: string): number {
+	return total - (granted.get(account) ?? 0);
+}
+
+/** Has the account told soon of what was used without a grant or given back. */
+function planReport(context: EntryContext, use: WorkspaceUse): void {
+	const {state, nowMs} = context;
+	const asked = askedAccount(context);
+	if (asked) {
+		const isMuch = unreported(use, asked.name) > unreportedLimit(use.limit, countInstances(state, nowMs)) / 2;
+		state.quotas.reportAtMs = Math.min(state.quotas.reportAtMs, asked.askedAtMs + (isMuch ? MIN_ASK_INTERVAL_MS : REPORT_INTERVAL_MS));
+	}
 }
 
 type QuotaRefusal = {
@@ -239,7 +266,7 @@
 		usedShare: state.quotas.told?.levels.get(use.workspace)?.usedShare,
 		toldAgoMs: state.quotas.told && Math.round(nowMs - state.quotas.told.atMs),
 		holder: state.lease.lastKnown?.holder.id,
-		epoch: state.quotas.epoch,
+		account: askedAccount(context)?.name,
 		configurationVersion: state.configuration?.version,
 		waitedMs: Math.round(nowMs - request.arrivedAtMs),
 		retryAfterMs: Math.round(retryAfterMs),
@@ -252,7 +279,7 @@
 	let use = uses.get(workspace);
 	if (!use) {
 		use = {
-			workspace, limit, window: new UsageWindow(limit.windowMs), lastChargeAtMs: nowMs, used: 0, confirmed: 0, refusal: undefined, allowance: undefined,
+			workspace, limit, window: new UsageWindow(limit.windowMs), lastChargeAtMs: nowMs, total: 0, granted: new Map(), confirmed: 0, refusal: undefined, allowance: undefined,
 		};
 		uses.set(workspace, use);
 	} else if (use.limit !== limit) {
@@ -275,142 +302,200 @@
 }
 
 /** Whether the units may be used before they are reported. */
-function isOpen({state, nowMs}: EntryContext, {workspace, limit, used, confirmed}: WorkspaceUse, units: number): boolean {
-	const {told, epoch, hasAnswered} = state.quotas;
-	return told?.epoch === epoch && hasAnswered && nowMs - told.atMs <= OPEN_VALID_MS && told.levels.get(workspace)?.isOpen === true
-		&& used - confirmed + units <= unreportedLimit(limit, countInstances(state, nowMs));
+function isOpen({state, nowMs}: EntryContext, asked: AskedAccount, use: WorkspaceUse, units: number): boolean {
+	const {told} = state.quotas;
+	return asked.hasAnswered && told?.account === asked.name && nowMs - told.atMs <= OPEN_VALID_MS && told.levels.get(use.workspace)?.isOpen === true
+		&& use.confirmed !== undefined && unreported(use, asked.name) + units <= unreportedLimit(use.limit, countInstances(state, nowMs));
 }
 
-/** Whether a holder is known and is expected to answer. */
-function canAsk(context: EntryContext): boolean {
-	followHolder(context);
-	const {quotas} = context.state;
-	return holdsLease(context) !== undefined || (quotas.epoch > 0 && !isLeaseVacant(context) && quotas.unansweredSinceMs === undefined);
+/** The account that is asked now. */
+function askedAccount({state: {quotas}}: EntryContext): AskedAccount | undefined {
+	return quotas.deputy ?? quotas.holder;
 }
 
-/** Turns to the present holder. To a new one, all that was used in the last window is told. */
-function followHolder(context: EntryContext): void {
-	const {state} = context;
-	const {quotas} = state;
-	const epoch = holdsLease(context)?.epoch ?? state.lease.lastKnown?.epoch ?? 0;
-	if (epoch <= quotas.epoch) {
-		return;
+/** Turns to the account of a new holder, or to a deputy's while the holder does not answer. */
+function chooseAccount(context: EntryContext): void {
+	const {state, nowMs} = context;
+	const {quotas, lease} = state;
+	const held = holdsLease(context);
+	const epoch = Math.max(held?.epoch ?? 0, lease.lastKnown?.epoch ?? 0);
+	if (epoch > quotas.epoch) {
+		const isOwn = held?.epoch === epoch;
+		quotas.epoch = epoch;
+		quotas.holder = createAsked(context, holderAccount(epoch), isOwn ? undefined : lease.lastKnown?.holder.beaconAddress);
+		if (!quotas.deputy) {
+			beginAsking(context);
+		}
 	}
 
-	quotas.epoch = epoch;
-	quotas.hasAnswered = false;
-	quotas.askedAtMs = Number.NEGATIVE_INFINITY;
-	quotas.sentAsks.clear();
-	for (const use of quotas.uses.values()) {
-		// The holder before had its total of what was used.
-		if (isIdle(use, context.nowMs)) {
-			quotas.uses.delete(use.workspace);
-		}
+	const {holder, deputy} = quotas;
+	const isVacant = isLeaseVacant(context) && nowMs - quotas.answeredAtMs >= ANSWERED_MS;
+	const isLost = !holder || (holder.unansweredSinceMs !== undefined && nowMs - holder.unansweredSinceMs >= DEPUTY_AFTER_MS) || (holder.address === undefined ? !held : isVacant);
+	const isDeputyLost = !deputy || (deputy.unansweredSinceMs !== undefined && nowMs - deputy.unansweredSinceMs >= DEPUTY_LOST_MS);
+	if (isLost && isDeputyLost && nowMs - quotas.neededAtMs < IDLE_ASK_INTERVAL_MS && knowsOthers(context)) {
+		const candidates = deputies(context);
+		const chosen = candidates[quotas.deputyTries % candidates.length]!;
+		quotas.deputyTries++;
+		quotas.deputy = createAsked(context, deputyAccount(chosen), chosen.id === state.self.id ? undefined : chosen.beaconAddress);
+		beginAsking(context);
+	}
+}
 
-		use.used = 0;
-		use.confirmed = 0;
+function createAsked({state: {quotas}}: EntryContext, name: string, address: string | undefined): AskedAccount {
+	return {
+		name, address, session: quotas.lastAskNumber, hasAnswered: false, answeredAtMs: Number.NEGATIVE_INFINITY, askedAtMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: undefined,
+	};
+}
+
+/** An instance that has just started and knows no other would take itself for all of them. */
+function knowsOthers({state, nowMs}: EntryContext): boolean {
+	return state.peers.size > 0 || nowMs - state.startedAtMs >= ALONE_AFTER_MS;
+}
+
+/** The instances of this zone that may keep an account, in an order that all of them agree on. */
+function deputies({state, nowMs}: EntryContext): EntryInstance[] {
+	return liveInstances(state, nowMs)
+		.filter(({zone, id}) => zone === state.self.zone && (id !== state.lease.lastKnown?.holder.id || id === state.self.id))
+		.toSorted((a, b) => a.id < b.id ? -1 : 1);
+}
+
+/** Starts asking another account: it knows nothing yet of what this instance has used. */
+function beginAsking(context: EntryContext): void {
+	const {quotas} = context.state;
+	for (const use of quotas.uses.values()) {
+		use.confirmed = undefined;
 		use.refusal = undefined;
+		for (const account of use.granted.keys()) {
+			if (account !== quotas.holder?.name && account !== quotas.deputy?.name) {
+				use.granted.delete(account);
+			}
+		}
 	}
 
 	for (const waiting of quotas.waiting.values()) {
 		waiting.askNumber = 0;
+		waiting.askAgainAtMs = 0;
 	}
 }
 
-function noteAnswered(context: EntryContext): void {
-	const {quotas} = context.state;
-	if (quotas.isUnansweredLogged) {
-		logEvent(context, 'quota-answered', {epoch: quotas.epoch, afterMs: Math.round(context.nowMs - (quotas.unansweredSinceMs ?? context.nowMs))});
+function noteAnswered(context: EntryContext, account: AskedAccount): void {
+	const {state, nowMs} = context;
+	const {quotas} = state;
+	if (account === quotas.holder) {
+		if (quotas.isUnansweredLogged) {
+			logEvent(context, 'quota-answered', {account: account.name, afterMs: Math.round(nowMs - (account.unansweredSinceMs ?? nowMs))});
+			quotas.isUnansweredLogged = false;
+		}
+
+		quotas.answeredAtMs = nowMs;
+		if (quotas.deputy) {
+			quotas.deputy = undefined;
+			quotas.deputyTries = 0;
+			beginAsking(context);
+		}
 	}
 
-	if (quotas.unansweredSinceMs !== undefined) {
+	if (!account.hasAnswered || account.unansweredSinceMs !== undefined) {
 		for (const use of quotas.uses.values()) {
 			use.allowance = undefined;
 		}
 	}
 
-	quotas.isUnansweredLogged = false;
-	quotas.unansweredSinceMs = undefined;
+	account.hasAnswered = true;
+	account.answeredAtMs = nowMs;
+	account.unansweredSinceMs = undefined;
 }
 
 /** Sends a report some time after units were used without a grant, and again while it is not confirmed. */
 function report(context: EntryContext): void {
 	const {state, nowMs} = context;
-	const {quotas} = state;
-	if (nowMs < quotas.reportAtMs) {
+	const asked = askedAccount(context);
+	if (!asked || nowMs < state.quotas.reportAtMs) {
 		return;
 	}
 
-	quotas.reportAtMs = Number.POSITIVE_INFINITY;
-	if ([...quotas.uses.values()].some(use => isUnconfirmed(use))) {
-		ask(context);
+	state.quotas.reportAtMs = Number.POSITIVE_INFINITY;
+	if ([...state.quotas.uses.values()].some(use => unreported(use, asked.name) !== 0)) {
+		ask(context, asked);
 	}
 }
 
-/** Sends an ask if requests wait that none has named lately, or if the holder does not know this instance yet. */
+/** Sends an ask if requests wait that none has named lately, or if an account has not answered yet. */
 function askIfDue(context: EntryContext): void {
 	const {state, nowMs} = context;
 	const {quotas} = state;
-	if (quotas.epoch === 0) {
+	const {holder, deputy} = quotas;
+	if (holder && (!holder.hasAnswered || holder.unansweredSinceMs !== undefined || deputy)) {
+		// Also tells a holder that is back what was used meanwhile.
+		introduce(context, holder);
+	}
+
+	const asked = askedAccount(context);
+	if (!asked) {
 		return;
 	}
 
-	const sinceMs = nowMs - quotas.askedAtMs;
-	const isIntroduction = !quotas.hasAnswered || quotas.unansweredSinceMs !== undefined;
-	if (isIntroduction) {
-		if (sinceMs >= (nowMs - quotas.neededAtMs < IDLE_ASK_INTERVAL_MS ? UNANSWERED_ASK_INTERVAL_MS : IDLE_ASK_INTERVAL_MS)) {
-			ask(context);
-		}
+	if (asked === deputy) {
+		introduce(context, deputy);
+	}
 
-		return;
+	const isWaiting = quotas.waiting.size > 0 && (asked.address === undefined || nowMs - asked.askedAtMs >= MIN_ASK_INTERVAL_MS);
+	if (asked.hasAnswered && asked.unansweredSinceMs === undefined && isWaiting && [...quotas.waiting.values()].some(waiting => isUnasked(context, waiting))) {
+		ask(context, asked);
 	}
+}
 
-	const isHolder = holdsLease(context) !== undefined;
-	if (quotas.waiting.size > 0 && (isHolder || sinceMs >= MIN_ASK_INTERVAL_MS) && [...quotas.waiting.values()].some(waiting => isUnasked(context, waiting))) {
-		ask(context);
+/** Asks an account from time to time, so that it knows that this instance is there. */
+function introduce(context: EntryContext, account: AskedAccount): void {
+	const {state, nowMs} = context;
+	const isNeeded = nowMs - state.quotas.neededAtMs < IDLE_ASK_INTERVAL_MS;
+	const isNew = !account.hasAnswered || account.unansweredSinceMs !== undefined;
+	if (nowMs - account.askedAtMs >= (isNeeded && isNew ? UNANSWERED_ASK_INTERVAL_MS : (isNeeded ? REPORT_INTERVAL_MS : IDLE_ASK_INTERVAL_MS))) {
+		ask(context, account);
 	}
 }
 
 /** Whether no ask names the request, or the one that does seems to be lost. */
-function isUnasked({state, nowMs}: EntryContext, {usableAtMs, askNumber}: WaitingCharge): boolean {
+function isUnasked({state, nowMs}: EntryContext, {usableAtMs, askNumber, askAgainAtMs}: WaitingCharge): boolean {
 	const sentAtMs = state.quotas.sentAsks.get(askNumber)?.sentAtMs;
-	return usableAtMs === undefined && (sentAtMs === undefined || nowMs - sentAtMs >= REPEAT_MS);
+	return usableAtMs === undefined && nowMs >= askAgainAtMs && (sentAtMs === undefined || nowMs - sentAtMs >= REPEAT_MS);
 }
 
-function ask(context: EntryContext): void {
+function ask(context: EntryContext, account: AskedAccount): void {
 	const {state, nowMs} = context;
 	const {quotas} = state;
-	const held = holdsLease(context);
-	const address = state.lease.lastKnown?.holder.beaconAddress;
-	if (!held && (address === undefined || quotas.epoch !== state.lease.lastKnown?.epoch)) {
-		return;
-	}
-
 	quotas.lastAskNumber++;
-	quotas.askedAtMs = nowMs;
+	account.askedAtMs = nowMs;
 	const askNumber = quotas.lastAskNumber;
-	const isForgotten = quotas.unansweredSinceMs !== undefined && nowMs - quotas.unansweredSinceMs > FORGOTTEN_MS;
-	const isFirst = !quotas.hasAnswered || isForgotten;
-	const charges = chargesToAsk(context, askNumber);
+	const isForgotten = account.unansweredSinceMs !== undefined && nowMs - account.unansweredSinceMs > FORGOTTEN_MS;
+	const isFirst = !account.hasAnswered || isForgotten;
+	const isAsked = account === askedAccount(context);
+	const charges = isAsked ? chargesToAsk(context, askNumber) : new Map<string, WaitingCharge[]>();
 	const used = new Map<string, number>();
 	const asked: AskedQuota[] = [];
 	for (const use of quotas.uses.values()) {
 		const needs = charges.get(use.workspace) ?? [];
-		if (needs.length === 0 && isIdle(use, nowMs) && !isUnconfirmed(use)) {
+		const isConfirmed = isAsked && !isFirst && use.confirmed !== undefined && unreported(use, account.name) === 0;
+		if (isConfirmed && needs.length === 0 && isIdle(use, nowMs)) {
 			continue;
 		}
 
-		used.set(use.workspace, use.used);
+		used.set(use.workspace, ungranted(use, account.name));
 		asked.push({
 			workspace: use.workspace,
 			needs: needs.map(({units}) => units),
-			used: use.used,
+			used: ungranted(use, account.name),
 			...(isFirst && {history: use.window.history(nowMs, use.limit.windowMs / HISTORY_PERIODS, HISTORY_PERIODS)}),
 		});
 	}
 
-	quotas.reportAtMs = asked.some(({workspace}) => isUnconfirmed(quotas.uses.get(workspace))) ? nowMs + REPORT_INTERVAL_MS : Number.POSITIVE_INFINITY;
-	quotas.sentAsks.set(askNumber, {sentAtMs: nowMs, charges, used});
+	if (isAsked) {
+		quotas.reportAtMs = [...quotas.uses.values()].some(use => unreported(use, account.name) !== 0) ? nowMs + REPORT_INTERVAL_MS : Number.POSITIVE_INFINITY;
+	}
+
+	quotas.sentAsks.set(askNumber, {
+		account: account.name, sentAtMs: nowMs, charges, used,
+	});
 	for (const [number, {sentAtMs}] of quotas.sentAsks) {
 		if (nowMs - sentAtMs > ANSWER_VALID_MS) {
 			quotas.sentAsks.delete(number);
@@ -418,17 +503,18 @@
 	}
 
 	const message: QuotaAsk = {
-		askNumber, from: state.self.id, boot: state.self.boot, replyTo: state.self.beaconAddress, epoch: quotas.epoch, upMs: Math.round(nowMs - state.startedAtMs), isFirst, quotas: asked,
+		askNumber, from: state.self.id, boot: state.self.boot, replyTo: state.self.beaconAddress, account: account.name, session: account.session, upMs: Math.round(nowMs - state.startedAtMs), isFirst, quotas: asked,
 	};
-	if (held) {
-		const grant = answerAsk(context, held, message);
-		if (grant) {
-			handleQuotaGrant(context, {
-				kind: 'quota-granted', grant, nowMs, wallMs: context.wallMs,
-			});
-		}
-	} else {
-		context.effects.push({kind: 'ask-quota', address: address!, ask: message});
+	if (account.address !== undefined) {
+		context.effects.push({kind: 'ask-quota', address: account.address, ask: message});
+		return;
+	}
+
+	const grant = answerAsk(context, message);
+	if (grant) {
+		handleQuotaGrant(context, {
+			kind: 'quota-granted', grant, nowMs, wallMs: context.wallMs,
+		});
 	}
 }
 
@@ -436,10 +522,6 @@
 	return nowMs - lastChargeAtMs >= limit.windowMs + IDLE_USE_MS;
 }
 
-function isUnconfirmed(use: WorkspaceUse | undefined): boolean {
-	return use !== undefined && use.used !== use.confirmed;
-}
-
 /** The waiting requests that an ask names, by workspace. */
 function chargesToAsk(context: EntryContext, askNumber: number): Map<string, WaitingCharge[]> {
 	const {state} = context;
@@ -462,38 +544,50 @@
 }
 
 /** The holder has said, at this time or later, how much of each quota is used. */
-export function noteLevels({state}: EntryContext, {atMs, epoch, told}: {readonly atMs: number; readonly epoch: number; readonly told: QuotaLevels}): void {
+export function noteLevels({state}: EntryContext, {atMs, account, told}: {readonly atMs: number; readonly account: string; readonly told: QuotaLevels}): void {
 	const {quotas, configuration} = state;
 	// Afterwards the index is that of the configuration in force.
 	const isSame = quotaIndex(state).size > 0 && told.configurationVersion === configuration?.version;
 	if (isSame && atMs > (quotas.told?.atMs ?? Number.NEGATIVE_INFINITY)) {
-		quotas.told = {atMs, epoch, levels: new Map(quotas.index.names.flatMap((name, index) => {
+		quotas.told = {atMs, account, levels: new Map(quotas.index.names.flatMap((name, index) => {
 			const level = parseLevel(told.levels[index]);
 			return level ? [[name, level] as const] : [];
 		}))};
 	}
 }
 
-function applyGrant(context: EntryContext, use: WorkspaceUse, {inMs, roomInMs}: GrantedQuota, charges: readonly WaitingCharge[]): void {
+type Granted = {
+	readonly account: string;
+	/** The requests of the ask, in its order. */
+	readonly charges: readonly WaitingCharge[];
+};
+
+function applyGrant(context: EntryContext, use: WorkspaceUse, {inMs, roomInMs}: GrantedQuota, {account, charges}: Granted): void {
 	const {state, nowMs} = context;
 	const {quotas} = state;
 	for (const [index, waiting] of charges.entries()) {
 		const {request, units} = waiting;
 		const isWaiting = quotas.waiting.get(request.id) === waiting && waiting.usableAtMs === undefined && state.open.has(request.id);
 		const delayMs = inMs[index];
+		if (delayMs !== undefined) {
+			use.granted.set(account, (use.granted.get(account) ?? 0) + units);
+		}
+
 		if (delayMs !== undefined && !isWaiting) {
-			// Units that come too late, or twice.
-			addUngranted(state, use, -units, nowMs);
+			// Units that come too late, or twice, are given back.
+			planReport(context, use);
 		} else if (delayMs !== undefined && delayMs > 0) {
 			waiting.usableAtMs = nowMs + delayMs;
-			waiting.grantEpoch = quotas.epoch;
 			state.timers.push({
 				atMs: nowMs + delayMs, requestId: request.id, kind: 'quota', tryNumber: 0,
 			});
 		} else if (delayMs !== undefined) {
 			quotas.waiting.delete(request.id);
-			charge(context, request, use, units, false);
+			charge(context, request, use, units);
 			proceed(context, request);
+		} else if (isWaiting && account !== quotas.holder?.name) {
+			// A deputy with few members has no room for what the holder or this instance itself may still admit.
+			waiting.askAgainAtMs = nowMs + REPEAT_MS;
 		} else if (isWaiting) {
 			quotas.waiting.delete(request.id);
 			const roomMs = roomInMs ?? 0;
@@ -509,17 +603,18 @@
 /** Admits or refuses a request while no holder answers. */
 function decideAlone(context: EntryContext, request: EntryRequest, use: WorkspaceUse, units: number): void {
 	const {state, nowMs} = context;
-	state.quotas.unansweredSinceMs ??= nowMs;
+	const {quotas} = state;
 	const allowance = allowanceOf(context, use);
 	const room = allowance.units - use.window.sum(nowMs);
 	if (units <= room || isDrawn(context, allowance, room, units)) {
-		charge(context, request, use, units, true);
+		charge(context, request, use, units);
+		planReport(context, use);
 		proceed(context, request);
 		return;
 	}
 
 	const roomInMs = isLeaseVacant(context) ? leaseReturnMs(context) : (use.window.timeUntilLess(units - room, nowMs) ?? use.limit.windowMs);
-	refuseByQuota(context, request, {units, use, roomInMs, reason: 'the instance that keeps the account does not answer'});
+	refuseByQuota(context, request, {units, use, roomInMs, reason: quotas.deputy?.hasAnswered ? 'the holder of the account does not answer, and its deputy has no room' : 'the holder of the account does not answer'});
 }
 
 /** A request that is larger than what is left is admitted in proportion to that, so that small shares of many instances are of use. What was left is gone either way. */
@@ -546,7 +641,7 @@
 	}
 
 	const equalShare = use.limit.perWindow / countInstances(state, nowMs);
-	const usedShare = told && (state.lease.lastKnown?.claimedAtMs ?? nowMs) - told.atMs < USED_SHARE_VALID_MS ? told.levels.get(use.workspace)?.usedShare ?? 1 : 1;
+	const usedShare = told?.account === quotas.holder?.name && told && (state.lease.lastKnown?.claimedAtMs ?? nowMs) - told.atMs < USED_SHARE_VALID_MS ? told.levels.get(use.workspace)?.usedShare ?? 1 : 1;
 	use.allowance = {
 		kind,
 		units: kind === 'own'
