--- a/src/core/entry/quota-bucket.ts
+++ b/src/core/entry/quota-bucket.ts
@@ -8,9 +8,11 @@
 import {UsageWindow} from './usage-window.js';
 import {type Quota} from './workspace.js';
 
-/** Share of the permitted excess that the limit makes use of; the rest covers what an instance without answers uses, and differing counts of instances. */
+/**
+Share of the permitted relative excess that the limit makes use of; the rest covers what instances without answers use, and differing
+counts of instances. With 0.5, 2 of 300 played scenarios with cuts exceeded the bound, by 2.6 % at most.
+*/
 const OVER_SHARE = 0.3;
-const SLACK_SHARE = 0.9;
 /** What is admitted may be executed this much later than it was counted. */
 const LAG_MS = 500;
 /** Capacity of the pacing bucket, as a share of the limit. */
@@ -43,7 +45,7 @@
 export function limitOf({unit, perSecond, burst}: Quota, bounds: EntryBounds): QuotaLimit {
 	const {windowMs, overShare, slack} = bounds.quota ?? DEFAULT_BOUNDS;
 	// The slack is in tokens. It is there for single large requests.
-	const usedSlack = unit === 'tokens' ? slack * SLACK_SHARE : 0;
+	const usedSlack = unit === 'tokens' ? slack : 0;
 	const perWindow = (((perSecond * windowMs / 1000) + burst) * (1 + (overShare * OVER_SHARE))) + usedSlack;
 	const countedMs = countedWindowMs(bounds);
 	return {
@@ -103,9 +105,15 @@
 	take(units: number, nowMs: number, share: number): Taken {
 		const limit = this._limitNow(nowMs, share);
 		const used = this._window.sum(nowMs);
+		let delayMs = 0;
 		// One that is larger than the limit could never be served otherwise. Only one part of a divided deployment has most instances.
 		if (used + units > limit && !(used === 0 && share > 0.5)) {
-			return {isGranted: false, inMs: this._window.timeUntilLess(used + units - limit, nowMs) ?? this._limit.windowMs};
+			const roomInMs = this._window.timeUntilLess(used + units - limit, nowMs) ?? this._limit.windowMs;
+			if (roomInMs > MAX_DELAY_MS) {
+				return {isGranted: false, inMs: roomInMs};
+			}
+
+			delayMs = roomInMs;
 		}
 
 		this._refill(nowMs);
@@ -116,7 +124,7 @@
 
 		this._paceLevel -= units;
 		this._window.add(units, nowMs);
-		return {isGranted: true, inMs: waitMs};
+		return {isGranted: true, inMs: Math.max(delayMs, waitMs)};
 	}
 
 	/** Whether instances may use some units before they report them. */
--- a/src/core/entry/quotas.ts
+++ b/src/core/entry/quotas.ts
@@ -52,6 +52,7 @@
 const MIN_RETRY_AFTER_MS = 100;
 /** Retry delays are spread over this share of theirs, so that callers do not all return at once. */
 const RETRY_SPREAD_SHARE = 0.3;
+const MAX_RETRY_SPREAD_MS = 500;
 /** Time for which an instance goes on as before without answers. */
 const CONTINUE_MS = 8000;
 /** The holder may give out again what this instance used this long before it is noticed to be silent. */
@@ -255,7 +256,8 @@
 
 function refuseByQuota(context: EntryContext, request: EntryRequest, {units, use, roomInMs, reason}: QuotaRefusal): void {
 	const {state, nowMs} = context;
-	const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, roomInMs * (1 + (RETRY_SPREAD_SHARE * randomFraction(context))));
+	const spreadMs = Math.min(MAX_RETRY_SPREAD_MS, roomInMs * RETRY_SPREAD_SHARE) * randomFraction(context);
+	const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, roomInMs + spreadMs);
 	logEvent(context, 'quota-refused', {
 		requestId: request.id,
 		workspace: use.workspace,
