--- a/src/core/entry/quota-bucket.test.ts
+++ b/src/core/entry/quota-bucket.test.ts
@@ -76,7 +76,7 @@
 	for (const {atMs, units} of demand({perSecond: 150_000, count: 3000, seed: 8})) {
 		const isLowered = atMs >= 25_000;
 		bucket.setLimit(limitOf(tokens(isLowered ? 20_000 : 100_000), bounds), atMs);
-		const isGranted = bucket.take(units, atMs, 1).isGranted;
+		const {isGranted} = bucket.take(units, atMs, 1);
 		lowered += isLowered && isGranted && atMs < 33_000 ? units : 0;
 	}
 
--- a/src/core/entry/quotas-bound.test.ts
+++ b/src/core/entry/quotas-bound.test.ts
@@ -25,7 +25,7 @@
 };
 
 const steps = fc.array(fc.record({
-	action: fc.constantFrom<Step['action'][]>('none', 'kill-holder', 'leave-lease', 'take-lease', 'take-lease', 'freeze', 'thaw', 'cut', 'heal', 'restart', 'restart-all', 'lose', 'keep'),
+	action: fc.constantFrom<Array<Step['action']>>('none', 'kill-holder', 'leave-lease', 'take-lease', 'take-lease', 'freeze', 'thaw', 'cut', 'heal', 'restart', 'restart-all', 'lose', 'keep'),
 	durationMs: fc.integer({min: 1, max: 20}).map(tenths => tenths * 100),
 	demand: fc.constantFrom(0.2, 0.6, 0.6, 3, 6),
 	at: fc.integer({min: 0, max: SIZE - 1}),
--- a/src/core/entry/quotas.ts
+++ b/src/core/entry/quotas.ts
@@ -95,7 +95,9 @@
 	chooseAccount(context);
 	const asked = askedAccount(context);
 	if (isRefusedStill(use, units, nowMs)) {
-		refuseByQuota(context, request, {units, use, roomInMs: use.refusal!.roomAtMs - nowMs, reason: 'refused a moment ago'});
+		refuseByQuota(context, request, {
+			units, use, roomInMs: use.refusal!.roomAtMs - nowMs, reason: 'refused a moment ago',
+		});
 	} else if (asked?.address !== undefined && isOpen(context, asked, use, units)) {
 		charge(context, request, use, units);
 		planReport(context, use);
@@ -330,11 +332,9 @@
 		}
 	}
 
-	const {holder, deputy} = quotas;
-	const isVacant = isLeaseVacant(context) && nowMs - quotas.answeredAtMs >= ANSWERED_MS;
-	const isLost = !holder || (holder.unansweredSinceMs !== undefined && nowMs - holder.unansweredSinceMs >= DEPUTY_AFTER_MS) || (holder.address === undefined ? !held : isVacant);
-	const isDeputyLost = !deputy || (deputy.unansweredSinceMs !== undefined && nowMs - deputy.unansweredSinceMs >= DEPUTY_LOST_MS);
-	if (isLost && isDeputyLost && nowMs - quotas.neededAtMs < IDLE_ASK_INTERVAL_MS && knowsOthers(context)) {
+	const {deputy} = quotas;
+	const isDeputyLost = !deputy || isUnansweredFor(deputy, DEPUTY_LOST_MS, nowMs);
+	if (isDeputyLost && isHolderLost(context) && nowMs - quotas.neededAtMs < IDLE_ASK_INTERVAL_MS && knowsOthers(context)) {
 		const candidates = deputies(context);
 		const chosen = candidates[quotas.deputyTries % candidates.length]!;
 		quotas.deputyTries++;
@@ -343,6 +343,21 @@
 	}
 }
 
+/** Whether no holder is expected to answer. */
+function isHolderLost(context: EntryContext): boolean {
+	const {state: {quotas}, nowMs} = context;
+	const {holder} = quotas;
+	if (!holder || isUnansweredFor(holder, DEPUTY_AFTER_MS, nowMs)) {
+		return true;
+	}
+
+	return holder.address === undefined ? !holdsLease(context) : isLeaseVacant(context) && nowMs - quotas.answeredAtMs >= ANSWERED_MS;
+}
+
+function isUnansweredFor({unansweredSinceMs}: AskedAccount, durationMs: number, nowMs: number): boolean {
+	return unansweredSinceMs !== undefined && nowMs - unansweredSinceMs >= durationMs;
+}
+
 function createAsked({state: {quotas}}: EntryContext, name: string, address: string | undefined): AskedAccount {
 	return {
 		name, address, session: quotas.lastAskNumber, hasAnswered: false, answeredAtMs: Number.NEGATIVE_INFINITY, askedAtMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: undefined,
@@ -551,10 +566,12 @@
 	// Afterwards the index is that of the configuration in force.
 	const isSame = quotaIndex(state).size > 0 && told.configurationVersion === configuration?.version;
 	if (isSame && atMs > (quotas.told?.atMs ?? Number.NEGATIVE_INFINITY)) {
-		quotas.told = {atMs, account, levels: new Map(quotas.index.names.flatMap((name, index) => {
-			const level = parseLevel(told.levels[index]);
-			return level ? [[name, level] as const] : [];
-		}))};
+		quotas.told = {
+			atMs, account, levels: new Map(quotas.index.names.flatMap((name, index) => {
+				const level = parseLevel(told.levels[index]);
+				return level ? [[name, level] as const] : [];
+			})),
+		};
 	}
 }
 
@@ -597,7 +614,9 @@
 				use.refusal = {units, untilMs: nowMs + Math.min(roomMs, REFUSAL_VALID_MS), roomAtMs: nowMs + roomMs};
 			}
 
-			refuseByQuota(context, request, {units, use, roomInMs: roomMs, reason: 'the quota has no room for it now'});
+			refuseByQuota(context, request, {
+				units, use, roomInMs: roomMs, reason: 'the quota has no room for it now',
+			});
 		}
 	}
 }
@@ -616,7 +635,9 @@
 	}
 
 	const roomInMs = isLeaseVacant(context) ? leaseReturnMs(context) : (use.window.timeUntilLess(units - room, nowMs) ?? use.limit.windowMs);
-	refuseByQuota(context, request, {units, use, roomInMs, reason: quotas.deputy?.hasAnswered ? 'the holder of the account does not answer, and its deputy has no room' : 'the holder of the account does not answer'});
+	refuseByQuota(context, request, {
+		units, use, roomInMs, reason: quotas.deputy?.hasAnswered ? 'the holder of the account does not answer, and its deputy has no room' : 'the holder of the account does not answer',
+	});
 }
 
 /** A request that is larger than what is left is admitted in proportion to that, so that small shares of many instances are of use. What was left is gone either way. */
@@ -643,7 +664,8 @@
 	}
 
 	const equalShare = use.limit.perWindow / countInstances(state, nowMs);
-	const usedShare = told?.account === quotas.holder?.name && told && (state.lease.lastKnown?.claimedAtMs ?? nowMs) - told.atMs < USED_SHARE_VALID_MS ? told.levels.get(use.workspace)?.usedShare ?? 1 : 1;
+	const isTold = told !== undefined && told.account === quotas.holder?.name && (state.lease.lastKnown?.claimedAtMs ?? nowMs) - told.atMs < USED_SHARE_VALID_MS;
+	const usedShare = isTold ? told.levels.get(use.workspace)?.usedShare ?? 1 : 1;
 	use.allowance = {
 		kind,
 		units: kind === 'own'
--- a/src/core/entry/waiting-queue.test.ts
+++ b/src/core/entry/waiting-queue.test.ts
@@ -91,15 +91,19 @@
 test('ranks come before workspaces, and streams that have begun before both the turns of workspaces', () => {
 	const queue = new WaitingQueue();
 	fill(queue, 'hot', 5);
-	queue.push(request('urgent', {workspace: 'hot', rank: 0}));
-	queue.push(request('begun', {workspace: 'other', hasHead: true}));
+	for (const waiting of [request('urgent', {workspace: 'hot', rank: 0}), request('begun', {workspace: 'other', hasHead: true})]) {
+		queue.push(waiting);
+	}
+
 	assert.deepEqual(take(queue, 2).map(({id}) => id), ['urgent', 'begun']);
 });
 
 test('within a workspace, punctual requests go before late ones', () => {
 	const queue = new WaitingQueue();
-	queue.push(request('late', {workspace: 'a', objectiveMs: 100}));
-	queue.push(request('punctual', {workspace: 'a', atMs: 50, objectiveMs: 10_000}));
+	for (const waiting of [request('late', {workspace: 'a', objectiveMs: 100}), request('punctual', {workspace: 'a', atMs: 50, objectiveMs: 10_000})]) {
+		queue.push(waiting);
+	}
+
 	assert.deepEqual(take(queue, 2, 1000).map(({id}) => id), ['punctual', 'late']);
 });
 
--- a/src/core/entry/waiting-queue.ts
+++ b/src/core/entry/waiting-queue.ts
@@ -243,8 +243,8 @@
 			this._flows.delete(flow.name);
 		}
 
-		if (this._virtualTime > 0 && this.waiting === 0) {
-			const common = this._flows.get(COMMON_FLOW)!;
+		const common = this._flows.get(COMMON_FLOW)!;
+		if ((this._flows.size > 1 || common.startTag > 0) && this.waiting === 0) {
 			common.startTag = 0;
 			this._virtualTime = 0;
 			this._flows.clear();
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -9,6 +9,8 @@
 import {type LogEventName} from '../core/log-events.js';
 import {unconfirmedForMs} from '../core/entry/configuration-watch.js';
 import {unreachedTargets} from '../core/entry/reachability.js';
+import {quotaIndex} from '../core/entry/quota-index.js';
+import {type WorkspaceUse} from '../core/entry/quota-state.js';
 import {isLimited, isUsable} from '../core/entry/target.js';
 import {type EntryState} from '../core/entry/state.js';
 
@@ -16,6 +18,9 @@
 /** Seconds; they surround the response-time objectives of current routes, 150 ms to 4 s. */
 const DURATION_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 4, 8, 16];
 const TRY_BUCKETS = [0, 1, 2, 3, 4];
+/** Workspaces that metrics name; the others share one label, since each label costs memory here and where metrics are kept. */
+const MAX_WORKSPACE_LABELS = 31;
+const OTHER_WORKSPACES = 'others';
 
 export type EntryMetricsOptions = {
 	readonly state: EntryState;
@@ -38,6 +43,8 @@
 	private readonly _orders = this._counter('pollenarch_engine_orders_total', 'Answers to orders to engines.', ['outcome']);
 	private readonly _moves = this._counter('pollenarch_moves_total', 'Copies planned to be loaded or unloaded.', ['kind', 'reason']);
 	private readonly _storeCalls = this._counter('pollenarch_store_calls_total', 'Calls to the platform\'s store.', ['kind', 'outcome']);
+	private readonly _quotaRefusals = this._counter('pollenarch_quota_refused_total', 'Requests refused with 429, by workspace.', ['workspace']);
+	private readonly _workspaceLabels = new Set<string>();
 	private readonly _events = this._counter('pollenarch_events_total', 'Log events, written or left out.', ['event']);
 
 	private readonly _handlers: Partial<Record<LogEventName, (fields: Fields) => void>> = {
@@ -56,6 +63,9 @@
 		'try-ended': fields => {
 			this._failedTries.inc({outcome: toText(fields.outcome), target: toText(fields.targetId)});
 		},
+		'quota-refused': fields => {
+			this._quotaRefusals.inc({workspace: this._labelOf(toText(fields.workspace))});
+		},
 		'engine-order-answered': fields => {
 			this._orders.inc({outcome: toText(fields.outcome)});
 		},
@@ -66,6 +76,7 @@
 
 	constructor({state, monotonicMs, wallMs, droppedLines}: EntryMetricsOptions) {
 		const gauges: ReadonlyArray<readonly [name: string, help: string, read: () => number]> = [
+			['pollenarch_quota_waiting_requests', 'Requests that wait for units of their workspace\'s quota.', () => state.quotas.waiting.size],
 			['pollenarch_open_requests', 'Requests without a final answer.', () => state.open.size],
 			['pollenarch_waiting_requests', 'Requests that wait for room at a target.', () => [...state.queues.values()].reduce((sum, {waiting}) => sum + waiting, 0)],
 			['pollenarch_usable_targets', 'Targets that requests may be sent to.', () => [...state.targets.values()].filter(target => isUsable(target, monotonicMs())).length],
@@ -86,6 +97,8 @@
 				},
 			});
 		}
+
+		this._addQuotaGauges(state, monotonicMs);
 	}
 
 	recordEvent(event: LogEventName, fields: Fields): void {
@@ -97,6 +110,42 @@
 		this._storeCalls.inc({kind, outcome});
 	}
 
+	/** Gauges that are read for each workspace with a quota. */
+	private _addQuotaGauges(state: EntryState, monotonicMs: () => number): void {
+		const read = (workspace: string, use: (use: WorkspaceUse) => number) => {
+			const found = state.quotas.uses.get(workspace);
+			return found ? use(found) : 0;
+		};
+
+		const gauges: ReadonlyArray<readonly [name: string, help: string, read: (workspace: string) => number]> = [
+			['pollenarch_quota_limit_units', 'Units that all instances together may use in a window.', workspace => quotaIndex(state).get(workspace)?.limit.perWindow ?? 0],
+			['pollenarch_quota_used_here_units', 'Units charged here in the last window.', workspace => read(workspace, use => use.window.sum(monotonicMs()))],
+			['pollenarch_quota_used_share', 'Share of the limit that is used over all instances, in tenths, as last told by the instance that keeps the account; -1 while unknown.', workspace => state.quotas.told?.levels.get(workspace)?.usedShare ?? -1],
+		];
+		for (const [name, help, readUnits] of gauges) {
+			const labelOf = (workspace: string) => this._labelOf(workspace);
+			const gauge: Gauge = new Gauge({
+				name, help, labelNames: ['workspace'], registers: [this.registry], collect() {
+					gauge.reset();
+					for (const workspace of quotaIndex(state).keys()) {
+						const label = labelOf(workspace);
+						if (label !== OTHER_WORKSPACES) {
+							gauge.set({workspace: label}, readUnits(workspace));
+						}
+					}
+				},
+			});
+		}
+	}
+
+	private _labelOf(workspace: string): string {
+		if (this._workspaceLabels.size < MAX_WORKSPACE_LABELS) {
+			this._workspaceLabels.add(workspace);
+		}
+
+		return this._workspaceLabels.has(workspace) ? workspace : OTHER_WORKSPACES;
+	}
+
 	private _recordRequestEnd(outcome: string, fields: Fields): void {
 		this._requests.inc({outcome, route: toText(fields.route)});
 		this._duration.observe({outcome}, Number(fields.tookMs) * SECONDS_PER_MS);
