--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -37,6 +37,18 @@
 	readonly ageMs: number;
 	/** Number of instances that the holder counted then; undefined from instances of an earlier release. */
 	readonly instances?: number;
+	/** Absent without quotas, and from instances of an earlier release. */
+	readonly quotas?: QuotaLevels;
+};
+
+/** What the lease holder says of the quotas of all workspaces. */
+export type QuotaLevels = {
+	readonly configurationVersion: number;
+	/**
+	One character for each workspace with a quota, in the order of that version: the used tenths of its limit, as `0` to `9`, or,
+	as `a` to `f` for 0 to 5 tenths, that instances may use some units before they report them.
+	*/
+	readonly levels: string;
 };
 
 /** Copy that is about to be unloaded and gets no new requests. */
@@ -120,6 +132,51 @@
 	readonly freeInMs: number;
 };
 
+/** What an instance needs and has used of one workspace's quota. */
+export type AskedQuota = {
+	readonly workspace: string;
+	/** Units of each request that waits. */
+	readonly needs: readonly number[];
+	/** All units that it has ever used less those that this account has granted it; only the change since its last ask matters. */
+	readonly used: number;
+	/** Until its first answer: units used in the last window, by age. */
+	readonly history?: readonly number[];
+};
+
+/** Asks the instance that keeps an account for units of quotas, and tells it what was used without. One ask is for all workspaces. */
+export type QuotaAsk = {
+	readonly askNumber: number;
+	readonly from: InstanceId;
+	readonly boot: string;
+	/** Host and port that receives the answer. */
+	readonly replyTo: string;
+	/** Name of the account that is asked. */
+	readonly account: string;
+	/** Changes whenever the sender turns to the account anew. */
+	readonly session: number;
+	/** Time since the sender started: what ran in its place before is not known. */
+	readonly upMs: number;
+	/** Whether the account has not answered it yet, so that `history` is all that it has used in the window. */
+	readonly isFirst: boolean;
+	readonly quotas: readonly AskedQuota[];
+};
+
+export type GrantedQuota = {
+	readonly workspace: string;
+	/** For the first needs of the ask: time until the units of each may be used. */
+	readonly inMs: readonly number[];
+	/** Time until there may be room for the next need; absent if all are granted. */
+	readonly roomInMs?: number;
+};
+
+export type QuotaGrant = {
+	/** Number of the ask that it answers. */
+	readonly grantNumber: number;
+	readonly account: string;
+	readonly quotas: readonly GrantedQuota[];
+	readonly levels: QuotaLevels;
+};
+
 /** What began a stream, by the request that brought its first event. */
 export type AnnouncedOrigin = readonly [streamId: RequestId, service: string, release: string];
 
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -28,6 +28,9 @@
 import {handleRegistryRead, handleRegistryReadFailure, refreshRegistry} from './registry.js';
 import {announceLoads, handleLoadAnnouncement} from './load-announcements.js';
 import {handlePermitGrant, handlePermitRequest} from './rate-permits.js';
+import {
+	handleQuotaAsk, handleQuotaGrant, handleQuotaTimeout, runQuotas,
+} from './quotas.js';
 import {handleBeacon, handlePullCompleted, addPeers} from './peer-sync.js';
 import {sendBeacons} from './beacon-sender.js';
 import {
@@ -85,6 +88,8 @@
 	'load-announced': handleLoadAnnouncement,
 	'permits-requested': handlePermitRequest,
 	'permits-granted': handlePermitGrant,
+	'quota-asked': handleQuotaAsk,
+	'quota-granted': handleQuotaGrant,
 	'origins-announced'(context, event) {
 		handleOriginsAnnounced(context, event);
 		continueResolved(context);
@@ -122,6 +127,7 @@
 	runOrders(context);
 	runPlacement(context);
 	sendBeacons(context);
+	runQuotas(context);
 	runDrain(context);
 }
 
@@ -130,6 +136,7 @@
 	patience: handlePatience,
 	silence: handleSilence,
 	origin: handleOriginTimeout,
+	quota: handleQuotaTimeout,
 };
 
 function fireTimers(context: EntryContext): void {
