Start: the code cache covers the functions of the start and the first requests

Cause: the cache held only what runs when the modules are loaded; listeners, the first store calls, the first peer calls and the first requests compiled their functions at each start. Ruled out: keeping the whole run of a modelled fleet in the cache (2.0 MB, no faster than 1.8 MB). Change: deploy/code-cache.ts runs two instances of the bundle before the test stand-ins of the platform in a process of the build, with some requests, and then creates the cache.

--- a/deploy/bundle.ts
+++ b/deploy/bundle.ts
@@ -1,18 +1,15 @@
 /**
-Bundles the platform entry point into one file and creates a V8 code cache for it, so
-that a restarted process is ready sooner. Must run with the same V8 flags as the
-program, because V8 rejects a code cache that was created with other flags.
+Bundles the platform entry point into one file and has a V8 code cache created for it, so
+that a restarted process is ready sooner. Must run with the same V8 flags as the program.
 */
 import {Buffer} from 'node:buffer';
+import {spawnSync} from 'node:child_process';
 import {readFileSync, writeFileSync} from 'node:fs';
-import {createRequire} from 'node:module';
 import process from 'node:process';
-import {Script} from 'node:vm';
 import {build, type Plugin} from 'esbuild';
 
-/** Signature of the function that wraps a CommonJS module. */
-type ModuleWrapper = (moduleExports: object, requireFunction: NodeJS.Require, moduleObject: object, filename: string, dirname: string) => void;
-
+/** Many times the usual time of 4 s. */
+const CODE_CACHE_TIMEOUT_MS = 120_000;
 const outputFolder = process.argv[2] ?? 'target';
 const bundleFile = `${outputFolder}/pollenarch.cjs`;
 
@@ -66,14 +63,11 @@
 }
 
 writeFileSync(`${outputFolder}/pollenarch.source.js`, wrappedSource, 'latin1');
-const script = new Script(wrappedSource, {filename: bundleFile});
-// V8 caches only functions that have been compiled, so the program runs once to include the functions used at startup.
-// Without settings it reports the error and exits immediately.
-delete process.env.POLLENARCH_SETTINGS;
-const runModule = script.runInThisContext() as ModuleWrapper;
-runModule({}, createRequire(import.meta.url), {exports: {}}, bundleFile, outputFolder);
-process.exitCode = 0;
-writeFileSync(`${outputFolder}/pollenarch.cache`, script.createCachedData());
+const cached = spawnSync(process.execPath, [...process.execArgv, 'deploy/code-cache.ts', outputFolder], {stdio: ['ignore', 'ignore', 'inherit'], timeout: CODE_CACHE_TIMEOUT_MS});
+if (cached.status !== 0) {
+	throw new Error(`the code cache could not be created: ${cached.error?.message ?? `exit code ${cached.status}`}`);
+}
+
 writeFileSync(`${outputFolder}/start.cjs`, `'use strict';
 const {readFileSync} = require('node:fs');
 const {join} = require('node:path');
