Instances tell their zone of targets that go dark, and move requests away

Cause: each instance found a dark or refusing target by a request of its own, at a connection time-out each, and streams there stayed until their silence was noticed. Change: dark-targets.ts. A failed connection is told to the zone at once, as optional members of load announcements; nobody tries the target until it is reached again. A report counts alone only if its sender reaches others of the service, else three must agree; who has heard from the target contradicts. Beacons renew reports, which end after 2.5 s. Silent tries that may be repeated move once the target has been known as dark for 100 ms; moveTry is split from handleSilence for that. Events 332 and 333, mechanism shared-reachability, event engine-dark and probes in the experiment. EntryGroup, a test stand-in, delivers load announcements as well.

--- a/src/core/entry/load-announcements.ts
+++ b/src/core/entry/load-announcements.ts
@@ -7,6 +7,7 @@
 */
 import fnv1a from '@sindresorhus/fnv1a';
 import {type InstanceId} from '../types.js';
+import {adoptUnreached} from './dark-targets.js';
 import {type EntryEventOf} from './event.js';
 import {type AnnouncedLoad} from './peer-messages.js';
 import {countInstances, liveInstances} from './peers.js';
@@ -54,7 +55,8 @@
 	return [...instances.slice(start), ...instances.slice(0, start)];
 }
 
-export function handleLoadAnnouncement(context: EntryContext, {announcement: {from, loads, slowness}}: EntryEventOf<'load-announced'>): void {
+export function handleLoadAnnouncement(context: EntryContext, {announcement}: EntryEventOf<'load-announced'>): void {
+	const {from, loads, slowness} = announcement;
 	const {state, nowMs} = context;
 	for (const [targetId, inFlight, unreadTokens = 0] of loads) {
 		// Waiting requests are dispatched at the next tick. Ticks of instances differ, so that not all send to a relieved engine at once.
@@ -63,4 +65,5 @@
 	}
 
 	adoptSlowness(context, slowness ?? []);
+	adoptUnreached(context, announcement);
 }
--- a/src/core/entry/mechanisms.ts
+++ b/src/core/entry/mechanisms.ts
@@ -50,6 +50,10 @@
 		purpose: 'sends no more requests for a copy to a target that has just stated that it does not hold it',
 		plain: 'such a target counts as full',
 	},
+	'shared-reachability': {
+		purpose: 'tells the zone of a target that no connection can be opened to, and moves requests away from it',
+		plain: 'each instance finds out by its own requests',
+	},
 	'target-speeds': {
 		purpose: 'chooses among targets of uneven speed by the expected time to the first event',
 		plain: 'they are chosen by their load, as targets of even speed are',
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -75,6 +75,9 @@
 /** What one instance has in flight at a target. */
 export type AnnouncedLoad = readonly [targetId: TargetId, inFlight: number, unreadTokens?: number];
 
+/** Target that the sender cannot open a connection to, since when, and whether it reaches others of the same service. */
+export type UnreachedTarget = readonly [targetId: TargetId, incarnation: number, sinceAgoMs: number, reachesOthers: boolean];
+
 /** How long work takes at a target, in percent of the usual time, and the time since the target stated it. */
 export type AnnouncedSlowness = readonly [targetId: TargetId, percent: number, agoMs: number];
 
@@ -87,6 +90,9 @@
 	readonly loads: readonly AnnouncedLoad[];
 	/** Absent if none is known. */
 	readonly slowness?: readonly AnnouncedSlowness[];
+	/** What the sender has just found that it does not reach, or reaches; absent in announcements of loads. */
+	readonly unreached?: readonly UnreachedTarget[];
+	readonly reached?: readonly TargetId[];
 };
 
 /** A target's rate limit, or that it has lifted one. */
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -7,6 +7,7 @@
 import {adoptConfiguration} from './configuration-adoption.js';
 import {confirmConfiguration} from './configuration-watch.js';
 import {mergeCrashes} from './crash-suspects.js';
+import {renewReports} from './dark-targets.js';
 import {dispatchAll} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
 import {
@@ -50,6 +51,7 @@
 	confirmConfiguration(context, beacon);
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
+	renewReports(context, beacon);
 	adoptSlowness(context, beacon.slowness ?? []);
 	adoptSpeeds(context, beacon.speeds ?? []);
 	adoptAnnouncedLimits(context, beacon.rateLimits ?? []);
--- a/src/core/entry/reachability.ts
+++ b/src/core/entry/reachability.ts
@@ -6,6 +6,7 @@
 requests have tried them all.
 */
 import {type TargetId} from '../types.js';
+import {recordFound, tellUnreached} from './dark-targets.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {isListed, type Target} from './target.js';
 import {targetsOf} from './targets.js';
@@ -31,6 +32,7 @@
 	}
 
 	target.unreachedSinceMs = sinceMs;
+	tellUnreached(context, target, sinceMs);
 	state.probedTargets.add(target.id);
 	const service = targetsOf(state, target.entry.service).filter(other => isListed(other, nowMs));
 	for (const other of service) {
@@ -54,6 +56,7 @@
 	target.probe.unansweredSinceMs = undefined;
 	const unreachedForMs = Math.round(context.nowMs - (target.unreachedSinceMs ?? context.nowMs));
 	target.unreachedSinceMs = undefined;
+	recordFound(context, target);
 	if (state.unreachedServices.delete(target.entry.service)) {
 		logEvent(context, 'service-reached', {service: target.entry.service, targetId: target.id, unreachedForMs});
 		state.beaconsSentAtMs = Number.NEGATIVE_INFINITY;
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -9,6 +9,7 @@
 import {adoptConfiguration} from './configuration-adoption.js';
 import {handleConfigurationChecked, watchConfiguration} from './configuration-watch.js';
 import {expireSuspects, handleTargetProbed} from './crash-suspects.js';
+import {watchDarkTargets} from './dark-targets.js';
 import {updateDemandRates} from './demand.js';
 import {dispatchAll} from './dispatch.js';
 import {beginDrain, runDrain} from './drain.js';
@@ -109,6 +110,7 @@
 	expireFetches(context);
 	expireSuspects(context);
 	endHeldUpTries(context);
+	watchDarkTargets(context);
 	probeTargets(context);
 	dispatchAll(context);
 	updateDemandRates(context);
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -134,6 +134,8 @@
 	readonly probedTargets: Set<TargetId>;
 	/** Services whose targets have stated how many requests a second they can turn away. */
 	readonly brittleServices: Map<string, {readonly declinesPerSecond: number; readonly statedAtMs: number}>;
+	/** Targets that instances of the zone cannot open a connection to. */
+	readonly reportedTargets: Set<TargetId>;
 	/** Services of which this instance reaches no target. */
 	readonly unreachedServices: Set<string>;
 	/** Targets whose connections broke, until it is known whether they went down. */
@@ -218,6 +220,7 @@
 		crashTrials: new RecentMap(MAX_CRASH_TRIALS),
 		probedTargets: new Set(),
 		brittleServices: new Map(),
+		reportedTargets: new Set(),
 		unreachedServices: new Set(),
 		suspectedTargets: new Set(),
 		streamOrigins: new RecentMap(MAX_STREAM_ORIGINS),
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -8,6 +8,7 @@
 	type InstanceId, type RequestId, type TargetId, type ZoneName,
 } from '../types.js';
 import {type Fingerprint} from '../request/crash-evidence.js';
+import {type DarkReport} from './dark-targets.js';
 import {createTargetSpeed, type TargetSpeed} from './target-speeds.js';
 
 export type ModelCopy = {
@@ -141,6 +142,14 @@
 	heardAtMs: number;
 	/** Since when connections to it cannot be opened; undefined while they can, as far as this instance knows. */
 	unreachedSinceMs: number | undefined;
+	/** Instances of the zone that cannot open a connection to it. */
+	readonly darkReports: Map<InstanceId, DarkReport>;
+	/** Since when they suffice for nobody to try it; undefined while they do not. */
+	darkSinceMs: number | undefined;
+	/** When a peer last told that it reaches it. */
+	reachedByPeerAtMs: number;
+	/** When this instance last told others that it does reach it. */
+	contradictedAtMs: number;
 	readonly probe: {
 		sentAtMs: number;
 		isPending: boolean;
@@ -195,6 +204,10 @@
 		suspects: [],
 		heardAtMs: Number.NEGATIVE_INFINITY,
 		unreachedSinceMs: undefined,
+		darkReports: new Map(),
+		darkSinceMs: undefined,
+		reachedByPeerAtMs: Number.NEGATIVE_INFINITY,
+		contradictedAtMs: Number.NEGATIVE_INFINITY,
 		probe: {
 			sentAtMs: Number.NEGATIVE_INFINITY, isPending: false, isWanted: false, refusedAtMs: undefined, answeredAtMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: undefined,
 		},
@@ -271,5 +284,5 @@
 }
 
 export function isUsable(target: Target, nowMs: number): boolean {
-	return isListed(target, nowMs) && nowMs >= target.backoffUntilMs && nowMs >= target.closedUntilMs;
+	return isListed(target, nowMs) && target.darkSinceMs === undefined && nowMs >= target.backoffUntilMs && nowMs >= target.closedUntilMs;
 }
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -431,23 +431,30 @@
 		return;
 	}
 
+	if (moveTry(context, request, attempt) === 'later') {
+		reschedule(context, timer, nowMs + SILENCE_CHECK_MS);
+	}
+}
+
+/** Moves a silent try to another target. `later`: none has room now, or the budget allows no retry; `never`: the request may not be sent again. */
+export function moveTry(context: EntryContext, request: EntryRequest, attempt: EntryTry): 'moved' | 'later' | 'never' {
 	if (countRuns(request) + 1 >= request.route.maxAttempts || (!attempt.hasBegun && refuseIfQuarantined(context, request))) {
-		return;
+		return 'never';
 	}
 
 	const replacement = chooseReplacement(context, request, attempt);
 	if (!replacement || !takeRetry(context, request.service, {reserve: MOVE_RESERVE})) {
-		reschedule(context, timer, nowMs + SILENCE_CHECK_MS);
-		return;
+		return 'later';
 	}
 
 	logEvent(context, 'connection-silent', {
-		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(quietMs),
+		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(context.nowMs - attempt.progressAtMs),
 	});
 	context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
 	endTry(context, request, attempt, 'canceled');
 	recordFailure(context, request, 'canceled');
 	replacement.send();
+	return 'moved';
 }
 
 /** Ends a try that would arrive too late, and retries its request or gives it its final response, as after any try that may have run. */
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -53,6 +53,8 @@
 	'target-closed': {number: 316, level: 'info'},
 	'service-uneven': {number: 330, level: 'info'},
 	'service-even': {number: 331, level: 'info'},
+	'target-dark': {number: 332, level: 'warn'},
+	'target-found': {number: 333, level: 'info'},
 	'order-sent': {number: 400, level: 'info'},
 	'order-confirmed': {number: 401, level: 'info'},
 	'order-unresolved': {number: 402, level: 'warn'},
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -28,6 +28,8 @@
 import {generateRequests} from './workload.js';
 
 const TICK_MS = 50;
+/** Time after which an instance gives up opening a connection. */
+const CONNECT_TIMEOUT_MS = 300;
 const PROGRESS_INTERVAL_MS = 200;
 const MISSED_HEARTBEATS = 3;
 const REPORT_INTERVAL_MS = 50;
@@ -65,6 +67,8 @@
 	readonly engine: ModeledEngine | undefined;
 	readonly slots: number;
 	isUp: boolean;
+	/** Whether nothing reaches it, and nothing comes from it. */
+	isDark: boolean;
 	slowness: number;
 	/** Requests that a plain service runs or has queued. */
 	running: number;
@@ -95,6 +99,9 @@
 	readonly storeLoads: number;
 	readonly events: number;
 	readonly messageBytes: number;
+	/** Tries sent to targets that were dark, and probes. */
+	readonly unreachedTries: number;
+	readonly probes: number;
 	readonly resumptions: Resumptions;
 	readonly moved: ReadonlyArray<{readonly atMs: number; readonly kind: string; readonly model: string; readonly targetId: string}>;
 	/** What must hold and did not, empty in every correct run. */
@@ -123,6 +130,8 @@
 	private _releases = 0;
 	private _eventCount = 0;
 	private _messageBytes = 0;
+	private _unreachedTries = 0;
+	private _probes = 0;
 
 	constructor(private readonly _options: FleetOptions) {
 		const {pattern, seed} = _options;
@@ -192,6 +201,8 @@
 			storeLoads: sum('storeLoads'),
 			events: this._eventCount,
 			messageBytes: this._messageBytes,
+			unreachedTries: this._unreachedTries,
+			probes: this._probes,
 			resumptions: this._callers.resumptions,
 			moved: this._moved,
 			violations: this.violations,
@@ -241,7 +252,7 @@
 
 	private _addTarget(options: Pick<ModelTarget, 'id' | 'zone' | 'release' | 'engine' | 'slots'>): ModelTarget {
 		const target = {
-			...options, isUp: true, isLeaving: false, slowness: 1, running: 0,
+			...options, isUp: true, isLeaving: false, isDark: false, slowness: 1, running: 0,
 		};
 		this._targets.set(target.id, target);
 		return target;
@@ -359,6 +370,15 @@
 				this._dispatch(instance, {kind: 'report-read', targetId, report: target?.isUp ? target.engine?.report() : undefined});
 			});
 		},
+		'probe-target': (instance, {targetId, incarnation}) => {
+			const target = this._targets.get(targetId);
+			this._probes++;
+			this._later(instance, target?.isDark ? CONNECT_TIMEOUT_MS : 2 * this._delayTo(instance, target), () => {
+				this._dispatch(instance, {
+					kind: 'target-probed', targetId, incarnation, outcome: target?.isUp ? (target.isDark ? 'unanswered' : 'accepted') : 'refused',
+				});
+			});
+		},
 		order: (instance, effect) => {
 			this._order(instance, effect);
 		},
@@ -546,8 +566,9 @@
 		};
 
 		this.simulation.schedule(delayMs, () => {
-			if (!target?.isUp || !this._network.arrives(instance.zone, target.zone)) {
-				this._later(instance, delayMs, () => {
+			if (!target?.isUp || target.isDark || !this._network.arrives(instance.zone, target.zone)) {
+				this._unreachedTries += target?.isDark ? 1 : 0;
+				this._later(instance, target?.isDark ? CONNECT_TIMEOUT_MS : delayMs, () => {
 					this._dispatch(instance, {
 						kind: 'try-ended', requestId, tryNumber, outcome: 'not-sent', delivered: attempt.events,
 					});
@@ -728,6 +749,15 @@
 				});
 			}
 		},
+		'engine-dark': ({forS, number}) => {
+			for (const target of this._pickEngines(number)) {
+				target.isDark = true;
+				target.engine!.pause(forS * 1000);
+				this.simulation.schedule(forS * 1000, () => {
+					target.isDark = false;
+				});
+			}
+		},
 		'engine-pause': ({forS, number}) => {
 			for (const target of this._pickEngines(number)) {
 				target.engine!.pause(forS * 1000);
--- a/src/experiment/pattern.ts
+++ b/src/experiment/pattern.ts
@@ -90,6 +90,10 @@
 	z.strictObject({
 		kind: z.literal('engine-slow'), atS: seconds, forS: seconds, number: count.default(1), times: positive,
 	}),
+	/** Nothing reaches engines, and nothing comes from them. */
+	z.strictObject({
+		kind: z.literal('engine-dark'), atS: seconds, forS: seconds, number: count.default(1),
+	}),
 	/** Engines fall silent and then go on, as sound ones may. */
 	z.strictObject({
 		kind: z.literal('engine-pause'), atS: seconds, forS: seconds, number: count.default(1),
--- a/test/standins/entry-group.ts
+++ b/test/standins/entry-group.ts
@@ -59,12 +59,21 @@
 		}
 	}
 
+	/** Delivers what an instance has sent besides its ticks. */
+	deliver(from: EntryHarness, effects: readonly EntryEffect[]): void {
+		this._deliver(from, effects);
+	}
+
 	private _deliver(from: EntryHarness, effects: readonly EntryEffect[]): void {
 		for (const effect of effects) {
 			if (effect.kind === 'beacon') {
 				for (const to of this._reachable(from, effect.addresses, 'beaconAddress')) {
 					this._deliver(to, to.dispatch({kind: 'beacon-received', beacon: structuredClone(effect.beacon)}));
 				}
+			} else if (effect.kind === 'announce-load') {
+				for (const to of this._reachable(from, effect.addresses, 'beaconAddress')) {
+					this._deliver(to, to.dispatch({kind: 'load-announced', announcement: structuredClone(effect.announcement)}));
+				}
 			} else if (effect.kind === 'pull') {
 				for (const peer of this._reachable(from, [effect.address], 'address')) {
 					const transfer = transferFor({
