Pace of targets that have just started or come back

Cause: the operators see servers that have started or recovered either flooded or left idle too long. Change: pace.ts, with setting pace.mode (off by default; handed over with the started event). A target that appears, restarts, is reached again, has named a time or fails often gets a limit for all instances together, from half of the mean load of the others; good responses raise it by half (a quarter after a failure), failures, shed requests and slow responses lower it, and it ends at the slots. Each instance keeps to its part, whose fraction goes round by hashes; changes by a fifth are told to the zone, beacons carry limits to other zones.

--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -10,6 +10,7 @@
 	type Beacon, type ComingCopy, type LeavingCopy, type Peer, type ReportedCopies,
 } from './peer-messages.js';
 import {holdsLease} from './lease.js';
+import {announcedPaces} from './pace.js';
 import {announcedLimits} from './rate-limit.js';
 import {countHeard, countInstances, PEER_SILENT_MS} from './peers.js';
 import {isCutOff, unreachedTargets} from './reachability.js';
@@ -185,6 +186,7 @@
 		brittle: orNone(announcedBrittleness(context)),
 		slowness: announcedSlowness(context, state.targets.values()),
 		speeds: announcedSpeeds(context),
+		paces: announcedPaces(state),
 		unreached: orNone(unreachedTargets(state).slice(0, MAX_UNREACHED)),
 		isCutOff: isCutOff(state, nowMs) || undefined,
 	};
--- a/src/core/entry/dark-targets.test.ts
+++ b/src/core/entry/dark-targets.test.ts
@@ -68,8 +68,8 @@
 		for (const member of group.members) {
 			assert.equal(usable(member, 'e1'), false);
 			assert.equal(usable(member, 'e2'), true);
-			const sent = Array.from({length: 6}, (_, index) => effectsOfKind(member.arrive(`s${index}`, '/ask/1', {model: 'm0', promptTokens: 20}), 'send')[0]?.targetId);
-			assert.ok(!sent.includes('e1') && !sent.includes(undefined));
+			const sent = new Set(Array.from({length: 6}, (_, index) => effectsOfKind(member.arrive(`s${index}`, '/ask/1', {model: 'm0', promptTokens: 20}), 'send')[0]?.targetId));
+			assert.ok(!sent.has('e1') && !sent.has(undefined));
 		}
 
 		assert.equal(effectsOfKind(second.effects, 'log').filter(({event}) => event === 'target-dark').length, 1);
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -5,6 +5,7 @@
 import {type RequestId, type TargetId} from '../types.js';
 import {type EntryConfiguration} from './configuration.js';
 import {type EnabledMechanisms} from './mechanisms.js';
+import {type PaceMode} from './pace.js';
 import {
 	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type StateTransfer,
 } from './peer-messages.js';
@@ -27,7 +28,7 @@
 export type ProbeOutcome = 'accepted' | 'refused' | 'unanswered';
 
 type EntryEventBody =
-	| {readonly kind: 'started'; readonly self: EntryInstance; readonly bounds: EntryBounds; readonly seed: number; readonly mechanisms?: EnabledMechanisms}
+	| {readonly kind: 'started'; readonly self: EntryInstance; readonly bounds: EntryBounds; readonly seed: number; readonly mechanisms?: EnabledMechanisms; readonly paceMode?: PaceMode}
 	| {readonly kind: 'tick'}
 	| {readonly kind: 'configuration-read'; readonly configuration: EntryConfiguration}
 	/** The store has answered whether there is a newer configuration than the last one read; `sentAtMs` and `storeMs` as for the registry. */
--- a/src/core/entry/load-announcements.ts
+++ b/src/core/entry/load-announcements.ts
@@ -10,6 +10,7 @@
 import {adoptUnreached} from './dark-targets.js';
 import {type EntryEventOf} from './event.js';
 import {type AnnouncedLoad} from './peer-messages.js';
+import {adoptPaces} from './pace.js';
 import {countInstances, liveInstances} from './peers.js';
 import {adoptSlowness, announcedSlowness} from './slowness.js';
 import {type EntryContext} from './state.js';
@@ -66,4 +67,5 @@
 
 	adoptSlowness(context, slowness ?? []);
 	adoptUnreached(context, announcement);
+	adoptPaces(context, announcement);
 }
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -78,6 +78,9 @@
 /** Target that the sender cannot open a connection to, since when, and whether it reaches others of the same service. */
 export type UnreachedTarget = readonly [targetId: TargetId, incarnation: number, sinceAgoMs: number, reachesOthers: boolean];
 
+/** Limit on the requests at a target that finds its pace; `epoch` grows with its failures. */
+export type AnnouncedPace = readonly [targetId: TargetId, incarnation: number, epoch: number, limit: number];
+
 /** How long work takes at a target, in percent of the usual time, and the time since the target stated it. */
 export type AnnouncedSlowness = readonly [targetId: TargetId, percent: number, agoMs: number];
 
@@ -93,6 +96,8 @@
 	/** What the sender has just found that it does not reach, or reaches; absent in announcements of loads. */
 	readonly unreached?: readonly UnreachedTarget[];
 	readonly reached?: readonly TargetId[];
+	/** Limits that have changed. */
+	readonly paces?: readonly AnnouncedPace[];
 };
 
 /** A target's rate limit, or that it has lifted one. */
@@ -185,6 +190,8 @@
 	readonly brittle?: readonly AnnouncedBrittleness[];
 	/** What targets stated just now; absent if none did. */
 	readonly slowness?: readonly AnnouncedSlowness[];
+	/** Limits of targets that find their pace; absent if there are none. */
+	readonly paces?: readonly AnnouncedPace[];
 	/** Speeds of targets of which the sender has learned something new, a few in each beacon. */
 	readonly speeds?: readonly AnnouncedSpeed[];
 	/** Undefined from instances of an earlier release. */
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -13,6 +13,7 @@
 import {
 	type Beacon, type KnownVersions, type LeaseStatus, type Peer, type StateTransfer,
 } from './peer-messages.js';
+import {adoptPace} from './pace.js';
 import {recordInstanceCount} from './peers.js';
 import {adoptAnnouncedLimits} from './rate-limit.js';
 import {adoptRegistry, announceChange, updateFreshness} from './registry.js';
@@ -52,6 +53,10 @@
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
 	renewReports(context, beacon);
+	for (const pace of beacon.paces ?? []) {
+		adoptPace(context, pace);
+	}
+
 	adoptSlowness(context, beacon.slowness ?? []);
 	adoptSpeeds(context, beacon.speeds ?? []);
 	adoptAnnouncedLimits(context, beacon.rateLimits ?? []);
--- a/src/core/entry/reachability.ts
+++ b/src/core/entry/reachability.ts
@@ -7,6 +7,7 @@
 */
 import {type TargetId} from '../types.js';
 import {recordFound, tellUnreached} from './dark-targets.js';
+import {beginPace} from './pace.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {isListed, type Target} from './target.js';
 import {targetsOf} from './targets.js';
@@ -17,6 +18,8 @@
 const SUSPECTED_PROBE_INTERVAL_MS = 100;
 /** A target heard from within this time need not be probed when another one is unreached. */
 const RECENTLY_HEARD_MS = 300;
+/** A target that was unreached for less may have missed a single connection. */
+const PACED_AFTER_MS = 400;
 
 /** Something came from the target. */
 export function recordHeard(context: EntryContext, target: Target): void {
@@ -57,6 +60,10 @@
 	const unreachedForMs = Math.round(context.nowMs - (target.unreachedSinceMs ?? context.nowMs));
 	target.unreachedSinceMs = undefined;
 	recordFound(context, target);
+	if (unreachedForMs >= PACED_AFTER_MS) {
+		beginPace(context, target, 'reached');
+	}
+
 	if (state.unreachedServices.delete(target.entry.service)) {
 		logEvent(context, 'service-reached', {service: target.entry.service, targetId: target.id, unreachedForMs});
 		state.beaconsSentAtMs = Number.NEGATIVE_INFINITY;
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -46,11 +46,12 @@
 };
 
 const handlers: Handlers = {
-	started(context, {self, bounds, seed, mechanisms = allMechanisms}) {
+	started(context, {self, bounds, seed, mechanisms = allMechanisms, paceMode = 'off'}) {
 		const {state} = context;
 		state.self = self;
 		state.bounds = bounds;
 		state.mechanisms = mechanisms;
+		state.paceMode = paceMode;
 		state.random = xoroshiro128plus(seed);
 		state.lifecycle = 'serving';
 		state.startedAtMs = context.nowMs;
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -9,6 +9,7 @@
 import {markLeaving} from './leaving.js';
 import {type EntryEventOf} from './event.js';
 import {dispatchAll} from './dispatch.js';
+import {beginPace} from './pace.js';
 import {isDueAsReader} from './registry-readers.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {updateMixedServices} from './stream-origins.js';
@@ -115,6 +116,8 @@
 	}
 
 	updateFreshness(context, change.asOfStoreMs);
+	// To an instance that has just started, all targets are new.
+	const isFirst = state.targets.size === 0;
 	const isRestored = registry.revision > 0 && registry.revision < (change.eraRevision ?? 0);
 	registry.revision = change.revision;
 	if (isRestored) {
@@ -128,7 +131,7 @@
 			continue;
 		}
 
-		adoptEntry(context, entry);
+		adoptEntry(context, entry, isFirst);
 		recordChange(context, entry);
 	}
 
@@ -209,14 +212,18 @@
 	}
 }
 
-function adoptEntry(context: EntryContext, entry: TargetEntry): void {
+function adoptEntry(context: EntryContext, entry: TargetEntry, isFirst: boolean): void {
 	const {state} = context;
 	const target = state.targets.get(entry.id);
 	if (!target) {
 		logEvent(context, 'target-listed', {
 			targetId: entry.id, service: entry.service, zone: entry.zone, revision: state.registry.revision,
 		});
-		addTarget(context, entry);
+		const added = addTarget(context, entry);
+		if (!isFirst) {
+			beginPace(context, added, 'appeared');
+		}
+
 		return;
 	}
 
@@ -230,7 +237,7 @@
 		}
 
 		logEvent(context, 'target-restarted', {targetId: entry.id, revision: state.registry.revision});
-		addTarget(context, entry);
+		beginPace(context, addTarget(context, entry), 'restarted');
 		return;
 	}
 
@@ -251,12 +258,14 @@
 	mergeAdapters(target, entry);
 }
 
-function addTarget(context: EntryContext, entry: TargetEntry): void {
+function addTarget(context: EntryContext, entry: TargetEntry): Target {
 	const target = createTarget(entry);
 	context.state.targets.set(entry.id, target);
 	if (entry.isLeaving) {
 		markLeaving(context, target, 'registry');
 	}
+
+	return target;
 }
 
 /** A report may be newer than the registry's entry, which changes only with the target's next heartbeat. */
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -7,6 +7,7 @@
 import fnv1a from '@sindresorhus/fnv1a';
 import {BRITTLE_FILL_FACTOR, isAtBrittleShare, isBrittle} from './brittle-services.js';
 import {countsAsHolder} from './holders.js';
+import {paceAllows} from './pace.js';
 import {canAskForPermit, maySend} from './rate-permits.js';
 import {isCopyRecent} from './registry-age.js';
 import {msPerToken, tokensToRead} from './reading-speed.js';
@@ -111,7 +112,7 @@
 	const fill = request.arrival.model === undefined ? PLAIN_FILL_FACTORS : ENGINE_FILL_FACTORS;
 	const rankFactor = fill[Math.min(request.route.rank, fill.length - 1)] ?? 1;
 	const factor = isBrittle(state, target, nowMs) ? Math.min(rankFactor, BRITTLE_FILL_FACTOR) : rankFactor;
-	return !isAtBrittleShare(state, target, nowMs) && estimatedLoad(target, nowMs) < target.entry.slots * factor && canReadInTime({state, nowMs}, target, request);
+	return !isAtBrittleShare(state, target, nowMs) && estimatedLoad(target, nowMs) < target.entry.slots * factor && paceAllows({state, nowMs}, target) && canReadInTime({state, nowMs}, target, request);
 }
 
 /** Whether the engine can read the request's prompt, after those that it has yet to read, without delaying its streams beyond their pause objective. */
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -16,6 +16,7 @@
 import {OrderTracker} from './order-tracker.js';
 import {createLease, type Lease} from './lease-state.js';
 import {allMechanisms, type EnabledMechanisms} from './mechanisms.js';
+import {type PaceMode} from './pace.js';
 import {type ReadingSpeed} from './reading-speed.js';
 import {createKnownReleases, type KnownReleases} from './release-record.js';
 import {type RetryBudget} from './retry-budget.js';
@@ -29,6 +30,8 @@
 /** Fingerprints of the answers of the last seconds, at 50 requests a second with a few fingerprints each. */
 const MAX_SURVIVALS = 5000;
 const MAX_CRASH_TRIALS = 200;
+/** Targets of the largest deployments. */
+const MAX_PACES_ENDED = 1000;
 /** Those of the last minute, of own streams and of streams that this instance keeps for others, at 50 a second. */
 const MAX_STREAM_ORIGINS = 6000;
 
@@ -64,6 +67,9 @@
 	self: EntryInstance;
 	bounds: EntryBounds;
 	mechanisms: EnabledMechanisms;
+	paceMode: PaceMode;
+	/** Limits that have ended, by target, with the epoch at which they did. */
+	readonly pacesEnded: RecentMap<{readonly epoch: number; readonly atMs: number}>;
 	random: RandomGenerator;
 	lifecycle: 'starting' | 'serving' | 'draining' | 'stopped';
 	drainSinceMs: number;
@@ -177,6 +183,8 @@
 			graceMs: 8000, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 0,
 		},
 		mechanisms: allMechanisms,
+		paceMode: 'off',
+		pacesEnded: new RecentMap(MAX_PACES_ENDED),
 		random: xoroshiro128plus(0),
 		lifecycle: 'starting',
 		drainSinceMs: 0,
--- a/src/core/entry/target-speeds.ts
+++ b/src/core/entry/target-speeds.ts
@@ -87,12 +87,12 @@
 	return Math.exp(logTime * weight / (weight + PRIOR_WEIGHT)) * slownessOf(target, nowMs);
 }
 
-/** Adds a response that took `ms` for a number of units of work, tokens or responses. */
-export function addSpeedSample({state, nowMs}: EntryContext, target: Target, {queueKey, units, ms}: {readonly queueKey: string; readonly units: number; readonly ms: number}): void {
+/** Adds a response that took `ms` for a number of units of work, tokens or responses. Returns how many times longer that is than at a usual target, undefined if it is not compared. */
+export function addSpeedSample({state, nowMs}: EntryContext, target: Target, {queueKey, units, ms}: {readonly queueKey: string; readonly units: number; readonly ms: number}): number | undefined {
 	const {speed, entry} = target;
 	// A target that warms up is slower than it will be.
 	if (ms <= 0 || units <= 0 || entry.slowLeftMs > 0) {
-		return;
+		return undefined;
 	}
 
 	const {common, sampledServices} = state.targetSpeeds;
@@ -107,6 +107,7 @@
 	speed.weight = Math.min(MAX_WEIGHT, speed.weight + 1);
 	speed.logTime += error / speed.weight;
 	sampledServices.add(entry.service);
+	return Math.exp(logMs - shared.logMs);
 }
 
 /** Weighs errors so that the estimate becomes a low expectile, which waiting for other requests, which only makes times longer, hardly moves. */
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -9,6 +9,7 @@
 } from '../types.js';
 import {type Fingerprint} from '../request/crash-evidence.js';
 import {type DarkReport} from './dark-targets.js';
+import {type PaceLimit} from './pace.js';
 import {createTargetSpeed, type TargetSpeed} from './target-speeds.js';
 
 export type ModelCopy = {
@@ -128,6 +129,8 @@
 	/** How long work takes there, as a multiple of the usual time, as last stated to this instance or a peer; undefined if it never was. */
 	slowness: {readonly factor: number; readonly statedAtMs: number} | undefined;
 	readonly speed: TargetSpeed;
+	/** Limit while it finds its pace. */
+	pace: PaceLimit | undefined;
 	/** Nothing is sent to it before this time, after connection failures. */
 	backoffUntilMs: number;
 	/** Nothing is sent to it before this time, which it has named when it turned a request away. */
@@ -197,6 +200,7 @@
 		ownAtLoad: 0,
 		slowness: undefined,
 		speed: createTargetSpeed(),
+		pace: undefined,
 		backoffUntilMs: Number.NEGATIVE_INFINITY,
 		closedUntilMs: Number.NEGATIVE_INFINITY,
 		failures: 0,
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -18,6 +18,7 @@
 import {type EntryEventOf} from './event.js';
 import {markLeaving} from './leaving.js';
 import {addReading, createReadingSpeed} from './reading-speed.js';
+import {beginPace, recordPaceAnswer, recordPaceFailure} from './pace.js';
 import {recordHeard, recordUnreached} from './reachability.js';
 import {takeRetry} from './retry-budgets.js';
 import {recordStatedLimit} from './rate-limit.js';
@@ -67,6 +68,8 @@
 const FAILURE_SMOOTHING = 0.15;
 /** Tries that targets may decline before the caller gets a Retry-After response. */
 const MAX_DECLINED = 2;
+/** Smoothed share of failed tries from which a target has to find its pace again. */
+const PACED_FAILURE_RATE = 0.4;
 /**
 Share of a caller's patience after which a stream without a new event is moved to another target. Sound targets pause for
 about a second, and a stream that has paused beyond its objective is late wherever it goes on.
@@ -193,7 +196,8 @@
 /** Plain services show their speed by whole responses. */
 function recordServiceTime(context: EntryContext, target: Target | undefined, {request, attempt}: {readonly request: EntryRequest; readonly attempt: EntryTry}): void {
 	if (target && request.arrival.model === undefined) {
-		addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms: context.nowMs - attempt.startedAtMs});
+		const ratio = addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms: context.nowMs - attempt.startedAtMs});
+		recordPaceAnswer(context, target, ratio);
 	}
 }
 
@@ -211,7 +215,7 @@
 
 	const ms = nowMs - attempt.startedAtMs;
 	addReading(speed, attempt.unreadTokens, ms);
-	addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms});
+	recordPaceAnswer(context, target, addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms}));
 }
 
 export function handleTryEnded(context: EntryContext, event: EntryEventOf<'try-ended'>): void {
@@ -295,6 +299,7 @@
 	const closedUntilMs = context.nowMs + Math.min(retryAfterMs, MAX_CLOSED_MS);
 	if (closedUntilMs > target.closedUntilMs) {
 		target.closedUntilMs = closedUntilMs;
+		beginPace(context, target, 'closed');
 		logEvent(context, 'target-closed', {targetId: target.id, forMs: Math.round(retryAfterMs)});
 	}
 }
@@ -365,11 +370,25 @@
 
 	if (target) {
 		rule.updateTarget(context, target, request, details);
+		pace(context, target, {outcome, wasMissing: details.wasMissing ?? false});
 	}
 
 	return rule;
 }
 
+/** Failures and shed requests slow a target's pace; one that fails often begins to have one. */
+function pace(context: EntryContext, target: Target, {outcome, wasMissing}: {readonly outcome: FailedOutcome; readonly wasMissing: boolean}): void {
+	if (outcome === 'not-sent' || wasMissing) {
+		return;
+	}
+
+	if (target.failureRate >= PACED_FAILURE_RATE) {
+		beginPace(context, target, 'failing');
+	}
+
+	recordPaceFailure(context, target, outcome);
+}
+
 function mayHaveRunCode(rule: OutcomeRule): ResultName {
 	return rule.mayHaveRun ? rule.code : 'target-failed';
 }
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -190,7 +190,7 @@
 			id: instance.id, boot: randomBytes(6).toString('hex'), zone: instance.zone, address: listen.peers, beaconAddress: listen.beacons, callerAddress: listen.callers,
 		};
 		this.dispatch({
-			kind: 'started', self, bounds: this._settings.bounds, seed: randomBytes(4).readInt32LE(), mechanisms: mechanismsWithout(this._settings.policy.without),
+			kind: 'started', self, bounds: this._settings.bounds, seed: randomBytes(4).readInt32LE(), mechanisms: mechanismsWithout(this._settings.policy.without), paceMode: this._settings.pace.mode,
 		});
 		const peerServer = await createEntryPeerServer({
 			createTransfer: known => {
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -7,6 +7,7 @@
 import {type EntryEffect, type EntryEffectOf} from '../core/entry/effect.js';
 import {type Untimed} from '../core/entry/event.js';
 import {type EnabledMechanisms} from '../core/entry/mechanisms.js';
+import {type PaceMode} from '../core/entry/pace.js';
 import {transferFor} from '../core/entry/peer-sync.js';
 import {reduceEntry} from '../core/entry/reducer.js';
 import {createEntryState, type EntryState} from '../core/entry/state.js';
@@ -47,6 +48,7 @@
 	readonly pattern: Pattern;
 	readonly seed: number;
 	readonly mechanisms: EnabledMechanisms;
+	readonly paceMode?: PaceMode;
 };
 
 type Instance = {
@@ -295,7 +297,7 @@
 		const startedAtMs = this._random.uniform() * 300;
 		this._later(instance, startedAtMs, () => {
 			this._dispatch(instance, {
-				kind: 'started', self, bounds: BOUNDS, seed: Math.floor(this._random.uniform() * MAX_SEED), mechanisms: this._options.mechanisms,
+				kind: 'started', self, bounds: BOUNDS, seed: Math.floor(this._random.uniform() * MAX_SEED), mechanisms: this._options.mechanisms, paceMode: this._options.paceMode,
 			});
 			this._dispatch(instance, {kind: 'instances-read', instances: this._instances.map(({identity}) => identity)});
 			this._dispatch(instance, {kind: 'configuration-read', configuration: this._configuration});
--- a/test/standins/entry-group.ts
+++ b/test/standins/entry-group.ts
@@ -66,21 +66,34 @@
 
 	private _deliver(from: EntryHarness, effects: readonly EntryEffect[]): void {
 		for (const effect of effects) {
-			if (effect.kind === 'beacon') {
-				for (const to of this._reachable(from, effect.addresses, 'beaconAddress')) {
-					this._deliver(to, to.dispatch({kind: 'beacon-received', beacon: structuredClone(effect.beacon)}));
+			switch (effect.kind) {
+				case 'beacon': {
+					for (const to of this._reachable(from, effect.addresses, 'beaconAddress')) {
+						this._deliver(to, to.dispatch({kind: 'beacon-received', beacon: structuredClone(effect.beacon)}));
+					}
+
+					break;
 				}
-			} else if (effect.kind === 'announce-load') {
-				for (const to of this._reachable(from, effect.addresses, 'beaconAddress')) {
-					this._deliver(to, to.dispatch({kind: 'load-announced', announcement: structuredClone(effect.announcement)}));
+
+				case 'announce-load': {
+					for (const to of this._reachable(from, effect.addresses, 'beaconAddress')) {
+						this._deliver(to, to.dispatch({kind: 'load-announced', announcement: structuredClone(effect.announcement)}));
+					}
+
+					break;
 				}
-			} else if (effect.kind === 'pull') {
-				for (const peer of this._reachable(from, [effect.address], 'address')) {
-					const transfer = transferFor({
-						state: peer.state, nowMs: peer.nowMs, wallMs: peer.nowMs, effects: [],
-					}, effect.known);
-					from.dispatch({kind: 'pull-completed', transfer: structuredClone(transfer)});
+
+				case 'pull': {
+					for (const peer of this._reachable(from, [effect.address], 'address')) {
+						const transfer = transferFor({
+							state: peer.state, nowMs: peer.nowMs, wallMs: peer.nowMs, effects: [],
+						}, effect.known);
+						from.dispatch({kind: 'pull-completed', transfer: structuredClone(transfer)});
+					}
+
+					break;
 				}
+			// No default
 			}
 		}
 	}
