--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -7,11 +7,13 @@
 import {adoptConfiguration} from './configuration-adoption.js';
 import {confirmConfiguration} from './configuration-watch.js';
 import {mergeCrashes} from './crash-suspects.js';
+import {renewReports} from './dark-targets.js';
 import {dispatchAll} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
 import {
 	type Beacon, type KnownVersions, type LeaseStatus, type Peer, type StateTransfer,
 } from './peer-messages.js';
+import {adoptPace} from './pace.js';
 import {recordInstanceCount} from './peers.js';
 import {holderAccount} from './quota-account.js';
 import {noteLevels} from './quotas.js';
@@ -52,6 +54,11 @@
 	confirmConfiguration(context, beacon);
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
+	renewReports(context, beacon);
+	for (const pace of beacon.paces ?? []) {
+		adoptPace(context, pace);
+	}
+
 	adoptSlowness(context, beacon.slowness ?? []);
 	adoptSpeeds(context, beacon.speeds ?? []);
 	adoptAnnouncedLimits(context, beacon.rateLimits ?? []);
--- a/src/core/entry/reachability.ts
+++ b/src/core/entry/reachability.ts
@@ -7,6 +7,8 @@
 down does not make every instance probe every other one.
 */
 import {type TargetId} from '../types.js';
+import {recordFound, tellUnreached} from './dark-targets.js';
+import {beginPace} from './pace.js';
 import {
 	logEvent, randomFraction, type EntryContext, type EntryState,
 } from './state.js';
@@ -21,6 +23,8 @@
 const RECENTLY_HEARD_MS = 300;
 /** Enough for a target that is down, and a neighbour of it, not to look like a partition of this instance. */
 const SAMPLE_TARGETS = 3;
+/** A target that was unreached for less may have missed a single connection. */
+const PACED_AFTER_MS = 400;
 
 /** Something came from the target. */
 export function recordHeard(context: EntryContext, target: Target): void {
@@ -36,6 +40,7 @@
 	}
 
 	target.unreachedSinceMs = sinceMs;
+	tellUnreached(context, target, sinceMs);
 	state.probedTargets.add(target.id);
 	const service = targetsOf(state, target.entry.service).filter(other => isListed(other, nowMs));
 	for (const other of targetsToProbe(context, target, service, sinceMs)) {
@@ -87,6 +92,11 @@
 	target.probe.unansweredSinceMs = undefined;
 	const unreachedForMs = Math.round(context.nowMs - (target.unreachedSinceMs ?? context.nowMs));
 	target.unreachedSinceMs = undefined;
+	recordFound(context, target);
+	if (unreachedForMs >= PACED_AFTER_MS) {
+		beginPace(context, target, 'reached');
+	}
+
 	if (state.unreachedServices.delete(target.entry.service)) {
 		logEvent(context, 'service-reached', {service: target.entry.service, targetId: target.id, unreachedForMs});
 		state.beaconsSentAtMs = Number.NEGATIVE_INFINITY;
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -10,6 +10,7 @@
 import {watchClocks} from './configuration-age.js';
 import {handleConfigurationChecked, watchConfiguration} from './configuration-watch.js';
 import {expireSuspects, handleTargetProbed} from './crash-suspects.js';
+import {watchDarkTargets} from './dark-targets.js';
 import {updateDemandRates} from './demand.js';
 import {dispatchAll} from './dispatch.js';
 import {beginDrain, runDrain} from './drain.js';
@@ -49,11 +50,12 @@
 };
 
 const handlers: Handlers = {
-	started(context, {self, bounds, seed, mechanisms = allMechanisms}) {
+	started(context, {self, bounds, seed, mechanisms = allMechanisms, paceMode = 'off'}) {
 		const {state} = context;
 		state.self = self;
 		state.bounds = bounds;
 		state.mechanisms = mechanisms;
+		state.paceMode = paceMode;
 		state.random = xoroshiro128plus(seed);
 		state.lifecycle = 'serving';
 		state.startedAtMs = context.nowMs;
@@ -116,6 +118,7 @@
 	expireFetches(context);
 	expireSuspects(context);
 	endHeldUpTries(context);
+	watchDarkTargets(context);
 	probeTargets(context);
 	dispatchAll(context);
 	updateDemandRates(context);
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -18,6 +18,7 @@
 import {createLease, type Lease} from './lease-state.js';
 import {allMechanisms, type EnabledMechanisms} from './mechanisms.js';
 import {createQuotas, type Quotas} from './quota-state.js';
+import {type PaceMode} from './pace.js';
 import {type ReadingSpeed} from './reading-speed.js';
 import {createKnownReleases, type KnownReleases} from './release-record.js';
 import {type RetryBudget} from './retry-budget.js';
@@ -32,6 +33,8 @@
 /** Fingerprints of the answers of the last seconds, at 50 requests a second with a few fingerprints each. */
 const MAX_SURVIVALS = 5000;
 const MAX_CRASH_TRIALS = 200;
+/** Targets of the largest deployments. */
+const MAX_PACES_ENDED = 1000;
 /** Those of the last minute, of own streams and of streams that this instance keeps for others, at 50 a second. */
 const MAX_STREAM_ORIGINS = 6000;
 
@@ -67,6 +70,9 @@
 	self: EntryInstance;
 	bounds: EntryBounds;
 	mechanisms: EnabledMechanisms;
+	paceMode: PaceMode;
+	/** Limits that have ended, by target, with the epoch at which they did. */
+	readonly pacesEnded: RecentMap<{readonly epoch: number; readonly atMs: number}>;
 	random: RandomGenerator;
 	lifecycle: 'starting' | 'serving' | 'draining' | 'stopped';
 	drainSinceMs: number;
@@ -143,6 +149,8 @@
 	readonly probedTargets: Set<TargetId>;
 	/** Services whose targets have stated how many requests a second they can turn away. */
 	readonly brittleServices: Map<string, {readonly declinesPerSecond: number; readonly statedAtMs: number}>;
+	/** Targets that instances of the zone cannot open a connection to. */
+	readonly reportedTargets: Set<TargetId>;
 	/** Services of which this instance reaches no target. */
 	readonly unreachedServices: Set<string>;
 	/** Targets whose connections broke, until it is known whether they went down. */
@@ -185,6 +193,8 @@
 			graceMs: 8000, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 0,
 		},
 		mechanisms: allMechanisms,
+		paceMode: 'off',
+		pacesEnded: new RecentMap(MAX_PACES_ENDED),
 		random: xoroshiro128plus(0),
 		lifecycle: 'starting',
 		drainSinceMs: 0,
@@ -231,6 +241,7 @@
 		hasIdleConnection: () => true,
 		probedTargets: new Set(),
 		brittleServices: new Map(),
+		reportedTargets: new Set(),
 		unreachedServices: new Set(),
 		suspectedTargets: new Set(),
 		streamOrigins: new RecentMap(MAX_STREAM_ORIGINS),
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -19,6 +19,7 @@
 import {keyStanding} from './key-checks.js';
 import {markLeaving} from './leaving.js';
 import {addReading, createReadingSpeed} from './reading-speed.js';
+import {beginPace, recordPaceAnswer, recordPaceFailure} from './pace.js';
 import {recordHeard, recordUnreached} from './reachability.js';
 import {takeRetry} from './retry-budgets.js';
 import {recordStatedLimit} from './rate-limit.js';
@@ -70,6 +71,8 @@
 const FAILURE_SMOOTHING = 0.15;
 /** Tries that targets may decline before the caller gets a Retry-After response. */
 const MAX_DECLINED = 2;
+/** Smoothed share of failed tries from which a target has to find its pace again. */
+const PACED_FAILURE_RATE = 0.4;
 /**
 Share of a caller's patience after which a stream without a new event is moved to another target. Sound targets pause for
 about a second, and a stream that has paused beyond its objective is late wherever it goes on.
@@ -196,7 +199,8 @@
 /** Plain services show their speed by whole responses. */
 function recordServiceTime(context: EntryContext, target: Target | undefined, {request, attempt}: {readonly request: EntryRequest; readonly attempt: EntryTry}): void {
 	if (target && request.arrival.model === undefined) {
-		addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms: context.nowMs - attempt.startedAtMs});
+		const ratio = addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms: context.nowMs - attempt.startedAtMs});
+		recordPaceAnswer(context, target, ratio);
 	}
 }
 
@@ -214,7 +218,7 @@
 
 	const ms = nowMs - attempt.startedAtMs;
 	addReading(speed, attempt.unreadTokens, ms);
-	addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms});
+	recordPaceAnswer(context, target, addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms}));
 }
 
 export function handleTryEnded(context: EntryContext, event: EntryEventOf<'try-ended'>): void {
@@ -300,6 +304,7 @@
 	const closedUntilMs = context.nowMs + Math.min(retryAfterMs, MAX_CLOSED_MS);
 	if (closedUntilMs > target.closedUntilMs) {
 		target.closedUntilMs = closedUntilMs;
+		beginPace(context, target, 'closed');
 		logEvent(context, 'target-closed', {targetId: target.id, forMs: Math.round(retryAfterMs)});
 	}
 }
@@ -378,11 +383,25 @@
 
 	if (target) {
 		rule.updateTarget(context, target, request, details);
+		pace(context, target, {outcome, wasMissing: details.wasMissing ?? false});
 	}
 
 	return rule;
 }
 
+/** Failures and shed requests slow a target's pace; one that fails often begins to have one. */
+function pace(context: EntryContext, target: Target, {outcome, wasMissing}: {readonly outcome: FailedOutcome; readonly wasMissing: boolean}): void {
+	if (outcome === 'not-sent' || wasMissing) {
+		return;
+	}
+
+	if (target.failureRate >= PACED_FAILURE_RATE) {
+		beginPace(context, target, 'failing');
+	}
+
+	recordPaceFailure(context, target, outcome);
+}
+
 function mayHaveRunCode(rule: OutcomeRule): ResultName {
 	return rule.mayHaveRun ? rule.code : 'target-failed';
 }
@@ -444,23 +463,30 @@
 		return;
 	}
 
+	if (moveTry(context, request, attempt) === 'later') {
+		reschedule(context, timer, nowMs + SILENCE_CHECK_MS);
+	}
+}
+
+/** Moves a silent try to another target. `later`: none has room now, or the budget allows no retry; `never`: the request may not be sent again. */
+export function moveTry(context: EntryContext, request: EntryRequest, attempt: EntryTry): 'moved' | 'later' | 'never' {
 	if (countRuns(request) + 1 >= request.route.maxAttempts || (!attempt.hasBegun && refuseIfQuarantined(context, request))) {
-		return;
+		return 'never';
 	}
 
 	const replacement = chooseReplacement(context, request, attempt);
 	if (!replacement || !takeRetry(context, request.service, {reserve: MOVE_RESERVE})) {
-		reschedule(context, timer, nowMs + SILENCE_CHECK_MS);
-		return;
+		return 'later';
 	}
 
 	logEvent(context, 'connection-silent', {
-		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(quietMs),
+		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(context.nowMs - attempt.progressAtMs),
 	});
 	context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
 	endTry(context, request, attempt, 'canceled');
 	recordFailure(context, request, 'canceled');
 	replacement.send();
+	return 'moved';
 }
 
 /** Ends a try that would arrive too late, and retries its request or gives it its final response, as after any try that may have run. */
