Lease over orders: larger instances go first where instances differ

Cause: successors of a silent holder were ranked by name. Ruled out: handing the lease over to a larger instance: nobody may order for 3.4 s meanwhile. Checks: lease.test.ts, with instances that differ, that are alike, and that state nothing. Conclusion: no change where instances are alike.

--- a/src/core/entry/lease.test.ts
+++ b/src/core/entry/lease.test.ts
@@ -225,3 +225,31 @@
 	assert.ok(holds(first));
 	assert.ok(row.record.epoch > epoch, 'epochs go on rising');
 });
+
+// Guards against a holder that is too small for its work in a large deployment, only since its name comes first.
+test('of the instances that may succeed a silent holder, a larger one goes first; where all are alike, the first by name', () => {
+	for (const {cores: processorCores, successor} of [{cores: [0.2, 0.2, 1.3], successor: 'c'}, {cores: [0.2, 0.2, 0.2], successor: 'b'}, {cores: [undefined, undefined, undefined], successor: 'b'}]) {
+		const instances = ['a', 'b', 'c'].map((id, index) => ({...instance(id), processorCores: processorCores[index]}));
+		const cores = instances.map(self => new EntryHarness(self));
+		const row = new LeaseRow();
+		const tell = (senders: readonly EntryHarness[]) => {
+			for (const sender of senders) {
+				const held = holds(sender);
+				for (const other of cores.filter(core => core !== sender)) {
+					other.dispatch({
+						kind: 'beacon-received', beacon: beacon({from: sender.state.self, ...(held && {lease: {holder: sender.state.self, epoch: sender.state.lease.held!.epoch, ageMs: 0}})}),
+					});
+				}
+			}
+		};
+
+		run([cores[0]!], row, 1000);
+		assert.ok(holds(cores[0]!));
+		tell(cores);
+		const others = cores.slice(1);
+		run(others, row, 8000, () => {
+			tell(others);
+		});
+		assert.deepEqual(cores.filter(core => holds(core)).map(({state}) => state.self.id).filter(id => id !== 'a'), [successor]);
+	}
+});
--- a/src/core/entry/lease.ts
+++ b/src/core/entry/lease.ts
@@ -9,7 +9,7 @@
 import {type HeldLease, type Lease} from './lease-state.js';
 import {liveInstances, PEER_SILENT_MS} from './peers.js';
 import {isCutOff} from './reachability.js';
-import {type LeaseRecord} from './types.js';
+import {type EntryInstance, type LeaseRecord} from './types.js';
 
 /** Short enough that after a missed renewal another one fits into the validity. */
 const RENEW_INTERVAL_MS = 600;
@@ -90,11 +90,16 @@
 		return false;
 	}
 
-	const live = liveInstances(state, nowMs).map(({id}) => id).toSorted();
-	const rank = Math.max(0, live.indexOf(state.self.id));
+	const live = liveInstances(state, nowMs).toSorted(compareCandidates);
+	const rank = Math.max(0, live.findIndex(({id}) => id === state.self.id));
 	return nowMs >= firstMs + (rank * (lastKnown ? CANDIDATE_STAGGER_MS : START_STAGGER_MS));
 }
 
+/** Larger instances go first: the holder's work grows with the deployment, and on a small one orders for adapters wait while it is done. */
+function compareCandidates(a: EntryInstance, b: EntryInstance): number {
+	return (b.processorCores ?? 0) - (a.processorCores ?? 0) || (a.id < b.id ? -1 : 1);
+}
+
 function tryAcquire(context: EntryContext): void {
 	const {state, nowMs} = context;
 	const {lease} = state;
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -21,6 +21,8 @@
 	readonly beaconAddress: string;
 	/** Host and port of the listener for callers; undefined for instances of an earlier release. */
 	readonly callerAddress?: string;
+	/** Processor time that it gets, in cores; undefined if it is not stated. */
+	readonly processorCores?: number;
 };
 
 /** Bounds set by the deployment. */
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -203,7 +203,7 @@
 	private async _open(): Promise<void> {
 		const {instance, listen} = this._settings;
 		const self: EntryInstance = {
-			id: instance.id, boot: randomBytes(6).toString('hex'), zone: instance.zone, address: listen.peers, beaconAddress: listen.beacons, callerAddress: listen.callers,
+			id: instance.id, boot: randomBytes(6).toString('hex'), zone: instance.zone, address: listen.peers, beaconAddress: listen.beacons, callerAddress: listen.callers, processorCores: instance.processorCores,
 		};
 		this.dispatch({
 			kind: 'started', self, bounds: this._settings.bounds, seed: randomBytes(4).readInt32LE(), mechanisms: mechanismsWithout(this._settings.policy.without), paceMode: this._settings.pace.mode,
--- a/src/entry/row-codec.ts
+++ b/src/entry/row-codec.ts
@@ -15,7 +15,7 @@
 export const RELEASES_KEY = 'services';
 
 const instanceSchema = z.object({
-	id: z.string(), boot: z.string(), zone: z.string(), address: z.string(), beaconAddress: z.string(), callerAddress: z.string().optional(),
+	id: z.string(), boot: z.string(), zone: z.string(), address: z.string(), beaconAddress: z.string(), callerAddress: z.string().optional(), processorCores: z.number().optional(),
 });
 
 const leaseSchema = z.object({
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -12,6 +12,8 @@
 	instance: z.strictObject({
 		id: z.string().min(1).max(64),
 		zone: z.string().min(1).max(64),
+		/** Processor time of the instance, in cores. Larger instances are preferred for the lease over orders. */
+		processorCores: z.number().positive().optional(),
 	}),
 	listen: z.strictObject({
 		callers: endpoint,
