--- a/src/experiment/deployment-configuration.ts
+++ b/src/experiment/deployment-configuration.ts
@@ -22,7 +22,7 @@
 	return `key-${workspace}`;
 }
 
-export function createConfiguration({kinds, models, engine, workspaces}: Pattern): EntryConfiguration {
+export function createConfiguration({kinds, models, engine, workspaces, quota}: Pattern): EntryConfiguration {
 	return {
 		version: 1,
 		routes: kinds.map(kind => ({
@@ -64,7 +64,7 @@
 			headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
 		workspaces: Array.from({length: workspaces}, (_, index) => ({
-			name: `workspace-${index}`, keyHashes: [keyHashOf(index)], rank: undefined, quota: undefined,
+			name: `workspace-${index}`, keyHashes: [keyHashOf(index)], rank: undefined, quota: quota && {unit: 'tokens', ...quota},
 		})),
 	};
 }
--- a/src/experiment/experiment.test.ts
+++ b/src/experiment/experiment.test.ts
@@ -73,6 +73,13 @@
 	assert.ok(all['in-time'] > 0.7, `${all['in-time']} in time`);
 });
 
+// Guards against a quota that is exceeded when the instance that keeps the account dies or is cut off, and against neighbours of a hot workspace that wait for it.
+test('a hot workspace among quiet ones keeps to its quota while the holder is killed and while a zone is cut off', () => {
+	const {all, violations} = runOnce({pattern: {...shippedPattern('hot-workspace'), instancesPerZone: 4}, seed: 1, without: []});
+	assert.deepEqual(violations, []);
+	assert.ok(all['in-time'] > 0.7, `${all['in-time']} in time`);
+});
+
 test('each mechanism can be switched off without a violation', () => {
 	for (const mechanism of mechanismNames) {
 		assert.deepEqual(runOnce({pattern: smallPattern(), seed: 2, without: [mechanism]}).violations, [], mechanism);
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -17,7 +17,7 @@
 	createConfiguration, hasRoom, HOST, keyHashOf, MODEL_SERVICE, modelName, PLAIN_SERVICE,
 } from './deployment-configuration.js';
 import {ModeledEngine} from './engine-model.js';
-import {Invariants, REVOKE_MS} from './invariants.js';
+import {Invariants, QUOTA_BOUNDS, REVOKE_MS} from './invariants.js';
 import {ModeledNetwork} from './modeled-network.js';
 import {ModeledStore} from './modeled-store.js';
 import {type Outcome} from './outcomes.js';
@@ -268,7 +268,7 @@
 		const startedAtMs = this._random.uniform() * 300;
 		this._later(instance, startedAtMs, () => {
 			this._dispatch(instance, {
-				kind: 'started', self, bounds: this._options.pattern.workspaces > 0 ? {...BOUNDS, revocation: {isStrict: true, withinMs: REVOKE_MS}} : BOUNDS, seed: Math.floor(this._random.uniform() * MAX_SEED), mechanisms: this._options.mechanisms,
+				kind: 'started', self, bounds: this._options.pattern.workspaces > 0 ? {...BOUNDS, revocation: {isStrict: true, withinMs: REVOKE_MS}, quota: QUOTA_BOUNDS} : BOUNDS, seed: Math.floor(this._random.uniform() * MAX_SEED), mechanisms: this._options.mechanisms,
 			});
 			this._dispatch(instance, {kind: 'instances-read', instances: this._instances.map(({identity}) => identity)});
 			this._dispatch(instance, {kind: 'configuration-read', configuration: this._configuration});
@@ -397,6 +397,12 @@
 		'grant-permits': (instance, {address, grant}) => {
 			this._broadcast(instance, [address], {kind: 'permits-granted', grant}, grant);
 		},
+		'ask-quota': (instance, {address, ask}) => {
+			this._broadcast(instance, [address], {kind: 'quota-asked', ask}, ask);
+		},
+		'grant-quota': (instance, {address, grant}) => {
+			this._broadcast(instance, [address], {kind: 'quota-granted', grant}, grant);
+		},
 		'announce-origins': (instance, {addresses, announcement}) => {
 			this._broadcast(instance, addresses, {kind: 'origins-announced', announcement}, announcement);
 		},
@@ -525,7 +531,7 @@
 		return candidates[Math.floor(this._random.uniform() * candidates.length)] ?? this._instances.find(({isUp}) => isUp);
 	}
 
-	private _submit({id, instance, resumed, generated: {kind, model, adapter, parts, workspace}}: Attempt<Instance>, deadlineMs: number): void {
+	private _submit({id, instance, resumed, generated: {kind, model, adapter, parts, outputTokens, workspace}}: Attempt<Instance>, deadlineMs: number): void {
 		this._dispatch(instance, {
 			kind: 'request-arrived',
 			arrival: {
@@ -537,6 +543,7 @@
 				adapter,
 				promptParts: parts.map(part => part.id),
 				promptTokens: parts.length === 0 ? undefined : parts.reduce((sum, {tokens}) => sum + tokens, 0),
+				outputTokens: parts.length === 0 ? undefined : outputTokens,
 				keyHash: workspace === undefined ? undefined : keyHashOf(workspace),
 				deadlineMs,
 				lastEventId: resumed?.events,
@@ -545,6 +552,15 @@
 		});
 	}
 
+	/** Counts the first try of each request. */
+	private _checkQuota({generated: {parts, outputTokens, workspace}}: Attempt<Instance>, requestId: string, tryNumber: number): void {
+		const {quota} = this._options.pattern;
+		if (quota && workspace !== undefined && tryNumber === 1) {
+			const units = parts.length === 0 ? quota.plainTokens : parts.reduce((sum, {tokens}) => sum + tokens, outputTokens);
+			this._invariants.checkQuotaSent(workspace, units, quota);
+		}
+	}
+
 	private _send(instance: Instance, {requestId, tryNumber, targetId}: EntryEffectOf<'send'>): void {
 		const attempt = this._callers.open.get(requestId);
 		const target = this._targets.get(targetId);
@@ -553,6 +569,7 @@
 		}
 
 		this._invariants.checkKeySent(requestId, this._keysWithdrawnAtMs.get(attempt.generated.workspace ?? -1));
+		this._checkQuota(attempt, requestId, tryNumber);
 		const delayMs = this._delayTo(instance, target);
 		const respond: TrySending['respond'] = event => {
 			const perSecond = this._rateLimits.limitOf(targetId);
--- a/src/experiment/invariants.ts
+++ b/src/experiment/invariants.ts
@@ -9,6 +9,8 @@
 
 /** Time after which no request may be sent under a withdrawn key, as for the deployments. */
 export const REVOKE_MS = 5000;
+/** How quotas are measured, as for the deployments. */
+export const QUOTA_BOUNDS = {windowMs: 8000, overShare: 0.1, slack: 7400};
 /** Sum of the shares of a common limit, with a tolerance for instances that have just joined. */
 const MAX_SHARES = 1.1;
 
@@ -18,6 +20,7 @@
 };
 
 export class Invariants {
+	private readonly _sentUnits = new Map<number, {list: Array<{atMs: number; units: number}>; sum: number}>();
 	private readonly _holderByEngine = new Map<string, {holder: string; epoch: number}>();
 
 	constructor(private readonly _options: InvariantOptions) {}
@@ -59,6 +62,23 @@
 		}
 	}
 
+	/** What targets get of a workspace in any window stays within its quota, by the bound of the deployments. */
+	checkQuotaSent(workspace: number, units: number, {perSecond, burst}: {readonly perSecond: number; readonly burst: number}): void {
+		const {nowMs} = this._options.simulation;
+		const sent = this._sentUnits.get(workspace) ?? {list: [], sum: 0};
+		this._sentUnits.set(workspace, sent);
+		sent.list.push({atMs: nowMs, units});
+		sent.sum += units;
+		while (sent.list[0]!.atMs <= nowMs - QUOTA_BOUNDS.windowMs) {
+			sent.sum -= sent.list.shift()!.units;
+		}
+
+		const bound = (((perSecond * QUOTA_BOUNDS.windowMs / 1000) + burst) * (1 + QUOTA_BOUNDS.overShare)) + QUOTA_BOUNDS.slack;
+		if (sent.sum > bound) {
+			this._report(`workspace ${workspace} has used ${Math.round(sent.sum)} units in a window, bound ${Math.round(bound)}`);
+		}
+	}
+
 	/** Callers whose key is in force are not told that it is unknown. */
 	checkKeyRefused(requestId: string, withdrawnAtMs: number | undefined): void {
 		if (withdrawnAtMs === undefined) {
--- a/src/experiment/pattern.ts
+++ b/src/experiment/pattern.ts
@@ -100,6 +100,10 @@
 	z.strictObject({
 		kind: z.literal('release'), atS: seconds, forS: seconds, share: z.number().min(0).max(1).default(1), leaveS: seconds.default(1),
 	}),
+	/** The callers of a workspace send that many times what they usually do. */
+	z.strictObject({
+		kind: z.literal('hot-workspace'), atS: seconds, forS: seconds, workspace: z.number().int().nonnegative(), times: positive,
+	}),
 	z.strictObject({kind: z.literal('store-down'), atS: seconds, forS: seconds}),
 	/** The store refuses the calls of a share of the instances. */
 	z.strictObject({
@@ -133,6 +137,8 @@
 	serviceSlots: count.default(6),
 	/** Workspaces, one key each, whose callers take turns; withdrawn keys must be refused in time by all instances. Without any, callers need no key. */
 	workspaces: z.number().int().nonnegative().default(0),
+	/** Quota of each workspace in tokens, which all instances have to keep to together. Without it, workspaces have none. */
+	quota: z.strictObject({perSecond: positive, burst: positive, plainTokens: positive.default(300)}).optional(),
 	models: modelsSchema,
 	kinds: z.array(kindSchema).min(1),
 	events: z.array(eventSchema).default([]),
--- a/src/experiment/workload.ts
+++ b/src/experiment/workload.ts
@@ -2,7 +2,7 @@
 Generates the requests of a pattern: Poisson arrivals of each kind, whose models follow
 shares that shift during the run.
 */
-import {type Pattern, type RequestKind} from './pattern.js';
+import {type Pattern, type PatternEvent, type RequestKind} from './pattern.js';
 import {type RandomSource} from './random-source.js';
 
 export type GeneratedRequest = {
@@ -33,8 +33,28 @@
 		}
 	}
 
+	const hot = generateHot(pattern, random);
 	// Callers of all workspaces take turns, without a random number, so that patterns without workspaces are as before.
-	return requests.sort((a, b) => a.atMs - b.atMs).map((request, index) => ({...request, workspace: pattern.workspaces === 0 ? undefined : index % pattern.workspaces}));
+	const usual = requests.sort((a, b) => a.atMs - b.atMs).map((request, index) => ({...request, workspace: pattern.workspaces === 0 ? undefined : index % pattern.workspaces}));
+	return hot.length === 0 ? usual : [...usual, ...hot].sort((a, b) => a.atMs - b.atMs);
+}
+
+/** What the callers of a hot workspace send beyond the usual. */
+function generateHot(pattern: Pattern, random: RandomSource): GeneratedRequest[] {
+	return pattern.events.flatMap(event => event.kind === 'hot-workspace' ? pattern.kinds.flatMap(kind => generateExtra(pattern, kind, {event, random})) : []);
+}
+
+type HotWorkspace = Extract<PatternEvent, {kind: 'hot-workspace'}>;
+
+function generateExtra(pattern: Pattern, kind: RequestKind, {event, random}: {event: HotWorkspace; random: RandomSource}): GeneratedRequest[] {
+	const {atS, forS, workspace, times} = event;
+	const meanMs = 1000 * Math.max(1, pattern.workspaces) / (kind.perSecond * Math.max(Number.MIN_VALUE, times - 1));
+	const requests: GeneratedRequest[] = [];
+	for (let atMs = (atS * 1000) + random.exponential(meanMs); atMs < (atS + forS) * 1000; atMs += random.exponential(meanMs)) {
+		requests.push({...generateRequest(pattern, kind, {atMs, random}), workspace});
+	}
+
+	return requests;
 }
 
 function burstFactor({events}: Pattern, {name}: RequestKind, atMs: number): number {
