Failure rates of targets are shared, and fade

Cause: an instance uses an engine about once in ten seconds, so it needs over a minute to find that one fails two requests in five, and one that it has found failing stays avoided after it has recovered. Change: failure-rates.ts. Rates are judged by responses alone; beacons carry those of 0.1 and more (8 at most) after an outcome of the sender's own, and a rate halves in 10 s without any outcome. The cost of a rate in the choice is unchanged, so that a grey target gets at most what it serves.

--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -5,6 +5,7 @@
 */
 import {announcedBrittleness} from './brittle-services.js';
 import {localDemand} from './demand.js';
+import {announcedFailureRates} from './failure-rates.js';
 import {announcedLoad} from './load-announcements.js';
 import {
 	type Beacon, type ComingCopy, type LeavingCopy, type Peer, type ReportedCopies,
@@ -187,6 +188,7 @@
 		slowness: announcedSlowness(context, state.targets.values()),
 		speeds: announcedSpeeds(context),
 		paces: announcedPaces(state),
+		failureRates: announcedFailureRates(context),
 		unreached: orNone(unreachedTargets(state).slice(0, MAX_UNREACHED)),
 		isCutOff: isCutOff(state, nowMs) || undefined,
 	};
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -81,6 +81,9 @@
 /** Limit on the requests at a target that finds its pace; `epoch` grows with its failures. */
 export type AnnouncedPace = readonly [targetId: TargetId, incarnation: number, epoch: number, limit: number];
 
+/** Share of tries that failed through a target's fault, in percent. */
+export type AnnouncedFailureRate = readonly [targetId: TargetId, incarnation: number, percent: number];
+
 /** How long work takes at a target, in percent of the usual time, and the time since the target stated it. */
 export type AnnouncedSlowness = readonly [targetId: TargetId, percent: number, agoMs: number];
 
@@ -190,6 +193,8 @@
 	readonly brittle?: readonly AnnouncedBrittleness[];
 	/** What targets stated just now; absent if none did. */
 	readonly slowness?: readonly AnnouncedSlowness[];
+	/** Targets that fail; absent if there are none. */
+	readonly failureRates?: readonly AnnouncedFailureRate[];
 	/** Limits of targets that find their pace; absent if there are none. */
 	readonly paces?: readonly AnnouncedPace[];
 	/** Speeds of targets of which the sender has learned something new, a few in each beacon. */
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -8,6 +8,7 @@
 import {confirmConfiguration} from './configuration-watch.js';
 import {mergeCrashes} from './crash-suspects.js';
 import {renewReports} from './dark-targets.js';
+import {adoptFailureRates} from './failure-rates.js';
 import {dispatchAll} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
 import {
@@ -53,6 +54,7 @@
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
 	renewReports(context, beacon);
+	adoptFailureRates(state, beacon.failureRates ?? [], context.nowMs);
 	for (const pace of beacon.paces ?? []) {
 		adoptPace(context, pace);
 	}
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -6,6 +6,7 @@
 */
 import fnv1a from '@sindresorhus/fnv1a';
 import {BRITTLE_FILL_FACTOR, isAtBrittleShare, isBrittle} from './brittle-services.js';
+import {failureRateOf} from './failure-rates.js';
 import {countsAsHolder} from './holders.js';
 import {paceAllows} from './pace.js';
 import {canAskForPermit, maySend} from './rate-permits.js';
@@ -147,7 +148,7 @@
 	const {entry} = target;
 	return (isUneven(state, request.service) ? expectedTimeCost(context, request, target) : loadCost(context, request, target))
 		+ (entry.zone === state.self.zone ? 0 : OTHER_ZONE_COST)
-		+ (target.failureRate * FAILURE_COST)
+		+ (failureRateOf(target, context.nowMs) * FAILURE_COST)
 		+ (entry.slowLeftMs > 0 ? WARM_UP_COST : 0)
 		+ (request.tries.some(({targetId}) => targetId === target.id) ? TRIED_COST : 0)
 		+ (randomFraction(context) * JITTER_COST);
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -139,6 +139,10 @@
 	failures: number;
 	/** Smoothed share of tries that failed through the target's fault. */
 	failureRate: number;
+	/** When an outcome last changed it. */
+	failureRateAtMs: number;
+	/** Whether this instance has had an outcome there since it last told its peers. */
+	hasFailureNews: boolean;
 	/** Fingerprints of requests whose connection to it broke, until it is known whether it crashed. */
 	readonly suspects: Array<{readonly fingerprints: readonly Fingerprint[]; readonly atMs: number}>;
 	/** When a response, or a part of one, last came from it. */
@@ -205,6 +209,8 @@
 		closedUntilMs: Number.NEGATIVE_INFINITY,
 		failures: 0,
 		failureRate: 0,
+		failureRateAtMs: Number.NEGATIVE_INFINITY,
+		hasFailureNews: false,
 		suspects: [],
 		heardAtMs: Number.NEGATIVE_INFINITY,
 		unreachedSinceMs: undefined,
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -16,6 +16,7 @@
 import {dispatchTarget, enqueue} from './dispatch.js';
 import {queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
+import {failureRateOf, recordOutcome} from './failure-rates.js';
 import {markLeaving} from './leaving.js';
 import {addReading, createReadingSpeed} from './reading-speed.js';
 import {beginPace, recordPaceAnswer, recordPaceFailure} from './pace.js';
@@ -64,8 +65,6 @@
 /** Exponential backoff for a target that could not be reached: the base is doubled with each consecutive failure, up to the maximum. */
 const BACKOFF_BASE_MS = 150;
 const MAX_BACKOFF_MS = 1500;
-/** Weight of one outcome in a target's smoothed failure rate, which thus reflects about the last ten requests. */
-const FAILURE_SMOOTHING = 0.15;
 /** Tries that targets may decline before the caller gets a Retry-After response. */
 const MAX_DECLINED = 2;
 /** Smoothed share of failed tries from which a target has to find its pace again. */
@@ -114,21 +113,21 @@
 	},
 	failed: {
 		mayHaveRun: true, isRetry: true, code: 'target-failed',
-		updateTarget(_, target) {
-			target.failureRate += (1 - target.failureRate) * FAILURE_SMOOTHING;
+		updateTarget(context, target) {
+			recordOutcome(context, target, true);
 		},
 	},
 	broken: {
 		mayHaveRun: true, isRetry: true, code: 'target-failed',
 		updateTarget(context, target, request) {
-			target.failureRate += (1 - target.failureRate) * FAILURE_SMOOTHING;
+			recordOutcome(context, target, true);
 			addSuspect(context, target, request);
 		},
 	},
 	canceled: {
 		mayHaveRun: true, isRetry: true, code: 'target-timeout',
 		updateTarget(context, target, request) {
-			target.failureRate += (1 - target.failureRate) * FAILURE_SMOOTHING;
+			recordOutcome(context, target, true);
 			addSuspect(context, target, request);
 		},
 	},
@@ -307,7 +306,7 @@
 function completeRequest(context: EntryContext, request: EntryRequest, {target, status}: {readonly target: Target | undefined; readonly status: number | undefined}): void {
 	if (target) {
 		target.failures = 0;
-		target.failureRate -= target.failureRate * FAILURE_SMOOTHING;
+		recordOutcome(context, target, false);
 	}
 
 	const {isStream} = request.route;
@@ -382,7 +381,7 @@
 		return;
 	}
 
-	if (target.failureRate >= PACED_FAILURE_RATE) {
+	if (failureRateOf(target, context.nowMs) >= PACED_FAILURE_RATE) {
 		beginPace(context, target, 'failing');
 	}
 
