--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -98,10 +98,14 @@
 function selectPeers(context: EntryContext): Peer[] {
 	const {state, nowMs} = context;
 	const holder = holdsLease(context) ? undefined : state.lease.lastKnown?.holder.id;
-	const eligible = [...state.peers.values()].filter(({beaconReceivedAtMs, beaconSentAtMs, isLeaving}) => !isLeaving
-		&& (nowMs - beaconReceivedAtMs < PEER_SILENT_MS || nowMs - beaconSentAtMs >= SILENT_PEER_INTERVAL_MS));
-	const sameZonePeers = eligible.filter(({instance}) => instance.zone === state.self.zone);
-	const otherZonePeers = eligible.filter(({instance}) => instance.zone !== state.self.zone);
+	const sameZonePeers: Peer[] = [];
+	const otherZonePeers: Peer[] = [];
+	for (const peer of state.peers.values()) {
+		if (!peer.isLeaving && (nowMs - peer.beaconReceivedAtMs < PEER_SILENT_MS || nowMs - peer.beaconSentAtMs >= SILENT_PEER_INTERVAL_MS)) {
+			(peer.instance.zone === state.self.zone ? sameZonePeers : otherZonePeers).push(peer);
+		}
+	}
+
 	const chosen = new Set(state.registry.isReadNews ? sameZonePeers : longestWaiting(context, sameZonePeers, MAX_SAME_ZONE_PEERS));
 	state.registry.isReadNews = false;
 	for (const peer of toldAcrossZones(context, otherZonePeers)) {
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -192,20 +192,21 @@
 
 function applyLoads({state, nowMs}: EntryContext, beacon: Beacon): void {
 	const {from} = beacon;
-	const loads = new Map(beacon.loads.map(([targetId, inFlight, unreadTokens = 0]) => [targetId, {inFlight, unreadTokens, atMs: nowMs}]));
-	const peer = state.peers.get(from.id);
-	for (const id of peer?.loadedTargets ?? []) {
-		if (!loads.has(id)) {
-			state.targets.get(id)?.peerLoads.delete(from.id);
-		}
-	}
-
-	for (const [id, load] of loads) {
-		state.targets.get(id)?.peerLoads.set(from.id, load);
+	const loaded = new Set<TargetId>();
+	for (const [id, inFlight, unreadTokens = 0] of beacon.loads) {
+		loaded.add(id);
+		state.targets.get(id)?.peerLoads.set(from.id, {inFlight, unreadTokens, atMs: nowMs});
 	}
 
+	const peer = state.peers.get(from.id);
 	if (peer) {
-		peer.loadedTargets = new Set(loads.keys());
+		for (const id of peer.loadedTargets) {
+			if (!loaded.has(id)) {
+				state.targets.get(id)?.peerLoads.delete(from.id);
+			}
+		}
+
+		peer.loadedTargets = loaded;
 	}
 
 	for (const {targetId, model, forMs} of beacon.leavingCopies) {
--- a/src/entry/datagram-codec.ts
+++ b/src/entry/datagram-codec.ts
@@ -51,16 +51,23 @@
 	},
 }));
 
+/** Memory for deflating a datagram: datagrams are short, and what zlib takes for long data has to be cleared each time. */
+const deflateOptions = {
+	dictionary, windowBits: 13, memLevel: 6, chunkSize: 2048,
+};
+/** The window is that of any sender. */
+const inflateOptions = {dictionary, maxOutputLength: JSON_BYTES_MAX, chunkSize: 2048};
+
 export function encodeDatagram(datagram: Datagram): Buffer {
 	const json = Buffer.from(JSON.stringify(datagram));
 	// The others are too short to gain from it.
-	return 'registry' in datagram ? deflateRawSync(json, {dictionary}) : json;
+	return 'registry' in datagram ? deflateRawSync(json, deflateOptions) : json;
 }
 
 /** Undefined if the bytes come from some other program. */
 export function decodeDatagram(message: Buffer): Datagram | undefined {
 	try {
-		const json = message[0] === OPENING_BRACE ? message : inflateRawSync(message, {dictionary, maxOutputLength: JSON_BYTES_MAX});
+		const json = message[0] === OPENING_BRACE ? message : inflateRawSync(message, inflateOptions);
 		const datagram = JSON.parse(json.toString('utf8')) as Datagram;
 		return listMembers.some(name => Array.isArray((datagram as Record<string, unknown>)[name])) || otherMembers.some(name => name in datagram) ? datagram : undefined;
 	} catch {
