--- a/src/core/entry/failure-rates.test.ts
+++ b/src/core/entry/failure-rates.test.ts
@@ -5,8 +5,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {EntryGroup} from '../../../test/standins/entry-group.js';
-import {effectsOfKind, instance, targetEntry} from '../../../test/standins/entry-harness.js';
+import {
+	effectsOfKind, EntryHarness, instance, targetEntry,
+} from '../../../test/standins/entry-harness.js';
 import {RandomSource} from '../../experiment/random-source.js';
+import {adoptFailureRates, failureRateOf} from './failure-rates.js';
+import {mechanismsWithout} from './mechanisms.js';
 
 const INSTANCES = 4;
 const TARGETS = ['s1', 's2', 's3', 's4', 's5', 's6'];
@@ -85,3 +89,17 @@
 	const share = shareOfFirst(traffic(nowMs => nowMs < 10_000 ? 'failed' : 'answered', {fromMs: 60_000, toMs: 80_000}));
 	assert.ok(share >= 0.8, `${share}`);
 });
+
+// Guards against a change for deployments that do not judge the health of targets together.
+test('without shared failures, a rate neither fades nor comes from peers', () => {
+	const core = new EntryHarness(instance('a'), {mechanisms: mechanismsWithout(['shared-failures'])});
+	core.configure().readRegistry([targetEntry('s1')]);
+	core.arrive('r1');
+	core.endTry('r1', 1, 'failed');
+	const target = core.state.targets.get('s1')!;
+	const rate = failureRateOf(target, core.nowMs);
+	assert.ok(rate > 0);
+	adoptFailureRates(core.state, [['s1', target.entry.incarnation, 90]], core.nowMs);
+	assert.equal(failureRateOf(target, core.nowMs + 60_000), rate);
+	assert.equal(target.hasFailureNews, false);
+});
--- a/src/core/entry/failure-rates.ts
+++ b/src/core/entry/failure-rates.ts
@@ -23,11 +23,13 @@
 	return failureRate === 0 ? 0 : failureRate * (0.5 ** (Math.max(0, nowMs - failureRateAtMs) / HALVED_AFTER_MS));
 }
 
-export function recordOutcome({nowMs}: EntryContext, target: Target, hasFailed: boolean): void {
+export function recordOutcome({state, nowMs}: EntryContext, target: Target, hasFailed: boolean): void {
 	const rate = failureRateOf(target, nowMs);
 	target.failureRate = rate + (((hasFailed ? 1 : 0) - rate) * SMOOTHING);
-	target.failureRateAtMs = nowMs;
-	target.hasFailureNews = true;
+	if (state.mechanisms.has('shared-failures')) {
+		target.failureRateAtMs = nowMs;
+		target.hasFailureNews = true;
+	}
 }
 
 /** Rates with an outcome since they were last announced, the highest first; undefined if there are none. */
@@ -44,7 +46,11 @@
 		});
 }
 
-export function adoptFailureRates({targets}: EntryState, announced: readonly AnnouncedFailureRate[], nowMs: number): void {
+export function adoptFailureRates({targets, mechanisms}: EntryState, announced: readonly AnnouncedFailureRate[], nowMs: number): void {
+	if (!mechanisms.has('shared-failures')) {
+		return;
+	}
+
 	for (const [targetId, incarnation, percent] of announced) {
 		const target = targets.get(targetId);
 		if (target?.entry.incarnation === incarnation) {
--- a/src/core/entry/mechanisms.ts
+++ b/src/core/entry/mechanisms.ts
@@ -54,6 +54,10 @@
 		purpose: 'tells the zone of a target that no connection can be opened to, and moves requests away from it',
 		plain: 'each instance finds out by its own requests',
 	},
+	'shared-failures': {
+		purpose: 'tells peers of the share of tries that fail at a target, and forgets it after a while',
+		plain: 'each instance judges by its own requests',
+	},
 	'target-speeds': {
 		purpose: 'chooses among targets of uneven speed by the expected time to the first event',
 		plain: 'they are chosen by their load, as targets of even speed are',
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -139,7 +139,7 @@
 	failures: number;
 	/** Smoothed share of tries that failed through the target's fault. */
 	failureRate: number;
-	/** When an outcome last changed it. */
+	/** When an outcome last changed it; infinite where it does not fade. */
 	failureRateAtMs: number;
 	/** Whether this instance has had an outcome there since it last told its peers. */
 	hasFailureNews: boolean;
@@ -209,7 +209,7 @@
 		closedUntilMs: Number.NEGATIVE_INFINITY,
 		failures: 0,
 		failureRate: 0,
-		failureRateAtMs: Number.NEGATIVE_INFINITY,
+		failureRateAtMs: Number.POSITIVE_INFINITY,
 		hasFailureNews: false,
 		suspects: [],
 		heardAtMs: Number.NEGATIVE_INFINITY,
