--- a/src/core/entry/failure-rates.test.ts
+++ b/src/core/entry/failure-rates.test.ts
@@ -92,7 +92,8 @@
 
 // Guards against a change for deployments that do not judge the health of targets together.
 test('without shared failures, a rate neither fades nor comes from peers', () => {
-	const core = new EntryHarness(instance('a'), {mechanisms: mechanismsWithout(['shared-failures'])});
+	const core = new EntryHarness(instance('a'));
+	core.state.mechanisms = mechanismsWithout(['shared-failures']);
 	core.configure().readRegistry([targetEntry('s1')]);
 	core.arrive('r1');
 	core.endTry('r1', 1, 'failed');
