Callers that have left while the process was behind are noticed before their requests are taken up

Change: while ticks are over 100 ms late, a request waits two rounds of the event loop and is dropped if its caller's end of the connection has come. Conclusion: nothing changes while the process keeps up.

--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -7,6 +7,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {type FastifyInstance} from 'fastify';
 import {type CallerLimits} from '../core/entry/configuration.js';
 import {createProblem} from '../daemon/problem.js';
@@ -29,6 +30,8 @@
 	readonly limits: () => CallerLimits;
 	/** Time within which a request has to be read, from its headers; undefined if they set none. */
 	readonly deadlineMs?: (headers: RawHeaders) => number | undefined;
+	/** Whether this process is behind with its work, so that a caller may have left before its request is read. */
+	readonly isBehind?: () => boolean;
 	/** Receives a request with its complete body. */
 	readonly onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer) => void;
 	readonly onRejected: (code: ResultName, detail: string) => void;
@@ -163,7 +166,7 @@
 			this._reject(response, 'body-late', 'the body was not complete when the deadline of the request passed');
 		} else if (body === 'too-large') {
 			this._reject(response, 'body-too-large', `more than ${limits.bodyBytes} bytes`);
-		} else if (body !== 'broken') {
+		} else if (body !== 'broken' && !(this._options.isBehind?.() === true && await hasLeft(request.socket))) {
 			this._options.onRequest(request, response, body);
 		}
 	}
@@ -191,11 +194,12 @@
 
 	/** After this process was held up, the head may have arrived and only wait to be read, which is done before immediates run. */
 	private _rejectLate(socket: Socket): void {
-		setImmediate(() => {
+		void (async () => {
+			await setImmediate();
 			if (!this._usage.get(socket)?.open) {
 				this._rejectUnread(socket, 'headers-late', 'Request Timeout');
 			}
-		});
+		})();
 	}
 
 	private _rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
@@ -229,6 +233,13 @@
 	}
 }
 
+/** Whether the caller has closed its connection, as far as has arrived: the end of what it sent is read one round of the event loop after the rest. */
+async function hasLeft(socket: Socket): Promise<boolean> {
+	await setImmediate();
+	await setImmediate();
+	return socket.destroyed || socket.readableEnded;
+}
+
 type BodyLimits = {
 	readonly maxBytes: number;
 	readonly timeoutMs: number | undefined;
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -37,6 +37,8 @@
 
 /** Periodic work of the core needs a resolution of some tens of milliseconds. */
 const TICK_MS = 50;
+/** A tick that is this late shows that the process has more to do than it gets processor time for, or was held up. */
+const BEHIND_MS = 100;
 const SEED_PULL_ROUNDS = 10;
 /** Seeds that are starting refuse connections at once. */
 const SEED_PULL_INTERVAL_MS = 200;
@@ -75,6 +77,7 @@
 	private readonly _metrics: EntryMetrics;
 	private readonly _servers: FastifyInstance[] = [];
 	private _tickTimer: NodeJS.Timeout | undefined;
+	private _isBehind = false;
 	private _isStopped = false;
 	private _lastCallId = 0;
 	private _resolveStopped: () => void = () => undefined;
@@ -114,6 +117,7 @@
 		});
 		this.callerListener = new CallerListener({
 			limits: () => this.limits,
+			isBehind: () => this._isBehind,
 			deadlineMs: headers => deployment.headerCodec.parseRequest(headers).deadlineMs,
 			onRequest: (request, response, body) => {
 				this._acceptRequest(request, response, body);
@@ -225,7 +229,11 @@
 		const callers = splitEndpoint(listen.callers);
 		await this.callerListener.listen(callers.host, callers.port);
 		this.log.write('daemon-listening', {...listen});
+		let dueAtMs = this._clock.monotonicMs() + TICK_MS;
 		this._tickTimer = setInterval(() => {
+			const nowMs = this._clock.monotonicMs();
+			this._isBehind = nowMs - dueAtMs > BEHIND_MS;
+			dueAtMs = nowMs + TICK_MS;
 			this.dispatch({kind: 'tick'});
 		}, TICK_MS);
 		void this.storeWatcher.followConfiguration();
