--- a/src/core/entry/crash-suspects.ts
+++ b/src/core/entry/crash-suspects.ts
@@ -194,7 +194,7 @@
 		return;
 	}
 
-	recordUnreached(context, target, target.probe.sentAtMs);
+	recordUnreached(context, target, {sinceMs: target.probe.sentAtMs, isRefused: outcome === 'refused'});
 	// One that leaves refuses connections in the end without having crashed.
 	if (outcome === 'refused' && isListed(target, context.nowMs)) {
 		recordRefusal(context, target);
--- a/src/core/entry/reachability.ts
+++ b/src/core/entry/reachability.ts
@@ -33,14 +33,19 @@
 }
 
 /** A connection that was begun at `sinceMs` could not be opened. */
-export function recordUnreached(context: EntryContext, target: Target, sinceMs: number): void {
+export function recordUnreached(context: EntryContext, target: Target, {sinceMs, isRefused}: {readonly sinceMs: number; readonly isRefused: boolean}): void {
 	const {state, nowMs} = context;
 	if (target.unreachedSinceMs !== undefined || target.heardAtMs > sinceMs) {
 		return;
 	}
 
 	target.unreachedSinceMs = sinceMs;
-	tellUnreached(context, target, sinceMs);
+	if (!isRefused) {
+		// One that refuses connections has ended. Each instance finds that out by itself: whether a request crashed it is judged
+		// by those that had sent it one, and requests that move at once would crash others before that is known.
+		tellUnreached(context, target, sinceMs);
+	}
+
 	state.probedTargets.add(target.id);
 	const service = targetsOf(state, target.entry.service).filter(other => isListed(other, nowMs));
 	for (const other of targetsToProbe(context, target, service, sinceMs)) {
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -93,7 +93,7 @@
 		mayHaveRun: false, isRetry: false, code: 'no-target',
 		updateTarget(context, target, {tries}, {wasRefused}) {
 			backOff(context, target);
-			recordUnreached(context, target, tries.at(-1)!.startedAtMs);
+			recordUnreached(context, target, {sinceMs: tries.at(-1)!.startedAtMs, isRefused: wasRefused === true});
 			if (wasRefused) {
 				recordRefusal(context, target);
 			}
