Streams: chunks by 'data' events again; crashing-part fails beside load on both

Ruled out: the change of streams as the cause of the failures. Conclusion: why crashes rise beside load is open.

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -105,11 +105,14 @@
 		this._writeHead(status, headers, undefined);
 	}
 
-	/** Writes bytes to the caller and waits for it to read them when the buffer is full. Rejects when `signal` aborts the wait. */
-	async write(bytes: Buffer, signal: AbortSignal): Promise<void> {
-		if (!this._response.write(bytes)) {
-			await once(this._response, 'drain', {signal});
-		}
+	/** Writes bytes to the caller. Returns whether the buffer is full. */
+	write(bytes: Buffer): boolean {
+		return !this._response.write(bytes);
+	}
+
+	/** Resolves once the caller has read what fills the buffer. Rejects when `signal` aborts the wait. */
+	async drained(signal: AbortSignal): Promise<void> {
+		await once(this._response, 'drain', {signal});
 	}
 
 	/** Sends the buffered response, or ends a stream that is complete. */
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -8,6 +8,7 @@
 import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
 import {type StatedRateLimit} from '../core/entry/target.js';
 import {type TryOutcome} from '../core/entry/types.js';
+import {readChunks} from './body-chunks.js';
 import {BufferBudget} from './buffer-budget.js';
 import {type Exchange, withoutHopByHopHeaders} from './exchange.js';
 import {type ResponseMetadata, type HeaderCodec} from './deployment.js';
@@ -190,15 +191,15 @@
 	private async _readAll(body: TargetResponse['body']): Promise<Buffer> {
 		const buffer = new GrowingBuffer();
 		try {
-			for await (const chunk of body) {
-				buffer.append(chunk as Buffer);
+			await readChunks(body, chunk => {
+				buffer.append(chunk);
 				if (buffer.length > RESPONSE_BYTES_MAX) {
 					throw new Error('the answer is too large');
 				}
 
 				this._budget.hold(body, buffer.capacity);
-			}
-
+				return undefined;
+			});
 			return buffer.bytes;
 		} finally {
 			this._budget.release(body);
@@ -211,29 +212,25 @@
 		let repeatedBytes = 0;
 		let progressSentAtMs = Number.NEGATIVE_INFINITY;
 		let lastEventAtMs: number | undefined;
-		for await (const chunk of response.body) {
-			const events = splitter.push(chunk as Buffer);
+		const reason = await readChunks(response.body, chunk => {
+			const events = splitter.push(chunk);
 			this._budget.hold(response.body, splitter.heldBytes);
 			if (signal.aborted) {
-				return 'canceled';
+				return {stop: 'canceled'};
 			}
 
 			if (splitter.isTooLarge) {
-				return 'an event, or what precedes it, is too large';
+				return {stop: 'an event, or what precedes it, is too large'};
 			}
 
 			const undelivered = selectUndelivered(events, exchange.lastEventId);
 			if (undelivered === undefined) {
-				return 'an event is missing';
+				return {stop: 'an event is missing'};
 			}
 
 			if (undelivered.length === 0) {
-				repeatedBytes += (chunk as Buffer).length;
-				if (repeatedBytes > REPEATED_BYTES_MAX) {
-					return 'the stream brings no new event';
-				}
-
-				continue;
+				repeatedBytes += chunk.length;
+				return repeatedBytes > REPEATED_BYTES_MAX ? {stop: 'the stream brings no new event'} : undefined;
 			}
 
 			repeatedBytes = 0;
@@ -255,7 +252,11 @@
 				});
 			}
 
-			await exchange.write(Buffer.concat(undelivered.map(({bytes}) => bytes)), signal);
+			const isFull = exchange.write(undelivered.length === 1 ? undelivered[0]!.bytes : Buffer.concat(undelivered.map(({bytes}) => bytes)));
+			return isFull ? {until: exchange.drained(signal)} : undefined;
+		});
+		if (reason !== undefined) {
+			return reason;
 		}
 
 		if (isTruncated(response)) {
@@ -272,8 +273,8 @@
 		}
 
 		const {trailingBlocks} = splitter;
-		if (trailingBlocks.length > 0) {
-			await exchange.write(trailingBlocks, signal);
+		if (trailingBlocks.length > 0 && exchange.write(trailingBlocks)) {
+			await exchange.drained(signal);
 		}
 
 		return undefined;
