--- a/src/core/entry/dark-targets.test.ts
+++ b/src/core/entry/dark-targets.test.ts
@@ -78,8 +78,6 @@
 	group.deliver(first, probe(first, 'e1', 'accepted'));
 	assert.deepEqual(group.members.map(member => usable(member, 'e1')), [true, true, true, true, true]);
 });
-}
-
 
 // Guards against requests that crash targets and move on at once, before the crash is known to be theirs.
 test('a target that refuses connections is not reported: the others find that out by themselves', () => {
@@ -95,6 +93,7 @@
 	}
 });
 
+// Guards against a target given up by all because one instance is cut off.
 test('an instance that reaches no other target is not believed alone; three are', () => {
 	const group = createGroup(6);
 	const tell = (index: number) => {
