Pace: an instance's own start begins no limit, and a limit starts at a quarter of the slots at least

The log of three instances over 27 s shows 222 limits of one request for all 100 instances: entries come with several reads of the registry, each of which counted as targets that appeared, and with no traffic yet the load of the others is 0. Change: for 10 s after its own start an instance takes no target for new; a limit starts at a quarter of the slots or half of the others' load; where all targets of a request find their pace, one request goes out of turn. Checks: pace.test.ts: a later read after a start, an idle service, and the only target of a request.

--- a/src/core/entry/pace.test.ts
+++ b/src/core/entry/pace.test.ts
@@ -20,6 +20,7 @@
 function createCore({mode = 'adaptive', self = instance('a'), peers = 0, entry = {}}: {readonly mode?: PaceMode; readonly self?: ReturnType<typeof instance>; readonly peers?: number; readonly entry?: Partial<TargetEntry>} = {}): EntryHarness {
 	const core = new EntryHarness(self);
 	core.state.paceMode = mode;
+	core.state.startedAtMs = core.nowMs - 20_000;
 	core.configure().readRegistry(old);
 	for (let index = 0; index < peers; index++) {
 		core.dispatch({kind: 'beacon-received', beacon: beacon({from: instance(`p${index}`)})});
@@ -63,6 +64,33 @@
 	core.state.paceMode = 'adaptive';
 	core.configure().readRegistry(old);
 	assert.ok([...core.state.targets.values()].every(({pace}) => pace === undefined));
+	core.advance(3000);
+	core.readRegistry([...old, targetEntry('late', {slots: SLOTS})]);
+	assert.equal(core.state.targets.get('late')?.pace, undefined, 'entries come with several reads');
+});
+
+// Guards against a limit of one request for a whole deployment, since nothing is sent to the others yet, and against a model whose only copy waits for an instance's turn.
+test('where the others carry nothing, a limit starts at a quarter of the slots; the only target of a request takes one out of turn', () => {
+	const core = new EntryHarness();
+	core.state.paceMode = 'adaptive';
+	core.state.startedAtMs = core.nowMs - 20_000;
+	core.configure().readRegistry(old);
+	for (let index = 0; index < 99; index++) {
+		core.dispatch({kind: 'beacon-received', beacon: beacon({from: instance(`p${index}`)})});
+	}
+
+	core.readRegistry([...old, targetEntry('new', {slots: SLOTS})]);
+	assert.equal(limitOf(core), SLOTS / 4);
+	core.readRegistry([targetEntry('new', {slots: SLOTS})]);
+	assert.ok(limitOf(core) !== undefined);
+	for (let turn = 0; turn < 10; turn++) {
+		core.nowMs += 500;
+		core.confirmRegistry();
+		counter++;
+		assert.equal(effectsOfKind(core.arrive(`o${counter}`), 'send')[0]?.targetId, 'new');
+		core.endTry(`o${counter}`, 1, 'answered');
+		core.state.targets.get('new')!.pace!.limit = SLOTS / 4;
+	}
 });
 
 test('a limit holds requests back, and off as many are sent as there are slots', () => {
--- a/src/core/entry/pace.ts
+++ b/src/core/entry/pace.ts
@@ -33,6 +33,10 @@
 
 /** Share of the mean load of the other targets at which a limit starts. */
 const START_SHARE = 0.5;
+/** Share of a target's slots at which it starts at least: where little is sent to the others, their load says nothing of what a target bears. */
+const START_FLOOR_SHARE = 0.25;
+/** An instance that has run for so long has read the registry several times. */
+const SETTLED_MS = 10_000;
 /** Factors on the limit for a good response before any failure and after one, a slow one, a failure, and a failure after an earlier one. Responses come to a zone about once a second at first: with 1.25 from the start, starting engines carried 69 % of their fair share after 2 s. */
 const FIRST_GOOD_FACTOR = 1.5;
 const GOOD_FACTOR = 1.25;
@@ -61,7 +65,9 @@
 
 export function beginPace(context: EntryContext, target: Target, reason: PaceReason): void {
 	const {state, nowMs} = context;
-	if (state.paceMode === 'off' || target.pace) {
+	// An instance that has just started lists targets that have run for long.
+	const isOwnStart = reason === 'appeared' && nowMs - state.startedAtMs < SETTLED_MS;
+	if (state.paceMode === 'off' || isOwnStart || target.pace !== undefined) {
 		return;
 	}
 
@@ -73,7 +79,7 @@
 	const ended = state.pacesEnded.get(target.id);
 	const isSecond = ended !== undefined && nowMs - ended.atMs < SECOND_WITHIN_MS;
 	const meanLoad = others.reduce((sum, other) => sum + estimatedLoad(other, nowMs), 0) / others.length;
-	const limit = Math.max(MIN_LIMIT, meanLoad * START_SHARE * (isSecond ? SECOND_FAILURE_FACTOR : 1));
+	const limit = Math.max(MIN_LIMIT, Math.max(meanLoad * START_SHARE, target.entry.slots * START_FLOOR_SHARE) * (isSecond ? SECOND_FAILURE_FACTOR : 1));
 	if (limit >= target.entry.slots) {
 		return;
 	}
@@ -86,14 +92,14 @@
 	});
 }
 
-/** Whether this instance may send the target another request. */
-export function paceAllows({state, nowMs}: Pick<EntryContext, 'state' | 'nowMs'>, target: Target): boolean {
+/** Whether this instance may send the target another request; out of its turn one is allowed where no other target serves it. */
+export function paceAllows({state, nowMs}: Pick<EntryContext, 'state' | 'nowMs'>, target: Target, isOnlyChoice = false): boolean {
 	if (!target.pace) {
 		return true;
 	}
 
-	const limit = effectiveLimit(target);
-	return estimatedLoad(target, nowMs) < limit && target.inFlight.size < ownShare(state, target, nowMs);
+	const own = Math.max(isOnlyChoice ? 1 : 0, ownShare(state, target, nowMs));
+	return estimatedLoad(target, nowMs) < effectiveLimit(target) && target.inFlight.size < own;
 }
 
 function effectiveLimit({pace, entry}: Target): number {
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -66,7 +66,9 @@
 	}
 
 	const {adapter} = request.arrival;
-	const withCapacity = usable.filter(target => hasCapacity(context, target, request));
+	const inTurn = usable.filter(target => hasCapacity(context, target, request));
+	// A model whose copies are all at targets that find their pace must not wait for this instance's turn.
+	const withCapacity = inTurn.length > 0 ? inTurn : usable.filter(target => target.pace && hasCapacity(context, target, request, true));
 	if (withCapacity.length === 0) {
 		return {kind: 'full'};
 	}
@@ -110,11 +112,12 @@
 	return isUsable(target, nowMs) && countsAsHolder(target, request, nowMs);
 }
 
-export function hasCapacity({state, nowMs}: Pick<EntryContext, 'state' | 'nowMs'>, target: Target, request: EntryRequest): boolean {
+export function hasCapacity({state, nowMs}: Pick<EntryContext, 'state' | 'nowMs'>, target: Target, request: EntryRequest, isOnlyChoice = false): boolean {
 	const fill = request.arrival.model === undefined ? PLAIN_FILL_FACTORS : ENGINE_FILL_FACTORS;
 	const rankFactor = fill[Math.min(request.route.rank, fill.length - 1)] ?? 1;
 	const factor = isBrittle(state, target, nowMs) ? Math.min(rankFactor, BRITTLE_FILL_FACTOR) : rankFactor;
-	return !isAtBrittleShare(state, target, nowMs) && estimatedLoad(target, nowMs) < target.entry.slots * factor && paceAllows({state, nowMs}, target) && canReadInTime({state, nowMs}, target, request);
+	return !isAtBrittleShare(state, target, nowMs) && estimatedLoad(target, nowMs) < target.entry.slots * factor
+		&& paceAllows({state, nowMs}, target, isOnlyChoice) && canReadInTime({state, nowMs}, target, request);
 }
 
 /** Whether the engine can read the request's prompt, after those that it has yet to read, without delaying its streams beyond their pause objective. */
