Pace tests: peers count as they do after a start

Change: the start is moved back after the target has appeared. Conclusion: the shares of 100 instances are checked as before.

--- a/src/core/entry/pace.test.ts
+++ b/src/core/entry/pace.test.ts
@@ -30,7 +30,10 @@
 		core.state.targets.get(id)!.peerLoads.set('filler', {inFlight: LOAD_OF_OTHERS, unreadTokens: 0, atMs: core.nowMs});
 	}
 
-	return core.readRegistry([...old, targetEntry('new', {slots: SLOTS, ...entry})]);
+	core.readRegistry([...old, targetEntry('new', {slots: SLOTS, ...entry})]);
+	// Peers count for 30 s after a start.
+	core.state.startedAtMs = core.nowMs;
+	return core;
 }
 
 function limitOf(core: EntryHarness): number | undefined {
