--- a/deploy/bundle.ts
+++ b/deploy/bundle.ts
@@ -1,17 +1,15 @@
 /**
-Bundles the platform entry point into one file and creates a V8 code cache for it, so
-that a restarted process is ready sooner. Must run with the same V8 flags as the
-program, because V8 rejects a code cache that was created with other flags.
+Bundles the platform entry point into one file and has a V8 code cache created for it, so
+that a restarted process is ready sooner. Must run with the same V8 flags as the program.
 */
+import {Buffer} from 'node:buffer';
+import {spawnSync} from 'node:child_process';
 import {readFileSync, writeFileSync} from 'node:fs';
-import {createRequire} from 'node:module';
 import process from 'node:process';
-import {Script} from 'node:vm';
 import {build, type Plugin} from 'esbuild';
 
-/** Signature of the function that wraps a CommonJS module. */
-type ModuleWrapper = (moduleExports: object, requireFunction: NodeJS.Require, moduleObject: object, filename: string, dirname: string) => void;
-
+/** Many times the usual time of 4 s. */
+const CODE_CACHE_TIMEOUT_MS = 120_000;
 const outputFolder = process.argv[2] ?? 'target';
 const bundleFile = `${outputFolder}/pollenarch.cjs`;
 
@@ -24,6 +22,7 @@
 	Agent: require('undici/lib/dispatcher/agent.js'),
 	Client: require('undici/lib/dispatcher/client.js'),
 	Pool: require('undici/lib/dispatcher/pool.js'),
+	Headers: require('undici/lib/web/fetch/headers.js').Headers,
 	errors: require('undici/lib/core/errors.js'),
 	buildConnector: require('undici/lib/core/connect.js'),
 };
@@ -37,6 +36,15 @@
 	},
 };
 
+/** Leaves out the compilers that fastify requires only for servers with schemas, of which the program has none. */
+const schemaCompilersPlugin: Plugin = {
+	name: 'schema-compilers',
+	setup(bundler) {
+		bundler.onResolve({filter: /^@fastify\/(?:ajv-compiler|fast-json-stringify-compiler)$/}, () => ({path: 'schema-compilers', namespace: 'schema-compilers'}));
+		bundler.onLoad({filter: /.*/, namespace: 'schema-compilers'}, () => ({contents: 'module.exports = () => undefined;'}));
+	},
+};
+
 await build({
 	entryPoints: ['platform/main.ts'],
 	outfile: bundleFile,
@@ -47,26 +55,30 @@
 	minifyWhitespace: true,
 	minifySyntax: true,
 	logLevel: 'error',
-	plugins: [undiciPlugin],
+	plugins: [undiciPlugin, schemaCompilersPlugin],
 });
 const wrappedSource = `(function (exports, require, module, __filename, __dirname) {${readFileSync(bundleFile, 'utf8')}\n})`;
-writeFileSync(`${outputFolder}/pollenarch.source.js`, wrappedSource);
-const script = new Script(wrappedSource, {filename: bundleFile});
-// V8 caches only functions that have been compiled, so the program runs once to include the functions used at startup.
-// Without settings it reports the error and exits immediately.
-delete process.env.POLLENARCH_SETTINGS;
-const runModule = script.runInThisContext() as ModuleWrapper;
-runModule({}, createRequire(import.meta.url), {exports: {}}, bundleFile, outputFolder);
-process.exitCode = 0;
-writeFileSync(`${outputFolder}/pollenarch.cache`, script.createCachedData());
+if (Buffer.from(wrappedSource, 'latin1').toString('latin1') !== wrappedSource) {
+	throw new Error('the bundle contains characters outside of ISO 8859-1, in which it is stored because that is the fastest to read');
+}
+
+writeFileSync(`${outputFolder}/pollenarch.source.js`, wrappedSource, 'latin1');
+const cached = spawnSync(process.execPath, [...process.execArgv, 'deploy/code-cache.ts', outputFolder], {stdio: ['ignore', 'ignore', 'inherit'], timeout: CODE_CACHE_TIMEOUT_MS});
+if (cached.status !== 0) {
+	throw new Error(`the code cache could not be created: ${cached.error?.message ?? `exit code ${cached.status}`}`);
+}
+
 writeFileSync(`${outputFolder}/start.cjs`, `'use strict';
 const {readFileSync} = require('node:fs');
 const {join} = require('node:path');
+const {setFlagsFromString} = require('node:v8');
 const {Script} = require('node:vm');
 
-const script = new Script(readFileSync(join(__dirname, 'pollenarch.source.js'), 'utf8'), {
+const script = new Script(readFileSync(join(__dirname, 'pollenarch.source.js'), 'latin1'), {
 	filename: join(__dirname, 'pollenarch.cjs'),
 	cachedData: readFileSync(join(__dirname, 'pollenarch.cache')),
 });
 script.runInThisContext()(exports, require, module, __filename, __dirname);
+// Keeps the heap small. It is set here because flags of the command line make V8 reject the code cache of the built-in modules.
+setFlagsFromString('--heap-growing-percent=50');
 `);
--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -3,18 +3,19 @@
 when it is known that it cannot be served.
 */
 import {type ResultName} from '../result-codes.js';
+import {roundedAgeMs} from './configuration-age.js';
 import {findRoute, pickDestination, type Route} from './configuration.js';
 import {close, refuse} from './closing.js';
 import {recordArrival} from './demand.js';
-import {enqueue} from './dispatch.js';
 import {beginTrial, culpritOf, quarantineRefusal} from './quarantine.js';
 import {pullFrom} from './peer-sync.js';
 import {queueKeyOf, queueOf} from './queues.js';
+import {admitByQuota} from './quotas.js';
 import {type EntryEventOf} from './event.js';
 import {retryBudget} from './retry-budgets.js';
-import {resumeStream} from './stream-origins.js';
 import {logEvent, randomFraction, type EntryContext} from './state.js';
 import {type EntryArrival, type EntryRequest, type Relayed} from './types.js';
+import {authenticate, routeFor} from './workspaces.js';
 
 /** A request whose expected wait exceeds this share of its time is refused early, while its caller can still try elsewhere. */
 const MAX_WAIT_SHARE = 0.7;
@@ -43,7 +44,15 @@
 		return;
 	}
 
-	const {route, service} = resolution;
+	const {service} = resolution;
+	const identity = authenticate(context, {keyHash: arrival.keyHash, route: resolution.route, relayed});
+	if ('code' in identity) {
+		refuseArrival(context, arrival, identity);
+		return;
+	}
+
+	const {workspace} = identity;
+	const route = routeFor(resolution.route, workspace);
 	// The instance that passed it on has counted it.
 	if (!relayed) {
 		retryBudget(state, service).recordRequest(nowMs);
@@ -61,6 +70,7 @@
 		arrival: {...arrival, relayed},
 		// Its further attempts stay with the instance that passed it on.
 		route: relayed ? {...route, maxAttempts: 1} : route,
+		workspace,
 		service,
 		queueKey: queueKeyOf(service, arrival.model),
 		streamId: arrival.resumes ?? arrival.id,
@@ -78,7 +88,7 @@
 	};
 	state.open.set(request.id, request);
 	recordArrival(context, request);
-	const waitMs = queueOf(state, request.queueKey).expectedWaitMs(route.rank);
+	const waitMs = queueOf(state, request.queueKey).expectedWaitMs(request);
 	if (waitMs > (request.patienceEndsAtMs - nowMs) * MAX_WAIT_SHARE) {
 		refuse(context, request, {code: 'deadline-unreachable', retryAfterMs: waitMs});
 		return;
@@ -87,11 +97,7 @@
 	state.timers.push({
 		atMs: request.deadlineAtMs, requestId: request.id, kind: 'deadline', tryNumber: 0,
 	});
-	if (route.isStream && (arrival.lastEventId ?? 0) > 0) {
-		resumeStream(context, request);
-	} else {
-		enqueue(context, request);
-	}
+	admitByQuota(context, request);
 }
 
 export function handleCallerLeft(context: EntryContext, {requestId}: EntryEventOf<'caller-left'>): void {
@@ -154,6 +160,6 @@
 function refuseArrival(context: EntryContext, arrival: EntryArrival, refusal: Refusal): void {
 	context.effects.push({kind: 'refuse', requestId: arrival.id, ...refusal});
 	logEvent(context, 'request-refused', {
-		requestId: arrival.id, code: refusal.code, detail: refusal.detail, host: arrival.host, path: arrival.path, configurationVersion: context.state.configuration?.version,
+		requestId: arrival.id, code: refusal.code, detail: refusal.detail, host: arrival.host, path: arrival.path, configurationVersion: context.state.configuration?.version, configurationAgeMs: roundedAgeMs(context),
 	});
 }
--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -4,18 +4,24 @@
 an occasional beacon to a random instance of another zone keeps the zones connected.
 */
 import {announcedBrittleness} from './brittle-services.js';
+import {confirmedAsOfStoreMs} from './configuration-watch.js';
 import {localDemand} from './demand.js';
+import {announcedFailureRates} from './failure-rates.js';
 import {announcedLoad} from './load-announcements.js';
 import {
 	type Beacon, type ComingCopy, type LeavingCopy, type Peer, type ReportedCopies,
 } from './peer-messages.js';
 import {holdsLease} from './lease.js';
+import {announcedPaces} from './pace.js';
 import {announcedLimits} from './rate-limit.js';
 import {countHeard, countInstances, PEER_SILENT_MS} from './peers.js';
+import {announcedLevels} from './quota-account.js';
 import {isCutOff, unreachedTargets} from './reachability.js';
 import {canReadStore} from './registry-readers.js';
 import {takeAnnouncedChange} from './registry-transfer.js';
+import {announcedSlowness} from './slowness.js';
 import {randomFraction, type EntryContext} from './state.js';
+import {announcedSpeeds} from './target-speeds.js';
 
 const BEACON_INTERVAL_MS = 300;
 /** Targets that a beacon names as unreached; an instance that reaches none says so in a word. */
@@ -98,10 +104,14 @@
 function selectPeers(context: EntryContext): Peer[] {
 	const {state, nowMs} = context;
 	const holder = holdsLease(context) ? undefined : state.lease.lastKnown?.holder.id;
-	const eligible = [...state.peers.values()].filter(({beaconReceivedAtMs, beaconSentAtMs, isLeaving}) => !isLeaving
-		&& (nowMs - beaconReceivedAtMs < PEER_SILENT_MS || nowMs - beaconSentAtMs >= SILENT_PEER_INTERVAL_MS));
-	const sameZonePeers = eligible.filter(({instance}) => instance.zone === state.self.zone);
-	const otherZonePeers = eligible.filter(({instance}) => instance.zone !== state.self.zone);
+	const sameZonePeers: Peer[] = [];
+	const otherZonePeers: Peer[] = [];
+	for (const peer of state.peers.values()) {
+		if (!peer.isLeaving && (nowMs - peer.beaconReceivedAtMs < PEER_SILENT_MS || nowMs - peer.beaconSentAtMs >= SILENT_PEER_INTERVAL_MS)) {
+			(peer.instance.zone === state.self.zone ? sameZonePeers : otherZonePeers).push(peer);
+		}
+	}
+
 	const chosen = new Set(state.registry.isReadNews ? sameZonePeers : longestWaiting(context, sameZonePeers, MAX_SAME_ZONE_PEERS));
 	state.registry.isReadNews = false;
 	for (const peer of toldAcrossZones(context, otherZonePeers)) {
@@ -156,19 +166,19 @@
 
 export function createBeacon(context: EntryContext): Beacon {
 	const {state, nowMs} = context;
-	const {registry, configuration, configurationWatch} = state;
+	const {registry, configuration} = state;
 	const held = holdsLease(context);
 	return {
 		from: state.self,
 		isLeaving: state.lifecycle === 'draining',
 		configurationVersion: configuration?.version ?? 0,
-		configurationAsOfStoreMs: configurationWatch.asOfStoreMs,
+		configurationAsOfStoreMs: confirmedAsOfStoreMs(state),
 		registry: {
 			revision: registry.revision, digest: registry.digest, asOfStoreMs: registry.asOfStoreMs, isRead: canReadStore(state, nowMs),
 		},
 		lease: held
 			? {
-				holder: state.self, epoch: held.epoch, ageMs: 0, instances: countInstances(state, nowMs),
+				holder: state.self, epoch: held.epoch, ageMs: 0, instances: countInstances(state, nowMs), quotas: announcedLevels(context, held),
 			}
 			: leaseStatus(context),
 		loads: [...state.targets.values()].filter(({inFlight}) => inFlight.size > 0).map(target => announcedLoad(target)),
@@ -181,6 +191,10 @@
 		crashDigest: state.crashEvidence.digest,
 		rateLimits: announcedLimits(context),
 		brittle: orNone(announcedBrittleness(context)),
+		slowness: announcedSlowness(context, state.targets.values()),
+		speeds: announcedSpeeds(context),
+		paces: announcedPaces(state),
+		failureRates: announcedFailureRates(context),
 		unreached: orNone(unreachedTargets(state).slice(0, MAX_UNREACHED)),
 		isCutOff: isCutOff(state, nowMs) || undefined,
 	};
@@ -194,7 +208,7 @@
 export function leaseStatus({state, nowMs}: EntryContext): Beacon['lease'] {
 	const {lastKnown} = state.lease;
 	return lastKnown && {
-		holder: lastKnown.holder, epoch: lastKnown.epoch, ageMs: Math.round(nowMs - lastKnown.claimedAtMs), instances: lastKnown.instances,
+		holder: lastKnown.holder, epoch: lastKnown.epoch, ageMs: Math.round(nowMs - lastKnown.claimedAtMs), instances: lastKnown.instances, quotas: lastKnown.quotas,
 	};
 }
 
--- a/src/core/entry/configuration.ts
+++ b/src/core/entry/configuration.ts
@@ -4,6 +4,7 @@
 may send. It is always read as a whole, has a monotonically increasing version, and is
 indexed once when it is adopted.
 */
+import {type Workspace} from './workspace.js';
 
 /** A service that a route sends requests to. Several destinations share a route in proportion to their weights. */
 export type Destination = {
@@ -32,6 +33,8 @@
 	/** Maximum number of tries of one request that may have been executed. */
 	readonly maxAttempts: number;
 	readonly destinations: readonly Destination[];
+	/** Whether callers need no API key where the configuration has workspaces; absent: they do. */
+	readonly isPublic?: boolean;
 };
 
 export type EngineModel = {
@@ -74,6 +77,8 @@
 	readonly routes: readonly Route[];
 	readonly services: ReadonlyMap<string, Service>;
 	readonly limits: CallerLimits;
+	/** Empty if callers need no API key; absent in the configurations of instances of an earlier build. */
+	readonly workspaces?: readonly Workspace[];
 };
 
 /** Routes by host, longest prefix first. */
@@ -100,7 +105,7 @@
 }
 
 /** Host names are compared case-insensitively and without the port (RFC 9110, section 4.2.3). */
-function normalizeHost(host: string): string {
+export function normalizeHost(host: string): string {
 	return host.toLowerCase().replace(/:\d*$/v, '');
 }
 
--- a/src/core/entry/effect.ts
+++ b/src/core/entry/effect.ts
@@ -7,7 +7,7 @@
 import {type RequestId, type TargetId} from '../types.js';
 import {type EntryConfiguration} from './configuration.js';
 import {
-	type Beacon, type KnownVersions, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest,
+	type Beacon, type KnownVersions, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant,
 } from './peer-messages.js';
 import {type ReleaseRecord} from './release-record.js';
 import {
@@ -31,6 +31,12 @@
 		/** Whether a server error is the final response and forwarded to the caller. */
 		readonly forwardsErrors: boolean;
 		readonly maxConnections: number;
+		/** Whether the caller's API key, and a workspace that it states itself, are removed from the headers. */
+		readonly hidesKey: boolean;
+		/** Name of the workspace that the request belongs to, undefined for none. */
+		readonly workspace: string | undefined;
+		/** How many idle connections to the target this instance may keep for any requests, if reuse for all is set. */
+		readonly maxIdleConnections: number;
 		/** Present if the address is another instance's, which the request is passed on to. */
 		readonly relayed?: Relayed;
 	}
@@ -66,6 +72,8 @@
 	| {readonly kind: 'announce-load'; readonly addresses: readonly string[]; readonly announcement: LoadAnnouncement}
 	| {readonly kind: 'ask-permits'; readonly address: string; readonly request: PermitRequest}
 	| {readonly kind: 'grant-permits'; readonly address: string; readonly grant: PermitGrant}
+	| {readonly kind: 'ask-quota'; readonly address: string; readonly ask: QuotaAsk}
+	| {readonly kind: 'grant-quota'; readonly address: string; readonly grant: QuotaGrant}
 	| {readonly kind: 'announce-origins'; readonly addresses: readonly string[]; readonly announcement: OriginAnnouncement}
 	| {readonly kind: 'ask-origin'; readonly addresses: readonly string[]; readonly query: OriginQuery}
 	/** Requests whatever is newer at a peer. */
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -5,8 +5,9 @@
 import {type RequestId, type TargetId} from '../types.js';
 import {type EntryConfiguration} from './configuration.js';
 import {type EnabledMechanisms} from './mechanisms.js';
+import {type PaceMode} from './pace.js';
 import {
-	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type StateTransfer,
+	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant, type StateTransfer,
 } from './peer-messages.js';
 import {type ReleaseRow} from './release-record.js';
 import {
@@ -27,11 +28,11 @@
 export type ProbeOutcome = 'accepted' | 'refused' | 'unanswered';
 
 type EntryEventBody =
-	| {readonly kind: 'started'; readonly self: EntryInstance; readonly bounds: EntryBounds; readonly seed: number; readonly mechanisms?: EnabledMechanisms}
+	| {readonly kind: 'started'; readonly self: EntryInstance; readonly bounds: EntryBounds; readonly seed: number; readonly mechanisms?: EnabledMechanisms; readonly paceMode?: PaceMode}
 	| {readonly kind: 'tick'}
 	| {readonly kind: 'configuration-read'; readonly configuration: EntryConfiguration}
 	/** The store has answered whether there is a newer configuration than the last one read; `sentAtMs` and `storeMs` as for the registry. */
-	| {readonly kind: 'configuration-checked'; readonly sentAtMs: number; readonly storeMs: number}
+	| {readonly kind: 'configuration-checked'; readonly sentAtMs: number; readonly sentAtWallMs?: number; readonly storeMs: number}
 	| {
 		readonly kind: 'registry-read';
 		readonly revision: number;
@@ -40,8 +41,9 @@
 		readonly isFullSnapshot: boolean;
 		/** Revisions below this one are from before the store was last restored from an older copy; absent if it never was. */
 		readonly eraRevision?: number;
-		/** When the read was sent, by the monotonic clock. */
+		/** When the read was sent, by the monotonic clock, and by the time of day where that is known. */
 		readonly sentAtMs: number;
+		readonly sentAtWallMs?: number;
 		/** The store's own monotonic clock when it responded. */
 		readonly storeMs: number;
 	}
@@ -97,6 +99,8 @@
 	| {readonly kind: 'load-announced'; readonly announcement: LoadAnnouncement}
 	| {readonly kind: 'permits-requested'; readonly request: PermitRequest}
 	| {readonly kind: 'permits-granted'; readonly grant: PermitGrant}
+	| {readonly kind: 'quota-asked'; readonly ask: QuotaAsk}
+	| {readonly kind: 'quota-granted'; readonly grant: QuotaGrant}
 	| {readonly kind: 'origins-announced'; readonly announcement: OriginAnnouncement}
 	| {readonly kind: 'origin-asked'; readonly query: OriginQuery}
 	| {readonly kind: 'pull-completed'; readonly transfer: StateTransfer}
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -37,6 +37,18 @@
 	readonly ageMs: number;
 	/** Number of instances that the holder counted then; undefined from instances of an earlier release. */
 	readonly instances?: number;
+	/** Absent without quotas, and from instances of an earlier release. */
+	readonly quotas?: QuotaLevels;
+};
+
+/** What the lease holder says of the quotas of all workspaces. */
+export type QuotaLevels = {
+	readonly configurationVersion: number;
+	/**
+	One character for each workspace with a quota, in the order of that version: the used tenths of its limit, as `0` to `9`, or,
+	as `a` to `f` for 0 to 5 tenths, that instances may use some units before they report them.
+	*/
+	readonly levels: string;
 };
 
 /** Copy that is about to be unloaded and gets no new requests. */
@@ -75,10 +87,32 @@
 /** What one instance has in flight at a target. */
 export type AnnouncedLoad = readonly [targetId: TargetId, inFlight: number, unreadTokens?: number];
 
+/** Target that the sender cannot open a connection to, since when, and whether it reaches others of the same service. */
+export type UnreachedTarget = readonly [targetId: TargetId, incarnation: number, sinceAgoMs: number, reachesOthers: boolean];
+
+/** Limit on the requests at a target that finds its pace; `epoch` grows with its failures. */
+export type AnnouncedPace = readonly [targetId: TargetId, incarnation: number, epoch: number, limit: number];
+
+/** Share of tries that failed through a target's fault, in percent. */
+export type AnnouncedFailureRate = readonly [targetId: TargetId, incarnation: number, percent: number];
+
+/** How long work takes at a target, in percent of the usual time, and the time since the target stated it. */
+export type AnnouncedSlowness = readonly [targetId: TargetId, percent: number, agoMs: number];
+
+/** How fast a target works, as learned from responses: hundredths of the logarithm of its time against the middle of its service, and the number of samples. */
+export type AnnouncedSpeed = readonly [targetId: TargetId, incarnation: number, logTimeHundredths: number, weight: number];
+
 /** Sent between beacons when an instance's load on engines changes, since a beacon is older than the time that a prompt takes to be read. */
 export type LoadAnnouncement = {
 	readonly from: InstanceId;
 	readonly loads: readonly AnnouncedLoad[];
+	/** Absent if none is known. */
+	readonly slowness?: readonly AnnouncedSlowness[];
+	/** What the sender has just found that it does not reach, or reaches; absent in announcements of loads. */
+	readonly unreached?: readonly UnreachedTarget[];
+	readonly reached?: readonly TargetId[];
+	/** Limits that have changed. */
+	readonly paces?: readonly AnnouncedPace[];
 };
 
 /** A target's rate limit, or that it has lifted one. */
@@ -112,6 +146,51 @@
 	readonly freeInMs: number;
 };
 
+/** What an instance needs and has used of one workspace's quota. */
+export type AskedQuota = {
+	readonly workspace: string;
+	/** Units of each request that waits. */
+	readonly needs: readonly number[];
+	/** All units that it has ever used less those that this account has granted it; only the change since its last ask matters. */
+	readonly used: number;
+	/** Until its first answer: units used in the last window, by age. */
+	readonly history?: readonly number[];
+};
+
+/** Asks the instance that keeps an account for units of quotas, and tells it what was used without. One ask is for all workspaces. */
+export type QuotaAsk = {
+	readonly askNumber: number;
+	readonly from: InstanceId;
+	readonly boot: string;
+	/** Host and port that receives the answer. */
+	readonly replyTo: string;
+	/** Name of the account that is asked. */
+	readonly account: string;
+	/** Changes whenever the sender turns to the account anew. */
+	readonly session: number;
+	/** Time since the sender started: what ran in its place before is not known. */
+	readonly upMs: number;
+	/** Whether the account has not answered it yet, so that `history` is all that it has used in the window. */
+	readonly isFirst: boolean;
+	readonly quotas: readonly AskedQuota[];
+};
+
+export type GrantedQuota = {
+	readonly workspace: string;
+	/** For the first needs of the ask: time until the units of each may be used. */
+	readonly inMs: readonly number[];
+	/** Time until there may be room for the next need; absent if all are granted. */
+	readonly roomInMs?: number;
+};
+
+export type QuotaGrant = {
+	/** Number of the ask that it answers. */
+	readonly grantNumber: number;
+	readonly account: string;
+	readonly quotas: readonly GrantedQuota[];
+	readonly levels: QuotaLevels;
+};
+
 /** What began a stream, by the request that brought its first event. */
 export type AnnouncedOrigin = readonly [streamId: RequestId, service: string, release: string];
 
@@ -169,6 +248,14 @@
 	readonly isCutOff?: boolean;
 	/** Services whose targets fall over when they turn too many requests away. */
 	readonly brittle?: readonly AnnouncedBrittleness[];
+	/** What targets stated just now; absent if none did. */
+	readonly slowness?: readonly AnnouncedSlowness[];
+	/** Targets that fail; absent if there are none. */
+	readonly failureRates?: readonly AnnouncedFailureRate[];
+	/** Limits of targets that find their pace; absent if there are none. */
+	readonly paces?: readonly AnnouncedPace[];
+	/** Speeds of targets of which the sender has learned something new, a few in each beacon. */
+	readonly speeds?: readonly AnnouncedSpeed[];
 	/** Undefined from instances of an earlier release. */
 	readonly rateLimits?: readonly AnnouncedLimit[];
 };
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -7,17 +7,24 @@
 import {adoptConfiguration} from './configuration-adoption.js';
 import {confirmConfiguration} from './configuration-watch.js';
 import {mergeCrashes} from './crash-suspects.js';
+import {renewReports} from './dark-targets.js';
+import {adoptFailureRates} from './failure-rates.js';
 import {dispatchAll} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
 import {
 	type Beacon, type KnownVersions, type LeaseStatus, type Peer, type StateTransfer,
 } from './peer-messages.js';
+import {adoptPace} from './pace.js';
 import {recordInstanceCount} from './peers.js';
+import {holderAccount} from './quota-account.js';
+import {noteLevels} from './quotas.js';
 import {adoptAnnouncedLimits} from './rate-limit.js';
 import {adoptRegistry, announceChange, updateFreshness} from './registry.js';
 import {registryTransfer} from './registry-transfer.js';
 import {leaseStatus} from './beacon-sender.js';
+import {adoptSlowness} from './slowness.js';
 import {logEvent, type EntryContext} from './state.js';
+import {adoptSpeeds} from './target-speeds.js';
 import {type EntryInstance} from './types.js';
 
 /** The store's feed usually delivers a version this soon after a peer has it, which makes a pull needless. */
@@ -48,6 +55,14 @@
 	confirmConfiguration(context, beacon);
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
+	renewReports(context, beacon);
+	adoptFailureRates(state, beacon.failureRates ?? [], context.nowMs);
+	for (const pace of beacon.paces ?? []) {
+		adoptPace(context, pace);
+	}
+
+	adoptSlowness(context, beacon.slowness ?? []);
+	adoptSpeeds(context, beacon.speeds ?? []);
 	adoptAnnouncedLimits(context, beacon.rateLimits ?? []);
 	for (const brittleness of beacon.brittle ?? []) {
 		adoptBrittleness(context, brittleness);
@@ -136,8 +151,12 @@
 	if (!lastKnown || lease.epoch > lastKnown.epoch || (lease.epoch === lastKnown.epoch && claimedAtMs > lastKnown.claimedAtMs)) {
 		state.lease.steppedDownSinceMs = lastKnown?.epoch === lease.epoch ? state.lease.steppedDownSinceMs : undefined;
 		state.lease.lastKnown = {
-			holder: lease.holder, epoch: lease.epoch, claimedAtMs, instances: lease.instances ?? 0,
+			holder: lease.holder, epoch: lease.epoch, claimedAtMs, instances: lease.instances ?? 0, quotas: lease.quotas,
 		};
+		if (lease.quotas) {
+			noteLevels(context, {atMs: claimedAtMs, account: holderAccount(lease.epoch), told: lease.quotas});
+		}
+
 		recordInstanceCount(state, lease.instances ?? 0, nowMs);
 		// The holder needs beacons of all instances, also of those that have not heard from it themselves.
 		addPeers(context, [lease.holder]);
@@ -192,20 +211,21 @@
 
 function applyLoads({state, nowMs}: EntryContext, beacon: Beacon): void {
 	const {from} = beacon;
-	const loads = new Map(beacon.loads.map(([targetId, inFlight, unreadTokens = 0]) => [targetId, {inFlight, unreadTokens, atMs: nowMs}]));
-	const peer = state.peers.get(from.id);
-	for (const id of peer?.loadedTargets ?? []) {
-		if (!loads.has(id)) {
-			state.targets.get(id)?.peerLoads.delete(from.id);
-		}
-	}
-
-	for (const [id, load] of loads) {
-		state.targets.get(id)?.peerLoads.set(from.id, load);
+	const loaded = new Set<TargetId>();
+	for (const [id, inFlight, unreadTokens = 0] of beacon.loads) {
+		loaded.add(id);
+		state.targets.get(id)?.peerLoads.set(from.id, {inFlight, unreadTokens, atMs: nowMs});
 	}
 
+	const peer = state.peers.get(from.id);
 	if (peer) {
-		peer.loadedTargets = new Set(loads.keys());
+		for (const id of peer.loadedTargets) {
+			if (!loaded.has(id)) {
+				state.targets.get(id)?.peerLoads.delete(from.id);
+			}
+		}
+
+		peer.loadedTargets = loaded;
 	}
 
 	for (const {targetId, model, forMs} of beacon.leavingCopies) {
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -7,8 +7,10 @@
 import {expireFetches, handleAdapterRequested, handleAdapterResolved} from './adapters.js';
 import {handleArrival, handleCallerLeft} from './admission.js';
 import {adoptConfiguration} from './configuration-adoption.js';
+import {watchClocks} from './configuration-age.js';
 import {handleConfigurationChecked, watchConfiguration} from './configuration-watch.js';
 import {expireSuspects, handleTargetProbed} from './crash-suspects.js';
+import {watchDarkTargets} from './dark-targets.js';
 import {updateDemandRates} from './demand.js';
 import {dispatchAll} from './dispatch.js';
 import {beginDrain, runDrain} from './drain.js';
@@ -27,11 +29,15 @@
 import {handleRegistryRead, handleRegistryReadFailure, refreshRegistry} from './registry.js';
 import {announceLoads, handleLoadAnnouncement} from './load-announcements.js';
 import {handlePermitGrant, handlePermitRequest} from './rate-permits.js';
+import {
+	handleQuotaAsk, handleQuotaGrant, handleQuotaTimeout, runQuotas,
+} from './quotas.js';
 import {handleBeacon, handlePullCompleted, addPeers} from './peer-sync.js';
 import {sendBeacons} from './beacon-sender.js';
 import {
 	logEvent, type Timer, type EntryContext, type EntryState,
 } from './state.js';
+import {checkSpeeds} from './target-speeds.js';
 import {
 	continueProven, continueResolved, handleOriginAsked, handleOriginsAnnounced, handleOriginTimeout,
 } from './stream-origins.js';
@@ -44,11 +50,12 @@
 };
 
 const handlers: Handlers = {
-	started(context, {self, bounds, seed, mechanisms = allMechanisms}) {
+	started(context, {self, bounds, seed, mechanisms = allMechanisms, paceMode = 'off'}) {
 		const {state} = context;
 		state.self = self;
 		state.bounds = bounds;
 		state.mechanisms = mechanisms;
+		state.paceMode = paceMode;
 		state.random = xoroshiro128plus(seed);
 		state.lifecycle = 'serving';
 		state.startedAtMs = context.nowMs;
@@ -83,6 +90,8 @@
 	'load-announced': handleLoadAnnouncement,
 	'permits-requested': handlePermitRequest,
 	'permits-granted': handlePermitGrant,
+	'quota-asked': handleQuotaAsk,
+	'quota-granted': handleQuotaGrant,
 	'origins-announced'(context, event) {
 		handleOriginsAnnounced(context, event);
 		continueResolved(context);
@@ -97,6 +106,7 @@
 		state, nowMs: event.nowMs, wallMs: event.wallMs, effects: [],
 	};
 	const handler = handlers[event.kind] as (context: EntryContext, event: EntryEvent) => void;
+	watchClocks(context);
 	handler(context, event);
 	announceLoads(context);
 	return context.effects;
@@ -108,9 +118,11 @@
 	expireFetches(context);
 	expireSuspects(context);
 	endHeldUpTries(context);
+	watchDarkTargets(context);
 	probeTargets(context);
 	dispatchAll(context);
 	updateDemandRates(context);
+	checkSpeeds(context);
 	refreshRegistry(context);
 	watchConfiguration(context);
 	updateReleaseRecord(context);
@@ -118,6 +130,7 @@
 	runOrders(context);
 	runPlacement(context);
 	sendBeacons(context);
+	runQuotas(context);
 	runDrain(context);
 }
 
@@ -126,6 +139,7 @@
 	patience: handlePatience,
 	silence: handleSilence,
 	origin: handleOriginTimeout,
+	quota: handleQuotaTimeout,
 };
 
 function fireTimers(context: EntryContext): void {
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -7,8 +7,10 @@
 import {type TargetId} from '../types.js';
 import {recordTargetCrash} from './crash-suspects.js';
 import {markLeaving} from './leaving.js';
+import {isAgeBounded, learnStoreClock} from './configuration-age.js';
 import {type EntryEventOf} from './event.js';
 import {dispatchAll} from './dispatch.js';
+import {beginPace} from './pace.js';
 import {isDueAsReader} from './registry-readers.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {updateMixedServices} from './stream-origins.js';
@@ -53,6 +55,10 @@
 	registry.isReadNews = true;
 	// The store read its clock after the request was sent. Equating the two times never makes a copy look fresher than it is.
 	registry.storeOffsetMs = event.sentAtMs - event.storeMs;
+	if (isAgeBounded(state)) {
+		learnStoreClock(context, event);
+	}
+
 	registry.eraRevision = Math.max(registry.eraRevision, event.eraRevision ?? 0);
 	// An answer that was overtaken by a later one is older by the store's clock too.
 	if (event.revision < registry.revision && event.storeMs > registry.asOfStoreMs) {
@@ -115,6 +121,8 @@
 	}
 
 	updateFreshness(context, change.asOfStoreMs);
+	// To an instance that has just started, all targets are new.
+	const isFirst = state.targets.size === 0;
 	const isRestored = registry.revision > 0 && registry.revision < (change.eraRevision ?? 0);
 	registry.revision = change.revision;
 	if (isRestored) {
@@ -128,7 +136,7 @@
 			continue;
 		}
 
-		adoptEntry(context, entry);
+		adoptEntry(context, entry, isFirst);
 		recordChange(context, entry);
 	}
 
@@ -209,14 +217,18 @@
 	}
 }
 
-function adoptEntry(context: EntryContext, entry: TargetEntry): void {
+function adoptEntry(context: EntryContext, entry: TargetEntry, isFirst: boolean): void {
 	const {state} = context;
 	const target = state.targets.get(entry.id);
 	if (!target) {
 		logEvent(context, 'target-listed', {
 			targetId: entry.id, service: entry.service, zone: entry.zone, revision: state.registry.revision,
 		});
-		addTarget(context, entry);
+		const added = addTarget(context, entry);
+		if (!isFirst) {
+			beginPace(context, added, 'appeared');
+		}
+
 		return;
 	}
 
@@ -230,7 +242,7 @@
 		}
 
 		logEvent(context, 'target-restarted', {targetId: entry.id, revision: state.registry.revision});
-		addTarget(context, entry);
+		beginPace(context, addTarget(context, entry), 'restarted');
 		return;
 	}
 
@@ -251,12 +263,14 @@
 	mergeAdapters(target, entry);
 }
 
-function addTarget(context: EntryContext, entry: TargetEntry): void {
+function addTarget(context: EntryContext, entry: TargetEntry): Target {
 	const target = createTarget(entry);
 	context.state.targets.set(entry.id, target);
 	if (entry.isLeaving) {
 		markLeaving(context, target, 'registry');
 	}
+
+	return target;
 }
 
 /** A report may be newer than the registry's entry, which changes only with the target's next heartbeat. */
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -2,16 +2,26 @@
 Sends a try to its target and sets the timer that detects a silent one.
 */
 import {upperLimitMs} from '../request/estimate.js';
+import {roundedAgeMs} from './configuration-age.js';
 import {countInstances} from './peers.js';
 import {takePermit} from './rate-permits.js';
 import {tokensToRead} from './reading-speed.js';
 import {logEvent, type EntryContext} from './state.js';
-import {ownUnreadTokens, type Target} from './target.js';
+import {
+	estimatedLoad, ownUnreadTokens, unreadTokens, type Target,
+} from './target.js';
 import {type EntryRequest, type EntryTry} from './types.js';
+import {sentWorkspace} from './workspaces.js';
 
 /** Bounds of the time after which a target without a response is considered silent, as multiples of the latency objective. */
 const MIN_SILENCE_FACTOR = 1.2;
 const MAX_SILENCE_FACTOR = 3;
+/** The steps of an engine before and after it reads a prompt take about as long as reading this many tokens. */
+const SET_UP_TOKENS = 300;
+/** Connections that an instance may keep for a short time even if its share is smaller. */
+const MIN_CONNECTIONS = 4;
+/** Part of an instance's share that idle connections may take; the rest is left to instances that send more than others. */
+const IDLE_SHARE = 0.5;
 /** Time reserved for the response to get back to this instance. */
 const RESPONSE_MARGIN_MS = 5;
 
@@ -23,6 +33,7 @@
 		release: target.entry.release,
 		startedAtMs: nowMs,
 		unreadTokens: request.arrival.model === undefined ? 0 : ownUnreadTokens(target) + tokensToRead(request.arrival.promptTokens),
+		workUnits: workUnits(request, target, nowMs),
 		progressAtMs: nowMs,
 		hasBegun: false,
 		outcome: undefined,
@@ -49,7 +60,9 @@
 		usesFreshConnection: route.repeat === 'once' || isRetry,
 		isStream: route.isStream,
 		forwardsErrors: route.repeat === 'once',
-		maxConnections: connectionShare(context, target),
+		...sentWorkspace(state, request),
+		maxConnections: Math.max(MIN_CONNECTIONS, Math.floor(connectionShare(context, target))),
+		maxIdleConnections: Math.round(connectionShare(context, target) * IDLE_SHARE),
 	});
 	logEvent(context, 'try-sent', {
 		requestId: request.id,
@@ -60,9 +73,11 @@
 		resumes: request.arrival.resumes,
 		delivered: request.delivered,
 		model: request.arrival.model,
+		workspace: request.workspace?.name,
 		inFlight: target.inFlight.size,
 		limitPerSecond: target.rateLimit?.perSecond,
 		configurationVersion: state.configuration?.version,
+		configurationAgeMs: request.workspace && roundedAgeMs(context),
 		registryRevision: state.registry.revision,
 		registryAgeMs: Math.round(nowMs - state.registry.freshAtMs),
 		waitedMs: Math.round(nowMs - request.arrivedAtMs),
@@ -75,8 +90,14 @@
 	}
 }
 
-/** This instance's share of the connections that the target accepts, leaving room for instances not known yet. */
+function workUnits({arrival}: EntryRequest, target: Target, nowMs: number): number {
+	return arrival.model === undefined
+		? Math.max(1, (estimatedLoad(target, nowMs) + 1) / Math.max(1, target.entry.slots))
+		: unreadTokens(target, nowMs) + tokensToRead(arrival.promptTokens) + SET_UP_TOKENS;
+}
+
+/** This instance's share of the connections that the target accepts from all instances, leaving room for one not known yet. */
 function connectionShare({state, nowMs}: EntryContext, target: Target): number {
 	const limit = state.configuration?.services.get(target.entry.service)?.maxConnections ?? target.entry.slots;
-	return Math.max(4, Math.floor(limit / (countInstances(state, nowMs) + 1)));
+	return limit / (countInstances(state, nowMs) + 1);
 }
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -11,31 +11,38 @@
 import {type RequestId, type TargetId} from '../types.js';
 import {CrashEvidence} from '../request/crash-evidence.js';
 import {type EntryConfiguration, type RouteIndex} from './configuration.js';
+import {createConfigurationAge, type ConfigurationAge} from './configuration-age.js';
 import {type EntryEffect} from './effect.js';
 import {type ComingCopy, type HeldAdapter, type Peers} from './peer-messages.js';
 import {OrderTracker} from './order-tracker.js';
 import {createLease, type Lease} from './lease-state.js';
 import {allMechanisms, type EnabledMechanisms} from './mechanisms.js';
+import {createQuotas, type Quotas} from './quota-state.js';
+import {type PaceMode} from './pace.js';
 import {type ReadingSpeed} from './reading-speed.js';
 import {createKnownReleases, type KnownReleases} from './release-record.js';
 import {type RetryBudget} from './retry-budget.js';
+import {createTargetSpeeds, type TargetSpeeds} from './target-speeds.js';
 import {type Target} from './target.js';
 import {
 	type EntryBounds, type EntryInstance, type EntryRequest, type StreamOrigin,
 } from './types.js';
 import {type WaitingQueue} from './waiting-queue.js';
+import {type WorkspaceIndex} from './workspaces.js';
 
 /** Fingerprints of the answers of the last seconds, at 50 requests a second with a few fingerprints each. */
 const MAX_SURVIVALS = 5000;
 const MAX_CRASH_TRIALS = 200;
+/** Targets of the largest deployments. */
+const MAX_PACES_ENDED = 1000;
 /** Those of the last minute, of own streams and of streams that this instance keeps for others, at 50 a second. */
 const MAX_STREAM_ORIGINS = 6000;
 
 export type Timer = {
 	readonly atMs: number;
 	readonly requestId: RequestId;
-	/** `deadline` ends the request, `patience` checks how long it has waited, `silence` checks the try `tryNumber` for progress, `origin` ends the wait for what began the stream. */
-	readonly kind: 'deadline' | 'patience' | 'silence' | 'origin';
+	/** `deadline` ends the request, `patience` checks how long it has waited, `silence` checks the try `tryNumber` for progress, `origin` ends the wait for what began the stream, `quota` the wait for its quota. */
+	readonly kind: 'deadline' | 'patience' | 'silence' | 'origin' | 'quota';
 	readonly tryNumber: number;
 };
 
@@ -63,6 +70,9 @@
 	self: EntryInstance;
 	bounds: EntryBounds;
 	mechanisms: EnabledMechanisms;
+	paceMode: PaceMode;
+	/** Limits that have ended, by target, with the epoch at which they did. */
+	readonly pacesEnded: RecentMap<{readonly epoch: number; readonly atMs: number}>;
 	random: RandomGenerator;
 	lifecycle: 'starting' | 'serving' | 'draining' | 'stopped';
 	drainSinceMs: number;
@@ -71,6 +81,8 @@
 	startedAtMs: number;
 	configuration: EntryConfiguration | undefined;
 	routes: RouteIndex;
+	/** Undefined if the configuration contains no workspaces. */
+	workspaces: WorkspaceIndex | undefined;
 	/** Since when a peer is known to have a newer configuration. */
 	configurationBehindSinceMs: number | undefined;
 	configurationWatch: {
@@ -82,6 +94,8 @@
 		/** Whether it is logged that this has not been known for a while. */
 		isUnconfirmed: boolean;
 	};
+	/** Maintained where the age of the configuration has a bound. */
+	readonly configurationAge: ConfigurationAge;
 	readonly targets: Map<TargetId, Target>;
 	registry: {
 		revision: number;
@@ -129,10 +143,14 @@
 	readonly survivals: RecentMap<number>;
 	/** When a request with a fingerprint at fault was last sent to learn whether it still crashes targets. */
 	readonly crashTrials: RecentMap<number>;
+	/** Whether a connection to an address is idle and may be used for any request; set by the daemon where all requests reuse connections. */
+	hasIdleConnection: (address: string) => boolean;
 	/** Targets that are probed. */
 	readonly probedTargets: Set<TargetId>;
 	/** Services whose targets have stated how many requests a second they can turn away. */
 	readonly brittleServices: Map<string, {readonly declinesPerSecond: number; readonly statedAtMs: number}>;
+	/** Targets that instances of the zone cannot open a connection to. */
+	readonly reportedTargets: Set<TargetId>;
 	/** Services of which this instance reaches no target. */
 	readonly unreachedServices: Set<string>;
 	/** Targets whose connections broke, until it is known whether they went down. */
@@ -152,6 +170,7 @@
 	readonly demand: Map<string, DemandRecord>;
 	/** Reading speed of engines by queue key, since it differs by model. */
 	readonly readingSpeeds: Map<string, ReadingSpeed>;
+	readonly targetSpeeds: TargetSpeeds;
 	readonly peers: Peers;
 	/** Instances heard from recently, this one included, as of the last round of beacons. */
 	heardInstances: number;
@@ -160,6 +179,7 @@
 	readonly loadsToAnnounce: Set<TargetId>;
 	readonly lease: Lease;
 	readonly orderTracker: OrderTracker;
+	readonly quotas: Quotas;
 	/** Requests that wait for an adapter to be loaded, by `target model/adapter`. */
 	readonly adapterFetches: Map<string, {sinceMs: number; readonly requests: Set<RequestId>}>;
 };
@@ -173,6 +193,8 @@
 			graceMs: 8000, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 0,
 		},
 		mechanisms: allMechanisms,
+		paceMode: 'off',
+		pacesEnded: new RecentMap(MAX_PACES_ENDED),
 		random: xoroshiro128plus(0),
 		lifecycle: 'starting',
 		drainSinceMs: 0,
@@ -180,10 +202,12 @@
 		startedAtMs: 0,
 		configuration: undefined,
 		routes: new Map(),
+		workspaces: undefined,
 		configurationBehindSinceMs: undefined,
 		configurationWatch: {
 			confirmedAtMs: Number.NEGATIVE_INFINITY, asOfStoreMs: 0, checkSentAtMs: Number.NEGATIVE_INFINITY, isUnconfirmed: false,
 		},
+		configurationAge: createConfigurationAge(),
 		targets: new Map(),
 		registry: {
 			revision: 0,
@@ -214,8 +238,10 @@
 		crashesPulledAtMs: Number.NEGATIVE_INFINITY,
 		survivals: new RecentMap(MAX_SURVIVALS),
 		crashTrials: new RecentMap(MAX_CRASH_TRIALS),
+		hasIdleConnection: () => true,
 		probedTargets: new Set(),
 		brittleServices: new Map(),
+		reportedTargets: new Set(),
 		unreachedServices: new Set(),
 		suspectedTargets: new Set(),
 		streamOrigins: new RecentMap(MAX_STREAM_ORIGINS),
@@ -227,12 +253,14 @@
 		comingCopies: new Map(),
 		demand: new Map(),
 		readingSpeeds: new Map(),
+		targetSpeeds: createTargetSpeeds(),
 		peers: new Map(),
 		heardInstances: 1,
 		loadsToAnnounce: new Set(),
 		beaconsSentAtMs: Number.NEGATIVE_INFINITY,
 		lease: createLease(),
 		orderTracker: new OrderTracker(),
+		quotas: createQuotas(),
 		adapterFetches: new Map(),
 	};
 }
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -8,6 +8,9 @@
 	type InstanceId, type RequestId, type TargetId, type ZoneName,
 } from '../types.js';
 import {type Fingerprint} from '../request/crash-evidence.js';
+import {type DarkReport} from './dark-targets.js';
+import {type PaceLimit} from './pace.js';
+import {createTargetSpeed, type TargetSpeed} from './target-speeds.js';
 
 export type ModelCopy = {
 	readonly model: string;
@@ -58,6 +61,8 @@
 	readonly running: number;
 	readonly waiting: number;
 	readonly slots: number;
+	/** How long work takes there at this moment, as a multiple of the usual time; absent if the target does not state it. */
+	readonly slowness?: number;
 };
 
 /** What the head of a target's response states about the rate of requests. */
@@ -121,6 +126,11 @@
 	loadReceivedAtMs: number;
 	/** This instance's requests in flight there when that load arrived. */
 	ownAtLoad: number;
+	/** How long work takes there, as a multiple of the usual time, as last stated to this instance or a peer; undefined if it never was. */
+	slowness: {readonly factor: number; readonly statedAtMs: number} | undefined;
+	readonly speed: TargetSpeed;
+	/** Limit while it finds its pace. */
+	pace: PaceLimit | undefined;
 	/** Nothing is sent to it before this time, after connection failures. */
 	backoffUntilMs: number;
 	/** Nothing is sent to it before this time, which it has named when it turned a request away. */
@@ -129,12 +139,24 @@
 	failures: number;
 	/** Smoothed share of tries that failed through the target's fault. */
 	failureRate: number;
+	/** When an outcome last changed it; infinite where it does not fade. */
+	failureRateAtMs: number;
+	/** Whether this instance has had an outcome there since it last told its peers. */
+	hasFailureNews: boolean;
 	/** Fingerprints of requests whose connection to it broke, until it is known whether it crashed. */
 	readonly suspects: Array<{readonly fingerprints: readonly Fingerprint[]; readonly atMs: number}>;
 	/** When a response, or a part of one, last came from it. */
 	heardAtMs: number;
 	/** Since when connections to it cannot be opened; undefined while they can, as far as this instance knows. */
 	unreachedSinceMs: number | undefined;
+	/** Instances of the zone that cannot open a connection to it. */
+	readonly darkReports: Map<InstanceId, DarkReport>;
+	/** Since when they suffice for nobody to try it; undefined while they do not. */
+	darkSinceMs: number | undefined;
+	/** When a peer last told that it reaches it. */
+	reachedByPeerAtMs: number;
+	/** When this instance last told others that it does reach it. */
+	contradictedAtMs: number;
 	readonly probe: {
 		sentAtMs: number;
 		isPending: boolean;
@@ -180,13 +202,22 @@
 		loadTotal: 0,
 		loadReceivedAtMs: Number.NEGATIVE_INFINITY,
 		ownAtLoad: 0,
+		slowness: undefined,
+		speed: createTargetSpeed(),
+		pace: undefined,
 		backoffUntilMs: Number.NEGATIVE_INFINITY,
 		closedUntilMs: Number.NEGATIVE_INFINITY,
 		failures: 0,
 		failureRate: 0,
+		failureRateAtMs: Number.POSITIVE_INFINITY,
+		hasFailureNews: false,
 		suspects: [],
 		heardAtMs: Number.NEGATIVE_INFINITY,
 		unreachedSinceMs: undefined,
+		darkReports: new Map(),
+		darkSinceMs: undefined,
+		reachedByPeerAtMs: Number.NEGATIVE_INFINITY,
+		contradictedAtMs: Number.NEGATIVE_INFINITY,
 		probe: {
 			sentAtMs: Number.NEGATIVE_INFINITY, isPending: false, isWanted: false, refusedAtMs: undefined, answeredAtMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: undefined,
 		},
@@ -263,5 +294,5 @@
 }
 
 export function isUsable(target: Target, nowMs: number): boolean {
-	return isListed(target, nowMs) && nowMs >= target.backoffUntilMs && nowMs >= target.closedUntilMs;
+	return isListed(target, nowMs) && target.darkSinceMs === undefined && nowMs >= target.backoffUntilMs && nowMs >= target.closedUntilMs;
 }
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -8,7 +8,7 @@
 import {type RequestId} from '../types.js';
 import {holdOff, recordStatedBrittleness} from './brittle-services.js';
 import {
-	close, endTry, markRead, refuse, currentTry,
+	close, endTry, markRead, refuse, currentTry, type EntryRefusal,
 } from './closing.js';
 import {
 	addSuspect, hasSurvived, recordRefusal, recordSurvival, refuseIfQuarantined,
@@ -16,21 +16,26 @@
 import {dispatchTarget, enqueue} from './dispatch.js';
 import {queueOf} from './queues.js';
 import {type EntryEventOf} from './event.js';
+import {keyStanding} from './key-checks.js';
+import {failureRateOf, recordOutcome} from './failure-rates.js';
 import {markLeaving} from './leaving.js';
 import {addReading, createReadingSpeed} from './reading-speed.js';
+import {beginPace, recordPaceAnswer, recordPaceFailure} from './pace.js';
 import {recordHeard, recordUnreached} from './reachability.js';
 import {takeRetry} from './retry-budgets.js';
 import {recordStatedLimit} from './rate-limit.js';
 import {chooseTarget} from './selection.js';
 import {
-	avoidRelay, chooseRelay, isUnreached, sendRelay,
+	avoidRelay, chooseInformedPeer, chooseRelay, isUnreached, sendRelay,
 } from './relay.js';
 import {sendTry} from './send.js';
+import {recordSlowness} from './slowness.js';
 import {recordOrigin} from './stream-origins.js';
 import {
-	logEvent, type Timer, type EntryContext, type EntryState,
+	logEvent, type Timer, type EntryContext,
 } from './state.js';
-import {recordLoad, type Target} from './target.js';
+import {addSpeedSample} from './target-speeds.js';
+import {recordLoad, type Target, type TargetLoad} from './target.js';
 import {targetsOf} from './targets.js';
 import {type EntryRequest, type EntryTry, type TryOutcome} from './types.js';
 
@@ -43,6 +48,7 @@
 	readonly wasRefused?: boolean;
 	/** When another instance that refused the request would take it. */
 	readonly retryAfterMs?: number;
+	readonly status?: number;
 };
 
 type OutcomeRule = {
@@ -55,16 +61,17 @@
 	readonly updateTarget: (context: EntryContext, target: Target, request: EntryRequest, details: FailureDetails) => void;
 };
 
+const UNAUTHORIZED_STATUS = 401;
 const SERVICE_UNAVAILABLE_STATUS = 503;
 /** A target that wants nothing for longer leaves; a longer time is taken for an error of its program. */
 const MAX_CLOSED_MS = 3_600_000;
 /** Exponential backoff for a target that could not be reached: the base is doubled with each consecutive failure, up to the maximum. */
 const BACKOFF_BASE_MS = 150;
 const MAX_BACKOFF_MS = 1500;
-/** Weight of one outcome in a target's smoothed failure rate, which thus reflects about the last ten requests. */
-const FAILURE_SMOOTHING = 0.15;
 /** Tries that targets may decline before the caller gets a Retry-After response. */
 const MAX_DECLINED = 2;
+/** Smoothed share of failed tries from which a target has to find its pace again. */
+const PACED_FAILURE_RATE = 0.4;
 /**
 Share of a caller's patience after which a stream without a new event is moved to another target. Sound targets pause for
 about a second, and a stream that has paused beyond its objective is late wherever it goes on.
@@ -86,7 +93,7 @@
 		mayHaveRun: false, isRetry: false, code: 'no-target',
 		updateTarget(context, target, {tries}, {wasRefused}) {
 			backOff(context, target);
-			recordUnreached(context, target, tries.at(-1)!.startedAtMs);
+			recordUnreached(context, target, {sinceMs: tries.at(-1)!.startedAtMs, isRefused: wasRefused === true});
 			if (wasRefused) {
 				recordRefusal(context, target);
 			}
@@ -109,21 +116,21 @@
 	},
 	failed: {
 		mayHaveRun: true, isRetry: true, code: 'target-failed',
-		updateTarget(_, target) {
-			target.failureRate += (1 - target.failureRate) * FAILURE_SMOOTHING;
+		updateTarget(context, target) {
+			recordOutcome(context, target, true);
 		},
 	},
 	broken: {
 		mayHaveRun: true, isRetry: true, code: 'target-failed',
 		updateTarget(context, target, request) {
-			target.failureRate += (1 - target.failureRate) * FAILURE_SMOOTHING;
+			recordOutcome(context, target, true);
 			addSuspect(context, target, request);
 		},
 	},
 	canceled: {
 		mayHaveRun: true, isRetry: true, code: 'target-timeout',
 		updateTarget(context, target, request) {
-			target.failureRate += (1 - target.failureRate) * FAILURE_SMOOTHING;
+			recordOutcome(context, target, true);
 			addSuspect(context, target, request);
 		},
 	},
@@ -150,11 +157,13 @@
 
 	if (target && !attempt.hasBegun) {
 		addSample(target.firstByte, nowMs - attempt.startedAtMs);
-		recordReading(state, request, attempt, nowMs);
 		if (event.load) {
 			recordLoad(target, event.load, nowMs);
+			recordStatedSlowness(context, target, event.load);
 		}
 
+		recordReading(context, target, {request, attempt});
+
 		if (event.rateLimit) {
 			recordStatedLimit(context, target, attempt, event.rateLimit);
 			recordStatedBrittleness(context, target, attempt, event.rateLimit.declinesPerSecond);
@@ -179,7 +188,23 @@
 	request.mayHaveRun = true;
 }
 
-function recordReading(state: EntryState, request: EntryRequest, attempt: EntryTry, nowMs: number): void {
+/** Records what the head of a response states. That of a stream that ends is as old as the stream. */
+function recordStatedSlowness({state, nowMs}: EntryContext, target: Target, {slowness}: TargetLoad): void {
+	if (slowness !== undefined) {
+		recordSlowness(state, target, {factor: slowness, statedAtMs: nowMs});
+	}
+}
+
+/** Plain services show their speed by whole responses. */
+function recordServiceTime(context: EntryContext, target: Target | undefined, {request, attempt}: {readonly request: EntryRequest; readonly attempt: EntryTry}): void {
+	if (target && request.arrival.model === undefined) {
+		const ratio = addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms: context.nowMs - attempt.startedAtMs});
+		recordPaceAnswer(context, target, ratio);
+	}
+}
+
+function recordReading(context: EntryContext, target: Target, {request, attempt}: {readonly request: EntryRequest; readonly attempt: EntryTry}): void {
+	const {state, nowMs} = context;
 	if (attempt.unreadTokens === 0) {
 		return;
 	}
@@ -190,7 +215,9 @@
 		state.readingSpeeds.set(request.queueKey, speed);
 	}
 
-	addReading(speed, attempt.unreadTokens, nowMs - attempt.startedAtMs);
+	const ms = nowMs - attempt.startedAtMs;
+	addReading(speed, attempt.unreadTokens, ms);
+	recordPaceAnswer(context, target, addSpeedSample(context, target, {queueKey: request.queueKey, units: attempt.workUnits, ms}));
 }
 
 export function handleTryEnded(context: EntryContext, event: EntryEventOf<'try-ended'>): void {
@@ -210,6 +237,10 @@
 		recordLimits(context, target, {attempt, event});
 	}
 
+	if (target && event.load && !attempt.hasBegun) {
+		recordStatedSlowness(context, target, event.load);
+	}
+
 	endTry(context, request, attempt, event.outcome);
 	if (target && event.load) {
 		recordLoad(target, event.load, nowMs);
@@ -220,6 +251,7 @@
 	}
 
 	if (event.outcome === 'answered') {
+		recordServiceTime(context, target, {request, attempt});
 		completeRequest(context, request, {target, status: event.status});
 		return;
 	}
@@ -237,7 +269,9 @@
 		tookMs: Math.round(nowMs - attempt.startedAtMs),
 	});
 	const usesMissing = attempt.isRelay === true || state.mechanisms.has('missing-copies');
-	handleFailure(context, request, event.outcome, {wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs});
+	handleFailure(context, request, event.outcome, {
+		wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs, status: event.status,
+	});
 }
 
 /** Records that the target leaves before its slot is freed, so that nothing that waits is sent there. One that has restarted since the try was sent does not. */
@@ -269,6 +303,7 @@
 	const closedUntilMs = context.nowMs + Math.min(retryAfterMs, MAX_CLOSED_MS);
 	if (closedUntilMs > target.closedUntilMs) {
 		target.closedUntilMs = closedUntilMs;
+		beginPace(context, target, 'closed');
 		logEvent(context, 'target-closed', {targetId: target.id, forMs: Math.round(retryAfterMs)});
 	}
 }
@@ -276,7 +311,7 @@
 function completeRequest(context: EntryContext, request: EntryRequest, {target, status}: {readonly target: Target | undefined; readonly status: number | undefined}): void {
 	if (target) {
 		target.failures = 0;
-		target.failureRate -= target.failureRate * FAILURE_SMOOTHING;
+		recordOutcome(context, target, false);
 	}
 
 	const {isStream} = request.route;
@@ -302,8 +337,7 @@
 
 	const isRelay = request.tries.at(-1)?.isRelay ?? false;
 	if (isRelay && outcome === 'not-run' && !details.wasMissing) {
-		const detail = 'the instance that it was passed on to refused it';
-		refuse(context, request, request.mayHaveRun ? {code: 'target-failed', detail} : {code: 'no-target', detail, retryAfterMs: details.retryAfterMs ?? MIN_RETRY_AFTER_MS});
+		refuse(context, request, relayRefusal(request, details));
 		return;
 	}
 
@@ -323,10 +357,19 @@
 	refuse(context, request, {
 		code: request.mayHaveRun ? mayHaveRunCode(rule) : 'no-target',
 		detail: reason,
-		retryAfterMs: request.mayHaveRun ? undefined : Math.max(MIN_RETRY_AFTER_MS, queueOf(state, request.queueKey).expectedWaitMs(request.route.rank)),
+		retryAfterMs: request.mayHaveRun ? undefined : Math.max(MIN_RETRY_AFTER_MS, queueOf(state, request.queueKey).expectedWaitMs(request)),
 	});
 }
 
+function relayRefusal({mayHaveRun}: EntryRequest, {status, retryAfterMs = MIN_RETRY_AFTER_MS}: FailureDetails): EntryRefusal {
+	const detail = 'the instance that it was passed on to refused it';
+	if (mayHaveRun) {
+		return {code: 'target-failed', detail};
+	}
+
+	return status === UNAUTHORIZED_STATUS ? {code: 'api-key-unknown', detail} : {code: 'no-target', detail, retryAfterMs};
+}
+
 /** Records what the outcome of the last try says of its target and of whether the request may have run. */
 function recordFailure(context: EntryContext, request: EntryRequest, outcome: FailedOutcome, details: FailureDetails = {}): OutcomeRule {
 	const rule = outcomeRules[outcome];
@@ -339,11 +382,25 @@
 
 	if (target) {
 		rule.updateTarget(context, target, request, details);
+		pace(context, target, {outcome, wasMissing: details.wasMissing ?? false});
 	}
 
 	return rule;
 }
 
+/** Failures and shed requests slow a target's pace; one that fails often begins to have one. */
+function pace(context: EntryContext, target: Target, {outcome, wasMissing}: {readonly outcome: FailedOutcome; readonly wasMissing: boolean}): void {
+	if (outcome === 'not-sent' || wasMissing) {
+		return;
+	}
+
+	if (failureRateOf(target, context.nowMs) >= PACED_FAILURE_RATE) {
+		beginPace(context, target, 'failing');
+	}
+
+	recordPaceFailure(context, target, outcome);
+}
+
 function mayHaveRunCode(rule: OutcomeRule): ResultName {
 	return rule.mayHaveRun ? rule.code : 'target-failed';
 }
@@ -405,23 +462,30 @@
 		return;
 	}
 
+	if (moveTry(context, request, attempt) === 'later') {
+		reschedule(context, timer, nowMs + SILENCE_CHECK_MS);
+	}
+}
+
+/** Moves a silent try to another target. `later`: none has room now, or the budget allows no retry; `never`: the request may not be sent again. */
+export function moveTry(context: EntryContext, request: EntryRequest, attempt: EntryTry): 'moved' | 'later' | 'never' {
 	if (countRuns(request) + 1 >= request.route.maxAttempts || (!attempt.hasBegun && refuseIfQuarantined(context, request))) {
-		return;
+		return 'never';
 	}
 
 	const replacement = chooseReplacement(context, request, attempt);
 	if (!replacement || !takeRetry(context, request.service, {reserve: MOVE_RESERVE})) {
-		reschedule(context, timer, nowMs + SILENCE_CHECK_MS);
-		return;
+		return 'later';
 	}
 
 	logEvent(context, 'connection-silent', {
-		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(quietMs),
+		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(context.nowMs - attempt.progressAtMs),
 	});
 	context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
 	endTry(context, request, attempt, 'canceled');
 	recordFailure(context, request, 'canceled');
 	replacement.send();
+	return 'moved';
 }
 
 /** Ends a try that would arrive too late, and retries its request or gives it its final response, as after any try that may have run. */
@@ -437,12 +501,17 @@
 
 /** Another target that can serve the request at once or, if this instance reaches none, another instance. */
 function chooseReplacement(context: EntryContext, request: EntryRequest, {targetId}: EntryTry): Replacement | undefined {
-	if (isUnreached(context, request)) {
-		const peer = chooseRelay(context, request);
+	const standing = keyStanding(context, request);
+	if (standing === 'withdrawn') {
+		return undefined;
+	}
+
+	if (standing === 'unconfirmed' || isUnreached(context, request)) {
+		const peer = standing === 'unconfirmed' ? chooseInformedPeer(context, request) : chooseRelay(context, request);
 		return peer && peer.instance.id !== targetId
 			? {
 				send() {
-					sendRelay(context, request, peer);
+					sendRelay(context, request, peer, standing === 'unconfirmed' ? 'configuration-outdated' : 'targets-unreached');
 				},
 			}
 			: undefined;
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -7,6 +7,7 @@
 } from '../types.js';
 import {type Fingerprint} from '../request/crash-evidence.js';
 import {type Route} from './configuration.js';
+import {type Workspace} from './workspace.js';
 
 /** Identity and addresses of one entry process. */
 export type EntryInstance = {
@@ -20,6 +21,8 @@
 	readonly beaconAddress: string;
 	/** Host and port of the listener for callers; undefined for instances of an earlier release. */
 	readonly callerAddress?: string;
+	/** Processor time that it gets, in cores; undefined if it is not stated. */
+	readonly processorCores?: number;
 };
 
 /** Bounds set by the deployment. */
@@ -34,6 +37,18 @@
 	readonly repeatShare: number;
 	readonly repeatWindowMs: number;
 	readonly repeatSlack: number;
+	/** Absent if no bound is set on how long a withdrawn API key may still be accepted. */
+	readonly revocation?: {
+		/** Whether that holds for instances that are out of touch with the store as well. */
+		readonly isStrict: boolean;
+		readonly withinMs: number;
+	};
+	/** How quotas of workspaces are measured: over sliding windows, with a share and a constant (in units of the quota) by which they may be exceeded. */
+	readonly quota?: {
+		readonly windowMs: number;
+		readonly overShare: number;
+		readonly slack: number;
+	};
 };
 
 /** How an instance that cannot reach the targets of a request passed it on. */
@@ -49,6 +64,10 @@
 	readonly route?: Route;
 	/** For a stream that has begun: the release at which it has to go on. */
 	readonly release: string | undefined;
+	/** Name of the workspace whose key the request brought; absent for none. */
+	readonly workspace?: string;
+	/** SHA-256 of that key, by which an instance with a newer configuration checks it again. */
+	readonly keyHash?: string;
 };
 
 export type EntryArrival = {
@@ -62,6 +81,10 @@
 	readonly adapter: string | undefined;
 	/** Size of the prompt, undefined if the caller does not state it. */
 	readonly promptTokens?: number;
+	/** Longest output that the caller asks for, undefined if it does not state it. */
+	readonly outputTokens?: number;
+	/** SHA-256 of the caller's API key, base64url; absent if it sent none. */
+	readonly keyHash?: string;
 	/** Ids of the parts of its prompt in order. Requests share them, but for the last, which belongs to this request or its session. */
 	readonly promptParts?: readonly string[];
 	/** For a stream that the caller resumes: the last event that it has received, and the request that brought the first one. */
@@ -102,6 +125,8 @@
 	readonly startedAtMs: number;
 	/** Tokens that this instance had sent to the target and that were unread, with this request's own; 0 for plain services. */
 	readonly unreadTokens: number;
+	/** Work that the time to the first event depends on: for engines the tokens unread there, also those that peers had announced; for plain services the load by slots, at least 1. */
+	readonly workUnits: number;
 	/** When the response began, or its last event arrived. */
 	progressAtMs: number;
 	hasBegun: boolean;
@@ -113,13 +138,22 @@
 	longestPauseMs?: number;
 };
 
-/** `resolving`: waits to learn what began its stream. `queued`: waits for capacity. `fetching`: waits for its adapter to be loaded. `running`: a try is in flight. */
-export type RequestPhase = 'resolving' | 'queued' | 'fetching' | 'running';
+/** What a request counts as in its workspace's quota. */
+export type QuotaCharge = {
+	readonly workspace: string;
+	readonly units: number;
+	readonly atMs: number;
+};
+
+/** `charging`: waits for its workspace's quota. `resolving`: waits to learn what began its stream. `queued`: waits for capacity. `fetching`: waits for its adapter to be loaded. `running`: a try is in flight. */
+export type RequestPhase = 'charging' | 'resolving' | 'queued' | 'fetching' | 'running';
 
 export type EntryRequest = {
 	readonly id: RequestId;
 	readonly arrival: EntryArrival;
 	readonly route: Route;
+	/** Workspace whose key the request brought; undefined on public routes and where the configuration has no workspaces. */
+	readonly workspace?: Workspace;
 	service: string;
 	/** Key of its waiting queue: requests with the same key can be served by the same targets. */
 	queueKey: string;
@@ -136,6 +170,8 @@
 	patienceEndsAtMs: number;
 	readonly tries: EntryTry[];
 	phase: RequestPhase;
+	/** Present once it was charged to a quota. */
+	charge?: QuotaCharge;
 	/** Stream events delivered to the caller. */
 	delivered: number;
 	/** Whether a response head was forwarded to the caller; after that no other response can be sent. */
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -7,10 +7,13 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {fastify, type FastifyInstance} from 'fastify';
+import {setImmediate} from 'node:timers/promises';
+import {type FastifyInstance} from 'fastify';
 import {type CallerLimits} from '../core/entry/configuration.js';
 import {createProblem} from '../daemon/problem.js';
 import {type ResultName} from '../core/result-codes.js';
+import {type RawHeaders} from './deployment.js';
+import {createHttpServer} from './http-server.js';
 
 /** Apply until a configuration has been read. */
 export const defaultLimits: CallerLimits = {
@@ -25,6 +28,10 @@
 
 export type CallerListenerOptions = {
 	readonly limits: () => CallerLimits;
+	/** Time within which a request has to be read, from its headers; undefined if they set none. */
+	readonly deadlineMs?: (headers: RawHeaders) => number | undefined;
+	/** Whether this process is behind with its work, so that a caller may have left before its request is read. */
+	readonly isBehind?: () => boolean;
 	/** Receives a request with its complete body. */
 	readonly onRequest: (request: IncomingMessage, response: ServerResponse, body: Buffer) => void;
 	readonly onRejected: (code: ResultName, detail: string) => void;
@@ -44,7 +51,7 @@
 	private _idleCloseTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly _options: CallerListenerOptions) {
-		this._app = fastify({
+		this._app = createHttpServer({
 			serverFactory: handler => {
 				this._server = createServer({
 					maxHeaderSize: PARSER_HEADER_BYTES_MAX,
@@ -154,10 +161,12 @@
 			return;
 		}
 
-		const body = await readBody(request, limits.bodyBytes);
-		if (body === 'too-large') {
+		const body = await readBody(request, {maxBytes: limits.bodyBytes, timeoutMs: this._options.deadlineMs?.(request.rawHeaders)});
+		if (body === 'late') {
+			this._reject(response, 'body-late', 'the body was not complete when the deadline of the request passed');
+		} else if (body === 'too-large') {
 			this._reject(response, 'body-too-large', `more than ${limits.bodyBytes} bytes`);
-		} else if (body !== 'broken') {
+		} else if (body !== 'broken' && !(this._options.isBehind?.() === true && await hasLeft(request.socket))) {
 			this._options.onRequest(request, response, body);
 		}
 	}
@@ -185,11 +194,12 @@
 
 	/** After this process was held up, the head may have arrived and only wait to be read, which is done before immediates run. */
 	private _rejectLate(socket: Socket): void {
-		setImmediate(() => {
+		void (async () => {
+			await setImmediate();
 			if (!this._usage.get(socket)?.open) {
 				this._rejectUnread(socket, 'headers-late', 'Request Timeout');
 			}
-		});
+		})();
 	}
 
 	private _rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
@@ -223,7 +233,37 @@
 	}
 }
 
-async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'broken'> {
+/** Whether the caller has closed its connection, as far as has arrived: the end of what it sent is read one round of the event loop after the rest. */
+async function hasLeft(socket: Socket): Promise<boolean> {
+	await setImmediate();
+	await setImmediate();
+	return socket.destroyed || socket.readableEnded;
+}
+
+type BodyLimits = {
+	readonly maxBytes: number;
+	readonly timeoutMs: number | undefined;
+};
+
+/** A body that is late is still read until its connection closes, and dropped. */
+async function readBody(request: IncomingMessage, {maxBytes, timeoutMs}: BodyLimits): Promise<Buffer | 'late' | 'too-large' | 'broken'> {
+	const body = readWhole(request, maxBytes);
+	if (timeoutMs === undefined) {
+		return body;
+	}
+
+	let timer: NodeJS.Timeout | undefined;
+	const late = new Promise<'late'>(resolve => {
+		timer = setTimeout(resolve, timeoutMs, 'late');
+	});
+	try {
+		return await Promise.race([body, late]);
+	} finally {
+		clearTimeout(timer);
+	}
+}
+
+async function readWhole(request: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'broken'> {
 	const chunks: Buffer[] = [];
 	let length = 0;
 	try {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -7,7 +7,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {fastify, type FastifyInstance} from 'fastify';
+import {type FastifyInstance} from 'fastify';
 import {systemClock, type Clock} from '../core/clock.js';
 import {type EntryEffect} from '../core/entry/effect.js';
 import {type EntryEvent, type Untimed} from '../core/entry/event.js';
@@ -25,9 +25,11 @@
 import {EntryLog} from './entry-log.js';
 import {EntryMetrics} from './entry-metrics.js';
 import {Exchange} from './exchange.js';
+import {createHttpServer} from './http-server.js';
 import {defaultLimits, CallerListener} from './caller-listener.js';
 import {createEntryPeerServer, EntryPeerClient, type AdapterResult} from './peer-rpc.js';
 import {type Deployment} from './deployment.js';
+import {hashKey} from './key-hash.js';
 import {type EntrySettings} from './settings.js';
 import {StoreWatcher} from './store-watcher.js';
 import {TargetConnections} from './target-connections.js';
@@ -35,6 +37,8 @@
 
 /** Periodic work of the core needs a resolution of some tens of milliseconds. */
 const TICK_MS = 50;
+/** A tick that is this late shows that the process has more to do than it gets processor time for, or was held up. */
+const BEHIND_MS = 100;
 const SEED_PULL_ROUNDS = 10;
 /** Seeds that are starting refuse connections at once. */
 const SEED_PULL_INTERVAL_MS = 200;
@@ -69,10 +73,11 @@
 	private readonly _settings: EntrySettings;
 	private readonly _clock: Clock;
 	private readonly _effectHandlers: EntryEffectHandlers;
-	readonly connections = new TargetConnections();
+	readonly connections: TargetConnections;
 	private readonly _metrics: EntryMetrics;
 	private readonly _servers: FastifyInstance[] = [];
 	private _tickTimer: NodeJS.Timeout | undefined;
+	private _isBehind = false;
 	private _isStopped = false;
 	private _lastCallId = 0;
 	private _resolveStopped: () => void = () => undefined;
@@ -86,8 +91,21 @@
 			this.dispatch(event);
 		};
 
-		const metrics = new EntryMetrics({state: this.state, monotonicMs: () => clock.monotonicMs(), droppedLines: () => this.log.droppedLines});
+		const metrics = new EntryMetrics({
+			state: this.state, monotonicMs: () => clock.monotonicMs(), wallMs: () => clock.now().getTime(), droppedLines: () => this.log.droppedLines,
+		});
 		this._metrics = metrics;
+		const {reuse} = settings.connections;
+		this.connections = new TargetConnections({
+			reuse,
+			onConnection(use) {
+				metrics.recordConnection(use);
+			},
+		});
+		if (reuse === 'all') {
+			this.state.hasIdleConnection = address => this.connections.hasIdle(address);
+		}
+
 		this.log.setObserver((event, fields) => {
 			metrics.recordEvent(event, fields);
 		});
@@ -99,6 +117,8 @@
 		});
 		this.callerListener = new CallerListener({
 			limits: () => this.limits,
+			isBehind: () => this._isBehind,
+			deadlineMs: headers => deployment.headerCodec.parseRequest(headers).deadlineMs,
 			onRequest: (request, response, body) => {
 				this._acceptRequest(request, response, body);
 			},
@@ -187,10 +207,10 @@
 	private async _open(): Promise<void> {
 		const {instance, listen} = this._settings;
 		const self: EntryInstance = {
-			id: instance.id, boot: randomBytes(6).toString('hex'), zone: instance.zone, address: listen.peers, beaconAddress: listen.beacons, callerAddress: listen.callers,
+			id: instance.id, boot: randomBytes(6).toString('hex'), zone: instance.zone, address: listen.peers, beaconAddress: listen.beacons, callerAddress: listen.callers, processorCores: instance.processorCores,
 		};
 		this.dispatch({
-			kind: 'started', self, bounds: this._settings.bounds, seed: randomBytes(4).readInt32LE(), mechanisms: mechanismsWithout(this._settings.policy.without),
+			kind: 'started', self, bounds: this._settings.bounds, seed: randomBytes(4).readInt32LE(), mechanisms: mechanismsWithout(this._settings.policy.without), paceMode: this._settings.pace.mode,
 		});
 		const peerServer = await createEntryPeerServer({
 			createTransfer: known => {
@@ -209,7 +229,11 @@
 		const callers = splitEndpoint(listen.callers);
 		await this.callerListener.listen(callers.host, callers.port);
 		this.log.write('daemon-listening', {...listen});
+		let dueAtMs = this._clock.monotonicMs() + TICK_MS;
 		this._tickTimer = setInterval(() => {
+			const nowMs = this._clock.monotonicMs();
+			this._isBehind = nowMs - dueAtMs > BEHIND_MS;
+			dueAtMs = nowMs + TICK_MS;
 			this.dispatch({kind: 'tick'});
 		}, TICK_MS);
 		void this.storeWatcher.followConfiguration();
@@ -223,13 +247,13 @@
 	}
 
 	private _createReadinessServer(): FastifyInstance {
-		const server = fastify({forceCloseConnections: true});
+		const server = createHttpServer({forceCloseConnections: true});
 		server.get('/v1/ready', async (_request, reply) => reply.code(this.isReady ? 200 : 503).send());
 		return server;
 	}
 
 	private _createMetricsServer(): FastifyInstance {
-		const server = fastify({forceCloseConnections: true});
+		const server = createHttpServer({forceCloseConnections: true});
 		server.get('/metrics', async (_request, reply) => {
 			const {registry} = this._metrics;
 			return reply.type(registry.contentType).send(await registry.metrics());
@@ -274,7 +298,7 @@
 
 	private _acceptRequest(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
 		const {headerCodec} = this.deployment;
-		const metadata = headerCodec.parseRequest(request.rawHeaders);
+		const {apiKey, ...metadata} = headerCodec.parseRequest(request.rawHeaders);
 		const id = metadata.requestId;
 		const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
 		const exchange = new Exchange({
@@ -310,6 +334,8 @@
 				model: metadata.model,
 				adapter: metadata.adapter,
 				promptTokens: metadata.promptTokens,
+				outputTokens: metadata.outputTokens,
+				...(apiKey !== undefined && this.state.workspaces && {keyHash: hashKey(apiKey)}),
 				promptParts: metadata.promptParts,
 				lastEventId: metadata.lastEventId,
 				resumes: metadata.resumes,
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -19,9 +19,11 @@
 	readonly body: Buffer;
 };
 
+type ExchangeMetadata = Omit<RequestMetadata, 'apiKey'>;
+
 export type ExchangeOptions = {
 	readonly id: string;
-	readonly metadata: RequestMetadata;
+	readonly metadata: ExchangeMetadata;
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly body: Buffer;
@@ -37,13 +39,15 @@
 
 export class Exchange {
 	readonly id: string;
-	readonly metadata: RequestMetadata;
+	readonly metadata: ExchangeMetadata;
 	readonly body: Buffer;
 	isFinished = false;
 	/** Id of the last event that the caller has received, in this response or in an earlier one that it resumes. */
 	lastEventId: number;
 	/** Number of events of this response that were passed to the caller. */
 	delivered = 0;
+	/** Number of tries that a target has answered. */
+	soundTries = 0;
 	/** Last complete response of a target, kept until the core delivers it. */
 	bufferedResponse: BufferedResponse | undefined;
 	private readonly _request: IncomingMessage;
@@ -105,11 +109,14 @@
 		this._writeHead(status, headers, undefined);
 	}
 
-	/** Writes bytes to the caller and waits for it to read them when the buffer is full. Rejects when `signal` aborts the wait. */
-	async write(bytes: Buffer, signal: AbortSignal): Promise<void> {
-		if (!this._response.write(bytes)) {
-			await once(this._response, 'drain', {signal});
-		}
+	/** Writes bytes to the caller. Returns whether the buffer is full. */
+	write(bytes: Buffer): boolean {
+		return !this._response.write(bytes);
+	}
+
+	/** Resolves once the caller has read what fills the buffer. Rejects when `signal` aborts the wait. */
+	async drained(signal: AbortSignal): Promise<void> {
+		await once(this._response, 'drain', {signal});
 	}
 
 	/** Sends the buffered response, or ends a stream that is complete. */
--- a/src/entry/peer-rpc.ts
+++ b/src/entry/peer-rpc.ts
@@ -3,16 +3,17 @@
 */
 import {type ConnectRouter} from '@connectrpc/connect';
 import {fastifyConnectPlugin} from '@connectrpc/connect-fastify';
-import {fastify, type FastifyInstance} from 'fastify';
+import {type FastifyInstance} from 'fastify';
+import {Headers} from 'undici';
 import {type KnownVersions, type StateTransfer} from '../core/entry/peer-messages.js';
 import {PEER_MESSAGE_BYTES_MAX, PeerConnections} from '../daemon/peer/connections.js';
 import {EntryPeerService} from '../daemon/peer/gen/entry_pb.js';
+import {callTimes} from './call-times.js';
+import {createHttpServer} from './http-server.js';
 import {decodePeerMessage, encodePeerMessage} from './peer-codec.js';
 
-/** Allows for many round trips between zones; the connection of a call that takes longer is closed. */
-const PULL_TIMEOUT_MS = 800;
-/** Covers an order to the engine and the round trip to the peer. */
-const ENSURE_ADAPTER_TIMEOUT_MS = 1000;
+// The first use of the built-in class loads all of the built-in fetch, which takes 40 ms of processor time.
+globalThis.Headers = Headers as unknown as typeof globalThis.Headers;
 
 export type AdapterResult = {
 	readonly isHeld: boolean;
@@ -26,7 +27,7 @@
 };
 
 export async function createEntryPeerServer(handler: EntryPeerHandler): Promise<FastifyInstance> {
-	const server = fastify({forceCloseConnections: true});
+	const server = createHttpServer({forceCloseConnections: true});
 	await server.register(fastifyConnectPlugin, {
 		readMaxBytes: PEER_MESSAGE_BYTES_MAX,
 		routes(router: ConnectRouter) {
@@ -47,15 +48,15 @@
 
 	/** Returns what is newer at the peer, or undefined when the call fails or times out. */
 	async pull(address: string, known: KnownVersions): Promise<StateTransfer | undefined> {
-		return this._connections.call(`http://${address}`, async client => {
-			const {transfer} = await client.pull({holdings: encodePeerMessage(known)}, {timeoutMs: PULL_TIMEOUT_MS});
+		return this._connections.call(`http://${address}`, callTimes.peerPull, async (client, options) => {
+			const {transfer} = await client.pull({holdings: encodePeerMessage(known)}, options);
 			return decodePeerMessage<StateTransfer>(transfer);
 		});
 	}
 
 	async ensureAdapter(address: string, {targetId, model, adapter}: {targetId: string; model: string; adapter: string}): Promise<AdapterResult | undefined> {
-		return this._connections.call(`http://${address}`, async client => {
-			const {isHeld, sequence} = await client.ensureAdapter({targetId, model, adapter}, {timeoutMs: ENSURE_ADAPTER_TIMEOUT_MS});
+		return this._connections.call(`http://${address}`, callTimes.peerAdapter, async (client, options) => {
+			const {isHeld, sequence} = await client.ensureAdapter({targetId, model, adapter}, options);
 			return {isHeld, sequence: Number(sequence)};
 		});
 	}
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -1,20 +1,22 @@
 /**
-Connections to targets: a pool per target, and a fresh connection for each request that
-must run at most once or is retried, or that finds all connections of the pool busy. A
-stale pooled connection could lose a request of the former kinds or have it executed twice.
+Connections to targets. By default, a fresh connection serves each request that must run
+at most once or is retried, since a stale one could lose a request of the former kind or
+have it executed twice; the others use connections that earlier ones have left. Where all
+requests reuse connections, only those open one that follow a failure of their own.
+docs/design/0013-connection-reuse.md gives the reasons.
 */
 import {type Buffer} from 'node:buffer';
 import {connect} from 'node:net';
-import {buildConnector, type Dispatcher, type Pool} from 'undici';
 import {type ProbeOutcome} from '../core/entry/event.js';
 import {errorCode} from '../daemon/gateways/connection-pool.js';
-import {createGuardedPool, GuardedClient} from '../daemon/gateways/guarded-client.js';
+import {callTimes} from './call-times.js';
 import {type RawHeaders} from './deployment.js';
+import {KeptConnections, type IdleRule, type KeptResponse} from './kept-connections.js';
 
-/** Several round trips between zones; a target that takes longer is down or unreachable. */
-const CONNECT_TIMEOUT_MS = 300;
 /** Short enough to close idle connections before targets do. */
-const IDLE_TIMEOUT_MS = 2000;
+const SHORT_IDLE: IdleRule = {defaultMs: 2000, maxMs: 2000, marginMs: 2000};
+/** For requests of all kinds: as long as the target states, less a second for what is under way and for timers that fire early. */
+export const STATED_IDLE: IdleRule = {defaultMs: 2000, maxMs: 15_000, marginMs: 1000};
 /** Limits for the rest of a response that is only read to keep its connection. */
 const DISCARDED_BYTES_MAX = 16 * 1024;
 const DISCARD_TIMEOUT_MS = 200;
@@ -28,47 +30,67 @@
 	readonly headers: string[];
 	readonly body: Buffer | undefined;
 	readonly signal: AbortSignal;
+	/** Whether the request opens a connection unless all requests reuse them. */
 	readonly usesFreshConnection: boolean;
+	/** Whether the request opens a connection in any case, since an earlier try of it failed or went to another instance. */
+	readonly followsFailure?: boolean;
 	readonly maxConnections: number;
+	/** Where all requests reuse connections; without limit if absent. */
+	readonly maxIdleConnections?: number;
 };
 
-export type TargetResponse = {
-	readonly status: number;
-	readonly headers: RawHeaders;
-	readonly body: Dispatcher.ResponseData['body'];
-	/**
-	Whether a connection of the same pool or client was reset after the response headers
-	arrived. undici takes a reset for the regular end of a response without a length.
-	*/
-	readonly wasReset: () => boolean;
-};
+export type ReuseMode = 'repeatable' | 'all';
 
-type ResetCounter = {
-	count: number;
+/** Why a connection was opened. */
+export type OpeningReason = 'none-idle' | 'must-run-once' | 'retry' | 'probe';
+
+export type TargetConnectionsOptions = {
+	readonly reuse?: ReuseMode;
+	/** Called for each request that is given a connection, and for each probe. */
+	readonly onConnection?: (use: 'reused' | OpeningReason) => void;
 };
 
-type TargetPool = {
-	readonly pool: Pool;
-	readonly resets: ResetCounter;
-	/** Number of connections that the pool opens at most. */
-	readonly connections: number;
+export type TargetResponse = Omit<KeptResponse, 'headers'> & {
+	readonly headers: RawHeaders;
+	/** Whether the connection may bring a second response to a request that it carried before, so that a response has to name its request. */
+	readonly mustNameRequest: boolean;
 };
 
 export class TargetConnections {
-	private readonly _pools = new Map<string, TargetPool>();
+	private readonly _connections: KeptConnections;
 
-	async request(address: string, request: TargetRequest): Promise<TargetResponse> {
-		if (request.usesFreshConnection) {
-			return this._requestOnFreshConnection(address, request);
-		}
+	constructor(private readonly _options: TargetConnectionsOptions = {}) {
+		this._connections = new KeptConnections({connectMs: callTimes.targetRequest.connectMs, idle: this._reusesAll ? STATED_IDLE : SHORT_IDLE});
+	}
 
-		const {pool, resets, connections} = this._pool(address, request.maxConnections);
-		// The pool would hold it back without telling anybody until one of its requests ends.
-		return pool.stats.size >= connections ? this._requestOnFreshConnection(address, request) : send(pool, request, resets);
+	private get _reusesAll(): boolean {
+		return this._options.reuse === 'all';
+	}
+
+	/** Whether a request that follows no failure would use a connection that is open. */
+	hasIdle(address: string): boolean {
+		return this._connections.hasIdle(address);
+	}
+
+	async request(address: string, {usesFreshConnection, followsFailure = false, maxIdleConnections = Number.POSITIVE_INFINITY, ...request}: TargetRequest): Promise<TargetResponse> {
+		const reusesAll = this._reusesAll;
+		const mayReuse = reusesAll ? !followsFailure : !usesFreshConnection;
+		const reason = mayReuse ? 'none-idle' : (followsFailure ? 'retry' : 'must-run-once');
+		const response = await this._connections.request(address, {
+			...request,
+			mayReuse,
+			mayKeep: reusesAll || !usesFreshConnection,
+			maxIdle: reusesAll ? maxIdleConnections : request.maxConnections,
+			onConnection: isReused => {
+				this._options.onConnection?.(isReused ? 'reused' : reason);
+			},
+		});
+		return {...response, mustNameRequest: reusesAll && response.isReused};
 	}
 
 	/** Opens a connection and closes it at once. */
 	async probe(address: string): Promise<ProbeOutcome> {
+		this._options.onConnection?.('probe');
 		const {hostname, port} = new URL(`http://${address}`);
 		return new Promise(resolve => {
 			const socket = connect({host: hostname, port: Number(port)});
@@ -77,7 +99,7 @@
 				resolve(outcome);
 			};
 
-			socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+			socket.setTimeout(callTimes.targetRequest.connectMs, () => {
 				end('unanswered');
 			});
 			socket.once('connect', () => {
@@ -90,79 +112,8 @@
 	}
 
 	async close(): Promise<void> {
-		const pools = [...this._pools.values()].map(({pool}) => pool);
-		this._pools.clear();
-		await Promise.all(pools.map(async pool => pool.destroy()));
-	}
-
-	private async _requestOnFreshConnection(address: string, request: TargetRequest): Promise<TargetResponse> {
-		const resets = {count: 0};
-		const client = new GuardedClient(`http://${address}`, {...clientOptions, connect: countingConnector(resets)});
-		try {
-			const response = await send(client, request, resets);
-			// Closes once the response has been read completely.
-			void client.close();
-			return response;
-		} catch (error) {
-			void client.destroy();
-			throw error;
-		}
+		await this._connections.close();
 	}
-
-	private _pool(address: string, connections: number): TargetPool {
-		let entry = this._pools.get(address);
-		if (!entry) {
-			const resets = {count: 0};
-			entry = {pool: createGuardedPool(`http://${address}`, {...clientOptions, connections, connect: countingConnector(resets)}), resets, connections};
-			this._pools.set(address, entry);
-		}
-
-		return entry;
-	}
-}
-
-const clientOptions = {
-	pipelining: 1,
-	keepAliveTimeout: IDLE_TIMEOUT_MS,
-	keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
-	// The core detects silent targets, from the response times that each has shown.
-	headersTimeout: 0,
-	bodyTimeout: 0,
-};
-
-const connectSocket = buildConnector({timeout: CONNECT_TIMEOUT_MS});
-
-/** Counts socket errors before undici handles them. */
-function countingConnector(resets: ResetCounter): buildConnector.connector {
-	return (options, callback) => {
-		connectSocket(options, (...result) => {
-			const [error, socket] = result;
-			if (error === null) {
-				// undici also destroys a connection that ended a response in the regular way with an error, which counts: a target that
-				// goes down may close its connections in that way.
-				socket.on('error', () => {
-					resets.count++;
-				});
-			}
-
-			callback(...result);
-		});
-	};
-}
-
-async function send(dispatcher: Dispatcher, request: TargetRequest, resets: ResetCounter): Promise<TargetResponse> {
-	const {statusCode, headers, body} = await dispatcher.request({
-		method: request.method,
-		path: request.path,
-		headers: request.headers,
-		body: request.body,
-		signal: request.signal,
-		responseHeaders: 'raw',
-	});
-	const resetsBefore = resets.count;
-	return {
-		status: statusCode, headers: headers as unknown as string[], body, wasReset: () => resets.count > resetsBefore,
-	};
 }
 
 /** Reads the rest of a response that is not needed, so that its connection can be used again; closes the connection if that takes long. */
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -8,6 +8,7 @@
 import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
 import {type StatedRateLimit} from '../core/entry/target.js';
 import {type TryOutcome} from '../core/entry/types.js';
+import {readChunks} from './body-chunks.js';
 import {BufferBudget} from './buffer-budget.js';
 import {type Exchange, withoutHopByHopHeaders} from './exchange.js';
 import {type ResponseMetadata, type HeaderCodec} from './deployment.js';
@@ -29,6 +30,9 @@
 /** Statuses of an instance's own responses that say nothing of whether a target ran the request; all others say that none did. */
 const unknownOutcomeStatuses: ReadonlySet<number> = new Set([502, 504]);
 
+/** Outcomes of tries that a target answered, which say nothing against other connections. */
+const soundOutcomes: ReadonlySet<TryOutcome> = new Set(['answered', 'failed', 'not-run']);
+
 export type TryRunnerOptions = {
 	readonly headerCodec: HeaderCodec;
 	readonly connections: TargetConnections;
@@ -79,6 +83,10 @@
 
 		const {timing, ...result} = ended;
 		exchange.endTry(tryNumber);
+		if (soundOutcomes.has(result.outcome)) {
+			exchange.soundTries++;
+		}
+
 		if (!signal.aborted) {
 			this._options.dispatch({
 				kind: 'try-ended', requestId: exchange.id, tryNumber, delivered: exchange.delivered, ...result, ...timing,
@@ -97,7 +105,9 @@
 				body: exchange.body.length > 0 || hasLength(exchange.headers) ? exchange.body : undefined,
 				signal,
 				usesFreshConnection: effect.usesFreshConnection,
+				followsFailure: effect.relayed !== undefined || exchange.soundTries < effect.tryNumber - 1,
 				maxConnections: effect.maxConnections,
+				maxIdleConnections: effect.maxIdleConnections,
 			});
 		} catch (error) {
 			return {outcome: isUnwritten(error) ? 'not-sent' : 'broken', isRefused: errorCode(error) === REFUSED_CODE, reason: errorCode(error) || String(error)};
@@ -123,14 +133,16 @@
 		}
 	}
 
-	private _buildHeaders(exchange: Exchange, {targetId, remainingMs, rank, relayed}: EntryEffectOf<'send'>): string[] {
+	private _buildHeaders(exchange: Exchange, {targetId, remainingMs, rank, relayed, hidesKey, workspace}: EntryEffectOf<'send'>): string[] {
 		const {headerCodec} = this._options;
 		const headers = withoutHopByHopHeaders(exchange.headers, ['content-length']);
 		const lastEventId = exchange.headersSent ? exchange.lastEventId : undefined;
 		return relayed
-			? headerCodec.buildRelayHeaders(headers, {relayed, remainingMs, lastEventId})
+			? headerCodec.buildRelayHeaders(headers, {
+				relayed, remainingMs, hidesKey, lastEventId,
+			})
 			: headerCodec.buildTargetHeaders(headers, {
-				targetId, remainingMs, rank, lastEventId,
+				targetId, remainingMs, rank, hidesKey, workspace, lastEventId,
 			});
 	}
 
@@ -141,6 +153,8 @@
 		if (fault) {
 			body.on('error', () => undefined);
 			body.destroy();
+			// The response may have been read completely, and another one may follow it.
+			response.drop();
 			// What a response that may not be the target's own states about it does not count.
 			return {
 				outcome: 'broken', status, load, rateLimit: undefined, isLeaving: undefined, reason: fault,
@@ -190,15 +204,15 @@
 	private async _readAll(body: TargetResponse['body']): Promise<Buffer> {
 		const buffer = new GrowingBuffer();
 		try {
-			for await (const chunk of body) {
-				buffer.append(chunk as Buffer);
+			await readChunks(body, chunk => {
+				buffer.append(chunk);
 				if (buffer.length > RESPONSE_BYTES_MAX) {
 					throw new Error('the answer is too large');
 				}
 
 				this._budget.hold(body, buffer.capacity);
-			}
-
+				return undefined;
+			});
 			return buffer.bytes;
 		} finally {
 			this._budget.release(body);
@@ -211,29 +225,25 @@
 		let repeatedBytes = 0;
 		let progressSentAtMs = Number.NEGATIVE_INFINITY;
 		let lastEventAtMs: number | undefined;
-		for await (const chunk of response.body) {
-			const events = splitter.push(chunk as Buffer);
+		const reason = await readChunks(response.body, chunk => {
+			const events = splitter.push(chunk);
 			this._budget.hold(response.body, splitter.heldBytes);
 			if (signal.aborted) {
-				return 'canceled';
+				return {stop: 'canceled'};
 			}
 
 			if (splitter.isTooLarge) {
-				return 'an event, or what precedes it, is too large';
+				return {stop: 'an event, or what precedes it, is too large'};
 			}
 
 			const undelivered = selectUndelivered(events, exchange.lastEventId);
 			if (undelivered === undefined) {
-				return 'an event is missing';
+				return {stop: 'an event is missing'};
 			}
 
 			if (undelivered.length === 0) {
-				repeatedBytes += (chunk as Buffer).length;
-				if (repeatedBytes > REPEATED_BYTES_MAX) {
-					return 'the stream brings no new event';
-				}
-
-				continue;
+				repeatedBytes += chunk.length;
+				return repeatedBytes > REPEATED_BYTES_MAX ? {stop: 'the stream brings no new event'} : undefined;
 			}
 
 			repeatedBytes = 0;
@@ -255,7 +265,11 @@
 				});
 			}
 
-			await exchange.write(Buffer.concat(undelivered.map(({bytes}) => bytes)), signal);
+			const isFull = exchange.write(undelivered.length === 1 ? undelivered[0]!.bytes : Buffer.concat(undelivered.map(({bytes}) => bytes)));
+			return isFull ? {until: exchange.drained(signal)} : undefined;
+		});
+		if (reason !== undefined) {
+			return reason;
 		}
 
 		if (isTruncated(response)) {
@@ -272,8 +286,8 @@
 		}
 
 		const {trailingBlocks} = splitter;
-		if (trailingBlocks.length > 0) {
-			await exchange.write(trailingBlocks, signal);
+		if (trailingBlocks.length > 0 && exchange.write(trailingBlocks)) {
+			await exchange.drained(signal);
 		}
 
 		return undefined;
@@ -310,7 +324,11 @@
 }
 
 /** Returns why a response is rejected as not the target's own response to this request, or undefined if it is accepted. */
-function rejectionReason(exchange: Exchange, {status, headers}: TargetResponse, metadata: ResponseMetadata): string | undefined {
+function rejectionReason(exchange: Exchange, {status, headers, mustNameRequest}: TargetResponse, metadata: ResponseMetadata): string | undefined {
+	if (metadata.requestId === undefined && mustNameRequest) {
+		return 'the answer on a reused connection names no request';
+	}
+
 	if (metadata.requestId !== undefined && metadata.requestId !== exchange.id) {
 		return 'the answer belongs to another request';
 	}
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -7,6 +7,7 @@
 import {type EntryEffect, type EntryEffectOf} from '../core/entry/effect.js';
 import {type Untimed} from '../core/entry/event.js';
 import {type EnabledMechanisms} from '../core/entry/mechanisms.js';
+import {type PaceMode} from '../core/entry/pace.js';
 import {transferFor} from '../core/entry/peer-sync.js';
 import {reduceEntry} from '../core/entry/reducer.js';
 import {createEntryState, type EntryState} from '../core/entry/state.js';
@@ -14,10 +15,10 @@
 import {type EntryInstance, type TryOutcome} from '../core/entry/types.js';
 import {type Attempt, Callers, type Resumptions} from './callers.js';
 import {
-	createConfiguration, hasRoom, HOST, MODEL_SERVICE, modelName, PLAIN_SERVICE,
+	createConfiguration, hasRoom, HOST, keyHashOf, MODEL_SERVICE, modelName, PLAIN_SERVICE,
 } from './deployment-configuration.js';
 import {ModeledEngine} from './engine-model.js';
-import {Invariants} from './invariants.js';
+import {Invariants, QUOTA_BOUNDS, REVOKE_MS} from './invariants.js';
 import {ModeledNetwork} from './modeled-network.js';
 import {ModeledStore} from './modeled-store.js';
 import {type Outcome} from './outcomes.js';
@@ -28,6 +29,8 @@
 import {generateRequests} from './workload.js';
 
 const TICK_MS = 50;
+/** Time after which an instance gives up opening a connection. */
+const CONNECT_TIMEOUT_MS = 300;
 const PROGRESS_INTERVAL_MS = 200;
 const MISSED_HEARTBEATS = 3;
 const REPORT_INTERVAL_MS = 50;
@@ -45,6 +48,7 @@
 	readonly pattern: Pattern;
 	readonly seed: number;
 	readonly mechanisms: EnabledMechanisms;
+	readonly paceMode?: PaceMode;
 };
 
 type Instance = {
@@ -65,6 +69,8 @@
 	readonly engine: ModeledEngine | undefined;
 	readonly slots: number;
 	isUp: boolean;
+	/** Whether nothing reaches it, and nothing comes from it. */
+	isDark: boolean;
 	slowness: number;
 	/** Requests that a plain service runs or has queued. */
 	running: number;
@@ -95,6 +101,9 @@
 	readonly storeLoads: number;
 	readonly events: number;
 	readonly messageBytes: number;
+	/** Tries sent to targets that were dark, and probes. */
+	readonly unreachedTries: number;
+	readonly probes: number;
 	readonly resumptions: Resumptions;
 	readonly moved: ReadonlyArray<{readonly atMs: number; readonly kind: string; readonly model: string; readonly targetId: string}>;
 	/** What must hold and did not, empty in every correct run. */
@@ -112,7 +121,11 @@
 	private readonly _instanceByBeaconAddress: ReadonlyMap<string, Instance>;
 	private readonly _targets = new Map<string, ModelTarget>();
 	private readonly _callers: Callers<Instance>;
-	private readonly _configuration: EntryConfiguration;
+	private _configuration: EntryConfiguration;
+	/** When the key of a workspace was withdrawn. */
+	private readonly _keysWithdrawnAtMs = new Map<number, number>();
+	/** Instances whose calls the store refuses. */
+	private readonly _refusedByStore = new Set<string>();
 	private readonly _rateLimits = new RateLimitMonitor({simulation: this.simulation, onViolation: text => this.violations.push(text)});
 	private readonly _invariants = new Invariants({simulation: this.simulation, onViolation: text => this.violations.push(text)});
 
@@ -123,6 +136,8 @@
 	private _releases = 0;
 	private _eventCount = 0;
 	private _messageBytes = 0;
+	private _unreachedTries = 0;
+	private _probes = 0;
 
 	constructor(private readonly _options: FleetOptions) {
 		const {pattern, seed} = _options;
@@ -192,6 +207,8 @@
 			storeLoads: sum('storeLoads'),
 			events: this._eventCount,
 			messageBytes: this._messageBytes,
+			unreachedTries: this._unreachedTries,
+			probes: this._probes,
 			resumptions: this._callers.resumptions,
 			moved: this._moved,
 			violations: this.violations,
@@ -204,6 +221,9 @@
 		for (let zone = 0; zone < pattern.zones; zone++) {
 			for (let index = 0; index < pattern.enginesPerZone; index++) {
 				const engine = new ModeledEngine(this.simulation, pattern.engine, models);
+				engine.speed = pattern.engine.speeds[((zone * pattern.enginesPerZone) + index) % pattern.engine.speeds.length]!;
+				engine.statesSlowness = pattern.engine.noise !== undefined;
+				this._makeNoise(engine);
 				this._addTarget({
 					id: `engine-${zone}-${index}`, zone, release: `v${((zone * pattern.enginesPerZone) + index) % pattern.releases}`, engine, slots: pattern.engine.slots,
 				});
@@ -219,9 +239,26 @@
 		this._placeFirstCopies(models);
 	}
 
+	/** Slows an engine now and then, as others on its machine do. */
+	private _makeNoise(engine: ModeledEngine): void {
+		const {noise} = this._options.pattern.engine;
+		if (!noise) {
+			return;
+		}
+
+		const quietMs = this._random.exponential(noise.forMs * (1 - noise.share) / noise.share);
+		this.simulation.schedule(quietMs, () => {
+			engine.slowness = noise.times;
+			this.simulation.schedule(noise.forMs, () => {
+				engine.slowness = 1;
+				this._makeNoise(engine);
+			});
+		});
+	}
+
 	private _addTarget(options: Pick<ModelTarget, 'id' | 'zone' | 'release' | 'engine' | 'slots'>): ModelTarget {
 		const target = {
-			...options, isUp: true, isLeaving: false, slowness: 1, running: 0,
+			...options, isUp: true, isLeaving: false, isDark: false, slowness: 1, running: 0,
 		};
 		this._targets.set(target.id, target);
 		return target;
@@ -264,10 +301,11 @@
 		const startedAtMs = this._random.uniform() * 300;
 		this._later(instance, startedAtMs, () => {
 			this._dispatch(instance, {
-				kind: 'started', self, bounds: BOUNDS, seed: Math.floor(this._random.uniform() * MAX_SEED), mechanisms: this._options.mechanisms,
+				kind: 'started', self, bounds: this._options.pattern.workspaces > 0 ? {...BOUNDS, revocation: {isStrict: true, withinMs: REVOKE_MS}, quota: QUOTA_BOUNDS} : BOUNDS, seed: Math.floor(this._random.uniform() * MAX_SEED), mechanisms: this._options.mechanisms, paceMode: this._options.paceMode,
 			});
 			this._dispatch(instance, {kind: 'instances-read', instances: this._instances.map(({identity}) => identity)});
 			this._dispatch(instance, {kind: 'configuration-read', configuration: this._configuration});
+			this._checkConfiguration(instance);
 			this._tick(instance);
 		});
 	}
@@ -312,15 +350,23 @@
 			this._callers.complete(requestId);
 		},
 		refuse: (_, {requestId, retryAfterMs, code}) => {
+			const attempt = this._callers.open.get(requestId);
+			if (attempt && code === 'api-key-unknown') {
+				this._invariants.checkKeyRefused(requestId, this._keysWithdrawnAtMs.get(attempt.generated.workspace ?? -1));
+			}
+
 			this._callers.refuse(requestId, retryAfterMs, code === 'target-failed' || code === 'target-timeout');
 		},
 		'break-off': (_, {requestId}) => {
 			this._callers.finish(requestId, 'failed');
 		},
+		'check-configuration': instance => {
+			this._checkConfiguration(instance);
+		},
 		'read-registry': instance => {
 			const sentAtMs = this.simulation.nowMs;
 			this._later(instance, this._options.pattern.storeMs, () => {
-				this._dispatch(instance, this._store.isDown
+				this._dispatch(instance, this._isRefused(instance)
 					? {kind: 'registry-read-failed'}
 					: {
 						kind: 'registry-read',
@@ -339,6 +385,15 @@
 				this._dispatch(instance, {kind: 'report-read', targetId, report: target?.isUp ? target.engine?.report() : undefined});
 			});
 		},
+		'probe-target': (instance, {targetId, incarnation}) => {
+			const target = this._targets.get(targetId);
+			this._probes++;
+			this._later(instance, target?.isDark ? CONNECT_TIMEOUT_MS : 2 * this._delayTo(instance, target), () => {
+				this._dispatch(instance, {
+					kind: 'target-probed', targetId, incarnation, outcome: target?.isUp ? (target.isDark ? 'unanswered' : 'accepted') : 'refused',
+				});
+			});
+		},
 		order: (instance, effect) => {
 			this._order(instance, effect);
 		},
@@ -364,12 +419,12 @@
 		},
 		'read-releases': instance => {
 			this._later(instance, this._options.pattern.storeMs, () => {
-				this._dispatch(instance, {kind: 'releases-read', row: this._store.isDown ? undefined : this._store.readReleases(this.simulation.nowMs + 1)});
+				this._dispatch(instance, {kind: 'releases-read', row: this._isRefused(instance) ? undefined : this._store.readReleases(this.simulation.nowMs + 1)});
 			});
 		},
 		'write-releases': (instance, {expectedRevision, record}) => {
 			this._later(instance, this._options.pattern.storeMs, () => {
-				this._dispatch(instance, {kind: 'releases-written', revision: this._store.isDown ? undefined : this._store.writeReleases(expectedRevision, record)});
+				this._dispatch(instance, {kind: 'releases-written', revision: this._isRefused(instance) ? undefined : this._store.writeReleases(expectedRevision, record)});
 			});
 		},
 		beacon: (instance, {addresses, beacon}) => {
@@ -384,6 +439,12 @@
 		'grant-permits': (instance, {address, grant}) => {
 			this._broadcast(instance, [address], {kind: 'permits-granted', grant}, grant);
 		},
+		'ask-quota': (instance, {address, ask}) => {
+			this._broadcast(instance, [address], {kind: 'quota-asked', ask}, ask);
+		},
+		'grant-quota': (instance, {address, grant}) => {
+			this._broadcast(instance, [address], {kind: 'quota-granted', grant}, grant);
+		},
 		'announce-origins': (instance, {addresses, announcement}) => {
 			this._broadcast(instance, addresses, {kind: 'origins-announced', announcement}, announcement);
 		},
@@ -395,11 +456,33 @@
 		},
 	};
 
+	private _isRefused({identity}: Instance): boolean {
+		return this._store.isDown || this._refusedByStore.has(identity.id);
+	}
+
+	/** Only where there are workspaces: nothing else depends on the age of the configuration. The long polls of the feed are not modelled. */
+	private _checkConfiguration(instance: Instance): void {
+		const {workspaces, storeMs} = this._options.pattern;
+		if (workspaces === 0) {
+			return;
+		}
+
+		const sentAtMs = this.simulation.nowMs;
+		this._later(instance, storeMs, () => {
+			if (!this._isRefused(instance)) {
+				this._dispatch(instance, {kind: 'configuration-read', configuration: this._configuration});
+				this._dispatch(instance, {
+					kind: 'configuration-checked', sentAtMs, sentAtWallMs: sentAtMs + WALL_OFFSET_MS, storeMs: this.simulation.nowMs + 1,
+				});
+			}
+		});
+	}
+
 	private _callStore(instance: Instance, call: () => ReturnType<ModeledStore['readLease']>): void {
 		const sentAtMs = this.simulation.nowMs;
 		this._later(instance, this._options.pattern.storeMs, () => {
 			this._dispatch(instance, {
-				kind: 'lease-request-completed', result: this._store.isDown ? {kind: 'unknown'} : call(), sentAtMs, sentAtWallMs: sentAtMs + WALL_OFFSET_MS,
+				kind: 'lease-request-completed', result: this._isRefused(instance) ? {kind: 'unknown'} : call(), sentAtMs, sentAtWallMs: sentAtMs + WALL_OFFSET_MS,
 			});
 		});
 	}
@@ -490,7 +573,7 @@
 		return candidates[Math.floor(this._random.uniform() * candidates.length)] ?? this._instances.find(({isUp}) => isUp);
 	}
 
-	private _submit({id, instance, resumed, generated: {kind, model, adapter, parts}}: Attempt<Instance>, deadlineMs: number): void {
+	private _submit({id, instance, resumed, generated: {kind, model, adapter, parts, outputTokens, workspace}}: Attempt<Instance>, deadlineMs: number): void {
 		this._dispatch(instance, {
 			kind: 'request-arrived',
 			arrival: {
@@ -502,6 +585,8 @@
 				adapter,
 				promptParts: parts.map(part => part.id),
 				promptTokens: parts.length === 0 ? undefined : parts.reduce((sum, {tokens}) => sum + tokens, 0),
+				outputTokens: parts.length === 0 ? undefined : outputTokens,
+				keyHash: workspace === undefined ? undefined : keyHashOf(workspace),
 				deadlineMs,
 				lastEventId: resumed?.events,
 				resumes: resumed?.id,
@@ -509,6 +594,15 @@
 		});
 	}
 
+	/** Counts the first try of each request. */
+	private _checkQuota({generated: {parts, outputTokens, workspace}}: Attempt<Instance>, requestId: string, tryNumber: number): void {
+		const {quota} = this._options.pattern;
+		if (quota && workspace !== undefined && tryNumber === 1) {
+			const units = parts.length === 0 ? quota.plainTokens : parts.reduce((sum, {tokens}) => sum + tokens, outputTokens);
+			this._invariants.checkQuotaSent(workspace, units, quota);
+		}
+	}
+
 	private _send(instance: Instance, {requestId, tryNumber, targetId}: EntryEffectOf<'send'>): void {
 		const attempt = this._callers.open.get(requestId);
 		const target = this._targets.get(targetId);
@@ -516,6 +610,8 @@
 			return;
 		}
 
+		this._invariants.checkKeySent(requestId, this._keysWithdrawnAtMs.get(attempt.generated.workspace ?? -1));
+		this._checkQuota(attempt, requestId, tryNumber);
 		const delayMs = this._delayTo(instance, target);
 		const respond: TrySending['respond'] = event => {
 			const perSecond = this._rateLimits.limitOf(targetId);
@@ -526,8 +622,9 @@
 		};
 
 		this.simulation.schedule(delayMs, () => {
-			if (!target?.isUp || !this._network.arrives(instance.zone, target.zone)) {
-				this._later(instance, delayMs, () => {
+			if (!target?.isUp || target.isDark || !this._network.arrives(instance.zone, target.zone)) {
+				this._unreachedTries += target?.isDark ? 1 : 0;
+				this._later(instance, target?.isDark ? CONNECT_TIMEOUT_MS : delayMs, () => {
 					this._dispatch(instance, {
 						kind: 'try-ended', requestId, tryNumber, outcome: 'not-sent', delivered: attempt.events,
 					});
@@ -708,6 +805,15 @@
 				});
 			}
 		},
+		'engine-dark': ({forS, number}) => {
+			for (const target of this._pickEngines(number)) {
+				target.isDark = true;
+				target.engine!.pause(forS * 1000);
+				this.simulation.schedule(forS * 1000, () => {
+					target.isDark = false;
+				});
+			}
+		},
 		'engine-pause': ({forS, number}) => {
 			for (const target of this._pickEngines(number)) {
 				target.engine!.pause(forS * 1000);
@@ -745,6 +851,26 @@
 				this._store.isDown = false;
 			});
 		},
+		'store-refuses': ({forS, share}) => {
+			const refused = this._instances.filter((_, index) => index % Math.max(1, Math.round(1 / share)) === 0).map(({identity}) => identity.id);
+			for (const id of refused) {
+				this._refusedByStore.add(id);
+			}
+
+			this.simulation.schedule(forS * 1000, () => {
+				for (const id of refused) {
+					this._refusedByStore.delete(id);
+				}
+			});
+		},
+		'withdraw-key': ({workspace}) => {
+			this._keysWithdrawnAtMs.set(workspace, this.simulation.nowMs);
+			this._configuration = {
+				...this._configuration,
+				version: this._configuration.version + 1,
+				workspaces: this._configuration.workspaces?.map((known, index) => index === workspace ? {...known, keyHashes: []} : known),
+			};
+		},
 		'zone-cut': ({forS}) => {
 			this._network.isCut = true;
 			this.simulation.schedule(forS * 1000, () => {
--- a/src/experiment/pattern.ts
+++ b/src/experiment/pattern.ts
@@ -27,6 +27,10 @@
 	adapterLoadMs: z.number().nonnegative().default(15),
 	diskModels: count.default(6),
 	hostModels: count.default(2),
+	/** Speeds of the machines, in turn. */
+	speeds: z.array(positive).min(1).default([1]),
+	/** Machines that others slow down: the share of them at a time, how many times, and for how long. Loads state it. */
+	noise: z.strictObject({share: z.number().min(0).max(0.9), times: positive, forMs: positive}).optional(),
 });
 
 const modelsSchema = z.strictObject({
@@ -77,6 +81,8 @@
 	z.strictObject({kind: z.literal('shift'), atS: seconds, forS: seconds.default(4)}),
 	z.strictObject({
 		kind: z.literal('burst'), atS: seconds, forS: seconds, times: positive, of: z.string().optional(),
+		/** Index of the zone whose callers send it; all without it. */
+		zone: z.number().int().nonnegative().optional(),
 	}),
 	z.strictObject({
 		kind: z.literal('engine-crash'), atS: seconds, forS: seconds, number: count.default(1),
@@ -84,6 +90,10 @@
 	z.strictObject({
 		kind: z.literal('engine-slow'), atS: seconds, forS: seconds, number: count.default(1), times: positive,
 	}),
+	/** Nothing reaches engines, and nothing comes from them. */
+	z.strictObject({
+		kind: z.literal('engine-dark'), atS: seconds, forS: seconds, number: count.default(1),
+	}),
 	/** Engines fall silent and then go on, as sound ones may. */
 	z.strictObject({
 		kind: z.literal('engine-pause'), atS: seconds, forS: seconds, number: count.default(1),
@@ -100,7 +110,17 @@
 	z.strictObject({
 		kind: z.literal('release'), atS: seconds, forS: seconds, share: z.number().min(0).max(1).default(1), leaveS: seconds.default(1),
 	}),
+	/** The callers of a workspace send that many times what they usually do. */
+	z.strictObject({
+		kind: z.literal('hot-workspace'), atS: seconds, forS: seconds, workspace: z.number().int().nonnegative(), times: positive,
+	}),
 	z.strictObject({kind: z.literal('store-down'), atS: seconds, forS: seconds}),
+	/** The store refuses the calls of a share of the instances. */
+	z.strictObject({
+		kind: z.literal('store-refuses'), atS: seconds, forS: seconds, share: z.number().min(0).max(1),
+	}),
+	/** A new version of the configuration withdraws the key of a workspace, whose callers go on sending it. */
+	z.strictObject({kind: z.literal('withdraw-key'), atS: seconds, workspace: z.number().int().nonnegative()}),
 	/** Messages between the first zone and the others are lost. */
 	z.strictObject({kind: z.literal('zone-cut'), atS: seconds, forS: seconds}),
 	z.strictObject({
@@ -125,6 +145,10 @@
 	lengthS: positive.default(30),
 	engine: engineSchema.prefault({}),
 	serviceSlots: count.default(6),
+	/** Workspaces, one key each, whose callers take turns; withdrawn keys must be refused in time by all instances. Without any, callers need no key. */
+	workspaces: z.number().int().nonnegative().default(0),
+	/** Quota of each workspace in tokens, which all instances have to keep to together. Without it, workspaces have none. */
+	quota: z.strictObject({perSecond: positive, burst: positive, plainTokens: positive.default(300)}).optional(),
 	models: modelsSchema,
 	kinds: z.array(kindSchema).min(1),
 	events: z.array(eventSchema).default([]),
--- a/src/experiment/workload.ts
+++ b/src/experiment/workload.ts
@@ -2,7 +2,7 @@
 Generates the requests of a pattern: Poisson arrivals of each kind, whose models follow
 shares that shift during the run.
 */
-import {type Pattern, type RequestKind} from './pattern.js';
+import {type Pattern, type PatternEvent, type RequestKind} from './pattern.js';
 import {type RandomSource} from './random-source.js';
 
 export type GeneratedRequest = {
@@ -15,13 +15,15 @@
 	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 	readonly outputTokens: number;
 	readonly workMs: number;
+	/** Index of the workspace of its caller; undefined where there are none. */
+	readonly workspace: number | undefined;
 };
 
 /** Interval in which rates are taken as constant. */
 const SLICE_MS = 50;
 
 export function generateRequests(pattern: Pattern, random: RandomSource): GeneratedRequest[] {
-	const requests: GeneratedRequest[] = [];
+	const requests: Array<Omit<GeneratedRequest, 'workspace'>> = [];
 	for (const kind of pattern.kinds) {
 		for (let fromMs = 0; fromMs < pattern.lengthS * 1000; fromMs += SLICE_MS) {
 			const perSlice = kind.perSecond * burstFactor(pattern, kind, fromMs) * SLICE_MS / 1000;
@@ -29,15 +31,38 @@
 				requests.push(generateRequest(pattern, kind, {atMs, random}));
 			}
 		}
+
+		requests.push(...zoneBursts(pattern, kind, random));
+	}
+
+	const hot = generateHot(pattern, random);
+	// Callers of all workspaces take turns, without a random number, so that patterns without workspaces are as before.
+	const usual = requests.sort((a, b) => a.atMs - b.atMs).map((request, index) => ({...request, workspace: pattern.workspaces === 0 ? undefined : index % pattern.workspaces}));
+	return hot.length === 0 ? usual : [...usual, ...hot].sort((a, b) => a.atMs - b.atMs);
+}
+
+/** What the callers of a hot workspace send beyond the usual. */
+function generateHot(pattern: Pattern, random: RandomSource): GeneratedRequest[] {
+	return pattern.events.flatMap(event => event.kind === 'hot-workspace' ? pattern.kinds.flatMap(kind => generateExtra(pattern, kind, {event, random})) : []);
+}
+
+type HotWorkspace = Extract<PatternEvent, {kind: 'hot-workspace'}>;
+
+function generateExtra(pattern: Pattern, kind: RequestKind, {event, random}: {event: HotWorkspace; random: RandomSource}): GeneratedRequest[] {
+	const {atS, forS, workspace, times} = event;
+	const meanMs = 1000 * Math.max(1, pattern.workspaces) / (kind.perSecond * Math.max(Number.MIN_VALUE, times - 1));
+	const requests: GeneratedRequest[] = [];
+	for (let atMs = (atS * 1000) + random.exponential(meanMs); atMs < (atS + forS) * 1000; atMs += random.exponential(meanMs)) {
+		requests.push({...generateRequest(pattern, kind, {atMs, random}), workspace});
 	}
 
-	return requests.sort((a, b) => a.atMs - b.atMs);
+	return requests;
 }
 
 function burstFactor({events}: Pattern, {name}: RequestKind, atMs: number): number {
 	let factor = 1;
 	for (const event of events) {
-		if (event.kind === 'burst' && (event.of === undefined || event.of === name) && atMs >= event.atS * 1000 && atMs < (event.atS + event.forS) * 1000) {
+		if (event.kind === 'burst' && event.zone === undefined && (event.of === undefined || event.of === name) && atMs >= event.atS * 1000 && atMs < (event.atS + event.forS) * 1000) {
 			factor *= event.times;
 		}
 	}
@@ -45,7 +70,22 @@
 	return factor;
 }
 
-function generateRequest(pattern: Pattern, kind: RequestKind, {atMs, random}: {atMs: number; random: RandomSource}): GeneratedRequest {
+/** What the callers of one zone send in its bursts beyond their usual requests. */
+function zoneBursts(pattern: Pattern, kind: RequestKind, random: RandomSource): Array<Omit<GeneratedRequest, 'workspace'>> {
+	const requests: Array<Omit<GeneratedRequest, 'workspace'>> = [];
+	for (const event of pattern.events) {
+		if (event.kind === 'burst' && event.zone !== undefined && (event.of === undefined || event.of === kind.name)) {
+			const meanMs = 1000 * pattern.zones / (kind.perSecond * Math.max(Number.MIN_VALUE, event.times - 1));
+			for (let atMs = event.atS * 1000; atMs < (event.atS + event.forS) * 1000; atMs += random.exponential(meanMs)) {
+				requests.push({...generateRequest(pattern, kind, {atMs, random}), zone: event.zone});
+			}
+		}
+	}
+
+	return requests;
+}
+
+function generateRequest(pattern: Pattern, kind: RequestKind, {atMs, random}: {atMs: number; random: RandomSource}): Omit<GeneratedRequest, 'workspace'> {
 	const zone = Math.floor(random.uniform() * pattern.zones);
 	const {prompt} = kind;
 	if (!prompt) {
