--- a/src/core/check/entry-check.ts
+++ b/src/core/check/entry-check.ts
@@ -155,8 +155,8 @@
 		const {quota} = workspace;
 		if (quota && quota.burst <= 0) {
 			report('contradiction', [...path, 'burst'], 'a quota without a burst admits no request');
-		} else if (quota?.unit === 'tokens' && quota.plainTokens > quota.burst) {
-			report('contradiction', [...path, 'plainTokens'], `a request without tokens counts as ${quota.plainTokens}, more than the burst of ${quota.burst}`);
+		} else if (quota?.unit === 'tokens' && quota.defaultTokens > quota.burst) {
+			report('contradiction', [...path, 'defaultTokens'], `a request without tokens counts as ${quota.defaultTokens}, more than the burst of ${quota.burst}`);
 		}
 	}
 
--- a/src/core/check/entry-difference.ts
+++ b/src/core/check/entry-difference.ts
@@ -155,7 +155,7 @@
 }
 
 function describeQuota(quota: Quota | undefined): string {
-	return quota ? `${quota.perSecond} ${quota.unit} a second, burst ${quota.burst}, ${quota.plainTokens} for a request without tokens` : 'none';
+	return quota ? `${quota.perSecond} ${quota.unit} a second, burst ${quota.burst}, ${quota.defaultTokens} for a request without tokens` : 'none';
 }
 
 function reportChange(path: readonly PathPart[], before: unknown, after: unknown, report: Report, effect?: string): void {
--- a/src/core/entry/dark-targets.ts
+++ b/src/core/entry/dark-targets.ts
@@ -37,7 +37,7 @@
 };
 
 /** Tells the zone that this instance cannot open a connection to a target. */
-export function tellUnreached(context: EntryContext, target: Target, sinceMs: number): void {
+export function reportUnreached(context: EntryContext, target: Target, sinceMs: number): void {
 	const {state, nowMs} = context;
 	if (!state.mechanisms.has('shared-reachability') || !isListed(target, nowMs)) {
 		return;
--- a/src/core/entry/failure-rates.test.ts
+++ b/src/core/entry/failure-rates.test.ts
@@ -102,5 +102,5 @@
 	assert.ok(rate > 0);
 	adoptFailureRates(core.state, [['s1', target.entry.incarnation, 90]], core.nowMs);
 	assert.equal(failureRateOf(target, core.nowMs + 60_000), rate);
-	assert.equal(target.hasFailureNews, false);
+	assert.equal(target.hasUnannouncedFailures, false);
 });
--- a/src/core/entry/failure-rates.ts
+++ b/src/core/entry/failure-rates.ts
@@ -28,20 +28,20 @@
 	target.failureRate = rate + (((hasFailed ? 1 : 0) - rate) * SMOOTHING);
 	if (state.mechanisms.has('shared-failures')) {
 		target.failureRateAtMs = nowMs;
-		target.hasFailureNews = true;
+		target.hasUnannouncedFailures = true;
 	}
 }
 
 /** Rates with an outcome since they were last announced, the highest first; undefined if there are none. */
 export function announcedFailureRates({state, nowMs}: EntryContext): AnnouncedFailureRate[] | undefined {
 	const news = [...state.targets.values()]
-		.filter(target => target.hasFailureNews && failureRateOf(target, nowMs) >= MIN_ANNOUNCED)
+		.filter(target => target.hasUnannouncedFailures && failureRateOf(target, nowMs) >= MIN_ANNOUNCED)
 		.sort((a, b) => b.failureRate - a.failureRate)
 		.slice(0, MAX_ANNOUNCED);
 	return news.length === 0
 		? undefined
 		: news.map(target => {
-			target.hasFailureNews = false;
+			target.hasUnannouncedFailures = false;
 			return [target.id, target.entry.incarnation, Math.round(failureRateOf(target, nowMs) * 100)];
 		});
 }
--- a/src/core/entry/quota-account.ts
+++ b/src/core/entry/quota-account.ts
@@ -86,7 +86,7 @@
 	const limits = quotaIndex(state);
 	const levels = state.quotas.index.names.slice(0, MAX_LEVELS).map(name => {
 		const bucket = bucketOf(account, name, limits.get(name)!.limit, nowMs);
-		return formatLevel({isOpen: bucket.tellOpen(nowMs, share), usedShare: bucket.usedShare(nowMs)});
+		return formatLevel({isOpen: bucket.updateOpen(nowMs, share), usedShare: bucket.usedShare(nowMs)});
 	}).join('');
 	return {configurationVersion: state.configuration?.version ?? 0, levels};
 }
--- a/src/core/entry/quota-bucket.test.ts
+++ b/src/core/entry/quota-bucket.test.ts
@@ -15,7 +15,7 @@
 
 function tokens(perSecond: number): Quota {
 	return {
-		unit: 'tokens', perSecond, burst: perSecond, plainTokens: 300,
+		unit: 'tokens', perSecond, burst: perSecond, defaultTokens: 300,
 	};
 }
 
@@ -87,7 +87,7 @@
 // Guards against a request that no quota could ever let pass.
 test('a request larger than the limit passes when nothing else was used, on behalf of most instances only', () => {
 	const quota: Quota = {
-		unit: 'requests', perSecond: 0.01, burst: 0.1, plainTokens: 1,
+		unit: 'requests', perSecond: 0.01, burst: 0.1, defaultTokens: 1,
 	};
 	const bucket = new QuotaBucket(limitOf(quota, bounds), 0);
 	assert.equal(bucket.take(1, 1000, 0.4).isGranted, false);
--- a/src/core/entry/quota-bucket.ts
+++ b/src/core/entry/quota-bucket.ts
@@ -128,7 +128,7 @@
 	}
 
 	/** Whether instances may use some units before they report them. */
-	tellOpen(nowMs: number, share: number): boolean {
+	updateOpen(nowMs: number, share: number): boolean {
 		this._refill(nowMs);
 		const isOpen = this._window.sum(nowMs) <= this._limit.perWindow * share * OPEN_SHARE && this._paceLevel >= this._limit.paceCapacity * OPEN_SHARE;
 		if (isOpen) {
--- a/src/core/entry/quota-index.ts
+++ b/src/core/entry/quota-index.ts
@@ -39,10 +39,10 @@
 	return {isOpen: open >= 0, usedShare: isFull ? 1 : Math.max(open, closed) / TENTHS};
 }
 
-export function unitsOf({promptTokens, outputTokens}: EntryArrival, {unit, plainTokens}: Quota): number {
+export function unitsOf({promptTokens, outputTokens}: EntryArrival, {unit, defaultTokens}: Quota): number {
 	if (unit === 'requests') {
 		return 1;
 	}
 
-	return promptTokens === undefined && outputTokens === undefined ? plainTokens : (promptTokens ?? 0) + (outputTokens ?? 0);
+	return promptTokens === undefined && outputTokens === undefined ? defaultTokens : (promptTokens ?? 0) + (outputTokens ?? 0);
 }
--- a/src/core/entry/quotas.test.ts
+++ b/src/core/entry/quotas.test.ts
@@ -315,7 +315,7 @@
 test('a request counts as its tokens, as the plain figure without them, or as one where requests are counted', () => {
 	const core = createAlone([workspace('large', 1000), {
 		name: 'counted', keyHashes: ['key-counted'], rank: undefined, quota: {
-			unit: 'requests', perSecond: 5, burst: 5, plainTokens: 1,
+			unit: 'requests', perSecond: 5, burst: 5, defaultTokens: 1,
 		},
 	}]);
 	core.arrive('r1', '/records/1', {keyHash: 'key-large', promptTokens: 40, outputTokens: 2});
--- a/src/core/entry/reachability.ts
+++ b/src/core/entry/reachability.ts
@@ -7,7 +7,7 @@
 down does not make every instance probe every other one.
 */
 import {type TargetId} from '../types.js';
-import {recordFound, tellUnreached} from './dark-targets.js';
+import {recordFound, reportUnreached} from './dark-targets.js';
 import {beginPace} from './pace.js';
 import {
 	logEvent, randomFraction, type EntryContext, type EntryState,
@@ -43,7 +43,7 @@
 	if (!isRefused) {
 		// One that refuses connections has ended. Each instance finds that out by itself: whether a request crashed it is judged
 		// by those that had sent it one, and requests that move at once would crash others before that is known.
-		tellUnreached(context, target, sinceMs);
+		reportUnreached(context, target, sinceMs);
 	}
 
 	state.probedTargets.add(target.id);
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -142,7 +142,7 @@
 	/** When an outcome last changed it; infinite where it does not fade. */
 	failureRateAtMs: number;
 	/** Whether this instance has had an outcome there since it last told its peers. */
-	hasFailureNews: boolean;
+	hasUnannouncedFailures: boolean;
 	/** Fingerprints of requests whose connection to it broke, until it is known whether it crashed. */
 	readonly suspects: Array<{readonly fingerprints: readonly Fingerprint[]; readonly atMs: number}>;
 	/** When a response, or a part of one, last came from it. */
@@ -210,7 +210,7 @@
 		failures: 0,
 		failureRate: 0,
 		failureRateAtMs: Number.POSITIVE_INFINITY,
-		hasFailureNews: false,
+		hasUnannouncedFailures: false,
 		suspects: [],
 		heardAtMs: Number.NEGATIVE_INFINITY,
 		unreachedSinceMs: undefined,
--- a/src/core/entry/workspace.ts
+++ b/src/core/entry/workspace.ts
@@ -15,7 +15,7 @@
 	/** Capacity of the bucket, in units. */
 	readonly burst: number;
 	/** What a request that states no tokens counts as where the unit is tokens. */
-	readonly plainTokens: number;
+	readonly defaultTokens: number;
 };
 
 export type Workspace = {
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -598,7 +598,7 @@
 	private _checkQuota({generated: {parts, outputTokens, workspace}}: Attempt<Instance>, requestId: string, tryNumber: number): void {
 		const {quota} = this._options.pattern;
 		if (quota && workspace !== undefined && tryNumber === 1) {
-			const units = parts.length === 0 ? quota.plainTokens : parts.reduce((sum, {tokens}) => sum + tokens, outputTokens);
+			const units = parts.length === 0 ? quota.defaultTokens : parts.reduce((sum, {tokens}) => sum + tokens, outputTokens);
 			this._invariants.checkQuotaSent(workspace, units, quota);
 		}
 	}
--- a/src/experiment/pattern.ts
+++ b/src/experiment/pattern.ts
@@ -148,7 +148,7 @@
 	/** Workspaces, one key each, whose callers take turns; withdrawn keys must be refused in time by all instances. Without any, callers need no key. */
 	workspaces: z.number().int().nonnegative().default(0),
 	/** Quota of each workspace in tokens, which all instances have to keep to together. Without it, workspaces have none. */
-	quota: z.strictObject({perSecond: positive, burst: positive, plainTokens: positive.default(300)}).optional(),
+	quota: z.strictObject({perSecond: positive, burst: positive, defaultTokens: positive.default(300)}).optional(),
 	models: modelsSchema,
 	kinds: z.array(kindSchema).min(1),
 	events: z.array(eventSchema).default([]),
--- a/test/standins/quota-group.ts
+++ b/test/standins/quota-group.ts
@@ -45,7 +45,7 @@
 export function workspace(name: string, perSecond: number, burst = perSecond): Workspace {
 	return {
 		name, keyHashes: [`key-${name}`], rank: undefined, quota: {
-			unit: 'tokens', perSecond, burst, plainTokens: 300,
+			unit: 'tokens', perSecond, burst, defaultTokens: 300,
 		},
 	};
 }
