--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,15 +1,15 @@
 /* eslint-disable no-await-in-loop, no-void -- the steps of a play follow each other, and some go on beside them */
 /**
 The two runners of a plain service are full for a moment, again and again, and turn work away
-that must run once at most. One of them sends a second copy of three in a hundred of its
-answers, late, where the next answer on the same channel is expected. Whether work runs twice,
+that must run once at most. One of them at a time sends a second copy of three in a hundred of
+its answers, late, where the next answer on the same channel is expected. Whether work runs twice,
 or is refused although it has run, is read from what the runners run and the requesters get.
 */
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {isTrouble, runCase} from '../tools/case.mjs';
-import {Deployment, smallContracts} from '../tools/deployment.mjs';
+import {Deployment, grownBounds, smallContracts} from '../tools/deployment.mjs';
 import {send} from '../tools/requester.mjs';
 import {PlainRunner} from '../tools/runner.mjs';
 import {Store} from '../tools/store.mjs';
@@ -19,11 +19,11 @@
 /** Lookups that come at once at each of some instances and fill the runners' slots and queues. */
 const BURST = 75;
 const EXTRA_SHARE = 0.03;
-/** Time for which one runner sends second copies, and the pause after it. */
+/** Time for which one runner, drawn anew each time, sends second copies, and the pause after it. */
 const GARBLE_MS = 5000;
 const PAUSE_MS = 500;
 const LOOKUP_INSTANCES = ['edge-haskovo-1', 'edge-stara-zagora-1'];
-const ORDER_INSTANCES = Array.from({length: 20}, (_, index) => `edge-plovdiv-${index + 1}`);
+const ORDER_INSTANCES = Array.from({length: 12}, (_, index) => `edge-plovdiv-${index + 1}`);
 const promises = new Set([408, 421, 429, 503]);
 
 const route = {
@@ -57,7 +57,7 @@
 	onEnd(() => {
 		store.stop();
 	});
-	const deployment = new Deployment({record, contracts: [...smallContracts, 'health', 'pool']});
+	const deployment = new Deployment({record, bounds: grownBounds, contracts: [...smallContracts, 'health', 'pool']});
 	onEnd(async () => deployment.end());
 	const runners = [];
 	for (const [index, zone] of ['plovdiv', 'haskovo'].entries()) {
@@ -70,20 +70,33 @@
 		runners.push(runner);
 	}
 
-	const startMs = record.nowMs();
 	let answers = 0;
 	let copies = 0;
-	runners[0].extraAnswer = bytes => {
-		answers++;
-		const isGarbling = (record.nowMs() - startMs) % (GARBLE_MS + PAUSE_MS) < GARBLE_MS;
-		if (!isTrouble || !isGarbling || Math.random() >= EXTRA_SHARE) {
-			return undefined;
-		}
+	let garbling;
+	for (const runner of runners) {
+		runner.extraAnswer = bytes => {
+			answers++;
+			if (runner !== garbling || Math.random() >= EXTRA_SHARE) {
+				return undefined;
+			}
+
+			copies++;
+			return bytes;
+		};
+	}
 
-		copies++;
-		return bytes;
+	const beginGarbling = () => {
+		garbling = isTrouble ? runners[Math.floor(Math.random() * runners.length)] : undefined;
+		setTimeout(() => {
+			garbling = undefined;
+		}, GARBLE_MS).unref();
 	};
 
+	beginGarbling();
+	const garbleTimer = setInterval(beginGarbling, GARBLE_MS + PAUSE_MS);
+	onEnd(() => {
+		clearInterval(garbleTimer);
+	});
 	store.put('op', 'config', configuration);
 	const names = [...LOOKUP_INSTANCES, ...ORDER_INSTANCES];
 	await deployment.plan(names.map(name => ({name, zone: name.replace(/^edge-(?<zone>.*)-\d+$/v, '$<zone>'), storeAddress: `127.0.0.1:${store.port}`})));
--- a/review/tools/deployment.mjs
+++ b/review/tools/deployment.mjs
@@ -29,6 +29,11 @@
 	seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, outerMs: 5000, budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 113, recoveryS: 12, passMs: 120, retryAfterS: 0, fencingEnforced: false, leaseMs: 3000, thawSlackMs: 300, ceilingWindowS: 5, ceilingExcess: 1.1,
 };
 
+/** Bounds of the site petrov-trench-grown. */
+export const grownBounds = {
+	...smallBounds, contactMs: 4000, ackMs: 6000, catchUpS: 6, drainMs: 3000, configApplyMs: 3000, outerMs: 6000, budgetSlack: 272, recoveryS: 15, passMs: 200,
+};
+
 export const smallContracts = ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'fleet', 'stream', 'engine', 'platform'];
 
 function valueAt(fields, name) {
