Lease: never hold an epoch again that has ended

Cause: a renewal that a cut held up was confirmed after the validity had run out, and revived the epoch whose end peers had been told. An instance that hears from the holder seldom kept that end and took the lease over after the shorter wait, by a write between two renewals.

Ruled out: a successor that waits too little (it waited its 3.4 s); clocks (one machine).

Change: an epoch that has ended is never held again, a late confirmation is only noted, and the lease is taken in a new epoch by another conditional write. So what peers were told stays true, and a holder that comes back changes the row, at which the successor's write fails. Beacons name the epoch that has ended instead of leaving the claim out; lease-taken states what the wait rested on.

Two tests that built the holder's beacon by hand now use one that names the epoch, as holders send it; their bounds are as before.

--- a/src/core/entry/adapters.test.ts
+++ b/src/core/entry/adapters.test.ts
@@ -38,7 +38,7 @@
 	core.dispatch({kind: 'beacon-received', beacon: beacon({lease: {holder: instance('b'), epoch: 1, ageMs: 0}})});
 	core.arrive('before', '/ask/1', {model: 'm0', adapter: 'a1'});
 	assert.equal(effectsOfKind(core.effects, 'ask-adapter').length, 1);
-	core.dispatch({kind: 'beacon-received', beacon: beacon()});
+	core.dispatch({kind: 'beacon-received', beacon: beacon({endedEpoch: 1})});
 	const [refusal] = effectsOfKind(core.arrive('r', '/ask/1', {model: 'm0', adapter: 'a2'}), 'refuse');
 	assert.equal(refusal?.code, 'no-target');
 	assert.ok((refusal?.retryAfterMs ?? 0) >= 3000, `${refusal?.retryAfterMs} ms`);
--- a/src/core/entry/beacon-sender.ts
+++ b/src/core/entry/beacon-sender.ts
@@ -181,6 +181,7 @@
 				holder: state.self, epoch: held.epoch, ageMs: 0, instances: countInstances(state, nowMs), quotas: announcedLevels(context, held),
 			}
 			: leaseStatus(context),
+		endedEpoch: state.lease.endedEpoch || undefined,
 		loads: [...state.targets.values()].filter(({inFlight}) => inFlight.size > 0).map(target => announcedLoad(target)),
 		demand: localDemand(context).filter(({open, arrivalsPerSecond}) => open > 0 || arrivalsPerSecond > 0),
 		reported: held ? reportedCopies(context) : [],
--- a/src/core/entry/lease-state.ts
+++ b/src/core/entry/lease-state.ts
@@ -19,8 +19,10 @@
 	lastKnown: {readonly holder: EntryInstance; readonly epoch: number; readonly claimedAtMs: number; readonly instances: number; readonly quotas?: QuotaLevels} | undefined;
 	/** Largest number of instances that a holder has told of lately. */
 	instanceCount: {readonly count: number; readonly toldAtMs: number} | undefined;
-	/** Since when the last known holder's own beacons have no longer claimed the lease, undefined while they do. */
+	/** Since when the last known claim is known to have ended, undefined while it may be valid. */
 	steppedDownSinceMs: number | undefined;
+	/** Latest epoch that this instance held and that has ended, 0 for none. An epoch that has ended is never held again. */
+	endedEpoch: number;
 };
 
 export type HeldLease = {
@@ -43,5 +45,6 @@
 		lastKnown: undefined,
 		instanceCount: undefined,
 		steppedDownSinceMs: undefined,
+		endedEpoch: 0,
 	};
 }
--- a/src/core/entry/lease.test.ts
+++ b/src/core/entry/lease.test.ts
@@ -7,7 +7,10 @@
 import {
 	beacon, EntryHarness, instance, effectsOfKind, targetEntry,
 } from '../../../test/standins/entry-harness.js';
+import {createBeacon} from './beacon-sender.js';
+import {type EntryEffectOf} from './effect.js';
 import {holdsLease} from './lease.js';
+import {type Beacon} from './peer-messages.js';
 import {type LeaseRecord} from './types.js';
 
 /** The lease's row in the store, changed by conditional writes only. */
@@ -15,13 +18,22 @@
 	revision = 0;
 	record: LeaseRecord | undefined;
 
+	/** Applies a conditional write; returns whether it was applied. */
+	write({expectedRevision, record}: EntryEffectOf<'write-lease'>): boolean {
+		if (expectedRevision !== this.revision) {
+			return false;
+		}
+
+		this.revision++;
+		this.record = record;
+		return true;
+	}
+
 	/** Serves an instance's pending reads and writes. With `isLost` the response to a write that was applied is lost. */
 	serve(core: EntryHarness, {isLost = false} = {}): void {
 		for (const effect of core.effects.splice(0)) {
 			const sent = {sentAtMs: core.nowMs, sentAtWallMs: core.nowMs + core.wallOffsetMs};
-			if (effect.kind === 'write-lease' && effect.expectedRevision === this.revision) {
-				this.revision++;
-				this.record = effect.record;
+			if (effect.kind === 'write-lease' && this.write(effect)) {
 				core.dispatch({kind: 'lease-request-completed', result: isLost ? {kind: 'unknown'} : {kind: 'written', revision: this.revision}, ...sent});
 			} else if (effect.kind === 'write-lease' || effect.kind === 'read-lease') {
 				core.dispatch({kind: 'lease-request-completed', result: {kind: 'row', revision: this.revision, record: this.record}, ...sent});
@@ -36,6 +48,12 @@
 	}) !== undefined;
 }
 
+function beaconOf(core: EntryHarness): Beacon {
+	return createBeacon({
+		state: core.state, nowMs: core.nowMs, wallMs: core.nowMs + core.wallOffsetMs, effects: [],
+	});
+}
+
 function run(cores: readonly EntryHarness[], row: LeaseRow, durationMs: number, onTick: () => void = () => undefined): void {
 	for (let elapsed = 0; elapsed < durationMs; elapsed += 50) {
 		for (const core of cores) {
@@ -122,7 +140,7 @@
 	const row = new LeaseRow();
 	run([first], row, 1000);
 	second.nowMs = first.nowMs;
-	second.dispatch({kind: 'beacon-received', beacon: beacon({from: instance('a'), lease: {holder: instance('a'), epoch: 1, ageMs: 0}})});
+	second.dispatch({kind: 'beacon-received', beacon: beaconOf(first)});
 	let steppedDownAtMs = 0;
 	for (let elapsed = 0; elapsed < 8000 && !holds(second); elapsed += 50) {
 		first.advance(50);
@@ -131,7 +149,7 @@
 			steppedDownAtMs = first.nowMs;
 		}
 
-		second.dispatch({kind: 'beacon-received', beacon: beacon({from: instance('a'), lease: holds(first) ? {holder: instance('a'), epoch: 1, ageMs: 0} : undefined})});
+		second.dispatch({kind: 'beacon-received', beacon: beaconOf(first)});
 		second.advance(50);
 		row.serve(second);
 	}
@@ -253,3 +271,42 @@
 		assert.deepEqual(cores.filter(core => holds(core)).map(({state}) => state.self.id).filter(id => id !== 'a'), [successor]);
 	}
 });
+
+/** Withholds the answers of the store from an instance until it no longer holds the lease; returns its unanswered write and the time at which it was sent. */
+function holdUpRenewal(core: EntryHarness): {effect: EntryEffectOf<'write-lease'>; sent: {sentAtMs: number; sentAtWallMs: number}} {
+	let renewal: {effect: EntryEffectOf<'write-lease'>; sent: {sentAtMs: number; sentAtWallMs: number}} | undefined;
+	while (holds(core)) {
+		core.advance(50);
+		const [effect] = effectsOfKind(core.effects.splice(0), 'write-lease');
+		renewal ??= effect && {effect, sent: {sentAtMs: core.nowMs, sentAtWallMs: core.nowMs + core.wallOffsetMs}};
+	}
+
+	return renewal!;
+}
+
+// Guards against two holders after a short cut from the store: a renewal that was confirmed late revived a lease that peers knew as ended, and one of them took it over.
+test('a renewal that is confirmed after the lease has ended does not revive it beside a successor', () => {
+	const [first, second] = [new EntryHarness(instance('a')), new EntryHarness(instance('c', 'south'))];
+	const row = new LeaseRow();
+	run([first], row, 1000);
+	second.nowMs = first.nowMs;
+	second.dispatch({kind: 'beacon-received', beacon: beaconOf(first)});
+	const {effect, sent} = holdUpRenewal(first);
+	second.advance(first.nowMs - second.nowMs);
+	row.serve(second);
+	second.dispatch({kind: 'beacon-received', beacon: beaconOf(first)});
+	row.write(effect);
+	first.dispatch({kind: 'lease-request-completed', result: {kind: 'written', revision: row.revision}, ...sent});
+	const held = new Map<EntryHarness, number>();
+	run([first, second], row, 12_000, () => {
+		// Instances of other zones learn of the holder from their peers.
+		const {lease} = beaconOf(first);
+		second.dispatch({kind: 'beacon-received', beacon: beacon({from: instance('b', 'south'), lease})});
+		const holders = [first, second].filter(core => holds(core));
+		assert.ok(holders.length <= 1, `both hold the lease at ${first.nowMs} ms`);
+		for (const core of holders) {
+			held.set(core, core.state.lease.held!.epoch);
+		}
+	});
+	assert.deepEqual([...held.keys()], [first], 'the holder was away for less than a term');
+});
--- a/src/core/entry/lease.ts
+++ b/src/core/entry/lease.ts
@@ -2,7 +2,9 @@
 The lease whose holder alone sends orders to engines. One row in the platform's store
 names the holder, which renews it by conditional writes. A holder stops well before
 another instance may start: its validity counts from when the last confirmed write
-was sent, a successor's wait from when it first read the row that is still unchanged.
+was sent, a successor's wait from when it first read the row that is still unchanged, or
+from when the holder told that its epoch has ended. Such an epoch is never held again:
+an instance that takes the lease up again does so in a new one.
 */
 import {type EntryEventOf} from './event.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
@@ -62,7 +64,7 @@
 
 	if (lease.held && !holdsLease(context)) {
 		logEvent(context, 'lease-lost', {epoch: lease.held.epoch, reason: 'renewal was not confirmed in time', lastRenewalAgeMs: Math.round(nowMs - lease.held.renewedAtMs)});
-		lease.held = undefined;
+		endHeld(lease, lease.held);
 	}
 
 	if (lease.isRequestPending || state.lifecycle === 'stopped') {
@@ -119,8 +121,13 @@
 }
 
 /** Above every epoch that this instance knows of: the row may be older than what its holder has announced, if the store was restored. */
-function nextEpoch({observed, lastKnown}: Lease): number {
-	return Math.max(observed?.record?.epoch ?? 0, lastKnown?.epoch ?? 0) + 1;
+function nextEpoch({observed, lastKnown, endedEpoch}: Lease): number {
+	return Math.max(observed?.record?.epoch ?? 0, lastKnown?.epoch ?? 0, endedEpoch) + 1;
+}
+
+function endHeld(lease: Lease, {epoch}: HeldLease): void {
+	lease.held = undefined;
+	lease.endedEpoch = epoch;
 }
 
 /** Whether the holder of the observed row can no longer send orders and none of its orders can still arrive. */
@@ -136,7 +143,7 @@
 	}
 
 	if (steppedDownSinceMs !== undefined && lastKnown?.epoch === observed.record.epoch) {
-		// The holder can return only by writing the row, which makes this instance's conditional write fail.
+		// The holder can return only in a later epoch, by writing the row, which makes this instance's conditional write fail.
 		return nowMs - steppedDownSinceMs >= state.bounds.leaseMs + HANDOVER_MARGIN_MS;
 	}
 
@@ -175,7 +182,7 @@
 		return;
 	}
 
-	lease.held = undefined;
+	endHeld(lease, held);
 	lease.isReleasing = true;
 	logEvent(context, 'lease-lost', {epoch: held.epoch, reason});
 	writeLease(context, held.revision, {...ownRecord(context, held.epoch), isReleased: true});
@@ -200,19 +207,7 @@
 	}
 
 	if (result.kind === 'written') {
-		const epoch = lease.held?.epoch ?? lease.requestedEpoch;
-		if (!lease.held) {
-			logEvent(context, 'lease-taken', {epoch, revision: result.revision});
-		}
-
-		lease.held = {
-			epoch,
-			revision: result.revision,
-			validUntilMs: sentAtMs + LEASE_VALID_MS,
-			validUntilWallMs: sentAtWallMs + LEASE_VALID_MS,
-			renewedAtMs: nowMs,
-		};
-		lease.observed = {revision: result.revision, record: ownRecord(context, epoch), sinceMs: nowMs};
+		handleWritten(context, {revision: result.revision, sentAtMs, sentAtWallMs});
 		return;
 	}
 
@@ -224,10 +219,49 @@
 		lease.requestedAtMs = nowMs - RENEW_INTERVAL_MS;
 	} else if (lease.held) {
 		logEvent(context, 'lease-lost', {epoch: lease.held.epoch, reason: 'another instance holds it', holder: record?.holder});
-		lease.held = undefined;
+		endHeld(lease, lease.held);
 	}
 
 	if (lease.observed?.revision !== revision) {
 		lease.observed = {revision, record, sinceMs: nowMs};
 	}
 }
+
+type ConfirmedWrite = {
+	readonly revision: number;
+	readonly sentAtMs: number;
+	readonly sentAtWallMs: number;
+};
+
+/** The store has confirmed a write by which this instance takes or renews the lease. */
+function handleWritten(context: EntryContext, {revision, sentAtMs, sentAtWallMs}: ConfirmedWrite): void {
+	const {state: {lease}, nowMs} = context;
+	const epoch = lease.held?.epoch ?? lease.requestedEpoch;
+	const previous = lease.observed;
+	lease.observed = {revision, record: ownRecord(context, epoch), sinceMs: nowMs};
+	if (!lease.held && epoch <= lease.endedEpoch) {
+		// Peers may count on the end of this epoch, which they were told. The lease is taken in the next one.
+		logEvent(context, 'lease-renewed-late', {epoch, revision, tookMs: Math.round(nowMs - sentAtMs)});
+		lease.requestedAtMs = nowMs - READ_INTERVAL_MS;
+		return;
+	}
+
+	if (!lease.held) {
+		logEvent(context, 'lease-taken', {
+			epoch,
+			revision,
+			previousHolder: previous?.record?.holder,
+			previousEpoch: previous?.record?.epoch,
+			unchangedMs: previous && Math.round(nowMs - previous.sinceMs),
+			steppedDownMs: lease.steppedDownSinceMs && Math.round(nowMs - lease.steppedDownSinceMs),
+		});
+	}
+
+	lease.held = {
+		epoch,
+		revision,
+		validUntilMs: sentAtMs + LEASE_VALID_MS,
+		validUntilWallMs: sentAtWallMs + LEASE_VALID_MS,
+		renewedAtMs: nowMs,
+	};
+}
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -229,6 +229,8 @@
 		readonly change?: AnnouncedRegistryChange;
 	};
 	readonly lease?: LeaseStatus;
+	/** Latest epoch in which the sender held the lease and that has ended; absent if there is none, and from instances of an earlier release. */
+	readonly endedEpoch?: number;
 	/** What the sender has in flight at each target. */
 	readonly loads: readonly AnnouncedLoad[];
 	/** Only in beacons to the lease holder. */
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -163,15 +163,16 @@
 	}
 }
 
-/** A holder that failed to renew stops claiming the lease in its beacons before the row shows it. */
-function updateSteppedDown({state, nowMs}: EntryContext, {from, lease}: Beacon): void {
+/** A holder that failed to renew states that its epoch has ended before the row shows it. One that was started again holds nothing of its earlier process. */
+function updateSteppedDown({state, nowMs}: EntryContext, {from, lease, endedEpoch = 0}: Beacon): void {
 	const {lastKnown} = state.lease;
 	if (lastKnown?.holder.id !== from.id) {
 		return;
 	}
 
-	const isHolding = lease?.holder.id === from.id;
-	state.lease.steppedDownSinceMs = isHolding ? undefined : (state.lease.steppedDownSinceMs ?? nowMs);
+	const isClaimed = lease?.holder.boot === from.boot && lease.epoch === lastKnown.epoch;
+	const hasEnded = !isClaimed && (endedEpoch >= lastKnown.epoch || lastKnown.holder.boot !== from.boot);
+	state.lease.steppedDownSinceMs = hasEnded ? state.lease.steppedDownSinceMs ?? nowMs : undefined;
 }
 
 /** Adopts what a reader of this zone has just read, if this instance's copy is the one that has changed. */
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -73,6 +73,7 @@
 	'lease-taken': {number: 410, level: 'info'},
 	'lease-lost': {number: 411, level: 'warn'},
 	'journal-unavailable': {number: 412, level: 'warn'},
+	'lease-renewed-late': {number: 413, level: 'info'},
 	'configuration-adopted': {number: 500, level: 'info'},
 	'patch-accepted': {number: 501, level: 'info'},
 	'patch-rejected': {number: 502, level: 'info'},
