Connections: never send a request twice over one connection

Cause: a retry after a refusal could use the connection on which the same target had refused the request. The target's late second copy of that refusal bears the id of the retry, so it was taken for its answer.

Ruled out: copies for other requests (dropped with their connection, tested before) and copies that arrive on an idle connection (they close it).

Change: connections are remembered by the ids of the requests they carried (the last 4,096 of an instance), and none carries an id twice. So a response on a connection that names a request can only belong to that one send. The memory is the connections' and not the exchange's, since a peer may pass a request on twice.

--- a/src/entry/connection-reuse.test.ts
+++ b/src/entry/connection-reuse.test.ts
@@ -28,7 +28,7 @@
 	/** How each request was given its connection, and why. */
 	readonly uses: string[];
 	/** Sends a request that must run at most once. */
-	readonly send: (options?: {followsFailure?: boolean; maxIdleConnections?: number}) => Promise<string>;
+	readonly send: (options?: {followsFailure?: boolean; maxIdleConnections?: number; requestId?: string}) => Promise<string>;
 };
 
 /** A target that treats each request as scripted. */
@@ -122,6 +122,21 @@
 	assert.deepEqual(target.uses, ['none-idle', 'retry']);
 });
 
+// Guards against a late second response to a request that is taken for the response to its retry.
+test('no connection carries two requests of one id, whoever sends them', limit, async t => {
+	const target = await start(t, ({answer}) => {
+		answer('whole');
+	});
+	await target.send({requestId: 'r1'});
+	await until(t, () => target.connections.hasIdle(target.address));
+	await target.send({requestId: 'r1'});
+	assert.equal(target.sockets.length, 2);
+	await target.send({requestId: 'r2'});
+	await target.send({requestId: 'r1'});
+	assert.equal(target.sockets.length, 3, 'both connections have carried it, one of them long ago');
+	assert.deepEqual(target.uses, ['none-idle', 'none-idle', 'reused', 'none-idle']);
+});
+
 // Guards against a second execution: what was written to the connection may have been executed.
 test('a request whose kept connection closes without a response fails, and is not sent again', limit, async t => {
 	for (const end of ['end', 'resetAndDestroy'] as const) {
--- a/src/entry/kept-connections.ts
+++ b/src/entry/kept-connections.ts
@@ -8,6 +8,7 @@
 import {type Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
 import {setImmediate} from 'node:timers/promises';
+import {LRUCache} from 'lru-cache';
 import {buildConnector, type Dispatcher} from 'undici';
 import {GuardedClient} from '../daemon/gateways/guarded-client.js';
 import {ABORTED_SILENCE_MS} from './call-times.js';
@@ -33,7 +34,9 @@
 	readonly headers: string[];
 	readonly body: Buffer | string | undefined;
 	readonly signal: AbortSignal;
-	/** Whether the request may be sent over a connection that has carried others. */
+	/** Id that the server repeats in its response; absent if it repeats none. */
+	readonly requestId?: string;
+	/** Whether the request may be sent over a connection that has carried others. It is never sent over one that has carried a request of its id. */
 	readonly mayReuse: boolean;
 	/** Whether the connection may be kept after the response. */
 	readonly mayKeep: boolean;
@@ -61,6 +64,7 @@
 };
 
 type Connection = {
+	readonly number: number;
 	readonly client: GuardedClient;
 	/** Number of sockets that the client has opened: one that was closed while it was idle is replaced before a request is written. */
 	sockets: number;
@@ -98,6 +102,8 @@
 const LEARNED_FOR_MS = 30_000;
 /** More than the addresses of a large deployment. */
 const LEARNED_ADDRESSES_MAX = 2000;
+/** Requests whose connections are remembered: more than an instance serves in the longest time within which a request is sent again. */
+const CARRIED_REQUESTS_MAX = 4096;
 /** How much sooner than intended a timer of undici may close a connection. */
 const OWN_CLOSE_MS = 50;
 
@@ -106,6 +112,9 @@
 	/** Idle times of addresses that close connections sooner than they state. */
 	private readonly _learned = new Map<string, LearnedLimit>();
 	private readonly _clients = new Set<GuardedClient>();
+	/** Numbers of the connections that have carried a request, by its id. */
+	private readonly _carriers = new LRUCache<string, readonly number[]>({max: CARRIED_REQUESTS_MAX});
+	private _lastNumber = 0;
 	private readonly _connectSocket: buildConnector.connector;
 
 	constructor(private readonly _options: KeptConnectionsOptions) {
@@ -118,8 +127,9 @@
 
 	async request(address: string, request: KeptRequest): Promise<KeptResponse> {
 		const peer = this._peer(address);
-		const kept = request.mayReuse ? takeIdle(peer) : undefined;
+		const kept = request.mayReuse ? takeIdle(peer, this._carriersOf(request)) : undefined;
 		const connection = kept ?? this._open(address, peer);
+		this._noteCarrier(request, connection);
 		peer.busy++;
 		this._closeSurplus(peer, request);
 		const sentAtMs = performance.now();
@@ -222,6 +232,17 @@
 		}
 	}
 
+	/** A late second response to a request cannot be told from the response to the same request when it is sent again. */
+	private _carriersOf({requestId}: KeptRequest): readonly number[] {
+		return requestId === undefined ? [] : this._carriers.get(requestId) ?? [];
+	}
+
+	private _noteCarrier(request: KeptRequest, {number}: Connection): void {
+		if (request.requestId !== undefined) {
+			this._carriers.set(request.requestId, [...this._carriersOf(request), number]);
+		}
+	}
+
 	private _peer(address: string): Peer {
 		let peer = this._peers.get(address);
 		if (!peer) {
@@ -265,8 +286,9 @@
 				});
 			},
 		});
+		this._lastNumber++;
 		const connection: Connection = {
-			client, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
+			number: this._lastNumber, client, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
 		};
 		this._clients.add(client);
 		client.on('disconnect', () => {
@@ -330,9 +352,9 @@
 	return usedSocket > 0 && sockets === usedSocket;
 }
 
-/** Takes the idle connection that was used last, which the server keeps open the longest. */
-function takeIdle({idle}: Peer): Connection | undefined {
-	const index = idle.findLastIndex(connection => isUsable(connection));
+/** Takes the idle connection that was used last, which the server keeps open the longest, but none of the excluded ones. */
+function takeIdle({idle}: Peer, excluded: readonly number[]): Connection | undefined {
+	const index = idle.findLastIndex(connection => isUsable(connection) && !excluded.includes(connection.number));
 	return index === -1 ? undefined : idle.splice(index, 1)[0];
 }
 
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -30,6 +30,8 @@
 	readonly headers: string[];
 	readonly body: Buffer | undefined;
 	readonly signal: AbortSignal;
+	/** Id that the target repeats in its response; absent if it repeats none. */
+	readonly requestId?: string;
 	/** Whether the request opens a connection unless all requests reuse them. */
 	readonly usesFreshConnection: boolean;
 	/** Whether the request opens a connection in any case, since an earlier try of it failed or went to another instance. */
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -104,6 +104,7 @@
 				headers: this._buildHeaders(exchange, effect),
 				body: exchange.body.length > 0 || hasLength(exchange.headers) ? exchange.body : undefined,
 				signal,
+				requestId: exchange.id,
 				usesFreshConnection: effect.usesFreshConnection,
 				followsFailure: effect.relayed !== undefined || exchange.soundTries < effect.tryNumber - 1,
 				maxConnections: effect.maxConnections,
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -173,9 +173,10 @@
 
 /**
 How a runner handles one request; `answer` sends a complete response, `pause` one with a long pause after its first event,
-`close-delimited` one that ends with its connection, `close-inside` a stream that ends so inside an event.
+`close-delimited` one that ends with its connection, `close-inside` a stream that ends so inside an event. `decline-twice`
+turns the request away and writes that response once more where the next one on the connection is due.
 */
-export type RunnerBehaviour = 'answer' | 'decline' | 'error' | 'unsigned-error' | 'nameless-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
+export type RunnerBehaviour = 'answer' | 'decline' | 'decline-twice' | 'error' | 'unsigned-error' | 'nameless-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
 
 export type ReceivedRequest = {
 	readonly method: string;
@@ -210,6 +211,8 @@
 	/** A part of a prompt on which it crashes when it begins to answer. */
 	crashesOn: string | undefined;
 	onCrash: () => void = () => undefined;
+	/** Second copies of responses, by the connection on which they are due. */
+	private readonly _lateCopies = new WeakMap<Socket, string>();
 	private readonly _server = createServer((request, response) => {
 		void this._serve(request, response);
 	});
@@ -274,6 +277,12 @@
 			return;
 		}
 
+		const lateCopy = this._lateCopies.get(request.socket);
+		if (lateCopy !== undefined) {
+			this._lateCopies.delete(request.socket);
+			request.socket.write(lateCopy);
+		}
+
 		this._respond(this.behaviours.shift() ?? 'answer', request, response);
 	}
 
@@ -307,6 +316,14 @@
 				break;
 			}
 
+			case 'decline-twice': {
+				const id = String(headers['x-pollenarch-request-id']);
+				this._lateCopies.set(socket, `HTTP/1.1 503 Service Unavailable\r\nX-Pollenarch-Request-Id: ${id}\r\nX-Pollenarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
+				response.writeHead(503, {...headers, 'x-pollenarch-not-executed': '1'}).end();
+
+				break;
+			}
+
 			case 'error': {
 				response.writeHead(500, headers).end(`error of ${this.id}`);
 
--- a/test/unit/reused-connections.test.ts
+++ b/test/unit/reused-connections.test.ts
@@ -90,3 +90,15 @@
 		assert.notEqual(third, second, 'the connection is not used again');
 	});
 }
+
+// Guards against "not run" for a request that runs: the second copy of an earlier refusal bears the id of the retry, and was taken for its answer.
+test('a request that its only runner turned away is not sent again over the connection that may bring the refusal once more', limit, async t => {
+	await send('/sign/1');
+	await keepConnection(t);
+	runner.behaviours = ['decline-twice'];
+	const {id, status, text} = await send('/sign/1');
+	assert.deepEqual([status, text], [200, `answer of t-1 to ${id}`]);
+	const [first, second] = runner.receivedRequests.slice(-2).map(({remotePort}) => remotePort);
+	assert.equal(arrivalsOf(id), 2);
+	assert.notEqual(second, first, 'the retry has a connection of its own');
+});
