Lease: epochs go on rising across restores of the store

Cause: the next epoch was counted up from the row and from what peers had told. After a kill of all only the row was left, older than the last change of the holder.

Ruled out: a late conditional write of an earlier era, which the store's client doesn't compare.

Change: results for the row bring the era of the store. Where it was restored, epochs go on from the row's revision, which holds the era and so is above every earlier epoch, and a row of an earlier era proves no holder: all wait the full time from its first sight, also the one that it names, since a later holder may still be valid.

--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -19,9 +19,9 @@
 
 /** Result of a read or a conditional write of the lease row; `unknown` if the store gave no usable response. */
 export type LeaseResult =
-	/** The current row; `record` is undefined when there is none. */
-	| {readonly kind: 'row'; readonly revision: number; readonly record: LeaseRecord | undefined}
-	| {readonly kind: 'written'; readonly revision: number}
+	/** The current row; `record` is undefined when there is none. `eraRevision` as for the registry. */
+	| {readonly kind: 'row'; readonly revision: number; readonly record: LeaseRecord | undefined; readonly eraRevision?: number}
+	| {readonly kind: 'written'; readonly revision: number; readonly eraRevision?: number}
 	| {readonly kind: 'unknown'};
 
 /** Whether a target accepted a connection. */
--- a/src/core/entry/lease-handover.test.ts
+++ b/src/core/entry/lease-handover.test.ts
@@ -1,6 +1,6 @@
 /**
-The lease over random cuts from the store, lost and late calls, lost beacons, suspensions
-and restarts, in series and at once. At every moment at most one
+The lease over random cuts from the store, lost and late calls, lost beacons, suspensions,
+restarts and restores of the store, in series and at once. At every moment at most one
 instance holds it, its epochs rise from holder to holder, and holders don't take turns
 within its term.
 */
@@ -26,43 +26,78 @@
 
 type Trouble =
 	| {readonly kind: 'cut' | 'suspend'; readonly atMs: number; readonly forMs: number; readonly index: number | 'holder'}
-	| {readonly kind: 'restart'; readonly atMs: number; readonly index: number | 'holder' | 'all'};
+	| {readonly kind: 'restart'; readonly atMs: number; readonly index: number | 'holder' | 'all'}
+	| {readonly kind: 'restore'; readonly atMs: number; readonly ageMs: number};
 
-type StoreCall = {readonly effect: EntryEffectOf<'read-lease' | 'write-lease'>; readonly sentAtMs: number; readonly sentAtWallMs: number; result: LeaseResult | undefined; isEnded: boolean};
+type StoreCall = {readonly effect: EntryEffectOf<'read-lease' | 'write-lease'>; readonly sentAtMs: number; readonly sentAtWallMs: number; answer: StoreAnswer | undefined; isEnded: boolean};
 
-type Member = {core: EntryHarness; starts: number; upAtMs: number; suspendedUntilMs: number; cutUntilMs: number; readonly calls: Set<StoreCall>};
+/** What the store answers, and the era that the answer states. */
+type StoreAnswer = {readonly era: number; readonly result: LeaseResult};
+
+type Member = {core: EntryHarness; starts: number; upAtMs: number; suspendedUntilMs: number; cutUntilMs: number; era: number; readonly calls: Set<StoreCall>};
 
 type Hold = {readonly holder: string; readonly epoch: number; readonly fromMs: number; toMs: number};
 
-class LeaseRow {
-	private _revision = 0;
-	private _record: LeaseRecord | undefined;
+type Row = {readonly version: number; readonly record: LeaseRecord | undefined};
+
+const ERA_REVISIONS = 2 ** 40;
+
+/** The row of the lease in a store that may come back from an older copy of itself. Its versions are given out again then. */
+class RestorableRow {
+	private _era = 0;
+	private _version = 1;
+	private _row: Row = {version: 0, record: undefined};
+	private readonly _copies: Array<{readonly atMs: number; readonly version: number; readonly row: Row}> = [];
+
+	copy(atMs: number): void {
+		this._copies.push({atMs, version: this._version, row: this._row});
+	}
+
+	restore(atMs: number): void {
+		const {version, row} = this._copies.findLast(copy => copy.atMs <= atMs) ?? this._copies[0]!;
+		this._era++;
+		this._version = version;
+		this._row = row;
+	}
+
+	/** Executes a call of a client that has seen answers up to an era, which compares the versions of that era only. */
+	execute(effect: StoreCall['effect'], clientEra: number): StoreAnswer {
+		const eraRevision = this._era * ERA_REVISIONS;
+		const current: LeaseResult = {
+			kind: 'row', revision: this._row.version === 0 ? 0 : eraRevision + this._row.version, record: this._row.record, eraRevision,
+		};
+		if (effect.kind === 'read-lease') {
+			return {era: this._era, result: current};
+		}
 
-	execute(effect: StoreCall['effect']): LeaseResult {
-		if (effect.kind === 'write-lease' && effect.expectedRevision === this._revision) {
-			this._revision++;
-			this._record = effect.record;
-			return {kind: 'written', revision: this._revision};
+		const isNew = effect.expectedRevision === 0;
+		const expectedEra = isNew ? clientEra : Math.floor(effect.expectedRevision / ERA_REVISIONS);
+		if (expectedEra !== clientEra || effect.expectedRevision % ERA_REVISIONS !== this._row.version) {
+			return {era: this._era, result: current};
 		}
 
-		return {kind: 'row', revision: this._revision, record: this._record};
+		this._version++;
+		this._row = {version: this._version, record: effect.record};
+		const result: LeaseResult = isNew || expectedEra === this._era ? {kind: 'written', revision: eraRevision + this._version, eraRevision} : {kind: 'unknown'};
+		return {era: this._era, result};
 	}
 }
 
 class LeaseFleet {
 	readonly holds: Hold[] = [];
-	private readonly _row = new LeaseRow();
+	private readonly _row = new RestorableRow();
 	private readonly _members: Member[];
 	private _nowMs = 0;
 
 	constructor(private readonly _troubles: readonly Trouble[], private readonly _random: () => number) {
 		this._members = zones.map((zone, index) => ({
-			core: this._start(index, 1), starts: 1, upAtMs: 0, suspendedUntilMs: 0, cutUntilMs: 0, calls: new Set(),
+			core: this._start(index, 1), starts: 1, upAtMs: 0, suspendedUntilMs: 0, cutUntilMs: 0, era: 0, calls: new Set(),
 		}));
 	}
 
 	run(): void {
 		for (; this._nowMs < DURATION_MS; this._nowMs += TICK_MS) {
+			this._row.copy(this._nowMs);
 			for (const trouble of this._troubles.filter(({atMs}) => atMs >= this._nowMs && atMs < this._nowMs + TICK_MS)) {
 				this._begin(trouble);
 			}
@@ -92,6 +127,11 @@
 	}
 
 	private _begin(trouble: Trouble): void {
+		if (trouble.kind === 'restore') {
+			this._row.restore(this._nowMs - trouble.ageMs);
+			return;
+		}
+
 		for (const member of this._chosen(trouble.index)) {
 			if (trouble.kind === 'cut') {
 				member.cutUntilMs = this._nowMs + trouble.forMs;
@@ -112,6 +152,7 @@
 		}
 
 		if (member.core.self.boot !== `n${index}-${member.starts}`) {
+			member.era = 0;
 			member.core = this._start(index, member.starts);
 		}
 
@@ -131,7 +172,7 @@
 	private _perform({core, calls}: Member, effect: EntryEffect): void {
 		if (effect.kind === 'read-lease' || effect.kind === 'write-lease') {
 			calls.add({
-				effect, sentAtMs: core.nowMs, sentAtWallMs: core.nowMs + core.wallOffsetMs, result: undefined, isEnded: false,
+				effect, sentAtMs: core.nowMs, sentAtWallMs: core.nowMs + core.wallOffsetMs, answer: undefined, isEnded: false,
 			});
 		} else if (effect.kind === 'beacon') {
 			for (const {core: receiver, upAtMs, suspendedUntilMs} of this._members) {
@@ -144,10 +185,11 @@
 	}
 
 	/** A cut holds calls and answers back until it ends. A write that its sender has given up is executed late. */
-	private _answer({core, calls, cutUntilMs, suspendedUntilMs}: Member): void {
+	private _answer(member: Member): void {
+		const {core, calls, cutUntilMs, suspendedUntilMs} = member;
 		for (const call of calls) {
 			if (this._nowMs >= cutUntilMs) {
-				call.result ??= this._row.execute(call.effect);
+				call.answer ??= this._row.execute(call.effect, member.era);
 			}
 
 			const isOverdue = core.nowMs - call.sentAtMs >= CALL_TIMEOUT_MS;
@@ -155,11 +197,11 @@
 				call.isEnded = true;
 				const {sentAtMs, sentAtWallMs} = call;
 				core.dispatch({
-					kind: 'lease-request-completed', result: isOverdue ? {kind: 'unknown'} : call.result!, sentAtMs, sentAtWallMs,
+					kind: 'lease-request-completed', result: isOverdue ? {kind: 'unknown'} : receive(member, call.answer!), sentAtMs, sentAtWallMs,
 				});
 			}
 
-			if (call.result !== undefined && call.isEnded) {
+			if (call.answer !== undefined && call.isEnded) {
 				calls.delete(call);
 			}
 		}
@@ -184,6 +226,13 @@
 	}
 }
 
+/** An answer from before a restore that comes late proves nothing. */
+function receive(member: Member, {era, result}: StoreAnswer): LeaseResult {
+	const isOld = era < member.era;
+	member.era = Math.max(member.era, era);
+	return isOld ? {kind: 'unknown'} : result;
+}
+
 function assertOrder(holds: readonly Hold[]): void {
 	for (const [index, {holder, epoch, fromMs}] of holds.entries()) {
 		const previous = holds[index - 1];
@@ -213,13 +262,18 @@
 	},
 );
 
+const restore = fc.record({kind: fc.constant('restore' as const), atMs: momentMs, ageMs: fc.integer({min: 500, max: 8000})});
+/** The store comes back from a copy while all instances are killed, or goes on serving them. */
+const restores = fc.tuple(restore, fc.boolean(), fc.integer({min: -300, max: 300})).map(([restored, isBesideKill, shiftMs]): Trouble[] => [
+	restored, ...(isBesideKill ? [{kind: 'restart' as const, atMs: restored.atMs + shiftMs, index: 'all' as const}] : []),
+]);
 /** The holder of the moment is cut off for a short while, again and again. */
 const cutSeries = fc.record({
 	fromMs: momentMs, times: fc.integer({min: 2, max: 6}), forMs: fc.integer({min: 800, max: 2200}), pauseMs: fc.integer({min: 1000, max: 4500}),
 }).map(({fromMs, times, forMs, pauseMs}) => Array.from({length: times}, (_, index): Trouble => ({
 	kind: 'cut', atMs: fromMs + (index * (forMs + pauseMs)), forMs, index: 'holder',
 })));
-const troubleLists = fc.array(fc.oneof(cutSeries, singleTrouble.map(trouble => [trouble])), {minLength: 4, maxLength: 12});
+const troubleLists = fc.array(fc.oneof(cutSeries, restores, singleTrouble.map(trouble => [trouble])), {minLength: 4, maxLength: 12});
 
 // Guards against two holders at a time, and against epochs that are used twice or fall.
 test('one instance at a time holds the lease, in rising epochs, whatever happens to instances and to their calls to the store', () => {
--- a/src/core/entry/lease-state.ts
+++ b/src/core/entry/lease-state.ts
@@ -5,8 +5,7 @@
 import {type EntryInstance, type LeaseRecord} from './types.js';
 
 export type Lease = {
-	/** The row as last seen, and since when it has been seen unchanged. */
-	observed: {readonly revision: number; readonly record: LeaseRecord | undefined; readonly sinceMs: number} | undefined;
+	observed: ObservedRow | undefined;
 	held: HeldLease | undefined;
 	/** Whether a read or a write of the row is pending. */
 	isRequestPending: boolean;
@@ -25,6 +24,16 @@
 	endedEpoch: number;
 };
 
+/** The row as last seen. */
+export type ObservedRow = {
+	readonly revision: number;
+	readonly record: LeaseRecord | undefined;
+	/** Revisions and epochs below this one are from before the store was last restored from an older copy; 0 if it never was. */
+	readonly eraRevision: number;
+	/** Since when it has been seen unchanged. */
+	readonly sinceMs: number;
+};
+
 export type HeldLease = {
 	readonly epoch: number;
 	readonly revision: number;
--- a/src/core/entry/lease.test.ts
+++ b/src/core/entry/lease.test.ts
@@ -17,6 +17,8 @@
 class LeaseRow {
 	revision = 0;
 	record: LeaseRecord | undefined;
+	/** Above 0 once the store was restored. */
+	eraRevision = 0;
 
 	/** Applies a conditional write; returns whether it was applied. */
 	write({expectedRevision, record}: EntryEffectOf<'write-lease'>): boolean {
@@ -34,9 +36,13 @@
 		for (const effect of core.effects.splice(0)) {
 			const sent = {sentAtMs: core.nowMs, sentAtWallMs: core.nowMs + core.wallOffsetMs};
 			if (effect.kind === 'write-lease' && this.write(effect)) {
-				core.dispatch({kind: 'lease-request-completed', result: isLost ? {kind: 'unknown'} : {kind: 'written', revision: this.revision}, ...sent});
+				core.dispatch({kind: 'lease-request-completed', result: isLost ? {kind: 'unknown'} : {kind: 'written', revision: this.revision, eraRevision: this.eraRevision}, ...sent});
 			} else if (effect.kind === 'write-lease' || effect.kind === 'read-lease') {
-				core.dispatch({kind: 'lease-request-completed', result: {kind: 'row', revision: this.revision, record: this.record}, ...sent});
+				core.dispatch({
+					kind: 'lease-request-completed', result: {
+						kind: 'row', revision: this.revision, record: this.record, eraRevision: this.eraRevision,
+					}, ...sent,
+				});
 			}
 		}
 	}
@@ -310,3 +316,28 @@
 	});
 	assert.deepEqual([...held.keys()], [first], 'the holder was away for less than a term');
 });
+
+// Guards against an epoch that is given out twice: after a restore beside a kill of all instances, only a row from before its first use is left.
+test('after a restore of the store nobody gives orders in an epoch that was used before, nor beside a holder that it forgot', () => {
+	const eraRevision = 2 ** 40;
+	for (const copied of [undefined, holderRecord('a'), holderRecord('b')]) {
+		const core = new EntryHarness(instance('a'));
+		const startedMs = core.nowMs;
+		const row = new LeaseRow();
+		row.record = copied;
+		row.revision = copied ? eraRevision + 90 : 0;
+		row.eraRevision = eraRevision;
+		run([core], row, 4850, () => {
+			assert.ok(!holds(core), `after ${core.nowMs - startedMs} ms: a holder of the time after the copy may still be valid`);
+		});
+		run([core], row, 2000);
+		assert.ok(holds(core));
+		assert.ok(core.state.lease.held!.epoch > eraRevision, 'above all epochs of the era before');
+	}
+});
+
+function holderRecord(holder: string): LeaseRecord {
+	return {
+		holder, boot: `${holder}-0`, epoch: 1, isReleased: false,
+	};
+}
--- a/src/core/entry/lease.ts
+++ b/src/core/entry/lease.ts
@@ -8,7 +8,7 @@
 */
 import {type EntryEventOf} from './event.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
-import {type HeldLease, type Lease} from './lease-state.js';
+import {type HeldLease, type Lease, type ObservedRow} from './lease-state.js';
 import {liveInstances, PEER_SILENT_MS} from './peers.js';
 import {isCutOff} from './reachability.js';
 import {type EntryInstance, type LeaseRecord} from './types.js';
@@ -110,8 +110,8 @@
 	}
 
 	const {observed} = lease;
-	if (observed && isAvailable(context)) {
-		writeLease(context, observed.revision, ownRecord(context, nextEpoch(lease)));
+	if (observed && isAvailable(context, observed)) {
+		writeLease(context, observed.revision, ownRecord(context, nextEpoch(lease, observed)));
 		return;
 	}
 
@@ -120,9 +120,13 @@
 	context.effects.push({kind: 'read-lease'});
 }
 
-/** Above every epoch that this instance knows of: the row may be older than what its holder has announced, if the store was restored. */
-function nextEpoch({observed, lastKnown, endedEpoch}: Lease): number {
-	return Math.max(observed?.record?.epoch ?? 0, lastKnown?.epoch ?? 0, endedEpoch) + 1;
+/**
+Above every epoch that was used. A restored store may have forgotten the last ones, and nobody who knows them needs to be left.
+Revisions of a later era are above all of an earlier one, and those of one era rise with each write of the row, so epochs start from the row's revision then.
+*/
+function nextEpoch({lastKnown, endedEpoch}: Lease, {record, revision, eraRevision}: ObservedRow): number {
+	const restoredEpoch = eraRevision > 0 ? Math.max(eraRevision, revision) : 0;
+	return Math.max(record?.epoch ?? 0, lastKnown?.epoch ?? 0, endedEpoch, restoredEpoch) + 1;
 }
 
 function endHeld(lease: Lease, {epoch}: HeldLease): void {
@@ -130,16 +134,18 @@
 	lease.endedEpoch = epoch;
 }
 
-/** Whether the holder of the observed row can no longer send orders and none of its orders can still arrive. */
-function isAvailable({state, nowMs}: EntryContext): boolean {
-	const {observed, lastKnown, steppedDownSinceMs} = state.lease;
-	if (observed && lastKnown && lastKnown.holder.id !== state.self.id && lastKnown.epoch > (observed.record?.epoch ?? 0)) {
-		// The row is older than a later holder's claim, which may still be valid.
-		return nowMs - Math.max(observed.sinceMs, lastKnown.claimedAtMs) >= state.bounds.leaseMs + HANDOVER_MARGIN_MS + LEASE_VALID_MS;
+/** Whether the holder of the observed row, and any later one that a restored store has forgotten, can no longer send orders and none of their orders can still arrive. */
+function isAvailable({state, nowMs}: EntryContext, observed: ObservedRow): boolean {
+	const {lastKnown, steppedDownSinceMs} = state.lease;
+	const rowEpoch = observed.record?.epoch ?? 0;
+	const hasLaterClaim = lastKnown !== undefined && lastKnown.holder.id !== state.self.id && lastKnown.epoch > rowEpoch;
+	if (hasLaterClaim || rowEpoch < observed.eraRevision) {
+		// The row is older than a later holder's claim, which may still be valid, or than the last restore, before which there may have been one.
+		return nowMs - Math.max(observed.sinceMs, hasLaterClaim ? lastKnown.claimedAtMs : 0) >= state.bounds.leaseMs + HANDOVER_MARGIN_MS + LEASE_VALID_MS;
 	}
 
-	if (!observed?.record || observed.record.holder === state.self.id) {
-		return observed !== undefined;
+	if (!observed.record || observed.record.holder === state.self.id) {
+		return true;
 	}
 
 	if (steppedDownSinceMs !== undefined && lastKnown?.epoch === observed.record.epoch) {
@@ -207,11 +213,13 @@
 	}
 
 	if (result.kind === 'written') {
-		handleWritten(context, {revision: result.revision, sentAtMs, sentAtWallMs});
+		handleWritten(context, {
+			revision: result.revision, eraRevision: result.eraRevision ?? 0, sentAtMs, sentAtWallMs,
+		});
 		return;
 	}
 
-	const {revision, record} = result;
+	const {revision, record, eraRevision = 0} = result;
 	const isOwn = record?.boot === state.self.boot;
 	if (lease.held && isOwn) {
 		// An earlier write was applied although its response was lost.
@@ -222,25 +230,30 @@
 		endHeld(lease, lease.held);
 	}
 
-	if (lease.observed?.revision !== revision) {
-		lease.observed = {revision, record, sinceMs: nowMs};
+	if (lease.observed?.revision !== revision || lease.observed.eraRevision !== eraRevision) {
+		lease.observed = {
+			revision, record, eraRevision, sinceMs: nowMs,
+		};
 	}
 }
 
 type ConfirmedWrite = {
 	readonly revision: number;
+	readonly eraRevision: number;
 	readonly sentAtMs: number;
 	readonly sentAtWallMs: number;
 };
 
 /** The store has confirmed a write by which this instance takes or renews the lease. */
-function handleWritten(context: EntryContext, {revision, sentAtMs, sentAtWallMs}: ConfirmedWrite): void {
+function handleWritten(context: EntryContext, {revision, eraRevision, sentAtMs, sentAtWallMs}: ConfirmedWrite): void {
 	const {state: {lease}, nowMs} = context;
 	const epoch = lease.held?.epoch ?? lease.requestedEpoch;
 	const previous = lease.observed;
-	lease.observed = {revision, record: ownRecord(context, epoch), sinceMs: nowMs};
-	if (!lease.held && epoch <= lease.endedEpoch) {
-		// Peers may count on the end of this epoch, which they were told. The lease is taken in the next one.
+	lease.observed = {
+		revision, record: ownRecord(context, epoch), eraRevision, sinceMs: nowMs,
+	};
+	if (!lease.held && (epoch <= lease.endedEpoch || eraRevision > (previous?.eraRevision ?? 0))) {
+		// Peers may count on the end of this epoch, which they were told, or the store was restored since the epoch was chosen. The lease is taken in a later one.
 		logEvent(context, 'lease-renewed-late', {epoch, revision, tookMs: Math.round(nowMs - sentAtMs)});
 		lease.requestedAtMs = nowMs - READ_INTERVAL_MS;
 		return;
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -44,10 +44,11 @@
 	readonly expectedRevision?: number;
 };
 
+/** `eraRevision` as in a page. */
 export type WriteResult =
-	| {readonly kind: 'written'; readonly revision: number}
+	| {readonly kind: 'written'; readonly revision: number; readonly eraRevision: number}
 	/** The current row, undefined if there is none. */
-	| {readonly kind: 'conflict'; readonly row: StoredRow | undefined};
+	| {readonly kind: 'conflict'; readonly row: StoredRow | undefined; readonly eraRevision: number};
 
 export type RowStore = {
 	/** Reads all rows of a table, or those of one key. */
--- a/src/entry/store-watcher.test.ts
+++ b/src/entry/store-watcher.test.ts
@@ -162,3 +162,27 @@
 
 	assert.deepEqual(confirmed, [3, 2, 0], 'all but the third');
 });
+
+// Guards against an epoch that is given out twice: without its row, only the era tells that the store has forgotten the lease.
+test('the row of the lease comes with the era of the store, also where there is no row', async () => {
+	const results: unknown[] = [];
+	const watcher = createWatcher({
+		store: {
+			read: async () => Right({
+				rows: [], revision: 70, eraRevision: 60, storeMs: 0,
+			}),
+			write: async () => Right({kind: 'conflict', row: undefined, eraRevision: 80}),
+		},
+		documents: {},
+		onEvent(event) {
+			results.push(event.kind === 'lease-request-completed' && event.result);
+		},
+	});
+	await watcher.readLease();
+	await watcher.writeLease(0, {
+		holder: 'a', boot: 'a-1', epoch: 1, isReleased: false,
+	});
+	assert.deepEqual(results, [60, 80].map(eraRevision => ({
+		kind: 'row', revision: 0, record: undefined, eraRevision,
+	})));
+});
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -176,8 +176,9 @@
 			Left: () => {
 				this._options.dispatch({kind: 'lease-request-completed', result: {kind: 'unknown'}, ...sent});
 			},
-			Right: ({rows}) => {
-				this._dispatchLeaseRow(rows[0], sent);
+			Right: ({rows, eraRevision}) => {
+				this._noteEra(eraRevision);
+				this._dispatchLeaseRow({row: rows[0], eraRevision}, sent);
 			},
 		});
 	}
@@ -193,9 +194,10 @@
 			},
 			Right: written => {
 				if (written.kind === 'conflict') {
-					this._dispatchLeaseRow(written.row, sent);
+					this._dispatchLeaseRow(written, sent);
 				} else {
-					this._options.dispatch({kind: 'lease-request-completed', result: {kind: 'written', revision: written.revision}, ...sent});
+					const {revision, eraRevision} = written;
+					this._options.dispatch({kind: 'lease-request-completed', result: {kind: 'written', revision, eraRevision}, ...sent});
 				}
 			},
 		});
@@ -220,10 +222,12 @@
 		this._options.dispatch({kind: 'releases-written', revision: written?.kind === 'written' ? written.revision : undefined});
 	}
 
-	private _dispatchLeaseRow(row: StoredRow | undefined, sent: {sentAtMs: number; sentAtWallMs: number}): void {
+	private _dispatchLeaseRow({row, eraRevision}: {row: StoredRow | undefined; eraRevision: number}, sent: {sentAtMs: number; sentAtWallMs: number}): void {
 		this._options.dispatch({
 			kind: 'lease-request-completed',
-			result: {kind: 'row', revision: row?.revision ?? 0, record: decodeLease(row?.value).extract()},
+			result: {
+				kind: 'row', revision: row?.revision ?? 0, record: decodeLease(row?.value).extract(), eraRevision,
+			},
 			...sent,
 		});
 	}
