Registry: entries with values out of range name no target

What callers saw, in a test only: 502, since requests were sent to addresses that nothing listens on.

Cause: the decoder took an address by its shape and numbers without a range, so that an odd entry of another writer (a port above 65,535, an octet above 255, slots of -1 or 1e308) counted as a target. A probe of such a port threw outside of any try, which left it without a result and an effect-failed line each time.

Ruled out: that the list is no longer followed, or that a served process ends (its handler logs the rejection).

--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -11,6 +11,7 @@
 import {errorCode} from '../daemon/gateways/connection-pool.js';
 import {callTimes} from './call-times.js';
 import {type RawHeaders} from './deployment.js';
+import {isServerAddress} from './server-address.js';
 import {KeptConnections, type IdleRule, type KeptResponse} from './kept-connections.js';
 
 /** Short enough to close idle connections before targets do. */
@@ -93,9 +94,14 @@
 	/** Opens a connection and closes it at once. */
 	async probe(address: string): Promise<ProbeOutcome> {
 		this._options.onConnection?.('probe');
-		const {hostname, port} = new URL(`http://${address}`);
+		if (!isServerAddress(address)) {
+			// Instances of an earlier release pass such addresses on.
+			return 'unanswered';
+		}
+
+		const [host, port] = address.split(':');
 		return new Promise(resolve => {
-			const socket = connect({host: hostname, port: Number(port)});
+			const socket = connect({host, port: Number(port)});
 			const end = (outcome: ProbeOutcome) => {
 				socket.destroy();
 				resolve(outcome);
