Streams: an instance out of step doesn't guess the release

What callers could see, in tests only: a stream that is joined from two releases (ORDER), after its caller took it up at an instance that was cut off or stood still while targets of a new release joined.

Cause: an instance that had run for 30 s took the only release that it knew for the one that began the stream, whatever the age of its copy of the registry; and a read of the record of releases counted for a second.

Evidence: five tests of stream-origins.test.ts, which failed before (streams were sent at once to the release that was known).

Ruled out: peers' copies as the proof. What peers said while this instance stood still looks newer than it is by the local clock.

Change: a single release counts once this instance has read the registry since the caller came, or no instance that it hears of reads the store; after a gap of 2 s in following the registry within 30 s, the record of releases, read since then, has to name it too. A read serves all streams that wait; after 250 ms they are refused, as before.

"While a service runs one release" let 30 s pass without any read of the registry, which is such a gap; it now reads it every 600 ms, as a daemon does, and asks the same.

Open: while no instance of a zone reads the store and another zone does, a stream of a release that is new there can still be joined by an instance that hears of its own zone only.

--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -91,8 +91,8 @@
 	| {readonly kind: 'adapter-requested'; readonly callId: number | undefined; readonly targetId: TargetId; readonly model: string; readonly adapter: string}
 	| {readonly kind: 'adapter-resolved'; readonly targetId: TargetId; readonly name: string; readonly isHeld: boolean; readonly sequence: number}
 	| {readonly kind: 'lease-request-completed'; readonly result: LeaseResult; readonly sentAtMs: number; readonly sentAtWallMs: number}
-	/** The record of releases; undefined if the store gave no usable response. */
-	| {readonly kind: 'releases-read'; readonly row: ReleaseRow | undefined}
+	/** The record of releases; undefined if the store gave no usable response. `sentAtMs` as for the registry. */
+	| {readonly kind: 'releases-read'; readonly row: ReleaseRow | undefined; readonly sentAtMs: number}
 	/** Undefined if it is not known that the record was written. */
 	| {readonly kind: 'releases-written'; readonly revision: number | undefined}
 	| {readonly kind: 'beacon-received'; readonly beacon: Beacon}
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -66,7 +66,10 @@
 		adoptConfiguration(context, configuration, 'store');
 	},
 	'configuration-checked': handleConfigurationChecked,
-	'registry-read': handleRegistryRead,
+	'registry-read'(context, event) {
+		handleRegistryRead(context, event);
+		continueProven(context);
+	},
 	'registry-read-failed': handleRegistryReadFailure,
 	'instances-read'(context, {instances}) {
 		addPeers(context, instances);
@@ -120,6 +123,7 @@
 	endHeldUpTries(context);
 	watchDarkTargets(context);
 	probeTargets(context);
+	continueProven(context);
 	dispatchAll(context);
 	updateDemandRates(context);
 	checkSpeeds(context);
--- a/src/core/entry/registry-readers.ts
+++ b/src/core/entry/registry-readers.ts
@@ -12,6 +12,8 @@
 const SLOW_READ_MS = 300;
 /** A peer of the zone that is silent for this long does not count as a reader. */
 const READER_SILENT_MS = 1200;
+/** Least interval of reads that are not due yet. */
+const EARLY_READ_INTERVAL_MS = 50;
 
 /** Whether it is this instance's turn to ask the store on behalf of its zone, for what the first reader asks at `dueMs`. */
 export function isDueAsReader(context: EntryContext, dueMs: number): boolean {
@@ -53,3 +55,12 @@
 	const isStuck = nowMs - (registry.unansweredSinceMs ?? nowMs) > SLOW_READ_MS;
 	return registry.failedAtMs <= registry.restoredAtMs && !isStuck;
 }
+
+/** Reads the registry unless a read that was sent since then is on its way or complete. */
+export function readRegistrySince({state: {registry}, nowMs, effects}: EntryContext, sinceMs: number): void {
+	if (registry.readSentAtMs < sinceMs && registry.confirmedAtMs < sinceMs && nowMs - registry.readSentAtMs >= EARLY_READ_INTERVAL_MS) {
+		registry.unansweredSinceMs ??= nowMs;
+		registry.readSentAtMs = nowMs;
+		effects.push({kind: 'read-registry', afterRevision: registry.revision});
+	}
+}
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -26,7 +26,7 @@
 const RETRY_INTERVAL_MS = 700;
 /** Entries that expired during an outage of the store are written again within two seconds after it. */
 const EXPIRY_GRACE_MS = 2200;
-/** Targets renew their entries more than once in this time, so that none expires during a shorter outage. */
+/** Targets renew their entries more than once in this time, so that none expires during a shorter outage, or comes and goes unseen. */
 const MIN_OUTAGE_MS = 2000;
 /** A time further in the future than this shows that this instance's clock was stopped. */
 const CLOCK_TOLERANCE_MS = 100;
@@ -78,6 +78,7 @@
 		logEvent(context, 'platform-reachable', {what: 'registry', awayMs: Math.round(nowMs - registry.freshAtMs)});
 	}
 
+	registry.confirmedAtMs = Math.max(registry.confirmedAtMs, event.sentAtMs);
 	const {digest} = registry;
 	adoptRegistry(context, {
 		revision: event.revision, asOfStoreMs: event.storeMs, entries: event.entries, removed: event.removed, isFullSnapshot: event.isFullSnapshot, eraRevision: event.eraRevision,
@@ -181,6 +182,12 @@
 		registry.graceUntilMs = freshAtMs + EXPIRY_GRACE_MS;
 	}
 
+	// By the store's clock, since the local one stands still while the process is suspended.
+	const gapMs = asOfStoreMs - registry.asOfStoreMs;
+	if (!Number.isFinite(registry.freshAtMs) || gapMs < 0 || gapMs >= MIN_OUTAGE_MS) {
+		registry.inStepSinceMs = nowMs;
+	}
+
 	registry.freshAtMs = freshAtMs;
 	registry.asOfStoreMs = asOfStoreMs;
 }
--- a/src/core/entry/release-record.test.ts
+++ b/src/core/entry/release-record.test.ts
@@ -42,7 +42,7 @@
 			const effect = this.effects[this._served]!;
 			if (effect.kind === 'read-releases') {
 				this.reads++;
-				this.dispatch({kind: 'releases-read', row: this.isStoreDown ? undefined : {...this.row, storeMs: this.storeMs, eraRevision: this.eraRevision}});
+				this.dispatch({kind: 'releases-read', row: this.isStoreDown ? undefined : {...this.row, storeMs: this.storeMs, eraRevision: this.eraRevision}, sentAtMs: this.nowMs});
 			} else if (effect.kind === 'write-releases') {
 				this.writes++;
 				const isDone = !this.isStoreDown && effect.expectedRevision === this.row.revision;
--- a/src/core/entry/release-record.ts
+++ b/src/core/entry/release-record.ts
@@ -17,8 +17,6 @@
 const RETRY_INTERVAL_MS = 250;
 /** Interval at which absent releases are looked at. */
 const REMOVAL_CHECK_MS = 1000;
-/** A read serves all streams that are resumed within this time. */
-const READ_VALID_MS = 1000;
 
 export type ReleaseRecord = {
 	/** Time by the store's clock since which no release is missing. */
@@ -43,7 +41,7 @@
 	/** The row as last read or written by this instance. */
 	row: Omit<ReleaseRow, 'storeMs'> | undefined;
 	/** The last read, as a proof for streams that are resumed. */
-	read: {readonly row: ReleaseRow; readonly atMs: number} | undefined;
+	read: {readonly row: ReleaseRow; readonly sentAtMs: number} | undefined;
 	/** The write that is pending. */
 	pendingRecord: ReleaseRecord | undefined;
 	/** When the pending call was sent, undefined if there is none. */
@@ -102,19 +100,19 @@
 	context.effects.push({kind: 'write-releases', expectedRevision: revision, record: knownReleases.pendingRecord});
 }
 
-/** Reads the record for a stream that is resumed, unless it was read just now. */
-export function askReleaseRecord(context: EntryContext): void {
-	const {state: {knownReleases: {read}}, nowMs} = context;
-	if ((!read || nowMs - read.atMs > READ_VALID_MS) && !isCallPending(context)) {
+/** Reads the record for a stream that was resumed at a time, unless it was read since then. */
+export function askReleaseRecord(context: EntryContext, sinceMs: number): void {
+	const {read} = context.state.knownReleases;
+	if ((!read || read.sentAtMs < sinceMs) && !isCallPending(context)) {
 		readReleases(context);
 	}
 }
 
-export function handleReleasesRead({state: {knownReleases}, nowMs}: EntryContext, {row}: EntryEventOf<'releases-read'>): void {
+export function handleReleasesRead({state: {knownReleases}, nowMs}: EntryContext, {row, sentAtMs}: EntryEventOf<'releases-read'>): void {
 	knownReleases.calledAtMs = undefined;
 	if (row) {
 		knownReleases.row = row;
-		knownReleases.read = {row, atMs: nowMs};
+		knownReleases.read = {row, sentAtMs};
 		knownReleases.comparedDigest = undefined;
 		knownReleases.nextCallAtMs = nowMs;
 	}
@@ -136,11 +134,11 @@
 	logEvent(context, 'releases-recorded', {releases: pendingRecord.releases, sinceStoreMs: pendingRecord.sinceMs, revision});
 }
 
-/** The only release at which a stream of a service can have begun by what is listed and on record; undefined if that is not proven. */
-export function onlyRelease({state, nowMs}: EntryContext, service: string): string | undefined {
+/** The only release at which a stream of a service can have begun before a time, by what is listed and on record; undefined if that is not proven. */
+export function onlyRelease({state}: EntryContext, service: string, beforeMs: number): string | undefined {
 	const {read} = state.knownReleases;
 	const {record, storeMs = 0, eraRevision} = read?.row ?? {};
-	if (!read || !record || nowMs - read.atMs > READ_VALID_MS) {
+	if (!read || !record || read.sentAtMs < beforeMs) {
 		return undefined;
 	}
 
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -102,6 +102,10 @@
 		/** When this copy of the registry was last known to match the store: by the local clock, and by the store's clock (0 before the first read). */
 		freshAtMs: number;
 		asOfStoreMs: number;
+		/** Since when this copy has followed the store without a gap in which a target could have come and gone unseen. */
+		inStepSinceMs: number;
+		/** When the last read by this instance that succeeded was sent: what was listed by then is in this copy. */
+		confirmedAtMs: number;
 		/** Local clock minus the store's clock, from the last read by this instance; undefined while unknown. */
 		storeOffsetMs: number | undefined;
 		/** Revisions below this one are from before the store was last restored, by this instance's reads. */
@@ -213,6 +217,8 @@
 			revision: 0,
 			freshAtMs: Number.NEGATIVE_INFINITY,
 			asOfStoreMs: 0,
+			inStepSinceMs: Number.POSITIVE_INFINITY,
+			confirmedAtMs: Number.NEGATIVE_INFINITY,
 			storeOffsetMs: undefined,
 			eraRevision: 0,
 			unansweredSinceMs: undefined,
--- a/src/core/entry/stream-origins.test.ts
+++ b/src/core/entry/stream-origins.test.ts
@@ -17,11 +17,20 @@
 /** Peers: `b` and `c` in the same zone, `d` and `e` in another, `f` in a third. */
 function createCore(): EntryHarness {
 	const core = new EntryHarness().configure({routes: [ask]});
+	hearPeers(core);
+	return core;
+}
+
+function hearPeers(core: EntryHarness, canReadStore = true): void {
 	for (const [id, zone] of [['b', 'north'], ['c', 'north'], ['d', 'south'], ['e', 'south'], ['f', 'west']] as const) {
-		core.dispatch({kind: 'beacon-received', beacon: beacon({from: instance(id, zone)})});
+		core.dispatch({
+			kind: 'beacon-received', beacon: beacon({
+				from: instance(id, zone), registry: {
+					revision: 0, digest: 0, asOfStoreMs: 0, isRead: canReadStore,
+				},
+			}),
+		});
 	}
-
-	return core;
 }
 
 function begin(core: EntryHarness, id: string): string {
@@ -38,11 +47,18 @@
 	});
 }
 
+/** Lets time pass in which the registry is read again and again. */
+function stayInStep(core: EntryHarness, durationMs: number): void {
+	for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 600) {
+		core.advance(600);
+		core.confirmRegistry();
+	}
+}
+
 test('while a service runs one release, nothing is announced and nobody is asked', () => {
 	const core = createCore().readRegistry([v1]);
 	begin(core, 's1');
-	core.advance(30_000);
-	core.readRegistry([v1]);
+	stayInStep(core, 30_000);
 	assert.equal(effectsOfKind(core.effects, 'announce-origins').length, 0);
 	assert.equal(effectsOfKind(resume(core, 'r1', 'elsewhere'), 'send')[0]?.targetId, 'e1');
 	assert.equal(effectsOfKind(core.effects, 'ask-origin').length, 0);
@@ -133,7 +149,7 @@
 /** The record of releases in the store, as this core reads it. */
 function readRecord(core: EntryHarness, releases: Readonly<Record<string, readonly string[]>>, {sinceMs = core.storeMs - 60_000, eraRevision = 0} = {}) {
 	return core.dispatch({
-		kind: 'releases-read', row: {
+		kind: 'releases-read', sentAtMs: core.nowMs, row: {
 			revision: 9, record: {sinceMs, eraRevision: 0, releases}, storeMs: core.storeMs, eraRevision,
 		},
 	});
@@ -151,12 +167,12 @@
 for (const [unproven, answer] of [
 	['the store does not answer', (core: EntryHarness) => core.advance(300)],
 	['the store cannot be read', (core: EntryHarness) => {
-		core.dispatch({kind: 'releases-read', row: undefined});
+		core.dispatch({kind: 'releases-read', row: undefined, sentAtMs: core.nowMs});
 		return core.advance(300);
 	}],
 	['nothing is on record', (core: EntryHarness) => {
 		core.dispatch({
-			kind: 'releases-read', row: {
+			kind: 'releases-read', sentAtMs: core.nowMs, row: {
 				revision: 0, record: undefined, storeMs: core.storeMs, eraRevision: 0,
 			},
 		});
@@ -230,3 +246,71 @@
 	core.dispatch({kind: 'caller-left', requestId: 'r1'});
 	assert.ok([...core.state.demand.values()].every(({open}) => open === 0));
 });
+
+/** An instance that has followed the registry for long and then is out of step for a while. */
+function createBehind(): EntryHarness {
+	const core = createCore().readRegistry([v1]);
+	stayInStep(core, 31_000);
+	hearPeers(core);
+	readRecord(core, {llm: ['v1']});
+	core.advance(200);
+	core.effects.length = 0;
+	return core;
+}
+
+// Guards against streams joined from two releases: an instance whose copy of the registry is behind took the only release that it knew for the one that began the stream.
+test('a stream that another instance began goes on at the only release that is known here once the registry has been read since its caller came', () => {
+	const core = createBehind();
+	const effects = resume(core, 'r1', 's9');
+	assert.deepEqual([effectsOfKind(effects, 'send').length, effectsOfKind(effects, 'read-registry').length, effectsOfKind(effects, 'ask-origin').length], [0, 1, 0]);
+	core.advance(50);
+	core.confirmRegistry();
+	assert.equal(effectsOfKind(core.effects, 'send')[0]?.targetId, 'e1');
+});
+
+test('a release that joined while this instance was behind may have begun the stream: peers are asked', () => {
+	const core = createBehind();
+	resume(core, 'r1', 's9');
+	core.readRegistry([v1, v2]);
+	assert.equal(effectsOfKind(core.effects, 'ask-origin')[0]?.addresses.length, 5);
+	core.dispatch({kind: 'origins-announced', announcement: {origins: [['s9', 'llm', 'v2']]}});
+	assert.deepEqual(effectsOfKind(core.effects, 'send').map(({targetId}) => targetId), ['e2']);
+});
+
+test('an answer to a read that was sent before the caller came proves nothing', () => {
+	const core = createBehind();
+	const sentAtMs = core.nowMs;
+	core.advance(100);
+	resume(core, 'r1', 's9');
+	core.dispatch({
+		kind: 'registry-read', revision: core.state.registry.revision, entries: [], removed: [], isFullSnapshot: false, sentAtMs, sentAtWallMs: sentAtMs + core.wallOffsetMs, storeMs: core.storeMs,
+	});
+	assert.equal(effectsOfKind(core.effects, 'send').length, 0);
+});
+
+// Guards against a release that came and went while the instance stood still, which no later read of the registry shows.
+test('after a gap the record of releases has to name a single release as well', () => {
+	for (const {releases, isRefused} of [{releases: ['v1'], isRefused: false}, {releases: ['v1', 'v2'], isRefused: true}]) {
+		const core = createBehind().suspend(5000);
+		resume(core, 'r1', 's9');
+		core.readRegistry([v1]);
+		assert.equal(effectsOfKind(core.effects, 'send').length, 0);
+		assert.equal(effectsOfKind(core.effects, 'read-releases').length, 1);
+		readRecord(core, {llm: releases});
+		core.advance(300);
+		assert.equal(effectsOfKind(core.effects, 'send').length, isRefused ? 0 : 1);
+		assert.equal(effectsOfKind(core.effects, 'refuse')[0]?.code, isRefused ? 'stream-not-resumable' : undefined);
+	}
+});
+
+test('an instance that alone does not reach the store refuses within 300 ms; where none of them does, the release that all know goes on', () => {
+	for (const isAlone of [true, false]) {
+		const core = createBehind();
+		core.dispatch({kind: 'registry-read-failed'});
+		hearPeers(core, isAlone);
+		resume(core, 'r1', 's9');
+		core.advance(300);
+		assert.deepEqual(effectsOfKind(core.effects, 'send').map(({targetId}) => targetId), isAlone ? [] : ['e1']);
+		assert.equal(effectsOfKind(core.effects, 'refuse')[0]?.code, isAlone ? 'stream-not-resumable' : undefined);
+	}
+});
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -4,7 +4,9 @@
 each stream that it passes on. While several releases of a service are known, it also
 tells a few instances in several availability zones, its keepers, so that the origin
 outlives it; the instance at which a caller resumes a stream asks them. Where nobody knows,
-the stream goes on only if the record of releases proves that a single one can have begun it.
+the stream goes on only if a single release is proven to have been able to begin it: by the
+registry, read since the caller came back, and by the record of releases where this
+instance has not followed the registry for as long as streams last.
 */
 import fnv1a from '@sindresorhus/fnv1a';
 import {refuse} from './closing.js';
@@ -12,9 +14,10 @@
 import {enqueue} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
 import {type AnnouncedOrigin} from './peer-messages.js';
-import {liveInstances} from './peers.js';
+import {liveInstances, PEER_SILENT_MS} from './peers.js';
 import {queueKeyOf} from './queues.js';
-import {type EntryContext, type Timer} from './state.js';
+import {canReadStore, readRegistrySince} from './registry-readers.js';
+import {type EntryContext, type EntryState, type Timer} from './state.js';
 import {
 	askReleaseRecord, onlyRelease, releasesOf, STREAM_LIFETIME_MS,
 } from './release-record.js';
@@ -40,45 +43,57 @@
 		return;
 	}
 
-	const releases = releasesOf(state, request.service);
-	// A release that this instance has not seen may have begun it while the instance was not there yet.
-	if (releases.size <= 1 && nowMs - state.startedAtMs >= STREAM_LIFETIME_MS) {
-		const [release] = releases;
-		if (release === undefined) {
-			enqueue(context, request);
-		} else {
-			goOn(context, request, {service: request.service, release});
-		}
-
-		return;
+	if (releasesOf(state, request.service).size > 1) {
+		askPeers(context, request);
+	} else if (!goOnIfProven(context, request)) {
+		const isCertain = isInStep(state, nowMs) && canReadStore(state, nowMs);
+		beginResolving(context, request, isCertain ? [] : askedAddresses(context, request));
+		state.unprovenStreams.add(request.id);
+		requestProof(context, request);
 	}
+}
+
+/** Whether every target that was listed in the lifetime of streams has been seen here. */
+function isInStep({registry}: EntryState, nowMs: number): boolean {
+	return nowMs - registry.inStepSinceMs >= STREAM_LIFETIME_MS;
+}
 
-	const addresses = request.arrival.resumes === undefined ? [] : askedInstances(context, request.streamId).map(({beaconAddress}) => beaconAddress);
-	if (releases.size > 1 && addresses.length === 0) {
+function askPeers(context: EntryContext, request: EntryRequest): void {
+	const addresses = askedAddresses(context, request);
+	if (addresses.length === 0) {
 		refuseUnknown(context, request);
-		return;
+	} else {
+		beginResolving(context, request, addresses);
 	}
+}
 
-	resolve(context, request, addresses);
+/** Peers can be asked only if the caller says which stream it resumes. */
+function askedAddresses(context: EntryContext, {arrival, streamId}: EntryRequest): string[] {
+	return arrival.resumes === undefined ? [] : askedInstances(context, streamId).map(({beaconAddress}) => beaconAddress);
 }
 
-/** Looks for the origin of a stream at peers and, where a single release is listed, in the record of releases. */
-function resolve(context: EntryContext, request: EntryRequest, addresses: readonly string[]): void {
-	const {state, nowMs} = context;
-	request.phase = 'resolving';
+/** Holds the request until the origin of its stream is found, but no longer than peers take to answer. */
+function beginResolving({state, nowMs, effects}: EntryContext, request: EntryRequest, addresses: readonly string[]): void {
+	if (request.phase !== 'resolving') {
+		request.phase = 'resolving';
+		state.timers.push({
+			atMs: nowMs + ANSWER_TIMEOUT_MS, requestId: request.id, kind: 'origin', tryNumber: 0,
+		});
+	}
+
 	if (addresses.length > 0) {
-		const waiting = state.originQueries.get(request.streamId);
-		state.originQueries.set(request.streamId, [...waiting ?? [], request.id]);
-		context.effects.push({kind: 'ask-origin', addresses, query: {streamId: request.streamId, replyTo: state.self.beaconAddress}});
+		const waiting = state.originQueries.get(request.streamId) ?? [];
+		state.originQueries.set(request.streamId, [...waiting, request.id]);
+		effects.push({kind: 'ask-origin', addresses, query: {streamId: request.streamId, replyTo: state.self.beaconAddress}});
 	}
+}
 
-	state.timers.push({
-		atMs: nowMs + ANSWER_TIMEOUT_MS, requestId: request.id, kind: 'origin', tryNumber: 0,
-	});
-	if (releasesOf(state, request.service).size <= 1) {
-		state.unprovenStreams.add(request.id);
-		askReleaseRecord(context);
-		goOnIfProven(context, request);
+/** Reads what proves that a single release can have begun the stream. */
+function requestProof(context: EntryContext, {arrivedAtMs}: EntryRequest): void {
+	const {state, nowMs} = context;
+	readRegistrySince(context, arrivedAtMs);
+	if (!isInStep(state, nowMs)) {
+		askReleaseRecord(context, arrivedAtMs);
 	}
 }
 
@@ -86,8 +101,8 @@
 export function handleOriginTimeout(context: EntryContext, {requestId}: Timer): void {
 	const {open, originQueries, unprovenStreams} = context.state;
 	const request = open.get(requestId);
-	unprovenStreams.delete(requestId);
-	if (request?.phase === 'resolving') {
+	const isUnproven = unprovenStreams.delete(requestId);
+	if (request?.phase === 'resolving' && !(isUnproven && goOnIfProven(context, request))) {
 		refuseUnknown(context, request);
 	}
 
@@ -164,25 +179,53 @@
 	}
 }
 
-/** Continues the requests whose streams a single release can have begun, by the record that was just read. */
+/** Continues the requests whose streams a single release can have begun, by what was read since they came, and reads on for the others. */
 export function continueProven(context: EntryContext): void {
-	const {open, unprovenStreams} = context.state;
-	for (const requestId of unprovenStreams) {
-		const request = open.get(requestId);
-		if (request?.phase === 'resolving') {
-			goOnIfProven(context, request);
-		} else {
-			unprovenStreams.delete(requestId);
+	const {state} = context;
+	for (const requestId of state.unprovenStreams) {
+		const request = state.open.get(requestId);
+		if (request?.phase !== 'resolving') {
+			state.unprovenStreams.delete(requestId);
+		} else if (releasesOf(state, request.service).size > 1) {
+			state.unprovenStreams.delete(requestId);
+			if (!state.originQueries.has(request.streamId)) {
+				askPeers(context, request);
+			}
+		} else if (!goOnIfProven(context, request)) {
+			requestProof(context, request);
 		}
 	}
 }
 
-function goOnIfProven(context: EntryContext, request: EntryRequest): void {
-	const release = onlyRelease(context, request.service);
+function goOnIfProven(context: EntryContext, request: EntryRequest): boolean {
+	const release = provenRelease(context, request);
 	if (release !== undefined) {
 		context.state.unprovenStreams.delete(request.id);
 		goOn(context, request, {service: request.service, release});
 	}
+
+	return release !== undefined;
+}
+
+/** The only release that can have begun the stream; undefined while that is not proven. */
+function provenRelease(context: EntryContext, {service, arrivedAtMs}: EntryRequest): string | undefined {
+	const {state, nowMs} = context;
+	const {registry} = state;
+	// An instance that has just started binds the stream to the release on record before it has read the registry.
+	const isCurrent = registry.confirmedAtMs >= arrivedAtMs || !Number.isFinite(registry.freshAtMs) || isStoreSilentToAll(state, nowMs);
+	if (!isCurrent) {
+		return undefined;
+	}
+
+	const [release, ...others] = releasesOf(state, service);
+	return isInStep(state, nowMs) && others.length === 0 ? release : onlyRelease(context, service, arrivedAtMs);
+}
+
+/** Whether no instance that is heard of reads the store, so that none has learned of a release since this one has. */
+function isStoreSilentToAll(state: EntryState, nowMs: number): boolean {
+	const others = [...state.peers.values()].filter(({isLeaving}) => !isLeaving);
+	const heard = others.filter(({beaconReceivedAtMs}) => nowMs - beaconReceivedAtMs < PEER_SILENT_MS);
+	return !canReadStore(state, nowMs) && heard.every(peer => !peer.canReadStore) && (heard.length > 0 || others.length === 0);
 }
 
 function goOn(context: EntryContext, request: EntryRequest, {service, release}: StreamOrigin): void {
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -204,6 +204,7 @@
 	}
 
 	async readReleases(): Promise<void> {
+		const {sentAtMs} = this._sendTimes();
 		const page = await this._options.deployment.store.read(RELEASES_TABLE, RELEASES_KEY);
 		const row = page.map(({rows: [current], storeMs, eraRevision}) => {
 			this._noteEra(eraRevision);
@@ -211,7 +212,7 @@
 				revision: current?.revision ?? 0, record: decodeReleases(current?.value).extract(), storeMs, eraRevision,
 			};
 		});
-		this._options.dispatch({kind: 'releases-read', row: row.toMaybe().extract()});
+		this._options.dispatch({kind: 'releases-read', row: row.toMaybe().extract(), sentAtMs});
 	}
 
 	async writeReleases(expectedRevision: number, record: ReleaseRecord): Promise<void> {
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -418,8 +418,9 @@
 			this._callStore(instance, () => this._store.writeLease(expectedRevision, record));
 		},
 		'read-releases': instance => {
+			const sentAtMs = this.simulation.nowMs;
 			this._later(instance, this._options.pattern.storeMs, () => {
-				this._dispatch(instance, {kind: 'releases-read', row: this._isRefused(instance) ? undefined : this._store.readReleases(this.simulation.nowMs + 1)});
+				this._dispatch(instance, {kind: 'releases-read', row: this._isRefused(instance) ? undefined : this._store.readReleases(this.simulation.nowMs + 1), sentAtMs});
 			});
 		},
 		'write-releases': (instance, {expectedRevision, record}) => {
