Relays: the instance that begins a stream tells its release

What callers could see, in a test only: a stream that is joined from two releases. Named by the review by reading.

Cause: an instance that is cut off and passes a request on noted the only release that it knew as the one that begins the stream, although the other instance chooses the target and may know a newer release.

Evidence: relay.test.ts; before, a stream of v2 was passed on again bound to v1.

Change: the instance at which the stream begins announces its origin to the one that passed it on, by the message in which origins are announced to others. Before it comes nothing is assumed, and a stream that breaks off is not continued.

--- a/src/core/entry/relay.test.ts
+++ b/src/core/entry/relay.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	beacon, effectsOfKind, EntryHarness, instance, route, targetEntry, type EntryArrivalOverrides,
+	beacon, effectsOfKind, engineEntry, EntryHarness, instance, route, targetEntry, type EntryArrivalOverrides,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffect} from './effect.js';
 import {retryBudget} from './retry-budgets.js';
@@ -30,7 +30,7 @@
 	const pending = [...effects];
 	for (let effect = pending.shift(); effect; effect = pending.shift()) {
 		seen.push(effect);
-		if (effect.kind === 'send' && targetIds.includes(effect.targetId)) {
+		if (effect.kind === 'send' && effect.relayed === undefined) {
 			pending.push(...core.dispatch({
 				kind: 'try-ended', requestId: effect.requestId, tryNumber: effect.tryNumber, outcome: 'not-sent', isRefused: outcome === 'refused', delivered: 0,
 			}));
@@ -206,6 +206,42 @@
 	assert.equal(relay?.relayed?.release, core.state.targets.get(sent!.targetId)!.entry.release);
 });
 
+// Guards against streams joined from two releases: the other instance may know a release that this one, which is cut off, has not seen.
+test('a stream that another instance began here goes on only at the release that it has told', () => {
+	for (const told of ['v2', undefined]) {
+		const entries = [...targetIds.map(id => targetEntry(id)), engineEntry('e1', ['m0'], {release: 'v1'})];
+		const core = createCore().readRegistry(entries);
+		core.dispatch({kind: 'beacon-received', beacon: beacon({from: near})});
+		const cutOff = (effects: readonly EntryEffect[]) => failTargets(core, effects, 'refused');
+		cutOff(core.arrive('r', '/ask/1', {model: 'm0', deadlineMs: 8000}));
+		cutOff(core.advance(400));
+		const [relay] = relaysOf(core.effects.splice(0));
+		assert.equal(relay?.relayed?.release, undefined);
+		core.dispatch({
+			kind: 'try-progressed', requestId: 'r', tryNumber: relay!.tryNumber, delivered: 2,
+		});
+		if (told !== undefined) {
+			core.dispatch({kind: 'origins-announced', announcement: {origins: [['r', 'llm', told]]}});
+		}
+
+		cutOff(core.readRegistry([...entries, engineEntry('e2', ['m0'], {release: 'v2'})]).effects.splice(0));
+		cutOff(core.endTry('r', relay!.tryNumber, 'broken'));
+		cutOff(core.advance(400));
+		assert.deepEqual(relaysOf(core.effects).map(({relayed}) => relayed?.release), told === undefined ? [] : [told]);
+		assert.equal(effectsOfKind(core.effects, 'break-off').length, told === undefined ? 1 : 0);
+	}
+});
+
+test('an instance tells who passed a stream on to it which release began it', () => {
+	const core = createCore().readRegistry([engineEntry('e1', ['m0'], {release: 'v2'})]);
+	const [sent] = effectsOfKind(core.arrive('r', '/ask/1', {model: 'm0', ...relayedBy({service: 'llm'})}), 'send');
+	assert.equal(sent?.targetId, 'e1');
+	const effects = core.dispatch({
+		kind: 'try-progressed', requestId: 'r', tryNumber: 1, delivered: 1,
+	});
+	assert.deepEqual(effectsOfKind(effects, 'announce-origins'), [{kind: 'announce-origins', addresses: ['b:2'], announcement: {origins: [['r', 'llm', 'v2']]}}]);
+});
+
 const added = route({
 	name: 'added', prefix: '/added/', timeoutMs: 700, destinations: [{service: 'other', weight: 1}],
 });
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -110,13 +110,12 @@
 export function sendRelay(context: EntryContext, request: EntryRequest, peer: Peer, reason: RelayReason): void {
 	const {state, nowMs, effects} = context;
 	const {route} = request;
-	const releases = new Set(targetsOf(state, request.service).map(({entry}) => entry.release));
 	const attempt: EntryTry = {
 		number: request.tries.length + 1,
 		targetId: peer.instance.id,
 		isRelay: true,
-		// Which target begins the stream is the other instance's choice.
-		release: request.release ?? (releases.size === 1 ? [...releases][0] : undefined),
+		// Which target begins the stream is the other instance's choice, which it announces.
+		release: request.release,
 		startedAtMs: nowMs,
 		unreadTokens: 0,
 		workUnits: 0,
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -123,8 +123,15 @@
 	request.release = release;
 	const origin = {service: request.service, release};
 	state.streamOrigins.set(request.streamId, origin);
+	const announced: AnnouncedOrigin = [request.streamId, origin.service, origin.release];
 	if (state.mixedServices.has(request.service)) {
-		announce(context, [[request.streamId, origin.service, origin.release]]);
+		announce(context, [announced]);
+	}
+
+	// The instance that passed the request on has to continue the stream if this one breaks off.
+	const sender = request.arrival.relayed && state.peers.get(request.arrival.relayed.by);
+	if (sender) {
+		context.effects.push({kind: 'announce-origins', addresses: [sender.instance.beaconAddress], announcement: {origins: [announced]}});
 	}
 }
 
@@ -150,6 +157,10 @@
 export function handleOriginsAnnounced({state}: EntryContext, {announcement}: EntryEventOf<'origins-announced'>): void {
 	for (const [streamId, service, release] of announcement.origins) {
 		state.streamOrigins.set(streamId, {service, release});
+		const request = state.open.get(streamId);
+		if (request?.service === service && request.tries.at(-1)?.isRelay) {
+			request.release ??= release;
+		}
 	}
 }
 
