Tests: a refusal written once more causes no second run

With two runners, both of which turn the request away at first and write that answer once more, the code before answered 503; it runs at one of them now.

--- a/test/unit/reused-connections.test.ts
+++ b/test/unit/reused-connections.test.ts
@@ -102,3 +102,27 @@
 	assert.equal(arrivalsOf(id), 2);
 	assert.notEqual(second, first, 'the retry has a connection of its own');
 });
+
+// Guards against a second run: the second copy of a refusal hides the answer of the runner that runs the request, which then went to the other runner too.
+test('a request that both runners turned away at first runs at one of them', limit, async t => {
+	const other = await new FakeRunner('t-2').start();
+	t.after(() => {
+		store.deleteRow('servers', other.id);
+		other.stop();
+	});
+	store.put('servers', other.id, other.entry('llm', 'north'));
+	while (!instance.daemon.state.targets.has(other.id)) {
+		await delay(20, undefined, {signal: t.signal});
+	}
+
+	const runners = [runner, other];
+	for (const {behaviours} of runners) {
+		behaviours.splice(0, behaviours.length, 'decline-twice');
+	}
+
+	const {id, status, text} = await send('/sign/1');
+	const arrivals = runners.flatMap(({id: runnerId, receivedRequests}) => receivedRequests.filter(({headers}) => headers['x-pollenarch-request-id'] === id).map(() => runnerId));
+	const declined = runners.filter(({behaviours}) => behaviours.length === 0);
+	assert.equal(status, 200, text);
+	assert.deepEqual([arrivals.length - declined.length, declined.length], [1, 2]);
+});
