Streams: each resumption that waits is told the origin

Two resumptions of one stream, both waiting for the registry: when it showed a second release, peers were asked for the first one only, and the other was refused after 250 ms. The test of a release that joined while an instance was behind now resumes the stream twice, which failed before (one send instead of two). Also rewords a comment in lease.ts.

--- a/src/core/entry/lease.ts
+++ b/src/core/entry/lease.ts
@@ -121,7 +121,7 @@
 }
 
 /**
-Above every epoch that was used. A restored store may have forgotten the last ones, and nobody who knows them needs to be left.
+Above every epoch that was used. A restored store may have forgotten the last ones, and there may be no instance left that knows them.
 Revisions of a later era are above all of an earlier one, and those of one era rise with each write of the row, so epochs start from the row's revision then.
 */
 function nextEpoch({lastKnown, endedEpoch}: Lease, {record, revision, eraRevision}: ObservedRow): number {
--- a/src/core/entry/stream-origins.test.ts
+++ b/src/core/entry/stream-origins.test.ts
@@ -271,10 +271,11 @@
 test('a release that joined while this instance was behind may have begun the stream: peers are asked', () => {
 	const core = createBehind();
 	resume(core, 'r1', 's9');
+	resume(core, 'r2', 's9');
 	core.readRegistry([v1, v2]);
 	assert.equal(effectsOfKind(core.effects, 'ask-origin')[0]?.addresses.length, 5);
 	core.dispatch({kind: 'origins-announced', announcement: {origins: [['s9', 'llm', 'v2']]}});
-	assert.deepEqual(effectsOfKind(core.effects, 'send').map(({targetId}) => targetId), ['e2']);
+	assert.deepEqual(effectsOfKind(core.effects, 'send').map(({requestId, targetId}) => [requestId, targetId]), [['r1', 'e2'], ['r2', 'e2']]);
 });
 
 test('an answer to a read that was sent before the caller came proves nothing', () => {
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -199,7 +199,7 @@
 			state.unprovenStreams.delete(requestId);
 		} else if (releasesOf(state, request.service).size > 1) {
 			state.unprovenStreams.delete(requestId);
-			if (!state.originQueries.has(request.streamId)) {
+			if (!state.originQueries.get(request.streamId)?.includes(requestId)) {
 				askPeers(context, request);
 			}
 		} else if (!goOnIfProven(context, request)) {
