Connections to targets: remember the ids on the connection that carried them

Cause: the ids were one list of 4,096 for all connections of an instance. Requests to other targets pushed an id out while its connection was still open.

Evidence: connection-reuse.test.ts, "even after thousands of requests to another target": after 5,000 requests to another target within the connection's idle time, the id went over the same connection.

Change: each connection remembers the ids that it has carried for as long as it is open, and is closed once they have 16 Ki characters together (1,024 ids of 16), which also bounds what long ids take. The list, and with it lru-cache, is gone.

--- a/src/entry/kept-connections.ts
+++ b/src/entry/kept-connections.ts
@@ -8,7 +8,6 @@
 import {type Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
 import {setImmediate} from 'node:timers/promises';
-import {LRUCache} from 'lru-cache';
 import {buildConnector, type Dispatcher} from 'undici';
 import {GuardedClient} from '../daemon/gateways/guarded-client.js';
 import {ABORTED_SILENCE_MS} from './call-times.js';
@@ -64,8 +63,10 @@
 };
 
 type Connection = {
-	readonly number: number;
 	readonly client: GuardedClient;
+	/** Ids of the requests that it has carried. */
+	readonly carriedIds: Set<string>;
+	carriedIdChars: number;
 	/** Number of sockets that the client has opened: one that was closed while it was idle is replaced before a request is written. */
 	sockets: number;
 	/** The socket that carried the last response, by its number. */
@@ -102,8 +103,8 @@
 const LEARNED_FOR_MS = 30_000;
 /** More than the addresses of a large deployment. */
 const LEARNED_ADDRESSES_MAX = 2000;
-/** Requests whose connections are remembered: more than an instance serves in the longest time within which a request is sent again. */
-const CARRIED_REQUESTS_MAX = 4096;
+/** Length of all ids that a connection has carried from which it is closed, since it remembers them. */
+const CARRIED_ID_CHARS_MAX = 16 * 1024;
 /** How much sooner than intended a timer of undici may close a connection. */
 const OWN_CLOSE_MS = 50;
 
@@ -112,9 +113,6 @@
 	/** Idle times of addresses that close connections sooner than they state. */
 	private readonly _learned = new Map<string, LearnedLimit>();
 	private readonly _clients = new Set<GuardedClient>();
-	/** Numbers of the connections that have carried a request, by its id. */
-	private readonly _carriers = new LRUCache<string, readonly number[]>({max: CARRIED_REQUESTS_MAX});
-	private _lastNumber = 0;
 	private readonly _connectSocket: buildConnector.connector;
 
 	constructor(private readonly _options: KeptConnectionsOptions) {
@@ -127,9 +125,9 @@
 
 	async request(address: string, request: KeptRequest): Promise<KeptResponse> {
 		const peer = this._peer(address);
-		const kept = request.mayReuse ? takeIdle(peer, this._carriersOf(request)) : undefined;
+		const kept = request.mayReuse ? takeIdle(peer, request) : undefined;
 		const connection = kept ?? this._open(address, peer);
-		this._noteCarrier(request, connection);
+		noteCarried(connection, request);
 		peer.busy++;
 		this._closeSurplus(peer, request);
 		const sentAtMs = performance.now();
@@ -216,7 +214,7 @@
 		connection.idleSinceMs = performance.now();
 		connection.idleLimitMs = Math.min(idleLimitMs(this._options.idle, headers), this._learnedLimitMs(address));
 		// undici has closed the connection by now if the response was not well formed or stated `Connection: close`.
-		if (!isUsable(connection)) {
+		if (!isUsable(connection) || connection.carriedIdChars >= CARRIED_ID_CHARS_MAX) {
 			this._close(connection);
 			return;
 		}
@@ -232,17 +230,6 @@
 		}
 	}
 
-	/** A late second response to a request cannot be told from the response to the same request when it is sent again. */
-	private _carriersOf({requestId}: KeptRequest): readonly number[] {
-		return requestId === undefined ? [] : this._carriers.get(requestId) ?? [];
-	}
-
-	private _noteCarrier(request: KeptRequest, {number}: Connection): void {
-		if (request.requestId !== undefined) {
-			this._carriers.set(request.requestId, [...this._carriersOf(request), number]);
-		}
-	}
-
 	private _peer(address: string): Peer {
 		let peer = this._peers.get(address);
 		if (!peer) {
@@ -286,9 +273,8 @@
 				});
 			},
 		});
-		this._lastNumber++;
 		const connection: Connection = {
-			number: this._lastNumber, client, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
+			client, carriedIds: new Set(), carriedIdChars: 0, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
 		};
 		this._clients.add(client);
 		client.on('disconnect', () => {
@@ -352,12 +338,22 @@
 	return usedSocket > 0 && sockets === usedSocket;
 }
 
-/** Takes the idle connection that was used last, which the server keeps open the longest, but none of the excluded ones. */
-function takeIdle({idle}: Peer, excluded: readonly number[]): Connection | undefined {
-	const index = idle.findLastIndex(connection => isUsable(connection) && !excluded.includes(connection.number));
+/**
+Takes the idle connection that was used last, which the server keeps open the longest. A late second response to a request
+cannot be told from the response to a request of the same id, so one that has carried the id is not taken.
+*/
+function takeIdle({idle}: Peer, {requestId}: KeptRequest): Connection | undefined {
+	const index = idle.findLastIndex(connection => isUsable(connection) && (requestId === undefined || !connection.carriedIds.has(requestId)));
 	return index === -1 ? undefined : idle.splice(index, 1)[0];
 }
 
+function noteCarried(connection: Connection, {requestId}: KeptRequest): void {
+	if (requestId !== undefined) {
+		connection.carriedIds.add(requestId);
+		connection.carriedIdChars += requestId.length;
+	}
+}
+
 function isUsable({client, idleSinceMs, idleLimitMs: limitMs}: Connection): boolean {
 	return client.stats.connected && performance.now() - idleSinceMs < limitMs;
 }
