--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -446,3 +446,15 @@
 	assert.deepEqual([tracker.takeStoreLoad('small'), tracker.takeStoreLoad('small')], [true, false]);
 	assert.equal(tracker.takeStoreLoad('large'), true, 'loads of another service are not taken from its rate');
 });
+
+// An engine that loaded a model when the lease changed hands was left out of the plan until a request needed an adapter there, so rare models had no engine to go to.
+test('an engine that executes an order of an earlier holder is planned for once it is idle', {todo: 'KNOWN-RED.txt, issue 64'}, () => {
+	const deployment = createDeployment([[], ['m0', 'm1']]);
+	const engine = deployment.engines.get('e0')!;
+	engine.sequence = 1;
+	engine.loading = 'm2';
+	run(deployment, 1000);
+	engine.completeMove();
+	run(deployment, 2000);
+	assert.equal(engine.loading, 'm3');
+});
