Placement: ask an engine that was busy with an order of an earlier holder again

Cause: a new holder of the lease reads one report of each engine. If that shows it busy, with a load that the earlier holder had ordered, the plan takes it for busy from then on: only a move of its own, or a request for an adapter there, had a further report read. With each change of the lease the engines that were loading dropped out of the plan. Evidence: the test before failed (no order 2 s after the engine was idle), and passes now. Ruled out: that the plan prefers others. For these models no move was planned in 57 s, though engines had finished their loads. Change: the holder asks again once a second while the last report shows an order that is not its own.

--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -448,7 +448,7 @@
 });
 
 // An engine that loaded a model when the lease changed hands was left out of the plan until a request needed an adapter there, so rare models had no engine to go to.
-test('an engine that executes an order of an earlier holder is planned for once it is idle', {todo: 'KNOWN-RED.txt, issue 64'}, () => {
+test('an engine that executes an order of an earlier holder is planned for once it is idle', () => {
 	const deployment = createDeployment([[], ['m0', 'm1']]);
 	const engine = deployment.engines.get('e0')!;
 	engine.sequence = 1;
--- a/src/core/entry/placement.ts
+++ b/src/core/entry/placement.ts
@@ -5,7 +5,7 @@
 */
 import {localDemand} from './demand.js';
 import {holdsLease} from './lease.js';
-import {ANNOUNCE_ROUNDS} from './order-tracker.js';
+import {ANNOUNCE_ROUNDS, type TargetTracker} from './order-tracker.js';
 import {sendNextOrder, readReport} from './orders.js';
 import {PEER_DEMAND_VALID_MS} from './peers.js';
 import {planMove} from './plan.js';
@@ -17,6 +17,8 @@
 /** Interval between plans for up to `TARGETS_PER_INTERVAL` targets. A plan takes longer for more targets; the interval grows with them, so that the share of time spent on planning stays the same. */
 const PLAN_INTERVAL_MS = 200;
 const TARGETS_PER_INTERVAL = 25;
+/** Interval at which an engine that executes an order of an earlier holder is asked whether it still does. */
+const FOREIGN_ORDER_CHECK_MS = 1000;
 /** Time for peers to learn that a copy is to be unloaded, and to stop sending requests to it, before the unload is ordered. */
 const UNLOAD_NOTICE_MS = 200;
 /** Demand that is below this share of that of the last seconds is falling. */
@@ -52,7 +54,7 @@
 	for (const target of targets) {
 		// The report is read as soon as the target is known, so that its first order does not wait for one.
 		const tracker = state.orderTracker.forTarget(target);
-		if (!tracker.report && isUsable(target, context.nowMs)) {
+		if (isUsable(target, context.nowMs) && (!tracker.report || isForeignOrderCheckDue(context, tracker))) {
 			readReport(context, target, tracker);
 		}
 	}
@@ -73,6 +75,11 @@
 	}
 }
 
+/** Whether to ask an engine that was busy, though this holder has ordered nothing for a model: it takes no order for one until a report shows it idle. */
+function isForeignOrderCheckDue({nowMs}: EntryContext, {report, move, moveDueMs, outstanding, reportRequestedAtMs}: TargetTracker): boolean {
+	return report?.isBusy === true && !move && moveDueMs === undefined && !outstanding && nowMs - reportRequestedAtMs >= FOREIGN_ORDER_CHECK_MS;
+}
+
 /** Marks adapters in use at any instance as just used, so that they are evicted last. */
 function touchUsedAdapters({state, nowMs}: EntryContext, targets: readonly Target[], demand: ReadonlyMap<string, PlannedDemand>): void {
 	for (const target of targets) {
