Plan: estimate once what each copy's eviction costs

Cause: a plan estimated the loss of evicting each copy, the free memory of each target and the number of idle targets again for each of up to 16 models that want a place there. Change: these are worked out once in a plan.

--- a/src/core/entry/desired-copies.ts
+++ b/src/core/entry/desired-copies.ts
@@ -3,7 +3,7 @@
 what the copy is worth.
 */
 import {type EngineModel} from './configuration.js';
-import {type PlanInput, type MoveReason} from './plan-input.js';
+import {type PlanInput, type MoveReason, type PlannedTarget} from './plan-input.js';
 import {type LoadEstimator} from './load-estimator.js';
 
 /** Worth of a copy that provides missing places for adapters in use, in requests a second served in time. */
@@ -25,11 +25,32 @@
 	readonly maxDurationMs: number;
 };
 
+/** A copy that could be evicted. */
+export type Eviction = {
+	readonly model: EngineModel;
+	/** In requests served in time, by the second. */
+	readonly loss: number;
+	/** Where the copy is loaded first because it is the only one, undefined where it is unloaded at once. */
+	readonly relocateTo: PlannedTarget | undefined;
+};
+
+/** What holds for all candidate moves of one plan, and is worked out once. */
+export type PlanMemo = {
+	idleTargets: number | undefined;
+	readonly unreservedMb: Map<PlannedTarget, number>;
+	readonly evictions: Readonly<Record<MoveReason, Map<PlannedTarget, readonly Eviction[]>>>;
+};
+
 export type PlanContext = {
 	readonly input: PlanInput;
 	readonly estimator: LoadEstimator;
+	readonly memo: PlanMemo;
 };
 
+export function createPlanMemo(): PlanMemo {
+	return {idleTargets: undefined, unreservedMb: new Map(), evictions: {'no-copy': new Map(), full: new Map(), urgent: new Map()}};
+}
+
 /** The copy that a model should get, undefined when it needs none. */
 export function desiredCopyOf(planContext: PlanContext, model: EngineModel): DesiredCopy | undefined {
 	const {input, estimator} = planContext;
--- a/src/core/entry/load-estimator.ts
+++ b/src/core/entry/load-estimator.ts
@@ -42,6 +42,7 @@
 	private readonly _holders = new Map<string, PlannedTarget[]>();
 	private readonly _loads = new Map<PlannedTarget, Load>();
 	private readonly _surge: SurgeEstimator;
+	private readonly _removalCosts = new Map<PlannedTarget, Map<string, number>>();
 
 	constructor(input: PlanInput) {
 		const {targets, demand, engine, mechanisms} = input;
@@ -98,6 +99,23 @@
 		return holders.reduce((sum, target) => sum + (perSecond * lateShare(this.busyShareOf(target))), 0);
 	}
 
+	/** The same for one copy that is removed. It is worked out once. */
+	costOfRemoval(target: PlannedTarget, model: string): number {
+		let costs = this._removalCosts.get(target);
+		if (!costs) {
+			costs = new Map();
+			this._removalCosts.set(target, costs);
+		}
+
+		let cost = costs.get(model);
+		if (cost === undefined) {
+			cost = this.costOfChange(target, {remove: [model]});
+			costs.set(model, cost);
+		}
+
+		return cost;
+	}
+
 	/** Requests a second not served in time that a change of one target's copies adds; negative if it removes some. */
 	costOfChange(target: PlannedTarget, {add: added, remove}: CopyChange): number {
 		const deltas = new Map<PlannedTarget, Load>();
--- a/src/core/entry/plan-moves.ts
+++ b/src/core/entry/plan-moves.ts
@@ -6,7 +6,7 @@
 import {unreservedMemoryMb, isCached, loadTimeMs} from './engine-memory.js';
 import {type PlannedDemand, type PlannedMove, type PlannedTarget} from './plan-input.js';
 import {
-	ADAPTER_PLACES_WORTH, lacksAdapterPlaces, type PlanContext, type DesiredCopy,
+	ADAPTER_PLACES_WORTH, lacksAdapterPlaces, type PlanContext, type DesiredCopy, type Eviction,
 } from './desired-copies.js';
 
 /** Demand for a model lasts about this long; a move that takes as long gains nothing. */
@@ -45,7 +45,7 @@
 export function loadIntoFreeMemory(planContext: PlanContext, desired: DesiredCopy, target: PlannedTarget): MoveCandidate | undefined {
 	const {input: {engine}, estimator} = planContext;
 	const {model} = desired;
-	const unusedMb = unreservedMemoryMb(engine, target) - model.sizeMb;
+	const unusedMb = unreservedMb(planContext, target) - model.sizeMb;
 	if (unusedMb < 0 || loadTimeMs(target, model) > desired.maxDurationMs) {
 		return undefined;
 	}
@@ -76,22 +76,11 @@
 	return reason !== 'no-copy' && lacksAdapterPlaces(planContext, model.name, estimator.holders(model.name).length) ? ADAPTER_PLACES_WORTH : 0;
 }
 
-/** A copy that could be evicted. */
-type Eviction = {
-	readonly model: EngineModel;
-	/** In requests served in time, by the second. */
-	readonly loss: number;
-	/** Where the copy is loaded first because it is the only one, undefined where it is unloaded at once. */
-	readonly relocateTo: PlannedTarget | undefined;
-};
-
 /** The first step of evicting the copies of a target with the least loss until the model fits. */
 export function loadAfterEviction(planContext: PlanContext, desired: DesiredCopy, target: PlannedTarget): MoveCandidate | undefined {
-	const {input: {engine}, estimator} = planContext;
-	const evictions = target.copies
-		.map(copy => evictionOf(planContext, desired, {target, name: copy.model}))
-		.filter(eviction => eviction !== undefined);
-	const requiredMb = desired.model.sizeMb - unreservedMemoryMb(engine, target);
+	const {estimator} = planContext;
+	const evictions = evictionsAt(planContext, desired, target);
+	const requiredMb = desired.model.sizeMb - unreservedMb(planContext, target);
 	const evicted = cheapestEvictions(evictions, requiredMb);
 	if (!evicted || evicted.length === 0) {
 		return undefined;
@@ -106,15 +95,41 @@
 	}
 
 	const gainPerSecond = adapterWorth(planContext, desired) - adapterLoss - estimator.costOfChange(target, {add: desired.model.name, remove: unloaded});
-	const lossMeanwhile = (Math.max(0, estimator.costOfChange(target, {remove: unloaded})) + orderTimeCost(planContext)) * durationMs / 1000;
+	const removalCost = unloaded.length === 1 ? estimator.costOfRemoval(target, unloaded[0]!) : estimator.costOfChange(target, {remove: unloaded});
+	const lossMeanwhile = (Math.max(0, removalCost) + orderTimeCost(planContext)) * durationMs / 1000;
 	const netGain = gainWithin(gainPerSecond, durationMs) + waitingRequests(planContext, desired) - lossMeanwhile - relocationLoss
 		- (unloaded.some(name => isInUse(planContext, name)) ? MIN_BUSY_EVICTION_GAIN : MIN_EVICTION_GAIN);
 	return {netGain, move: firstMove(desired, target, {eviction: evicted[0]!, worth: netGain})};
 }
 
-function orderTimeCost({input: {targets}}: PlanContext): number {
-	const idle = targets.filter(({isIdle}) => isIdle).length;
-	return ORDER_TIME_COST_PER_SECOND * (targets.length + 1) / (idle + 1);
+function orderTimeCost({input: {targets}, memo}: PlanContext): number {
+	memo.idleTargets ??= targets.filter(({isIdle}) => isIdle).length;
+	return ORDER_TIME_COST_PER_SECOND * (targets.length + 1) / (memo.idleTargets + 1);
+}
+
+function unreservedMb({input: {engine}, memo}: PlanContext, target: PlannedTarget): number {
+	let freeMb = memo.unreservedMb.get(target);
+	if (freeMb === undefined) {
+		freeMb = unreservedMemoryMb(engine, target);
+		memo.unreservedMb.set(target, freeMb);
+	}
+
+	return freeMb;
+}
+
+/** The copies of a target that could be evicted. Of the desired copy, only its reason counts. */
+function evictionsAt(planContext: PlanContext, desired: DesiredCopy, target: PlannedTarget): readonly Eviction[] {
+	const known = planContext.memo.evictions[desired.reason];
+	let evictions = known.get(target);
+	if (!evictions) {
+		evictions = target.copies
+			.map(copy => evictionOf(planContext, desired, {target, name: copy.model}))
+			.filter(eviction => eviction !== undefined)
+			.sort((a, b) => a.loss - b.loss);
+		known.set(target, evictions);
+	}
+
+	return evictions;
 }
 
 /** Expected time until copies are unloaded, from the probability that nothing runs on them now. */
@@ -123,11 +138,11 @@
 	return IDLE_UNLOAD_MS + ((BUSY_UNLOAD_MS - IDLE_UNLOAD_MS) * (1 - Math.exp(-runs)));
 }
 
-/** The cheapest evictions that free enough memory: a single copy if its loss is no larger than that of several. */
+/** The cheapest evictions, of those with the least loss first, that free enough memory: a single copy if its loss is no larger than that of several. */
 function cheapestEvictions(evictions: readonly Eviction[], neededMb: number): Eviction[] | undefined {
 	const several: Eviction[] = [];
 	let freedMb = 0;
-	for (const eviction of evictions.toSorted((a, b) => a.loss - b.loss)) {
+	for (const eviction of evictions) {
 		if (freedMb >= neededMb) {
 			break;
 		}
@@ -136,7 +151,7 @@
 		several.push(eviction);
 	}
 
-	const single = evictions.filter(({model}) => model.sizeMb >= neededMb).toSorted((a, b) => a.loss - b.loss)[0];
+	const single = evictions.find(({model}) => model.sizeMb >= neededMb);
 	if (single && single.loss <= several.reduce((sum, {loss}) => sum + loss, 0)) {
 		return [single];
 	}
@@ -151,7 +166,7 @@
 		return undefined;
 	}
 
-	const loss = estimator.costOfChange(target, {remove: [name]});
+	const loss = estimator.costOfRemoval(target, name);
 	if (estimator.servingCopies(name) > 1) {
 		return {model, loss, relocateTo: undefined};
 	}
--- a/src/core/entry/plan.test.ts
+++ b/src/core/entry/plan.test.ts
@@ -6,6 +6,7 @@
 import {configuration} from '../../../test/standins/entry-harness.js';
 import {type EngineModel} from './configuration.js';
 import {allMechanisms} from './mechanisms.js';
+import {LoadEstimator} from './load-estimator.js';
 import {planMove} from './plan.js';
 import {type PlannedDemand, type PlannedTarget} from './plan-input.js';
 
@@ -208,3 +209,19 @@
 	const late = plan(targets, {...hot, m3: demand(0.4, 1, {objectiveMs: 4000, missingMs: 15_000})});
 	assert.deepEqual([late?.kind, late?.wanted], ['unload', 'm3']);
 });
+
+// A plan estimated the eviction of the same copies anew for each model that lacked one; the lease holder spent a third of a small processor on plans and lost its lease.
+test('what evicting a copy costs is estimated once in a plan, however many models want its place', context => {
+	const costOfChange = context.mock.method(LoadEstimator.prototype, 'costOfChange');
+	const names = Array.from({length: 20}, (_, index) => `m${index}`);
+	const many = {...engine, models: new Map(names.map(name => [name, {...engine.models.get('m0')!, name}]))};
+	const targets = Array.from({length: 10}, (_, index) => target(`t${index}`, [`m${index % 4}`, `m${(index + 1) % 4}`]));
+	const move = planMove({
+		engine: many, targets, demand: new Map(names.map(name => [name, demand(1, 1, {waiting: 1, missingMs: 5000})])), storeLoads: 2, mechanisms: allMechanisms,
+	});
+	assert.equal(move?.kind, 'unload');
+	const estimated = costOfChange.mock.calls
+		.filter(({arguments: [, {add, remove}]}) => add === undefined && remove.length === 1)
+		.map(({arguments: [{id}, {remove}]}) => `${id} ${remove[0]}`);
+	assert.equal(estimated.length, new Set(estimated).size);
+});
--- a/src/core/entry/plan.ts
+++ b/src/core/entry/plan.ts
@@ -9,7 +9,9 @@
 import {isCached} from './engine-memory.js';
 import {type PlanInput, type PlannedMove, type PlannedTarget} from './plan-input.js';
 import {loadAfterEviction, loadIntoFreeMemory, type MoveCandidate} from './plan-moves.js';
-import {desiredCopyOf, type PlanContext, type DesiredCopy} from './desired-copies.js';
+import {
+	createPlanMemo, desiredCopyOf, type PlanContext, type DesiredCopy,
+} from './desired-copies.js';
 import {LoadEstimator} from './load-estimator.js';
 
 /** Limits on the models (largest possible gain first) and targets (cached weights, then least load first) that one plan considers, so that its cost grows little with the deployment. */
@@ -18,7 +20,7 @@
 
 /** The move with the largest net gain, undefined when none has any. */
 export function planMove(input: PlanInput): PlannedMove | undefined {
-	const planContext: PlanContext = {input, estimator: new LoadEstimator(input)};
+	const planContext: PlanContext = {input, estimator: new LoadEstimator(input), memo: createPlanMemo()};
 	const desiredCopies = [...input.engine.models.values()]
 		.map(model => desiredCopyOf(planContext, model))
 		.filter(desired => desired !== undefined)
