Orders: a holder that takes its own lease again goes on with what it knew

Cause: a holder whose renewal was confirmed too late dropped all that it knew of the engines, the demand and for how long models had been missing, and began anew when it took the lease again itself. What a plan does for a rare model grows by the second of its absence, so with a loss every two seconds it never came to a swap. Why it is safe: the record is dropped as soon as another instance is known to have a later epoch, and when the lease is taken unless the row shows this instance's own last epoch, unreleased to others and not from before a restore: then nobody else has sent orders. Moves that were not ordered are planned anew. An order whose answer was lost is sent again in the new epoch, under the same expected sequence. Test changed: 'all pending adapter requests of peers are answered when the lease is lost' asserted that no tracker was left; now that no request is left pending, and no tracker once another instance has the lease.

--- a/src/core/entry/lease.ts
+++ b/src/core/entry/lease.ts
@@ -237,6 +237,17 @@
 	}
 }
 
+/** Whether no other instance is known to have held the lease since this one last did. */
+export function isUncontested({lease: {endedEpoch, lastKnown}}: EntryState): boolean {
+	return endedEpoch > 0 && (lastKnown?.epoch ?? 0) <= endedEpoch;
+}
+
+/** Whether the row, before this instance took the lease, was its own of the last epoch that it held: then no other instance has sent orders since. */
+function isOwnSuccessor({self, lease: {endedEpoch}}: EntryState, previous: ObservedRow | undefined): boolean {
+	const record = previous?.record;
+	return record?.boot === self.boot && record.epoch === endedEpoch && record.epoch >= previous!.eraRevision;
+}
+
 type ConfirmedWrite = {
 	readonly revision: number;
 	readonly eraRevision: number;
@@ -260,6 +271,10 @@
 	}
 
 	if (!lease.held) {
+		if (!isOwnSuccessor(context.state, previous)) {
+			context.state.orderTracker.clear();
+		}
+
 		logEvent(context, 'lease-taken', {
 			epoch,
 			revision,
--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -5,11 +5,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	beacon, engineEntry, EntryHarness, effectsOfKind,
+	beacon, engineEntry, EntryHarness, effectsOfKind, instance,
 } from '../../../test/standins/entry-harness.js';
-import {type EntryEffectOf} from './effect.js';
+import {type EntryEffect, type EntryEffectOf} from './effect.js';
+import {type LeaseResult} from './event.js';
 import {OrderTracker} from './order-tracker.js';
 import {type TargetReport} from './target.js';
+import {type LeaseRecord} from './types.js';
 
 /** Engine in memory that executes conditional orders and accounts for its memory. */
 class InMemoryEngine {
@@ -293,6 +295,9 @@
 
 	const replies = effectsOfKind(core.advance(2500), 'tell-adapter');
 	assert.deepEqual(replies.map(({callId, isHeld}) => [callId, isHeld]), [[1, false], [2, false]]);
+	assert.deepEqual([...core.state.orderTracker.targets.values()].map(({adapterLoads}) => adapterLoads.length), [0]);
+	core.dispatch({kind: 'beacon-received', beacon: beacon({lease: {holder: instance('b'), epoch: 2, ageMs: 0}})});
+	core.advance(50);
 	assert.equal(core.state.orderTracker.targets.size, 0);
 });
 
@@ -458,3 +463,45 @@
 	run(deployment, 2000);
 	assert.equal(engine.loading, 'm3');
 });
+
+/** Has a holder renew too late and take the lease again, where the row shows `before` until then; returns the effects of the next half second. */
+function retakeLease(core: EntryHarness, before: LeaseRecord): EntryEffect[] {
+	const answer = (result: LeaseResult) => {
+		core.dispatch({
+			kind: 'lease-request-completed', result, sentAtMs: core.nowMs, sentAtWallMs: core.nowMs + core.wallOffsetMs,
+		});
+	};
+
+	core.nowMs += 2000;
+	core.advance(50);
+	answer({kind: 'row', revision: 6, record: before});
+	const wrote = core.advance(6000).some(({kind}) => kind === 'write-lease');
+	assert.ok(wrote);
+	answer({kind: 'written', revision: 7});
+	return core.advance(500);
+}
+
+// A holder that was late lost its lease every two seconds, and forgot each time for how long models had been missing, so rare ones never had their turn.
+test('a holder that takes its own lease again goes on with what it knew', () => {
+	const {core, ...deployment} = createDeployment([['m0', 'm1'], ['m0', 'm2']]);
+	run({core, ...deployment}, 1000);
+	core.effects.length = 0;
+	assert.equal(core.state.orderTracker.missingForMs('llm m3', false, core.nowMs), 0);
+	const missingSinceMs = core.nowMs;
+	const effects = retakeLease(core, {
+		holder: 'a', boot: 'a-1', epoch: 1, isReleased: false,
+	});
+	assert.equal(effectsOfKind(effects, 'read-report').length, 0);
+	assert.equal(core.state.orderTracker.missingForMs('llm m3', false, core.nowMs), core.nowMs - missingSinceMs);
+});
+
+// What an engine holds is not known once another instance may have sent it orders: memory was overcommitted.
+test('a holder that takes the lease after another one reads all reports anew', () => {
+	const {core, ...deployment} = createDeployment([['m0', 'm1'], ['m0', 'm2']]);
+	run({core, ...deployment}, 1000);
+	core.effects.length = 0;
+	const effects = retakeLease(core, {
+		holder: 'b', boot: 'b-1', epoch: 2, isReleased: true,
+	});
+	assert.equal(effectsOfKind(effects, 'read-report').length, 2);
+});
--- a/src/core/entry/orders.ts
+++ b/src/core/entry/orders.ts
@@ -5,7 +5,7 @@
 report newer than the last order shows what the engine holds. An engine accepts no
 other order while it loads or unloads a model, so none is sent to it meanwhile.
 */
-import {holdsLease} from './lease.js';
+import {holdsLease, isUncontested} from './lease.js';
 import {
 	type AdapterLoad, type Move, type TargetTracker,
 } from './order-tracker.js';
@@ -88,13 +88,15 @@
 	}
 }
 
-/** Sends the next order of every target, and drops the trackers of targets that are gone, or all of them once the lease is lost. */
+/** Sends the next order of every target, and drops the trackers of targets that are gone, or all of them once another instance has the lease. */
 export function runOrders(context: EntryContext): void {
 	const {state, nowMs} = context;
 	const isHolder = holdsLease(context) !== undefined;
+	const isKept = isHolder || isUncontested(state);
 	for (const [id, tracker] of state.orderTracker.targets) {
 		const target = state.targets.get(id);
-		if (isHolder && target?.entry.incarnation === tracker.incarnation && isListed(target, nowMs)) {
+		const isCurrent = isKept && target?.entry.incarnation === tracker.incarnation && isListed(target, nowMs);
+		if (isCurrent && isHolder) {
 			sendNextOrder(context, target, tracker);
 			continue;
 		}
@@ -103,10 +105,15 @@
 			replyToAll(context, id, adapterLoad, {isHeld: false, delayMs: 0});
 		}
 
-		state.orderTracker.forget(id);
+		if (!isCurrent) {
+			state.orderTracker.forget(id);
+		} else if (tracker.moveDueMs === undefined && !tracker.outstanding) {
+			// Planned for what was known then, and not ordered yet.
+			tracker.move = undefined;
+		}
 	}
 
-	if (!isHolder) {
+	if (!isKept) {
 		state.orderTracker.clear();
 	}
 }
@@ -114,13 +121,15 @@
 /** Sends the next order of a target if one is due and none is outstanding. */
 export function sendNextOrder(context: EntryContext, target: Target, tracker: TargetTracker): void {
 	const {nowMs} = context;
-	if (!holdsLease(context) || nowMs < tracker.backoffUntilMs) {
+	const lease = holdsLease(context);
+	if (!lease || nowMs < tracker.backoffUntilMs) {
 		return;
 	}
 
 	if (tracker.outstanding) {
 		if (tracker.outstanding.isAnswerLost && nowMs - tracker.outstanding.sentAtMs >= RESEND_INTERVAL_MS) {
-			send(context, target, tracker, tracker.outstanding.order);
+			// The epoch may be later than that of the first sending.
+			send(context, target, tracker, {...tracker.outstanding.order, epoch: lease.epoch});
 		}
 
 		return;
