Demand: instances tell for how long a model has been missing

Cause: only the holder of the lease counted for how long a model had been missing, which gives a rare one its turn. A new holder began at 0. Change: each instance notes since when no usable target has held a model that it was asked for, and tells the holder with its demand, in an optional member. The holder takes the longest time told. Ruled out: telling models that nobody asks for at the moment, which would make beacons grow with the rare models.

--- a/src/core/entry/demand.ts
+++ b/src/core/entry/demand.ts
@@ -3,9 +3,10 @@
 holder can place copies of models accordingly.
 */
 import {type ModelDemand, type RunningAdapter} from './peer-messages.js';
-import {queueOf} from './queues.js';
+import {queueKeyOf, queueOf} from './queues.js';
 import {msPerToken, tokensToRead} from './reading-speed.js';
 import {type EntryContext, type EntryState} from './state.js';
+import {isUsable} from './target.js';
 import {type EntryRequest} from './types.js';
 
 const RATE_INTERVAL_MS = 500;
@@ -36,6 +37,7 @@
 			rateUpdatedAtMs: nowMs,
 			lastArrivalAtMs: nowMs,
 			open: 0,
+			missingSinceMs: undefined,
 			adapters: new Map(),
 		};
 		state.demand.set(request.queueKey, record);
@@ -59,9 +61,12 @@
 }
 
 export function updateDemandRates({state, nowMs}: EntryContext): void {
-	for (const record of state.demand.values()) {
+	let held: ReadonlySet<string> | undefined;
+	for (const [key, record] of state.demand) {
 		const elapsedMs = nowMs - record.rateUpdatedAtMs;
 		if (elapsedMs >= RATE_INTERVAL_MS) {
+			held ??= heldModels(state, nowMs);
+			record.missingSinceMs = held.size === 0 || held.has(key) ? undefined : record.missingSinceMs ?? record.rateUpdatedAtMs;
 			record.arrivalsPerSecond += ((record.arrivals * 1000 / elapsedMs) - record.arrivalsPerSecond) * RATE_SMOOTHING;
 			record.tokensPerSecond += ((record.tokens * 1000 / elapsedMs) - record.tokensPerSecond) * RATE_SMOOTHING;
 			record.arrivals = 0;
@@ -71,6 +76,20 @@
 	}
 }
 
+/** Queue keys of the models that usable targets hold. */
+function heldModels({targets}: EntryState, nowMs: number): Set<string> {
+	const held = new Set<string>();
+	for (const target of targets.values()) {
+		if (isUsable(target, nowMs)) {
+			for (const {model} of target.entry.copies) {
+				held.add(queueKeyOf(target.entry.service, model));
+			}
+		}
+	}
+
+	return held;
+}
+
 export function localDemand({state, nowMs}: EntryContext): ModelDemand[] {
 	const running = runningAdapters(state);
 	return [...state.demand].map(([key, record]) => ({
@@ -83,6 +102,7 @@
 		objectiveMs: record.objectiveMs,
 		adapters: [...record.adapters].filter(([, usedAtMs]) => nowMs - usedAtMs < ADAPTER_IN_USE_MS).map(([adapter]) => adapter),
 		runningAdapters: running.get(key) ?? [],
+		...(record.missingSinceMs !== undefined && {missingMs: Math.round(nowMs - record.missingSinceMs)}),
 	}));
 }
 
--- a/src/core/entry/order-tracker.ts
+++ b/src/core/entry/order-tracker.ts
@@ -176,8 +176,8 @@
 		return recent;
 	}
 
-	/** Time since demand for a model was first seen without a copy of it; 0 while one is held. */
-	missingForMs(key: string, isHeld: boolean, nowMs: number): number {
+	/** Time since demand for a model was first seen without a copy of it, here or by the instance that tells of the longest time; 0 while one is held. */
+	missingForMs(key: string, isHeld: boolean, nowMs: number, toldMs = 0): number {
 		if (isHeld) {
 			if (this._missingSince.delete(key)) {
 				this._backSince.set(key, nowMs);
@@ -186,7 +186,7 @@
 			return 0;
 		}
 
-		const sinceMs = this._missingSince.get(key) ?? nowMs;
+		const sinceMs = Math.min(this._missingSince.get(key) ?? nowMs, nowMs - toldMs);
 		this._missingSince.set(key, sinceMs);
 		return nowMs - sinceMs;
 	}
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -26,6 +26,8 @@
 	readonly adapters: readonly string[];
 	/** Adapters that requests in flight use, and where. Undefined from instances of an earlier release. */
 	readonly runningAdapters?: readonly RunningAdapter[];
+	/** Time for which the model has had no copy though it was requested there; undefined while it has one, and from instances of an earlier release. */
+	readonly missingMs?: number;
 };
 
 export type RunningAdapter = readonly [targetId: TargetId, adapter: string];
--- a/src/core/entry/placement.ts
+++ b/src/core/entry/placement.ts
@@ -114,7 +114,7 @@
 /** Demand of all instances for each model, and the time for which it has had no copy anywhere. */
 function totalDemand(context: EntryContext, service: string, held: ReadonlySet<string>): Map<string, PlannedDemand> {
 	const {state, nowMs} = context;
-	const total = new Map<string, Omit<PlannedDemand, 'missingMs' | 'backForMs' | 'isFalling'>>();
+	const total = new Map<string, Omit<PlannedDemand, 'backForMs' | 'isFalling'>>();
 	const recentPeers = [...state.peers.values()].filter(({demandReceivedAtMs}) => nowMs - demandReceivedAtMs < PEER_DEMAND_VALID_MS);
 	const all = [localDemand(context), ...recentPeers.map(({demand}) => demand)];
 	for (const record of all.flat()) {
@@ -130,6 +130,7 @@
 			waiting: (known?.waiting ?? 0) + record.waiting,
 			objectiveMs: Math.min(known?.objectiveMs ?? record.objectiveMs, record.objectiveMs),
 			adapters: new Set([...known?.adapters ?? [], ...record.adapters]),
+			missingMs: Math.max(known?.missingMs ?? 0, record.missingMs ?? 0),
 		});
 	}
 
@@ -140,7 +141,7 @@
 			...demand,
 			...recent,
 			isFalling: demand.perSecond < recent.perSecond * FALLING_SHARE,
-			missingMs: state.orderTracker.missingForMs(key, held.has(model), nowMs),
+			missingMs: state.orderTracker.missingForMs(key, held.has(model), nowMs, demand.missingMs),
 			backForMs: state.orderTracker.backForMs(key, nowMs),
 		}];
 	}));
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -63,6 +63,8 @@
 	rateUpdatedAtMs: number;
 	lastArrivalAtMs: number;
 	open: number;
+	/** Since when it has been known that no target holds a copy; undefined while one does. */
+	missingSinceMs: number | undefined;
 	/** Adapters and the time of their last request. */
 	readonly adapters: Map<string, number>;
 };
