--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -17,6 +17,8 @@
 export const GRACE_MS = 8000;
 const EVENT_INTERVAL_MS = 100;
 const TIMEOUT_MS = 20_000;
+/** Time-out of the route whose requests are answered at it. */
+export const BRIEF_TIMEOUT_MS = 1000;
 
 /** How a request ended for its caller. */
 export type Outcome = {
@@ -53,6 +55,9 @@
 		{
 			...route, name: 'read', prefix: '/read/', kind: 'idempotent', maxAttempts: 2,
 		},
+		{
+			...route, name: 'brief', prefix: '/brief/', kind: 'idempotent', maxAttempts: 2, timeoutMs: BRIEF_TIMEOUT_MS,
+		},
 		{
 			...route, name: 'sign', prefix: '/sign/', kind: 'non_idempotent', maxAttempts: 1,
 		},
@@ -74,7 +79,7 @@
 	/** When the process had gone. */
 	exitedAtMs = Number.POSITIVE_INFINITY;
 	exitCode: number | undefined;
-	private _callersPort = 0;
+	callersPort = 0;
 	private _requests = 0;
 	private readonly _servers: Server[] = [];
 
@@ -123,7 +128,7 @@
 			};
 
 			const sent = httpRequest({
-				agent, host: '127.0.0.1', port: this._callersPort, method: 'POST', path, headers: {
+				agent, host: '127.0.0.1', port: this.callersPort, method: 'POST', path, headers: {
 					host: 'a.example', 'x-pollenarch-request-id': outcome.id, 'x-pollenarch-request-deadline': String(TIMEOUT_MS), 'content-length': 4,
 				},
 			}, response => {
@@ -169,7 +174,7 @@
 
 		this.store.put('op', 'config', configuration);
 		const {listen, document} = await createDaemonSettings(storeAddress);
-		this._callersPort = Number(listen.callers.split(':')[1]);
+		this.callersPort = Number(listen.callers.split(':')[1]);
 		this.process = bundle.start({...document, bounds: {...document.bounds as object, graceMs: GRACE_MS}});
 		this.process.stderr!.resume();
 		this._readLog();
