--- a/test/standins/endless-answers.ts
+++ b/test/standins/endless-answers.ts
@@ -71,14 +71,16 @@
 export type EndlessOptions = {
 	readonly headers?: string;
 	readonly pace?: Pace;
+	/** Bytes of one write at the fast pace. */
+	readonly writeBytes?: number;
 };
 
 /** Sends until the connection is closed. */
-export async function sendWithoutEnd(socket: Socket, {beginning, repeated}: EndlessPart, {headers = '', pace = 'fast'}: EndlessOptions = {}): Promise<void> {
+export async function sendWithoutEnd(socket: Socket, {beginning, repeated}: EndlessPart, {headers = '', pace = 'fast', writeBytes = WRITE_BYTES}: EndlessOptions = {}): Promise<void> {
 	socket.on('error', () => undefined);
 	socket.write(beginning(headers));
 	const single = Buffer.from(repeated);
-	const many = Buffer.from(repeated.repeat(Math.ceil(WRITE_BYTES / repeated.length)));
+	const many = Buffer.from(repeated.repeat(Math.ceil(writeBytes / repeated.length)));
 	let fastBytes = fastBytesOf[pace];
 	while (!socket.destroyed && socket.writable) {
 		if (fastBytes <= 0) {
