Calls: time in which the process was held up does not count as silence

What callers saw: too little served and late, where instances are short of processor time (SHORT, GONE).

Cause: calls to the store, to peers and to engines are repeated over a new connection after 250 ms of silence, and given up after some more. An instance that is late finds their answers unread when its timers fire: it takes its own delay for the silence of others, sends the call again, closes the connections, and restarts its polls. That is more work where there is too little time for it.

Change: the timers count time in steps of 50 ms of an event loop that keeps up, and read what has arrived before they fire. Calls to peers are limited by these timers alone, and no longer by the library's as well.

Ruled out: a longer time, which would make real silence, such as a broken path, last longer for all.

--- a/src/daemon/hedged-call.ts
+++ b/src/daemon/hedged-call.ts
@@ -1,8 +1,10 @@
 /**
 Sends a call a second time, over a new connection, if the first attempt has been silent
 for a while. The first success counts, and the other attempt is aborted, which closes its
-connection. At the time limit all attempts are aborted, and the call fails.
+connection. At the time limit all attempts are aborted, and the call fails. Time in which
+this process was held up does not count as silence.
 */
+import {startLoopTimer, type LoopTimer} from './loop-timer.js';
 
 export type AttemptResult<Value> =
 	| {readonly isDone: true; readonly value: Value}
@@ -25,18 +27,18 @@
 		const aborts: AbortController[] = [];
 		const failures: Value[] = [];
 		let isSettled = false;
-		let repeatTimer: NodeJS.Timeout | undefined;
+		let repeatTimer: LoopTimer | undefined;
 		const abortAll = () => {
-			clearTimeout(repeatTimer);
+			repeatTimer?.cancel();
 			for (const abort of aborts) {
 				abort.abort();
 			}
 		};
 
-		const timer = setTimeout(abortAll, timeoutMs);
+		const timer = startLoopTimer(timeoutMs, abortAll);
 		const settle = (value: Value) => {
 			isSettled = true;
-			clearTimeout(timer);
+			timer.cancel();
 			abortAll();
 			resolve(value);
 		};
@@ -70,9 +72,9 @@
 
 		start(false);
 		if (repeatAfterMs !== undefined) {
-			repeatTimer = setTimeout(() => {
+			repeatTimer = startLoopTimer(repeatAfterMs, () => {
 				start(true);
-			}, repeatAfterMs);
+			});
 		}
 	});
 }
--- a/src/daemon/peer/connections.ts
+++ b/src/daemon/peer/connections.ts
@@ -25,7 +25,7 @@
 };
 
 /** Makes the RPC with the given options. */
-type Invoke<Service extends DescService, Value> = (client: Client<Service>, options: {timeoutMs: number; signal: AbortSignal}) => Promise<Value>;
+type Invoke<Service extends DescService, Value> = (client: Client<Service>, options: {signal: AbortSignal}) => Promise<Value>;
 
 export class PeerConnections<Service extends DescService> {
 	private readonly _connections = new Map<string, PeerConnection<Service>>();
@@ -47,7 +47,7 @@
 
 				const {client} = repeat ?? first;
 				try {
-					const value = await invoke(client, {timeoutMs, signal});
+					const value = await invoke(client, {signal});
 					return {isDone: true, value: {value}};
 				} catch {
 					return {isDone: false, value: undefined};
