Peers: what many peers have is pulled from one of them

What callers saw: too little served, and late, where instances are short of processor time (SHORT, GONE).

Cause: a beacon with a newer version made an instance pull from its sender, limited to once in 250 ms for each peer. While an instance is late, the beacons of all peers wait to be read and each has the news, so it asks all of them, and each answer holds all instances and the whole configuration.

Evidence: registry.test.ts: 20 beacons brought 20 pulls; now one, and another one after it failed or after a second.

Change: one pull is under way at a time; its end is told to the core also where it brought nothing.

--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -103,7 +103,7 @@
 	| {readonly kind: 'quota-granted'; readonly grant: QuotaGrant}
 	| {readonly kind: 'origins-announced'; readonly announcement: OriginAnnouncement}
 	| {readonly kind: 'origin-asked'; readonly query: OriginQuery}
-	| {readonly kind: 'pull-completed'; readonly transfer: StateTransfer}
+	| {readonly kind: 'pull-completed'; readonly transfer: StateTransfer | undefined}
 	/** The signal may have been sent up to `noticedWithinMs` before this process handled it. */
 	| {readonly kind: 'drain-requested'; readonly noticedWithinMs?: number};
 
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -30,6 +30,8 @@
 /** The store's feed usually delivers a version this soon after a peer has it, which makes a pull needless. */
 const FEED_GRACE_MS = 150;
 const PULL_INTERVAL_MS = 250;
+/** A pull without an answer for this long does not keep another one waiting. */
+const PULL_OVERDUE_MS = 1000;
 /** Beacons bring a new crash within this time, which makes a pull needless. */
 const CRASH_GRACE_MS = 500;
 /** After a crash, the digests of all peers may differ for a while. */
@@ -276,11 +278,14 @@
 	}
 }
 
-/** Requests what is newer at a peer, unless that was done just now. */
+/** Requests what is newer at a peer, unless that was done just now, or another pull is under way: most peers have the same news. */
 export function pullFrom(context: EntryContext, peer: Peer): void {
-	if (context.nowMs - peer.pulledAtMs >= PULL_INTERVAL_MS) {
-		peer.pulledAtMs = context.nowMs;
-		context.effects.push({kind: 'pull', address: peer.instance.address, known: knownVersions(context)});
+	const {state, nowMs, effects} = context;
+	const isUnderWay = state.pullSentAtMs !== undefined && nowMs - state.pullSentAtMs < PULL_OVERDUE_MS;
+	if (!isUnderWay && nowMs - peer.pulledAtMs >= PULL_INTERVAL_MS) {
+		peer.pulledAtMs = nowMs;
+		state.pullSentAtMs = nowMs;
+		effects.push({kind: 'pull', address: peer.instance.address, known: knownVersions(context)});
 	}
 }
 
@@ -303,6 +308,11 @@
 }
 
 export function handlePullCompleted(context: EntryContext, {transfer}: EntryEventOf<'pull-completed'>): void {
+	context.state.pullSentAtMs = undefined;
+	if (!transfer) {
+		return;
+	}
+
 	addPeers(context, transfer.instances);
 	updateLease(context, transfer.lease);
 	mergeCrashes(context, transfer.crashes ?? []);
--- a/src/core/entry/registry.test.ts
+++ b/src/core/entry/registry.test.ts
@@ -159,6 +159,26 @@
 	assert.equal(effectsOfKind(receiveBeacon(), 'pull')[0]?.address, 'b:1');
 });
 
+// Guards against a whole transfer from each peer that has a new version, which an instance that is late asks all of them for.
+test('what many peers have is pulled from one of them, and from another one only once that is overdue', () => {
+	const core = new EntryHarness().configure();
+	const receiveBeacons = () => Array.from({length: 20}, (_, index) => core.dispatch({
+		kind: 'beacon-received',
+		beacon: beacon({from: instance(`p${index}`), configurationVersion: 2}),
+	})).flatMap(effects => effectsOfKind(effects, 'pull').map(({address}) => address));
+	assert.deepEqual(receiveBeacons(), []);
+	core.nowMs += 300;
+	assert.equal(receiveBeacons().length, 1);
+	core.nowMs += 700;
+	assert.equal(receiveBeacons().length, 0);
+	core.nowMs += 300;
+	assert.equal(receiveBeacons().length, 1);
+	core.dispatch({kind: 'pull-completed', transfer: undefined});
+	assert.equal(receiveBeacons().length, 1, 'the pull before it has failed');
+	core.dispatch({kind: 'pull-completed', transfer: {instances: [], configuration: configuration({version: 2})}});
+	assert.equal(receiveBeacons().length, 0);
+});
+
 test('the longest matching prefix of the host wins, and a route is split by weight', () => {
 	const core = new EntryHarness().configure({
 		routes: [
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -146,6 +146,8 @@
 	readonly crashesToAnnounce: Map<string, number>;
 	/** Until then, what this instance itself has found out of crashes is also told to other zones. */
 	crashNewsUntilMs: number;
+	/** When the pull that is under way was sent; undefined if there is none. */
+	pullSentAtMs: number | undefined;
 	/** When a peer was last asked for what it knows of crashes. */
 	crashesPulledAtMs: number;
 	/** When an answer last survived with each fingerprint. */
@@ -249,6 +251,7 @@
 		crashEvidence: new CrashEvidence(),
 		crashesToAnnounce: new Map(),
 		crashNewsUntilMs: Number.NEGATIVE_INFINITY,
+		pullSentAtMs: undefined,
 		crashesPulledAtMs: Number.NEGATIVE_INFINITY,
 		survivals: new RecentMap(MAX_SURVIVALS),
 		crashTrials: new RecentMap(MAX_CRASH_TRIALS),
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -168,10 +168,7 @@
 
 	/** Fetches the state that a peer has in a newer version. */
 	async pull(address: string, known: KnownVersions): Promise<void> {
-		const transfer = await this.peerClient.pull(address, known);
-		if (transfer) {
-			this.dispatch({kind: 'pull-completed', transfer});
-		}
+		this.dispatch({kind: 'pull-completed', transfer: await this.peerClient.pull(address, known)});
 	}
 
 	/** Begins a graceful shutdown. */
