Timers: a timer belongs to its request, not to an id that may come again

Cause: timers named their request by its id. A caller that comes back under the id of a request that was refused, or that it has given up, had its answer ended by the deadline of the earlier request. Timers of patience, silence, origin and quota were open to the same.

Ruled out: effects and events of tries: a closed exchange aborts its tries, and what an aborted one brings is not dispatched.

Change: a timer holds its request, and does nothing once another one is open under the id.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -107,7 +107,7 @@
 	}
 
 	state.timers.push({
-		atMs: request.deadlineAtMs, requestId: request.id, kind: 'deadline', tryNumber: 0,
+		atMs: request.deadlineAtMs, request, kind: 'deadline', tryNumber: 0,
 	});
 	admitByQuota(context, request);
 }
--- a/src/core/entry/patience.ts
+++ b/src/core/entry/patience.ts
@@ -9,7 +9,7 @@
 import {queueOf} from './queues.js';
 import {canServe} from './selection.js';
 import {
-	logEvent, randomFraction, type EntryContext, type Timer,
+	logEvent, openRequest, randomFraction, type EntryContext, type Timer,
 } from './state.js';
 import {estimatedLoad, unreadTokens} from './target.js';
 import {canGoOn, targetsOf} from './targets.js';
@@ -46,12 +46,12 @@
 	}
 
 	state.timers.push({
-		atMs: nowMs + Math.min(wait.isKnown ? CHECK_INTERVAL_MS : PLAN_NOTICE_MS, Math.max(1, leftMs - marginMs)), requestId: request.id, kind: 'patience', tryNumber: request.tries.length,
+		atMs: nowMs + Math.min(wait.isKnown ? CHECK_INTERVAL_MS : PLAN_NOTICE_MS, Math.max(1, leftMs - marginMs)), request, kind: 'patience', tryNumber: request.tries.length,
 	});
 }
 
 export function handlePatience(context: EntryContext, timer: Timer): void {
-	const request = context.state.open.get(timer.requestId);
+	const request = openRequest(context, timer);
 	if (!request || request.phase === 'running' || request.tries.length !== timer.tryNumber) {
 		return;
 	}
--- a/src/core/entry/quotas.ts
+++ b/src/core/entry/quotas.ts
@@ -109,7 +109,7 @@
 			request, workspace: workspace.name, units, askNumber: 0, askAgainAtMs: 0, usableAtMs: undefined,
 		});
 		state.timers.push({
-			atMs: nowMs + ANSWER_TIMEOUT_MS, requestId: request.id, kind: 'quota', tryNumber: 0,
+			atMs: nowMs + ANSWER_TIMEOUT_MS, request, kind: 'quota', tryNumber: 0,
 		});
 		askIfDue(context);
 	} else {
@@ -165,17 +165,17 @@
 }
 
 /** A granted delay is over, or no answer has come in time. */
-export function handleQuotaTimeout(context: EntryContext, {requestId}: Timer): void {
+export function handleQuotaTimeout(context: EntryContext, {request}: Timer): void {
 	const {state, nowMs} = context;
 	const {quotas} = state;
-	const waiting = quotas.waiting.get(requestId);
-	if (!waiting || (waiting.usableAtMs ?? 0) > nowMs) {
+	const waiting = quotas.waiting.get(request.id);
+	if (waiting?.request !== request || (waiting.usableAtMs ?? 0) > nowMs) {
 		return;
 	}
 
-	quotas.waiting.delete(requestId);
+	quotas.waiting.delete(request.id);
 	const use = quotas.uses.get(waiting.workspace);
-	if (waiting.request.phase !== 'charging' || !state.open.has(requestId)) {
+	if (request.phase !== 'charging' || state.open.get(request.id) !== request) {
 		return;
 	}
 
@@ -598,7 +598,7 @@
 		} else if (delayMs !== undefined && delayMs > 0) {
 			waiting.usableAtMs = nowMs + delayMs;
 			state.timers.push({
-				atMs: nowMs + delayMs, requestId: request.id, kind: 'quota', tryNumber: 0,
+				atMs: nowMs + delayMs, request, kind: 'quota', tryNumber: 0,
 			});
 		} else if (delayMs !== undefined) {
 			quotas.waiting.delete(request.id);
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -158,7 +158,7 @@
 	});
 	if (route.repeat === 'idempotent') {
 		state.timers.push({
-			atMs: nowMs + (route.objectiveMs * SILENCE_FACTOR), requestId: request.id, kind: 'silence', tryNumber: attempt.number,
+			atMs: nowMs + (route.objectiveMs * SILENCE_FACTOR), request, kind: 'silence', tryNumber: attempt.number,
 		});
 	}
 }
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -85,7 +85,7 @@
 	if (route.repeat === 'idempotent') {
 		const limitMs = upperLimitMs(target.firstByte, {minMs: route.objectiveMs * MIN_SILENCE_FACTOR, maxMs: route.objectiveMs * MAX_SILENCE_FACTOR});
 		state.timers.push({
-			atMs: nowMs + limitMs, requestId: request.id, kind: 'silence', tryNumber: attempt.number,
+			atMs: nowMs + limitMs, request, kind: 'silence', tryNumber: attempt.number,
 		});
 	}
 }
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -41,7 +41,8 @@
 
 export type Timer = {
 	readonly atMs: number;
-	readonly requestId: RequestId;
+	/** Not its id: a caller may send another request under it while the timer runs. */
+	readonly request: EntryRequest;
 	/** `deadline` ends the request, `patience` checks how long it has waited, `silence` checks the try `tryNumber` for progress, `origin` ends the wait for what began the stream, `quota` the wait for its quota. */
 	readonly kind: 'deadline' | 'patience' | 'silence' | 'origin' | 'quota';
 	readonly tryNumber: number;
@@ -291,6 +292,11 @@
 	readonly effects: EntryEffect[];
 };
 
+/** The request of a timer, unless it has ended. */
+export function openRequest({state}: EntryContext, {request}: Timer): EntryRequest | undefined {
+	return state.open.get(request.id) === request ? request : undefined;
+}
+
 export function logEvent(context: EntryContext, event: LogEventName, fields: Readonly<Record<string, unknown>>): void {
 	context.effects.push({kind: 'log', event, fields});
 }
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -17,7 +17,9 @@
 import {liveInstances, PEER_SILENT_MS} from './peers.js';
 import {queueKeyOf} from './queues.js';
 import {canReadStore, readRegistrySince} from './registry-readers.js';
-import {type EntryContext, type EntryState, type Timer} from './state.js';
+import {
+	openRequest, type EntryContext, type EntryState, type Timer,
+} from './state.js';
 import {
 	askReleaseRecord, onlyRelease, releasesOf, STREAM_LIFETIME_MS,
 } from './release-record.js';
@@ -77,7 +79,7 @@
 	if (request.phase !== 'resolving') {
 		request.phase = 'resolving';
 		state.timers.push({
-			atMs: nowMs + ANSWER_TIMEOUT_MS, requestId: request.id, kind: 'origin', tryNumber: 0,
+			atMs: nowMs + ANSWER_TIMEOUT_MS, request, kind: 'origin', tryNumber: 0,
 		});
 	}
 
@@ -98,10 +100,10 @@
 }
 
 /** Neither peers nor the store have answered in time with what began the stream. */
-export function handleOriginTimeout(context: EntryContext, {requestId}: Timer): void {
+export function handleOriginTimeout(context: EntryContext, timer: Timer): void {
 	const {open, originQueries, unprovenStreams} = context.state;
-	const request = open.get(requestId);
-	const isUnproven = unprovenStreams.delete(requestId);
+	const request = openRequest(context, timer);
+	const isUnproven = (request !== undefined || !open.has(timer.request.id)) && unprovenStreams.delete(timer.request.id);
 	if (request?.phase === 'resolving' && !(isUnproven && goOnIfProven(context, request))) {
 		refuseUnknown(context, request);
 	}
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -32,7 +32,7 @@
 import {recordSlowness} from './slowness.js';
 import {recordOrigin} from './stream-origins.js';
 import {
-	logEvent, type Timer, type EntryContext,
+	logEvent, openRequest, type Timer, type EntryContext,
 } from './state.js';
 import {addSpeedSample} from './target-speeds.js';
 import {recordLoad, type Target, type TargetLoad} from './target.js';
@@ -449,7 +449,7 @@
 */
 export function handleSilence(context: EntryContext, timer: Timer): void {
 	const {state, nowMs} = context;
-	const request = state.open.get(timer.requestId);
+	const request = openRequest(context, timer);
 	const attempt = request && currentTry(request);
 	if (!request || attempt?.number !== timer.tryNumber) {
 		return;
@@ -533,7 +533,7 @@
 
 /** Ends a request that is still open at its deadline. */
 export function handleDeadline(context: EntryContext, timer: Timer): void {
-	const request = context.state.open.get(timer.requestId);
+	const request = openRequest(context, timer);
 	if (!request) {
 		return;
 	}
