--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -41,7 +41,8 @@
 
 export type Timer = {
 	readonly atMs: number;
-	readonly requestId: RequestId;
+	/** Not its id: a caller may send another request under it while the timer runs. */
+	readonly request: EntryRequest;
 	/** `deadline` ends the request, `patience` checks how long it has waited, `silence` checks the try `tryNumber` for progress, `origin` ends the wait for what began the stream, `quota` the wait for its quota. */
 	readonly kind: 'deadline' | 'patience' | 'silence' | 'origin' | 'quota';
 	readonly tryNumber: number;
@@ -146,6 +147,8 @@
 	readonly crashesToAnnounce: Map<string, number>;
 	/** Until then, what this instance itself has found out of crashes is also told to other zones. */
 	crashNewsUntilMs: number;
+	/** When the pull that is under way was sent; undefined if there is none. */
+	pullSentAtMs: number | undefined;
 	/** When a peer was last asked for what it knows of crashes. */
 	crashesPulledAtMs: number;
 	/** When an answer last survived with each fingerprint. */
@@ -249,6 +252,7 @@
 		crashEvidence: new CrashEvidence(),
 		crashesToAnnounce: new Map(),
 		crashNewsUntilMs: Number.NEGATIVE_INFINITY,
+		pullSentAtMs: undefined,
 		crashesPulledAtMs: Number.NEGATIVE_INFINITY,
 		survivals: new RecentMap(MAX_SURVIVALS),
 		crashTrials: new RecentMap(MAX_CRASH_TRIALS),
@@ -288,6 +292,11 @@
 	readonly effects: EntryEffect[];
 };
 
+/** The request of a timer, unless it has ended. */
+export function openRequest({state}: EntryContext, {request}: Timer): EntryRequest | undefined {
+	return state.open.get(request.id) === request ? request : undefined;
+}
+
 export function logEvent(context: EntryContext, event: LogEventName, fields: Readonly<Record<string, unknown>>): void {
 	context.effects.push({kind: 'log', event, fields});
 }
