Log: the connection of a try that failed, and how many requests it had carried

The log could not tell a second copy of an earlier answer from an answer: a copy can only come on a connection that has carried requests. How many refusals a connection has carried is not logged: one that has carried a refusal is closed.

--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -81,6 +81,8 @@
 		readonly isRefused?: boolean;
 		/** Why the response was considered incomplete. */
 		readonly reason?: string;
+		/** The connection of the try by its number, 0 if none was opened, and the number of requests that it had carried before. */
+		readonly connection?: {readonly number: number; readonly carried: number};
 		/** For streams: when the first event arrived, and the longest pause between two events. */
 		readonly firstEventAtMs?: number;
 		readonly longestPauseMs?: number;
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -256,6 +256,15 @@
 		return;
 	}
 
+	logTryEnded(context, request, event);
+	const usesMissing = attempt.isRelay === true || state.mechanisms.has('missing-copies');
+	handleFailure(context, request, event.outcome, {
+		wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs, status: event.status,
+	});
+}
+
+function logTryEnded(context: EntryContext, request: EntryRequest, event: EntryEventOf<'try-ended'>): void {
+	const attempt = request.tries.at(-1)!;
 	logEvent(context, 'try-ended', {
 		requestId: request.id,
 		tryNumber: attempt.number,
@@ -266,11 +275,9 @@
 		contentHash: event.outcome === 'broken' ? request.arrival.contentHash : undefined,
 		promptParts: event.outcome === 'broken' ? request.arrival.promptParts : undefined,
 		delivered: event.delivered,
-		tookMs: Math.round(nowMs - attempt.startedAtMs),
-	});
-	const usesMissing = attempt.isRelay === true || state.mechanisms.has('missing-copies');
-	handleFailure(context, request, event.outcome, {
-		wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs, status: event.status,
+		connection: event.connection?.number,
+		carriedBefore: event.connection?.carried,
+		tookMs: Math.round(context.nowMs - attempt.startedAtMs),
 	});
 }
 
--- a/src/entry/connection-reuse.test.ts
+++ b/src/entry/connection-reuse.test.ts
@@ -9,7 +9,9 @@
 import {performance} from 'node:perf_hooks';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {errorCode, isUnwritten, TargetConnections} from './target-connections.js';
+import {
+	errorCode, isUnwritten, TargetConnections, type ConnectionUse,
+} from './target-connections.js';
 
 type ReceivedRequest = {
 	readonly socket: Socket;
@@ -29,7 +31,7 @@
 	/** How each request was given its connection, and why. */
 	readonly uses: string[];
 	/** Sends a request that must run at most once. */
-	readonly send: (options?: {followsFailure?: boolean; maxIdleConnections?: number; requestId?: string}) => Promise<string>;
+	readonly send: (options?: {followsFailure?: boolean; maxIdleConnections?: number; requestId?: string; onConnection?: (use: ConnectionUse) => void}) => Promise<string>;
 };
 
 /** A target that treats each request as scripted. */
@@ -123,6 +125,28 @@
 	assert.deepEqual(target.uses, ['none-idle', 'retry']);
 });
 
+// Guards against logs that do not tell a copy of an earlier answer from an answer.
+test('each request states the number of its connection and how many requests that had carried before', limit, async t => {
+	const target = await start(t, ({answer}) => {
+		answer('whole');
+	});
+	const uses: ConnectionUse[] = [];
+	const onConnection = (use: ConnectionUse) => {
+		uses.push(use);
+	};
+
+	for (let count = 0; count < 3; count++) {
+		await target.send({onConnection});
+		await until(t, () => target.connections.hasIdle(target.address));
+	}
+
+	await target.send({followsFailure: true, onConnection});
+	const first = uses.at(0)!.number;
+	const last = uses.at(-1)!.number;
+	assert.notEqual(first, last);
+	assert.deepEqual(uses, [{number: first, carried: 0}, {number: first, carried: 1}, {number: first, carried: 2}, {number: last, carried: 0}]);
+});
+
 // Guards against a late second response to a request that is taken for the response to its retry.
 test('no connection carries two requests of one id, whoever sends them', limit, async t => {
 	const target = await start(t, ({answer}) => {
--- a/src/entry/kept-connections.ts
+++ b/src/entry/kept-connections.ts
@@ -43,8 +43,16 @@
 	readonly maxConnections: number;
 	/** Number of idle connections to the address above which the oldest is closed. */
 	readonly maxIdle: number;
-	/** Called with whether the request is sent over a connection that has carried others, once for each socket that it is given. */
-	readonly onConnection?: (isReused: boolean) => void;
+	/** Called once the response has begun or the request has failed. */
+	readonly onConnection?: (use: ConnectionUse) => void;
+};
+
+/** The connection of a request. */
+export type ConnectionUse = {
+	/** Tells connections apart; 0 if none was opened. */
+	readonly number: number;
+	/** Number of requests that it had carried before. */
+	readonly carried: number;
 };
 
 export type KeptResponse = {
@@ -66,6 +74,9 @@
 
 type Connection = {
 	readonly client: GuardedClient;
+	/** Number of the socket among all of this process, and of the requests that it has carried. */
+	number: number;
+	carried: number;
 	/** Ids of the requests that it has carried. */
 	readonly carriedIds: Set<string>;
 	carriedIdChars: number;
@@ -115,6 +126,7 @@
 	/** Idle times of addresses that close connections sooner than they state. */
 	private readonly _learned = new Map<string, LearnedLimit>();
 	private readonly _clients = new Set<GuardedClient>();
+	private _lastNumber = 0;
 	private readonly _connectSocket: buildConnector.connector;
 
 	constructor(private readonly _options: KeptConnectionsOptions) {
@@ -144,10 +156,10 @@
 			const response = await connection.client.request({
 				method, path, headers, body, signal, responseHeaders: 'raw',
 			});
-			request.onConnection?.(isReused(connection));
+			request.onConnection?.(useOf(connection));
 			return this._receive({address, peer, connection}, request, response);
 		} catch (error) {
-			request.onConnection?.(isReused(connection));
+			request.onConnection?.(useOf(connection));
 			peer.busy--;
 			this._forgetUnused(address, peer);
 			this._close(connection);
@@ -173,6 +185,7 @@
 		const headers = parsed as unknown as string[];
 		const wasUsed = isReused(connection);
 		connection.usedSocket = connection.sockets;
+		connection.carried++;
 		const resetsBefore = connection.resets;
 		let isRetired = false;
 		let isEnded = false;
@@ -267,6 +280,9 @@
 					const [error, socket] = result;
 					if (error === null) {
 						connection.sockets++;
+						this._lastNumber++;
+						connection.number = this._lastNumber;
+						connection.carried = 0;
 						// undici also destroys a connection that ended a response in the regular way with an error, which counts: a target that
 						// goes down may close its connections in that way.
 						socket.on('error', () => {
@@ -279,7 +295,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, carriedIds: new Set(), carriedIdChars: 0, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
+			client, number: 0, carried: 0, carriedIds: new Set(), carriedIdChars: 0, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
 		};
 		this._clients.add(client);
 		client.on('disconnect', () => {
@@ -338,6 +354,10 @@
 	}
 }
 
+function useOf({number, carried}: Connection): ConnectionUse {
+	return {number, carried};
+}
+
 /** Whether the socket of a connection has carried a response. One that was closed while it was idle has been replaced. */
 function isReused({sockets, usedSocket}: Connection): boolean {
 	return usedSocket > 0 && sockets === usedSocket;
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -12,7 +12,9 @@
 import {callTimes} from './call-times.js';
 import {type RawHeaders} from './deployment.js';
 import {isServerAddress} from './server-address.js';
-import {KeptConnections, type IdleRule, type KeptResponse} from './kept-connections.js';
+import {
+	KeptConnections, type ConnectionUse, type IdleRule, type KeptResponse,
+} from './kept-connections.js';
 
 /** Short enough to close idle connections before targets do. */
 const SHORT_IDLE: IdleRule = {defaultMs: 2000, maxMs: 2000, marginMs: 2000};
@@ -40,6 +42,8 @@
 	readonly maxConnections: number;
 	/** Where all requests reuse connections; without limit if absent. */
 	readonly maxIdleConnections?: number;
+	/** Called once the response has begun or the request has failed. */
+	readonly onConnection?: (use: ConnectionUse) => void;
 };
 
 export type ReuseMode = 'repeatable' | 'all';
@@ -84,8 +88,9 @@
 			mayReuse,
 			mayKeep: reusesAll || !usesFreshConnection,
 			maxIdle: reusesAll ? maxIdleConnections : request.maxConnections,
-			onConnection: isReused => {
-				this._options.onConnection?.(isReused ? 'reused' : reason);
+			onConnection: use => {
+				request.onConnection?.(use);
+				this._options.onConnection?.(use.carried > 0 ? 'reused' : reason);
 			},
 		});
 		return {...response, mustNameRequest: reusesAll && response.isReused};
@@ -135,4 +140,5 @@
 	})();
 }
 
+export {type ConnectionUse} from './kept-connections.js';
 export {errorCode, isUnwritten} from '../daemon/gateways/connection-pool.js';
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -15,7 +15,7 @@
 import {GrowingBuffer} from './growing-buffer.js';
 import {EventSplitter, type StreamEvent} from './stream-events.js';
 import {
-	discardBody, errorCode, isUnwritten, REFUSED_CODE, type TargetConnections, type TargetResponse,
+	discardBody, errorCode, isUnwritten, REFUSED_CODE, type ConnectionUse, type TargetConnections, type TargetRequest, type TargetResponse,
 } from './target-connections.js';
 
 /** Limit for responses that are buffered in memory; services give no larger ones. */
@@ -75,8 +75,13 @@
 		const {tryNumber} = effect;
 		const signal = exchange.beginTry(tryNumber);
 		let ended: TryResult;
+		let connection: ConnectionUse | undefined;
+		const noteConnection = (use: ConnectionUse) => {
+			connection = use;
+		};
+
 		try {
-			ended = await this._sendAndRead(exchange, effect, signal);
+			ended = await this._sendAndRead(exchange, effect, {signal, onConnection: noteConnection});
 		} catch (error) {
 			ended = {outcome: 'broken', reason: error instanceof Error ? error.message : String(error)};
 		}
@@ -89,12 +94,12 @@
 
 		if (!signal.aborted) {
 			this._options.dispatch({
-				kind: 'try-ended', requestId: exchange.id, tryNumber, delivered: exchange.delivered, ...result, ...timing,
+				kind: 'try-ended', requestId: exchange.id, tryNumber, delivered: exchange.delivered, connection, ...result, ...timing,
 			});
 		}
 	}
 
-	private async _sendAndRead(exchange: Exchange, effect: EntryEffectOf<'send'>, signal: AbortSignal): Promise<TryResult> {
+	private async _sendAndRead(exchange: Exchange, effect: EntryEffectOf<'send'>, {signal, onConnection}: Pick<TargetRequest, 'signal' | 'onConnection'>): Promise<TryResult> {
 		const {headerCodec, connections} = this._options;
 		let response: TargetResponse;
 		try {
@@ -104,6 +109,7 @@
 				headers: this._buildHeaders(exchange, effect),
 				body: exchange.body.length > 0 || hasLength(exchange.headers) ? exchange.body : undefined,
 				signal,
+				onConnection,
 				requestId: exchange.id,
 				usesFreshConnection: effect.usesFreshConnection,
 				followsFailure: effect.relayed !== undefined || exchange.soundTries < effect.tryNumber - 1,
