Answers of targets: pass on "not run" only where the target states it

What callers could see: 503, 429 or 408, which promise that a request has not run and never will, for one that must run once and had run.

Cause: an error that a target answers is passed on unchanged once the request may not be sent again. PROTOCOL has one statement that a request did not run, a header, and says that no other response states it; the status alone was passed on as a promise to the caller.

Evidence: reused-connections.test.ts, "a target answers 408, 429, 503 without stating that it did not run the request": each status reached the caller before, with the request run. Needs no second copy, nor reuse of connections.

Not changed: the embedded daemon, where the configuration says which statuses of a service mean "not run".

--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -30,6 +30,10 @@
 /** Statuses of an instance's own responses that say nothing of whether a target ran the request; all others say that none did. */
 const unknownOutcomeStatuses: ReadonlySet<number> = new Set([502, 504]);
 
+/** Statuses by which callers are promised that a request has not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const BAD_GATEWAY_STATUS = 502;
+
 /** Outcomes of tries that a target answered, which say nothing against other connections. */
 const soundOutcomes: ReadonlySet<TryOutcome> = new Set(['answered', 'failed', 'not-run']);
 
@@ -204,9 +208,11 @@
 			return {outcome: 'canceled'};
 		}
 
-		exchange.bufferedResponse = {status, headers, body: bytes};
+		// A target that did not state that the request has not run does not promise it either.
+		const passedStatus = notRunStatuses.has(status) ? BAD_GATEWAY_STATUS : status;
+		exchange.bufferedResponse = {status: passedStatus, headers, body: bytes};
 		// A stream that has begun can only be completed by the rest of its events.
-		return {outcome: status >= 500 || exchange.headersSent ? 'failed' : 'answered', status, load};
+		return {outcome: passedStatus >= 500 || exchange.headersSent ? 'failed' : 'answered', status, load};
 	}
 
 	/** Reads a complete response into memory. */
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -174,9 +174,10 @@
 /**
 How a runner handles one request; `answer` sends a complete response, `pause` one with a long pause after its first event,
 `close-delimited` one that ends with its connection, `close-inside` a stream that ends so inside an event. `decline-twice`
-turns the request away and writes that response once more where the next one on the connection is due.
+turns the request away and writes that response once more where the next one on the connection is due. `408`, `429` and `503`
+run the request and answer with that status, without a statement that it did not run.
 */
-export type RunnerBehaviour = 'answer' | 'decline' | 'decline-twice' | 'error' | 'unsigned-error' | 'nameless-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
+export type RunnerBehaviour = 'answer' | 'decline' | 'decline-twice' | '408' | '429' | '503' | 'error' | 'unsigned-error' | 'nameless-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
 
 export type ReceivedRequest = {
 	readonly method: string;
@@ -324,6 +325,14 @@
 				break;
 			}
 
+			case '408':
+			case '429':
+			case '503': {
+				response.writeHead(Number(behaviour), headers).end(`ran at ${this.id}`);
+
+				break;
+			}
+
 			case 'error': {
 				response.writeHead(500, headers).end(`error of ${this.id}`);
 
--- a/test/unit/reused-connections.test.ts
+++ b/test/unit/reused-connections.test.ts
@@ -145,3 +145,13 @@
 	assert.equal(status, 200, text);
 	assert.deepEqual([arrivals.length - declined.length, declined.length], [1, 2]);
 });
+
+// Guards against "not run" for a request that ran: these statuses promise it to callers, and a target that does not state it has promised nothing.
+for (const behaviour of ['408', '429', '503'] as const) {
+	test(`a target answers ${behaviour} without stating that it did not run the request: the caller is promised nothing`, limit, async () => {
+		runner.behaviours = [behaviour];
+		const {id, status} = await send('/sign/1');
+		assert.equal(status, 502);
+		assert.equal(arrivalsOf(id), 1);
+	});
+}
