Resumed streams: no "not run" for one that was sent

What callers could see: 503 stream-not-resumable, which promises that the request has not run, for a resumed stream whose target broke off before the first event, when no target of its release was left.

Cause: the refusal of a waiting request by its release did not ask whether the request may have run, as all others of this kind do.

Evidence: stream-origins.test.ts, "a resumed stream that was sent is not refused as not run", 'stream-not-resumable' before. Such streams may be repeated, so this explains no case of something that must run once.

Looked for elsewhere: all refusals of the reducer were read for the same omission. Quotas refuse on arrival, before anything is sent; the others ask.

--- a/src/core/entry/patience.ts
+++ b/src/core/entry/patience.ts
@@ -32,7 +32,7 @@
 export function refuseOrWait(context: EntryContext, request: EntryRequest): void {
 	const {state, nowMs} = context;
 	if (!canGoOn(context, request)) {
-		refuse(context, request, {code: 'stream-not-resumable', detail: 'no target of the release that began the stream is left'});
+		refuse(context, request, {code: request.mayHaveRun ? 'target-failed' : 'stream-not-resumable', detail: 'no target of the release that began the stream is left'});
 		return;
 	}
 
--- a/src/core/entry/stream-origins.test.ts
+++ b/src/core/entry/stream-origins.test.ts
@@ -105,6 +105,16 @@
 	}
 });
 
+// Guards against "not run" for a request that may have run: the target of the release broke off before the first event, and none is left.
+test('a resumed stream that was sent is not refused as not run when no target of its release is left', () => {
+	const core = createCore().readRegistry([v1, v2]);
+	core.dispatch({kind: 'origins-announced', announcement: {origins: [['s9', 'llm', 'v2']]}});
+	assert.equal(effectsOfKind(resume(core, 'r1', 's9'), 'send')[0]?.targetId, 'e2');
+	core.readRegistry([v1]);
+	const effects = [...core.endTry('r1', 1, 'broken'), ...core.advance(10_000)];
+	assert.deepEqual(effectsOfKind(effects, 'refuse').map(({requestId, code}) => [requestId, code]), [['r1', 'target-failed']]);
+});
+
 test('a stream that another instance began is resumed once an instance answers, and the answer is remembered', () => {
 	const core = createCore().readRegistry([v1, v2]);
 	const effects = resume(core, 'r1', 's9');
