--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -15,7 +15,7 @@
 import {GrowingBuffer} from './growing-buffer.js';
 import {EventSplitter, type StreamEvent} from './stream-events.js';
 import {
-	discardBody, errorCode, isUnwritten, REFUSED_CODE, type TargetConnections, type TargetResponse,
+	discardBody, errorCode, isUnwritten, REFUSED_CODE, type ConnectionUse, type TargetConnections, type TargetRequest, type TargetResponse,
 } from './target-connections.js';
 
 /** Limit for responses that are buffered in memory; services give no larger ones. */
@@ -30,6 +30,10 @@
 /** Statuses of an instance's own responses that say nothing of whether a target ran the request; all others say that none did. */
 const unknownOutcomeStatuses: ReadonlySet<number> = new Set([502, 504]);
 
+/** Statuses by which callers are promised that a request has not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const BAD_GATEWAY_STATUS = 502;
+
 /** Outcomes of tries that a target answered, which say nothing against other connections. */
 const soundOutcomes: ReadonlySet<TryOutcome> = new Set(['answered', 'failed', 'not-run']);
 
@@ -75,8 +79,13 @@
 		const {tryNumber} = effect;
 		const signal = exchange.beginTry(tryNumber);
 		let ended: TryResult;
+		let connection: ConnectionUse | undefined;
+		const noteConnection = (use: ConnectionUse) => {
+			connection = use;
+		};
+
 		try {
-			ended = await this._sendAndRead(exchange, effect, signal);
+			ended = await this._sendAndRead(exchange, effect, {signal, onConnection: noteConnection});
 		} catch (error) {
 			ended = {outcome: 'broken', reason: error instanceof Error ? error.message : String(error)};
 		}
@@ -89,12 +98,12 @@
 
 		if (!signal.aborted) {
 			this._options.dispatch({
-				kind: 'try-ended', requestId: exchange.id, tryNumber, delivered: exchange.delivered, ...result, ...timing,
+				kind: 'try-ended', requestId: exchange.id, tryNumber, delivered: exchange.delivered, connection, ...result, ...timing,
 			});
 		}
 	}
 
-	private async _sendAndRead(exchange: Exchange, effect: EntryEffectOf<'send'>, signal: AbortSignal): Promise<TryResult> {
+	private async _sendAndRead(exchange: Exchange, effect: EntryEffectOf<'send'>, {signal, onConnection}: Pick<TargetRequest, 'signal' | 'onConnection'>): Promise<TryResult> {
 		const {headerCodec, connections} = this._options;
 		let response: TargetResponse;
 		try {
@@ -104,6 +113,7 @@
 				headers: this._buildHeaders(exchange, effect),
 				body: exchange.body.length > 0 || hasLength(exchange.headers) ? exchange.body : undefined,
 				signal,
+				onConnection,
 				requestId: exchange.id,
 				usesFreshConnection: effect.usesFreshConnection,
 				followsFailure: effect.relayed !== undefined || exchange.soundTries < effect.tryNumber - 1,
@@ -198,9 +208,11 @@
 			return {outcome: 'canceled'};
 		}
 
-		exchange.bufferedResponse = {status, headers, body: bytes};
+		// A target that did not state that the request has not run does not promise it either.
+		const passedStatus = notRunStatuses.has(status) ? BAD_GATEWAY_STATUS : status;
+		exchange.bufferedResponse = {status: passedStatus, headers, body: bytes};
 		// A stream that has begun can only be completed by the rest of its events.
-		return {outcome: status >= 500 || exchange.headersSent ? 'failed' : 'answered', status, load};
+		return {outcome: passedStatus >= 500 || exchange.headersSent ? 'failed' : 'answered', status, load};
 	}
 
 	/** Reads a complete response into memory. */
