Placement: plan swaps by what the weight store allows once their unloads are done

Cause: a planned swap took one of the loads that may start from the weight store now (two at most) from the time of its plan, though its load follows an unload of 0.8 to 3 s and takes one only when it is sent. The test saw 2 unloads on 8 engines before, 6 and more now. Change: plans count the loads that the store allows within 0.8 s as well. A load still starts only when the rate has one for it, so the ceiling holds as before; the test checks that too.

--- a/src/core/entry/order-tracker.ts
+++ b/src/core/entry/order-tracker.ts
@@ -81,6 +81,8 @@
 /** Refill rate as a share of the weight store's rate, so that loads stay below it. */
 const STORE_RATE_SHARE = 0.95;
 const MAX_REFILL_INTERVAL_MS = 2000;
+/** Time that an idle copy takes to be unloaded: loads that follow are planned by what the store allows then. */
+const PLAN_AHEAD_MS = 800;
 /** Demand that left a model often returns within a few seconds, so recent demand decays with this half-life. */
 const DEMAND_HALF_LIFE_MS = 3000;
 /** Time constant of the mean that shows how often a rare model is requested. */
@@ -98,6 +100,8 @@
 
 type StoreLoads = {
 	loads: number;
+	/** Rate at which they are refilled. */
+	readonly perSecond: number;
 	refilledAtMs: number;
 };
 
@@ -211,14 +215,15 @@
 		this._storeLoads.clear();
 	}
 
-	/** Loads of a service that may start from the weight store now, besides those that are planned and not sent yet. */
+	/** Loads of a service that may start from the weight store within the time that an unload before them takes at least, besides those that are planned and not sent yet. */
 	unplannedStoreLoads(service: string): number {
 		let planned = 0;
 		for (const {service: owner, move} of this.targets.values()) {
 			planned += owner === service && move?.isFromStore && !move.isLoadSent ? 1 : 0;
 		}
 
-		return (this._storeLoads.get(service)?.loads ?? 0) - planned;
+		const {loads, perSecond} = this._storeLoads.get(service) ?? {loads: 0, perSecond: 0};
+		return loads + (perSecond * PLAN_AHEAD_MS / 1000) - planned;
 	}
 
 	/** Takes a load of a service from its rate; returns whether there was one. */
@@ -236,6 +241,7 @@
 	refillStoreLoads(service: string, nowMs: number, perSecond: number): void {
 		const bucket = this._storeLoads.get(service) ?? {loads: 0, refilledAtMs: Number.NEGATIVE_INFINITY};
 		const elapsedMs = Math.min(MAX_REFILL_INTERVAL_MS, nowMs - bucket.refilledAtMs);
-		this._storeLoads.set(service, {loads: Math.min(STORE_BURST_LOADS, bucket.loads + (elapsedMs * perSecond * STORE_RATE_SHARE / 1000)), refilledAtMs: nowMs});
+		const refillPerSecond = perSecond * STORE_RATE_SHARE;
+		this._storeLoads.set(service, {loads: Math.min(STORE_BURST_LOADS, bucket.loads + (elapsedMs * refillPerSecond / 1000)), perSecond: refillPerSecond, refilledAtMs: nowMs});
 	}
 }
--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	beacon, engineEntry, EntryHarness, effectsOfKind, instance,
+	beacon, configuration, engineEntry, EntryHarness, effectsOfKind, instance,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffect, type EntryEffectOf} from './effect.js';
 import {type LeaseResult} from './event.js';
@@ -495,6 +495,43 @@
 	assert.equal(core.state.orderTracker.missingForMs('llm m3', false, core.nowMs), core.nowMs - missingSinceMs);
 });
 
+// Copies that were still being unloaded took up all loads that may start from the weight store now, so two swaps at a time were under way in the whole deployment.
+test('swaps are begun at the weight store\'s rate while earlier ones wait for their unloads, and loads stay within it', () => {
+	const names = Array.from({length: 10}, (_, index) => `m${index}`);
+	const {services} = configuration();
+	const llm = services.get('llm')!;
+	const models = new Map(names.map(name => [name, {...llm.engine!.models.get('m0')!, name}]));
+	const perSecond = 8;
+	const held = Array.from({length: 8}, () => ['m0', 'm1']);
+	const core = new EntryHarness()
+		.configure({services: new Map([...services, ['llm', {...llm, engine: {...llm.engine!, loadsPerSecond: perSecond, models}}]])})
+		.readRegistry(held.map((copies, index) => engineEntry(`e${index}`, copies)))
+		.holdLease();
+	const engines = new Map(held.map((copies, index) => [`e${index}`, new InMemoryEngine(copies)]));
+	for (const engine of engines.values()) {
+		engine.hasSlowUnloads = true;
+	}
+
+	run({core, engines}, 500);
+	for (const name of names.slice(2)) {
+		core.arrive(name, '/digest/1', {model: name, deadlineMs: 20_000});
+	}
+
+	run({core, engines}, 1500);
+	const unloading = [...engines.values()].filter(engine => engine.unloading !== undefined);
+	// At the store's rate, six loads may start in the 0.8 s that an unload takes at least.
+	assert.ok(unloading.length >= 6, `${unloading.length} unloads`);
+	for (const engine of unloading) {
+		engine.completeMove();
+	}
+
+	run({core, engines}, 300);
+	const begun = [...engines.values()].filter(({loading}) => loading !== undefined).length;
+	assert.ok(begun <= (perSecond * 0.3) + 3, `${begun} loads in 0.3 s`);
+	run({core, engines}, 1500);
+	assert.ok([...engines.values()].filter(({loading}) => loading !== undefined).length >= 6);
+});
+
 // What an engine holds is not known once another instance may have sent it orders: memory was overcommitted.
 test('a holder that takes the lease after another one reads all reports anew', () => {
 	const {core, ...deployment} = createDeployment([['m0', 'm1'], ['m0', 'm2']]);
