--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -93,8 +93,6 @@
 			['pollenarch_pace_limit', 'Sum of the limits of these targets.', () => [...state.targets.values()].reduce((sum, {pace}) => sum + (pace?.limit ?? 0), 0)],
 			['pollenarch_dark_targets', 'Targets that the zone does not try, since no connection can be opened to them.', () => [...state.targets.values()].filter(({darkSinceMs}) => darkSinceMs !== undefined).length],
 			['pollenarch_known_crashes', 'Crashes of targets of the last hour with something blamed for them or cleared.', () => state.crashEvidence.size],
-			['pollenarch_admitted_share', 'Share of arrivals of a middle rank that is admitted; below 1 the process is behind with its work.', () => state.shedding.admittedShare],
-			['pollenarch_lateness_seconds', 'Mean lateness of the periodic work.', () => toSeconds(state.shedding.meanLateMs)],
 			['pollenarch_known_instances', 'Other instances that are known.', () => state.peers.size],
 			['pollenarch_configuration_version', 'Version of the configuration in force.', () => state.configuration?.version ?? 0],
 			['pollenarch_configuration_age_seconds', 'Time since the configuration in force was last known to be the newest.', () => toSeconds(unconfirmedForMs({state, nowMs: monotonicMs(), wallMs: wallMs()}))],
