Revert "Admission: a process that is behind refuses a share of the arrivals at once"

Conclusion: what an instance without processor time lacks it for is reading requests. Refusing one after it has been read saves little, its caller comes back, and those that are never read are held all the same. Shedding has to come before reading (at the listener), or reading has to cost less.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -16,7 +16,6 @@
 import {OUTDATED_RETRY_MS} from './key-checks.js';
 import {retryBudget} from './retry-budgets.js';
 import {logEvent, randomFraction, type EntryContext} from './state.js';
-import {isShed, shedRetryAfterMs} from './shedding.js';
 import {type EntryArrival, type EntryRequest, type Relayed} from './types.js';
 import {authenticate, routeFor} from './workspaces.js';
 
@@ -102,11 +101,6 @@
 		return;
 	}
 
-	if (isShed(context, request)) {
-		refuse(context, request, {code: 'deadline-unreachable', retryAfterMs: shedRetryAfterMs(context, request), detail: 'this instance is behind with its work'});
-		return;
-	}
-
 	state.timers.push({
 		atMs: request.deadlineAtMs, requestId: request.id, kind: 'deadline', tryNumber: 0,
 	});
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -29,8 +29,7 @@
 
 type EntryEventBody =
 	| {readonly kind: 'started'; readonly self: EntryInstance; readonly bounds: EntryBounds; readonly seed: number; readonly mechanisms?: EnabledMechanisms; readonly paceMode?: PaceMode}
-	/** `lateMs`: how much later than it was due; absent if that is not known. */
-	| {readonly kind: 'tick'; readonly lateMs?: number}
+	| {readonly kind: 'tick'}
 	| {readonly kind: 'configuration-read'; readonly configuration: EntryConfiguration}
 	/** The store has answered whether there is a newer configuration than the last one read; `sentAtMs` and `storeMs` as for the registry. */
 	| {readonly kind: 'configuration-checked'; readonly sentAtMs: number; readonly sentAtWallMs?: number; readonly storeMs: number}
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -37,7 +37,6 @@
 import {
 	logEvent, type Timer, type EntryContext, type EntryState,
 } from './state.js';
-import {updateShedding} from './shedding.js';
 import {checkSpeeds} from './target-speeds.js';
 import {
 	continueProven, continueResolved, handleOriginAsked, handleOriginsAnnounced, handleOriginTimeout,
@@ -62,10 +61,7 @@
 		state.startedAtMs = context.nowMs;
 		logEvent(context, 'daemon-started', {instanceId: self.id, zone: self.zone, boot: self.boot});
 	},
-	tick(context, event) {
-		updateShedding(context, event);
-		runPeriodicTasks(context);
-	},
+	tick: runPeriodicTasks,
 	'configuration-read'(context, {configuration}) {
 		adoptConfiguration(context, configuration, 'store');
 	},
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -24,7 +24,6 @@
 import {createKnownReleases, type KnownReleases} from './release-record.js';
 import {type RetryBudget} from './retry-budget.js';
 import {createTargetSpeeds, type TargetSpeeds} from './target-speeds.js';
-import {createShedding, type Shedding} from './shedding.js';
 import {type Target} from './target.js';
 import {
 	type EntryBounds, type EntryInstance, type EntryRequest, type StreamOrigin,
@@ -184,7 +183,6 @@
 	readonly readingSpeeds: Map<string, ReadingSpeed>;
 	readonly targetSpeeds: TargetSpeeds;
 	readonly peers: Peers;
-	readonly shedding: Shedding;
 	/** Instances heard from recently, this one included, as of the last round of beacons. */
 	heardInstances: number;
 	beaconsSentAtMs: number;
@@ -209,7 +207,6 @@
 		paceMode: 'off',
 		pacesEnded: new RecentMap(MAX_PACES_ENDED),
 		random: xoroshiro128plus(0),
-		shedding: createShedding(),
 		lifecycle: 'starting',
 		drainSinceMs: 0,
 		drainNoticedAtMs: 0,
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -253,7 +253,7 @@
 			}
 
 			dueAtMs = nowMs + TICK_MS;
-			this.dispatch({kind: 'tick', lateMs});
+			this.dispatch({kind: 'tick'});
 			if (this.state.lifecycle !== 'serving') {
 				// The platform kills the process at the end of the grace period, with what is still in the buffer.
 				this.log.flush();
