Dispatch: ticks leave out queues for models that no target holds

What callers saw: late answers on instances with little processor time. Cause: each tick looked at the first request of every queue, with its key, its fingerprints and all targets of its service, also where no target holds the model. Change: such queues are left out. Their requests are looked at by their own timers, four times a second, and as soon as a target holds the model. The test failed before (3 looks in one tick, 0 now).

--- a/src/core/entry/admission.test.ts
+++ b/src/core/entry/admission.test.ts
@@ -4,9 +4,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	beacon, configuration, effectsOfKind, EntryHarness, route, targetEntry,
+	beacon, configuration, effectsOfKind, engineEntry, EntryHarness, modelNames, route, targetEntry,
 } from '../../../test/standins/entry-harness.js';
 import {queueOf} from './queues.js';
+import {WaitingQueue} from './waiting-queue.js';
 
 const PATIENCE_MS = 10_000;
 
@@ -105,3 +106,21 @@
 	core.configure({version: 2, workspaces: [{...workspaces[0]!, keyHashes: ['hash-1', 'hash-2']}]});
 	assert.equal(codeOf('added'), undefined);
 });
+
+// Instances without much processor time spent a twentieth of it, at each tick, on requests for models that no target held.
+test('requests for models that no target holds are not looked at each tick, and are sent once one does', context => {
+	const core = new EntryHarness().configure().readRegistry([engineEntry('e0', ['m0'])]);
+	for (const model of modelNames.slice(1)) {
+		core.arrive(model, '/digest/1', {model, deadlineMs: 20_000});
+	}
+
+	const waiting = [...core.state.open.values()].filter(({phase}) => phase === 'queued');
+	assert.ok(waiting.length > 0);
+	const peek = context.mock.method(WaitingQueue.prototype, 'peek');
+	core.advance(50);
+	assert.equal(peek.mock.callCount(), 0);
+	const {id, arrival: {model}} = waiting[0]!;
+	core.readRegistry([engineEntry('e0', ['m0', model!])]);
+	core.advance(50);
+	assert.equal(core.state.open.get(id)?.phase, 'running');
+});
--- a/src/core/entry/dispatch.ts
+++ b/src/core/entry/dispatch.ts
@@ -9,7 +9,7 @@
 import {isLeaseVacant, leaseReturnMs} from './lease.js';
 import {culpritOf, quarantineRefusal} from './quarantine.js';
 import {queueKeyOf, queueOf} from './queues.js';
-import {type EntryContext} from './state.js';
+import {type EntryContext, type EntryState} from './state.js';
 import {askForPermits} from './rate-permits.js';
 import {chooseRelay, isUnreached, sendRelay} from './relay.js';
 import {canServe, chooseTarget} from './selection.js';
@@ -35,11 +35,29 @@
 }
 
 export function dispatchAll(context: EntryContext): void {
+	let served: ReadonlySet<string> | undefined;
 	for (const [key, queue] of context.state.queues) {
 		if (queue.waiting > 0) {
-			dispatchQueue(context, key);
+			served ??= servedKeys(context.state);
+			// What no target holds waits for a copy; until then its requests are looked at by their own timers.
+			if (served.has(key)) {
+				dispatchQueue(context, key);
+			}
+		}
+	}
+}
+
+/** Keys of the queues for what any target serves, whether it can be used now or not. */
+function servedKeys({targets}: EntryState): Set<string> {
+	const keys = new Set<string>();
+	for (const {entry: {service, copies}} of targets.values()) {
+		keys.add(service);
+		for (const {model} of copies) {
+			keys.add(queueKeyOf(service, model));
 		}
 	}
+
+	return keys;
 }
 
 /** Checks the queues whose requests a target with new capacity may serve. */
