--- a/test/unit/reused-connections.test.ts
+++ b/test/unit/reused-connections.test.ts
@@ -47,13 +47,15 @@
 	runner.stop();
 });
 
-async function send(path: string): Promise<{id: string; status: number; text: string}> {
+async function send(path: string): Promise<{id: string; status: number; text: string; isSigned: boolean}> {
 	counter++;
 	const id = `r${counter}`;
-	const {statusCode, body} = await httpRequest(`http://${instance.callers}${path}`, {
+	const {statusCode, headers, body} = await httpRequest(`http://${instance.callers}${path}`, {
 		method: 'POST', body: `body of ${id}`, headers: {host: 'a.example', 'x-pollenarch-request-id': id, 'x-pollenarch-request-deadline': '1500'},
 	});
-	return {id, status: statusCode, text: await body.text()};
+	return {
+		id, status: statusCode, text: await body.text(), isSigned: 'x-pollenarch-server-signature' in headers,
+	};
 }
 
 function arrivalsOf(id: string): number {
@@ -150,8 +152,9 @@
 for (const behaviour of ['408', '429', '503'] as const) {
 	test(`a target answers ${behaviour} without stating that it did not run the request: the caller is promised nothing`, limit, async () => {
 		runner.behaviours = [behaviour];
-		const {id, status} = await send('/sign/1');
+		const {id, status, isSigned} = await send('/sign/1');
 		assert.equal(status, 502);
+		assert.equal(isSigned, false, 'its signature is for its own status');
 		assert.equal(arrivalsOf(id), 1);
 	});
 }
