--- /dev/null
+++ b/test/soak/callers.ts
@@ -0,0 +1,250 @@
+/**
+The callers of a soak. Each keeps one connection to an instance of its zone until that
+closes, and comes back after a refusal: after the time it was told or at once, with the
+same id or another, at the same instance or another. Streams that break are taken up
+again; some callers leave in the middle.
+*/
+import {Agent, request as httpRequest, type IncomingMessage} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type RandomSource} from '../../src/experiment/random-source.js';
+import {createRandom} from './seeded-random.js';
+import {type Fleet, type SoakInstance, zones} from './fleet.js';
+import {type Attempt, type RequestKind, type SoakRecord} from './record.js';
+import {EVENTS, modelNames} from './target.js';
+
+export const DEADLINE_MS = 3000;
+/** A caller that has got no answer gives up this long after its deadline. */
+const PATIENCE_MS = 1500;
+const THINK_MEAN_MS = 80;
+const ATTEMPTS_MAX = 5;
+const LEAVING_SHARE = 0.03;
+const LEAVES_AFTER_MAX_MS = 200;
+const BODY_DELAY_SHARE = 0.05;
+const BODY_DELAY_MS = 200;
+
+const kinds: ReadonlyArray<{readonly kind: RequestKind; readonly path: string; readonly weight: number}> = [
+	{kind: 'once', path: '/sign/1', weight: 5},
+	{kind: 'repeatable', path: '/read/1', weight: 2},
+	{kind: 'stream-once', path: '/tell/1', weight: 1},
+	{kind: 'stream-resumable', path: '/ask/1', weight: 2},
+];
+
+/** How a caller comes back after a refusal. */
+const returns = [
+	{isAtOnce: true, sameId: true, moves: false, weight: 3},
+	{isAtOnce: true, sameId: true, moves: true, weight: 2},
+	{isAtOnce: false, sameId: true, moves: false, weight: 3},
+	{isAtOnce: false, sameId: true, moves: true, weight: 2},
+	{isAtOnce: false, sameId: false, moves: true, weight: 2},
+] as const;
+
+/** Statuses that promise that the request has not run and will not. */
+export const refusals: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+type Stream = {
+	/** Number of the last event that has arrived whole. */
+	last: number;
+	firstId: string;
+};
+
+type Call = {
+	readonly attempt: Attempt;
+	readonly path: string;
+	readonly agent: Agent;
+	readonly name: string;
+	readonly stream: Stream;
+	readonly address: {readonly host: string; readonly port: number};
+	readonly leavesAfterMs: number | undefined;
+	readonly bodyDelayMs: number;
+	readonly model: string;
+};
+
+export type CallerOptions = {
+	readonly number: number;
+	readonly seed: number;
+	readonly fleet: Fleet;
+	readonly record: SoakRecord;
+};
+
+export class Caller {
+	private readonly _random: RandomSource;
+	private readonly _name: string;
+	private readonly _zone: string;
+	private readonly _agent = new Agent({keepAlive: true, maxSockets: 1});
+	private _home: SoakInstance | undefined;
+	private _requests = 0;
+
+	constructor(private readonly _options: CallerOptions) {
+		const {number, seed} = _options;
+		this._name = `c${number}`;
+		this._zone = zones[number % zones.length]!;
+		this._random = createRandom((seed * 1000) + number);
+	}
+
+	async run(endMs: number): Promise<void> {
+		const {record} = this._options;
+		while (record.nowMs() < endMs) {
+			await delay(this._random.exponential(THINK_MEAN_MS));
+			await this._ask(endMs);
+		}
+
+		this._agent.destroy();
+	}
+
+	/** One request with all its attempts. */
+	private async _ask(endMs: number): Promise<void> {
+		const {record} = this._options;
+		const {kind, path} = kinds[this._random.pick(kinds.map(({weight}) => weight))]!;
+		this._requests++;
+		const name = `${this._name}-${this._requests}`;
+		const model = modelNames[Math.floor(this._random.uniform() * modelNames.length)]!;
+		const stream: Stream = {last: 0, firstId: ''};
+		let id = `${name}-1`;
+		this._home = this._home?.isUp ? this._home : this._choose();
+		let instance = this._home;
+		for (let number = 1; number <= ATTEMPTS_MAX && record.nowMs() < endMs; number++) {
+			if (!instance) {
+				return;
+			}
+
+			const isOwnConnection = instance === this._home;
+			const agent = isOwnConnection ? this._agent : new Agent();
+			const attempt: Attempt = {
+				key: `${name}.${number}`, id, kind, caller: this._name, instance: instance.name, isKeptConnection: isOwnConnection, sentAtMs: record.nowMs(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, isWhole: false, error: '', answeredId: undefined, signature: undefined, mismatch: '', hasLeft: false,
+			};
+			record.attempts.push(attempt);
+			const retryAfterMs = await this._send({
+				attempt, path, agent, name, stream, model, address: this._options.fleet.callersAddress(instance),
+				leavesAfterMs: this._random.uniform() < LEAVING_SHARE ? this._random.uniform() * LEAVES_AFTER_MAX_MS : undefined,
+				bodyDelayMs: this._random.uniform() < BODY_DELAY_SHARE ? BODY_DELAY_MS : 0,
+			});
+			if (attempt.hasLeft || (attempt.isWhole && attempt.status === 200)) {
+				return;
+			}
+
+			const isRefused = attempt.isWhole && refusals.has(attempt.status!);
+			const mayRepeat = kind === 'repeatable' || kind === 'stream-resumable';
+			if (!isRefused && !mayRepeat) {
+				this._home = attempt.error === '' ? this._home : undefined;
+				return;
+			}
+
+			const {isAtOnce, sameId, moves} = returns[this._random.pick(returns.map(({weight}) => weight))]!;
+			await delay(isAtOnce ? 0 : retryAfterMs);
+			if (!sameId || !isRefused) {
+				id = `${name}-${number + 1}`;
+			}
+
+			instance = moves || !isRefused || !instance.isUp ? this._choose() : instance;
+		}
+	}
+
+	/** An instance of the caller's zone that counts as ready, else of another zone. */
+	private _choose(): SoakInstance | undefined {
+		const {instances} = this._options.fleet;
+		const own = instances.filter(({zone}) => zone === this._zone);
+		const candidates = [own.filter(({isReady}) => isReady), instances.filter(({isReady}) => isReady), own].find(list => list.length > 0)!;
+		return candidates[Math.floor(this._random.uniform() * candidates.length)];
+	}
+
+	/** Sends one attempt; resolves with the time that a refusal names. */
+	private async _send(call: Call): Promise<number> {
+		const {record} = this._options;
+		const {attempt, path, agent, name, stream, address, leavesAfterMs, bodyDelayMs, model} = call;
+		const isStream = attempt.kind.startsWith('stream');
+		const resumed = isStream && stream.last > 0;
+		return new Promise(resolve => {
+			let retryAfterMs = 0;
+			const timers: NodeJS.Timeout[] = [];
+			const end = (error = '') => {
+				if (attempt.endedAtMs !== Number.POSITIVE_INFINITY) {
+					return;
+				}
+
+				attempt.endedAtMs = record.nowMs();
+				attempt.error = error;
+				for (const timer of timers) {
+					clearTimeout(timer);
+				}
+
+				resolve(retryAfterMs);
+			};
+
+			const sent = httpRequest({
+				...address, agent, method: 'POST', path, headers: {
+					host: 'a.example', 'x-pollenarch-request-id': attempt.id, 'x-pollenarch-request-deadline': String(DEADLINE_MS), 'x-soak-attempt': attempt.key, 'x-soak-name': name, 'content-length': 4,
+					...(isStream && {'x-pollenarch-model': model, 'x-pollenarch-token-usage': '100,20', 'x-pollenarch-prompt-prefix': `${Buffer.from(name).toString('hex')}:100`}),
+					...(resumed && {'last-event-id': String(stream.last), resumes: stream.firstId}),
+				},
+			}, response => {
+				attempt.status = response.statusCode;
+				attempt.answeredId = headerOf(response, 'x-pollenarch-request-id');
+				attempt.signature = headerOf(response, 'x-pollenarch-server-signature');
+				retryAfterMs = Number(response.headers['retry-after'] ?? 0) * 1000;
+				let text = '';
+				response.setEncoding('utf8');
+				response.on('data', (part: string) => {
+					text += part;
+				});
+				response.on('error', () => undefined);
+				response.on('close', () => {
+					attempt.isWhole = response.complete;
+					if (attempt.status === 200) {
+						attempt.mismatch = isStream ? readEvents(text, call) : readAnswer(text, attempt);
+					}
+
+					end();
+				});
+			});
+			const leave = () => {
+				attempt.hasLeft = true;
+				sent.destroy();
+			};
+
+			timers.push(setTimeout(leave, DEADLINE_MS + PATIENCE_MS));
+			if (leavesAfterMs !== undefined) {
+				timers.push(setTimeout(leave, leavesAfterMs));
+			}
+
+			sent.on('error', (error: NodeJS.ErrnoException) => {
+				end(error.code ?? error.message);
+			});
+			sent.on('close', () => {
+				end();
+			});
+			if (bodyDelayMs > 0) {
+				sent.flushHeaders();
+				timers.push(setTimeout(() => {
+					sent.end('body');
+				}, bodyDelayMs));
+			} else {
+				sent.end('body');
+			}
+		});
+	}
+}
+
+function headerOf({headers}: IncomingMessage, name: string): string | undefined {
+	const value = headers[name];
+	return Array.isArray(value) ? value[0] : value;
+}
+
+function readAnswer(text: string, {key, isWhole}: Attempt): string {
+	return !isWhole || text === `${key} ran` ? '' : `body "${text.slice(0, 80)}"`;
+}
+
+/** Takes over the events of a stream that have arrived whole; returns what is wrong with them. */
+function readEvents(text: string, {name, stream, attempt}: Call): string {
+	const blocks = text.split('\n\n').slice(0, -1).filter(block => block.startsWith('id: '));
+	for (const block of blocks) {
+		const event = /^id: (?<number>\d+)\ndata: (?<of>\S+) (?<count>\d+)$/v.exec(block)?.groups;
+		if (event?.of !== name || event.number !== event.count || Number(event.number) !== stream.last + 1) {
+			return `event "${block.slice(0, 80)}" after ${stream.last}`;
+		}
+
+		stream.last++;
+		stream.firstId ||= attempt.id;
+	}
+
+	return attempt.isWhole && stream.last < EVENTS ? `complete after ${stream.last} of ${EVENTS} events` : '';
+}
--- /dev/null
+++ b/test/soak/fleet.ts
@@ -0,0 +1,186 @@
+/**
+The instances of a soak: the bundle as processes, each with a loopback address of its own,
+as machines have them. No outgoing connection takes the port of one that is down.
+*/
+import {type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {request as httpRequest} from 'undici';
+import {type PlatformBundle} from '../standins/platform-process.js';
+import {type SoakRecord} from './record.js';
+
+export const zones = ['north', 'south'] as const;
+export const GRACE_MS = 8000;
+const CALLERS_PORT = 8000;
+const READINESS_PORT = 8001;
+const POLL_MS = 300;
+const READINESS_TIMEOUT_MS = 1000;
+const ADDRESSES_MAX = 200;
+
+/** Loopback addresses that no other soak on this machine uses. */
+export function hostAddress(number: number): string {
+	return `127.${64 + Math.floor(process.pid / 256) % 128}.${process.pid % 256}.${1 + (number % ADDRESSES_MAX)}`;
+}
+
+export class SoakInstance {
+	child: ChildProcess | undefined;
+	isReady = false;
+	isFrozen = false;
+	isStopping = false;
+	/** Log lines of all its processes. */
+	readonly lines: string[] = [];
+	host = '';
+
+	constructor(readonly name: string, readonly zone: string) {}
+
+	get isUp(): boolean {
+		return this.child !== undefined;
+	}
+
+	/** Whether a fault may begin at it. */
+	get isSound(): boolean {
+		return this.isUp && !this.isFrozen && !this.isStopping;
+	}
+}
+
+export class Fleet {
+	readonly instances: SoakInstance[];
+	private _hosts = 0;
+	private _isClosed = false;
+
+	constructor(private readonly _options: {readonly bundle: PlatformBundle; readonly count: number; readonly storeAddress: string; readonly record: SoakRecord}) {
+		this.instances = Array.from({length: _options.count}, (_, index) => new SoakInstance(`e-${index}`, zones[index % zones.length]!));
+		for (const instance of this.instances) {
+			instance.host = this._nextHost();
+		}
+	}
+
+	start(instance: SoakInstance, isMoved = false): void {
+		if (this._isClosed || instance.isUp) {
+			return;
+		}
+
+		const {bundle, record} = this._options;
+		if (isMoved) {
+			instance.host = this._nextHost();
+		}
+
+		const child = bundle.start(this._document(instance));
+		instance.child = child;
+		instance.isStopping = false;
+		instance.isFrozen = false;
+		record.noteFault(instance.name, 'start');
+		let rest = '';
+		const read = (text: string) => {
+			const parts = (rest + text).split('\n');
+			rest = parts.pop()!;
+			instance.lines.push(...parts);
+		};
+
+		child.stdout!.setEncoding('utf8').on('data', read);
+		child.stderr!.setEncoding('utf8').on('data', read);
+		child.once('close', () => {
+			instance.child = undefined;
+			instance.isReady = false;
+			record.noteFault(instance.name, instance.isStopping || this._isClosed ? 'exit' : 'own-end');
+		});
+	}
+
+	async kill(instance: SoakInstance): Promise<void> {
+		const {child} = instance;
+		if (child) {
+			instance.isStopping = true;
+			this._options.record.noteFault(instance.name, 'kill');
+			child.kill('SIGKILL');
+			await once(child, 'close');
+		}
+	}
+
+	/** SIGTERM, and SIGKILL after the grace period. */
+	async stop(instance: SoakInstance): Promise<void> {
+		const {child} = instance;
+		if (child) {
+			instance.isStopping = true;
+			this._options.record.noteFault(instance.name, 'stop');
+			child.kill('SIGTERM');
+			const timer = setTimeout(() => {
+				void this.kill(instance);
+			}, GRACE_MS);
+			await once(child, 'close');
+			clearTimeout(timer);
+		}
+	}
+
+	freeze(instance: SoakInstance): void {
+		instance.isFrozen = true;
+		this._options.record.noteFault(instance.name, 'freeze');
+		instance.child?.kill('SIGSTOP');
+	}
+
+	thaw(instance: SoakInstance): void {
+		instance.isFrozen = false;
+		this._options.record.noteFault(instance.name, 'thaw');
+		instance.child?.kill('SIGCONT');
+	}
+
+	/** Keeps asking instances whether they are ready, as the platform does, until the fleet is closed. */
+	async watch(): Promise<void> {
+		while (!this._isClosed) {
+			await Promise.all(this.instances.map(async instance => {
+				const isReady = instance.isUp && await this._isReady(instance);
+				if (isReady && !instance.isReady) {
+					this._options.record.noteFault(instance.name, 'ready');
+				}
+
+				instance.isReady = isReady;
+			}));
+			await delay(POLL_MS);
+		}
+	}
+
+	async close(): Promise<void> {
+		this._isClosed = true;
+		await Promise.all(this.instances.map(async ({child}) => {
+			if (child) {
+				const closed = once(child, 'close');
+				child.kill('SIGKILL');
+				await closed;
+			}
+		}));
+	}
+
+	callersAddress({host}: SoakInstance): {host: string; port: number} {
+		return {host, port: CALLERS_PORT};
+	}
+
+	private async _isReady({host}: SoakInstance): Promise<boolean> {
+		try {
+			const {statusCode, body} = await httpRequest(`http://${host}:${READINESS_PORT}/v1/ready`, {signal: AbortSignal.timeout(READINESS_TIMEOUT_MS)});
+			await body.dump();
+			return statusCode === 200;
+		} catch {
+			return false;
+		}
+	}
+
+	private _document({name, zone, host}: SoakInstance): object {
+		return {
+			instance: {id: name, zone},
+			listen: {
+				callers: `${host}:${CALLERS_PORT}`, readiness: `${host}:${READINESS_PORT}`, peers: `${host}:8002`, beacons: `${host}:8003`, metrics: `${host}:8004`,
+			},
+			seeds: this.instances.slice(0, 3).map(seed => `${seed.host}:8002`),
+			store: {address: this._options.storeAddress},
+			bounds: {
+				graceMs: GRACE_MS, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 265,
+			},
+			contracts: ['base', 'drain', 'config', 'retry', 'recover', 'health', 'pool', 'fleet', 'stream', 'engine', 'platform'],
+		};
+	}
+
+	private _nextHost(): string {
+		this._hosts++;
+		return hostAddress(this._hosts);
+	}
+}
--- /dev/null
+++ b/test/soak/main.ts
@@ -0,0 +1,104 @@
+/**
+Command line of the soak. Exit code 0 if all promises were kept, 1 if one was broken, 2 for
+wrong arguments or a soak that could not be run.
+*/
+import {mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {SingleBar} from 'cli-progress';
+import {Command, InvalidArgumentError} from 'commander';
+import {PlatformBundle} from '../standins/platform-process.js';
+import {createReport} from './report.js';
+import {runSoak, type SoakOptions, type SoakResult} from './soak.js';
+
+const EXIT_BROKEN = 1;
+const EXIT_NOT_RUN = 2;
+const INSTANCES_MAX = 40;
+
+type Options = {
+	readonly seed: number;
+	readonly seeds: number;
+	readonly seconds: number;
+	readonly instances: number;
+	readonly commit?: string;
+	readonly keep?: string;
+};
+
+function parseCount(text: string): number {
+	const value = Number(text);
+	if (!Number.isInteger(value) || value < 1) {
+		throw new InvalidArgumentError('must be a whole number of 1 or more');
+	}
+
+	return value;
+}
+
+async function run({seed, seeds, commit, keep, ...sizes}: Options): Promise<void> {
+	if (sizes.instances > INSTANCES_MAX) {
+		throw new InvalidArgumentError(`--instances must be at most ${INSTANCES_MAX}`);
+	}
+
+	const bundle = new PlatformBundle();
+	try {
+		await bundle.build(commit);
+		for (let next = seed; next < seed + seeds; next++) {
+			const result = await runSoakWithBar({...sizes, seed: next, bundle});
+			if (keep !== undefined) {
+				keepResult(path.join(keep, String(next)), result);
+			}
+
+			process.stdout.write(createReport(result).split('\n## Timeline')[0]! + '\n');
+			if (Object.values(result.findings).some(list => list.length > 0)) {
+				process.exitCode = EXIT_BROKEN;
+			}
+		}
+	} finally {
+		bundle.remove();
+	}
+}
+
+async function runSoakWithBar(options: SoakOptions): Promise<SoakResult> {
+	const {seed, seconds} = options;
+	const bar = new SingleBar({format: `seed ${seed} [{bar}] {value}/{total} s`, stream: process.stderr});
+	bar.start(seconds, 0);
+	try {
+		return await runSoak({
+			...options,
+			onProgress(elapsedMs) {
+				bar.update(Math.round(elapsedMs / 1000));
+			},
+		});
+	} finally {
+		bar.stop();
+	}
+}
+
+function keepResult(directory: string, result: SoakResult): void {
+	mkdirSync(directory, {recursive: true});
+	writeFileSync(path.join(directory, 'report.md'), createReport(result));
+	writeFileSync(path.join(directory, 'record.json'), JSON.stringify({...result.record, schedule: result.faults}));
+	for (const [name, lines] of result.lines) {
+		writeFileSync(path.join(directory, `${name}.log`), `${lines.join('\n')}\n`);
+	}
+}
+
+const program = new Command('soak')
+	.description('Runs instances as processes under seeded faults and judges what callers and targets see.')
+	.option('--seed <number>', 'seed of the faults and of the requests', parseCount, 1)
+	.option('--seeds <number>', 'number of soaks, with seeds that follow each other', parseCount, 1)
+	.option('--seconds <number>', 'length; from 24 s on it ends with a kill of all instances', parseCount, 60)
+	.option('--instances <number>', 'number of instances', parseCount, 6)
+	.option('--commit <commit>', 'soak the build of this commit rather than of the working tree')
+	.option('--keep <directory>', 'write the report, the record and the logs of all instances there')
+	.exitOverride()
+	.action(run);
+
+try {
+	await program.parseAsync();
+} catch (error) {
+	if (!(error as {code?: string}).code?.startsWith('commander.')) {
+		process.stderr.write(`${error instanceof Error ? error.stack : String(error)}\n`);
+	}
+
+	process.exitCode = (error as {exitCode?: number}).exitCode === 0 ? 0 : EXIT_NOT_RUN;
+}
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,153 @@
+/**
+One soak: starts the store stand-in, targets, instances and callers, carries out the
+faults of a seed, and lets the judges look at what was seen.
+*/
+import {setTimeout as delay} from 'node:timers/promises';
+import {FakeStore} from '../standins/fake-store-and-runner.js';
+import {type PlatformBundle} from '../standins/platform-process.js';
+import {Relay} from '../standins/relay.js';
+import {Caller, DEADLINE_MS} from './callers.js';
+import {inject} from './faults.js';
+import {Fleet, hostAddress, zones} from './fleet.js';
+import {judges, type Finding} from './judges.js';
+import {SoakRecord} from './record.js';
+import {drawSchedule, type Fault, type FaultKind} from './schedule.js';
+import {modelNames, SoakTarget} from './target.js';
+
+export type SoakOptions = {
+	readonly seed: number;
+	readonly seconds: number;
+	readonly instances: number;
+	readonly targets?: number;
+	readonly callers?: number;
+	/** Kinds of faults; all if absent. */
+	readonly kinds?: readonly FaultKind[];
+	/** Built by the caller, and removed by it. */
+	readonly bundle: PlatformBundle;
+	readonly onProgress?: (elapsedMs: number) => void;
+};
+
+export type SoakResult = {
+	readonly options: Omit<SoakOptions, 'bundle' | 'onProgress'>;
+	readonly faults: readonly Fault[];
+	readonly record: SoakRecord;
+	readonly findings: Readonly<Record<string, readonly Finding[]>>;
+	/** Log lines by instance. */
+	readonly lines: ReadonlyMap<string, readonly string[]>;
+};
+
+const FIRST_TARGET_HOST = 100;
+const READY_TIMEOUT_MS = 30_000;
+const POLL_MS = 100;
+const PROGRESS_MS = 500;
+const IDLE_TIMEOUT_MS = 5000;
+
+const route = {
+	host: 'a.example', timeoutMs: DEADLINE_MS, targetLatencyMs: 300, priority: 1,
+};
+
+const configuration = {
+	version: 3,
+	routes: [
+		{
+			...route, name: 'sign', prefix: '/sign/', kind: 'non_idempotent', service: 'records', maxAttempts: 2,
+		},
+		{
+			...route, name: 'read', prefix: '/read/', kind: 'idempotent', service: 'records', maxAttempts: 2,
+		},
+		{
+			...route, name: 'tell', prefix: '/tell/', kind: 'streaming', service: 'llm', maxAttempts: 2, gapAimMs: 200,
+		},
+		{
+			...route, name: 'ask', prefix: '/ask/', kind: 'streaming', service: 'llm', maxAttempts: 2, resumable: true, gapAimMs: 200,
+		},
+	],
+	services: [
+		{name: 'records', maxConns: 700},
+		{
+			name: 'llm', maxConns: 700, engine: {
+				slots: 4, weightsMb: 200_000, adapterSlots: 8, loadsPerS: 10, models: modelNames.map(name => ({
+					name, weightsMb: 60_000, loadTimeS: 0.3, adapters: 0, adapterMb: 0,
+				})),
+			},
+		},
+	],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: IDLE_TIMEOUT_MS,
+	},
+};
+
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+	const {seed, seconds, instances, targets: targetCount = 6, callers = 30, kinds, bundle, onProgress} = options;
+	const lengthMs = seconds * 1000;
+	const faults = drawSchedule({seed, lengthMs, kinds});
+	const store = new FakeStore();
+	const closers: Array<() => Promise<void> | void> = [];
+	try {
+		const storeRelay = await Relay.start(`http://${await store.start()}`);
+		closers.unshift(() => {
+			storeRelay.close();
+			store.stop();
+		});
+		store.put('op', 'config', configuration);
+		const record = new SoakRecord();
+		const targets = Array.from({length: targetCount}, (_, index) => new SoakTarget({
+			id: `t-${index}`, service: index % 3 === 2 ? 'llm' : 'records', zone: zones[index % zones.length]!, host: hostAddress(FIRST_TARGET_HOST + index), seed: (seed * 1000) + 500 + index, store, record, dropsQueued: index % 2 === 0,
+		}));
+		closers.unshift(() => {
+			for (const target of targets) {
+				target.close();
+			}
+		});
+		for (const target of targets) {
+			await target.start(target.service === 'llm' ? modelNames : []);
+		}
+
+		const fleet = new Fleet({
+			bundle, count: instances, storeAddress: new URL(storeRelay.address).host, record,
+		});
+		closers.unshift(async () => fleet.close());
+		for (const instance of fleet.instances) {
+			fleet.start(instance);
+		}
+
+		const watching = fleet.watch();
+		closers.unshift(async () => {
+			await fleet.close();
+			await watching;
+		});
+		await waitUntilReady(fleet);
+		const endMs = record.nowMs() + lengthMs;
+		const progress = setInterval(() => {
+			onProgress?.(lengthMs - (endMs - record.nowMs()));
+		}, PROGRESS_MS);
+		closers.unshift(() => {
+			clearInterval(progress);
+		});
+		const injected = inject({
+			fleet, targets, store, storeRelay, record,
+		}, faults);
+		await Promise.all(Array.from({length: callers}, async (_, number) => new Caller({
+			number, seed, fleet, record,
+		}).run(endMs)));
+		await injected;
+		return {
+			options, faults, record, lines: new Map(fleet.instances.map(({name, lines}) => [name, lines])),
+			findings: Object.fromEntries(Object.entries(judges).map(([name, {find}]) => [name, find(record)])),
+		};
+	} finally {
+		for (const close of closers) {
+			await close();
+		}
+	}
+}
+
+async function waitUntilReady({instances}: Fleet): Promise<void> {
+	for (let waitedMs = 0; instances.some(({isReady}) => !isReady); waitedMs += POLL_MS) {
+		if (waitedMs > READY_TIMEOUT_MS) {
+			throw new Error(`not ready in time: ${instances.filter(({isReady}) => !isReady).map(({name, lines}) => `${name}: ${lines.slice(-3).join(' ')}`).join('; ')}`);
+		}
+
+		await delay(POLL_MS);
+	}
+}
