Soak: failing test for requests that come again under the id of an earlier one

Cause: timers of the core name their request by its id only. handleDeadline (src/core/entry/tries.ts) ends whatever request is open under the id, so the deadline of the first request, which had been refused, ends the second one. handleSilence compares the number of the try only, so that it may move the first try of the later request too early.

Ruled out: the target had not broken off, the caller was still there, and no instance or target was stopped.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -4,6 +4,7 @@
 same id or another, at the same instance or another. Streams that break are taken up
 again; some callers leave in the middle.
 */
+import {Buffer} from 'node:buffer';
 import {Agent, request as httpRequest, type IncomingMessage} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type RandomSource} from '../../src/experiment/random-source.js';
@@ -31,32 +32,44 @@
 
 /** How a caller comes back after a refusal. */
 const returns = [
-	{isAtOnce: true, sameId: true, moves: false, weight: 3},
-	{isAtOnce: true, sameId: true, moves: true, weight: 2},
-	{isAtOnce: false, sameId: true, moves: false, weight: 3},
-	{isAtOnce: false, sameId: true, moves: true, weight: 2},
-	{isAtOnce: false, sameId: false, moves: true, weight: 2},
+	{
+		isAtOnce: true, sameId: true, moves: false, weight: 3,
+	},
+	{
+		isAtOnce: true, sameId: true, moves: true, weight: 2,
+	},
+	{
+		isAtOnce: false, sameId: true, moves: false, weight: 3,
+	},
+	{
+		isAtOnce: false, sameId: true, moves: true, weight: 2,
+	},
+	{
+		isAtOnce: false, sameId: false, moves: true, weight: 2,
+	},
 ] as const;
 
 /** Statuses that promise that the request has not run and will not. */
 export const refusals: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-type Stream = {
-	/** Number of the last event that has arrived whole. */
+type SoakRequest = {
+	readonly name: string;
+	readonly kind: RequestKind;
+	readonly path: string;
+	readonly model: string;
+	/** Number of the last event of its stream that has arrived whole. */
 	last: number;
+	/** Id of the attempt that brought the first event. */
 	firstId: string;
 };
 
 type Call = {
 	readonly attempt: Attempt;
-	readonly path: string;
+	readonly request: SoakRequest;
 	readonly agent: Agent;
-	readonly name: string;
-	readonly stream: Stream;
 	readonly address: {readonly host: string; readonly port: number};
 	readonly leavesAfterMs: number | undefined;
 	readonly bodyDelayMs: number;
-	readonly model: string;
 };
 
 export type CallerOptions = {
@@ -97,34 +110,16 @@
 		const {kind, path} = kinds[this._random.pick(kinds.map(({weight}) => weight))]!;
 		this._requests++;
 		const name = `${this._name}-${this._requests}`;
-		const model = modelNames[Math.floor(this._random.uniform() * modelNames.length)]!;
-		const stream: Stream = {last: 0, firstId: ''};
+		const request: SoakRequest = {
+			name, kind, path, model: modelNames[Math.floor(this._random.uniform() * modelNames.length)]!, last: 0, firstId: '',
+		};
 		let id = `${name}-1`;
 		this._home = this._home?.isUp ? this._home : this._choose();
 		let instance = this._home;
-		for (let number = 1; number <= ATTEMPTS_MAX && record.nowMs() < endMs; number++) {
-			if (!instance) {
-				return;
-			}
-
-			const isOwnConnection = instance === this._home;
-			const agent = isOwnConnection ? this._agent : new Agent();
-			const attempt: Attempt = {
-				key: `${name}.${number}`, id, kind, caller: this._name, instance: instance.name, isKeptConnection: isOwnConnection, sentAtMs: record.nowMs(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, isWhole: false, error: '', answeredId: undefined, signature: undefined, mismatch: '', hasLeft: false,
-			};
-			record.attempts.push(attempt);
-			const retryAfterMs = await this._send({
-				attempt, path, agent, name, stream, model, address: this._options.fleet.callersAddress(instance),
-				leavesAfterMs: this._random.uniform() < LEAVING_SHARE ? this._random.uniform() * LEAVES_AFTER_MAX_MS : undefined,
-				bodyDelayMs: this._random.uniform() < BODY_DELAY_SHARE ? BODY_DELAY_MS : 0,
-			});
-			if (attempt.hasLeft || (attempt.isWhole && attempt.status === 200)) {
-				return;
-			}
-
+		for (let number = 1; instance && number <= ATTEMPTS_MAX && record.nowMs() < endMs; number++) {
+			const {attempt, retryAfterMs} = await this._try(request, instance, {key: `${name}.${number}`, id});
 			const isRefused = attempt.isWhole && refusals.has(attempt.status!);
-			const mayRepeat = kind === 'repeatable' || kind === 'stream-resumable';
-			if (!isRefused && !mayRepeat) {
+			if (!comesBack(attempt)) {
 				this._home = attempt.error === '' ? this._home : undefined;
 				return;
 			}
@@ -139,6 +134,21 @@
 		}
 	}
 
+	private async _try(request: SoakRequest, instance: SoakInstance, {key, id}: {key: string; id: string}): Promise<{attempt: Attempt; retryAfterMs: number}> {
+		const {record, fleet} = this._options;
+		const isKeptConnection = instance === this._home;
+		const attempt: Attempt = {
+			key, id, kind: request.kind, caller: this._name, instance: instance.name, isKeptConnection, sentAtMs: record.nowMs(), endedAtMs: Number.POSITIVE_INFINITY, status: undefined, isWhole: false, error: '', answeredId: undefined, signature: undefined, mismatch: '', hasLeft: false,
+		};
+		record.attempts.push(attempt);
+		const retryAfterMs = await this._send({
+			attempt, request, agent: isKeptConnection ? this._agent : new Agent(), address: fleet.callersAddress(instance),
+			leavesAfterMs: this._random.uniform() < LEAVING_SHARE ? this._random.uniform() * LEAVES_AFTER_MAX_MS : undefined,
+			bodyDelayMs: this._random.uniform() < BODY_DELAY_SHARE ? BODY_DELAY_MS : 0,
+		});
+		return {attempt, retryAfterMs};
+	}
+
 	/** An instance of the caller's zone that counts as ready, else of another zone. */
 	private _choose(): SoakInstance | undefined {
 		const {instances} = this._options.fleet;
@@ -150,9 +160,7 @@
 	/** Sends one attempt; resolves with the time that a refusal names. */
 	private async _send(call: Call): Promise<number> {
 		const {record} = this._options;
-		const {attempt, path, agent, name, stream, address, leavesAfterMs, bodyDelayMs, model} = call;
-		const isStream = attempt.kind.startsWith('stream');
-		const resumed = isStream && stream.last > 0;
+		const {attempt, request, agent, address, leavesAfterMs, bodyDelayMs} = call;
 		return new Promise(resolve => {
 			let retryAfterMs = 0;
 			const timers: NodeJS.Timeout[] = [];
@@ -171,11 +179,7 @@
 			};
 
 			const sent = httpRequest({
-				...address, agent, method: 'POST', path, headers: {
-					host: 'a.example', 'x-pollenarch-request-id': attempt.id, 'x-pollenarch-request-deadline': String(DEADLINE_MS), 'x-soak-attempt': attempt.key, 'x-soak-name': name, 'content-length': 4,
-					...(isStream && {'x-pollenarch-model': model, 'x-pollenarch-token-usage': '100,20', 'x-pollenarch-prompt-prefix': `${Buffer.from(name).toString('hex')}:100`}),
-					...(resumed && {'last-event-id': String(stream.last), resumes: stream.firstId}),
-				},
+				...address, agent, method: 'POST', path: request.path, headers: headersOf(request, attempt),
 			}, response => {
 				attempt.status = response.statusCode;
 				attempt.answeredId = headerOf(response, 'x-pollenarch-request-id');
@@ -190,7 +194,7 @@
 				response.on('close', () => {
 					attempt.isWhole = response.complete;
 					if (attempt.status === 200) {
-						attempt.mismatch = isStream ? readEvents(text, call) : readAnswer(text, attempt);
+						attempt.mismatch = isStream(attempt.kind) ? readEvents(text, request, attempt) : readAnswer(text, attempt);
 					}
 
 					end();
@@ -224,6 +228,30 @@
 	}
 }
 
+function isStream(kind: RequestKind): boolean {
+	return kind.startsWith('stream');
+}
+
+/** Whether a caller sends a request once more. */
+function comesBack({kind, status, isWhole, hasLeft}: Attempt): boolean {
+	const isServed = isWhole && status === 200;
+	const isRefused = isWhole && refusals.has(status!);
+	return !hasLeft && !isServed && (isRefused || kind === 'repeatable' || kind === 'stream-resumable');
+}
+
+function headersOf({name, kind, model, last, firstId}: SoakRequest, {id, key}: Attempt): Record<string, string> {
+	return {
+		host: 'a.example',
+		'content-length': '4',
+		'x-pollenarch-request-id': id,
+		'x-pollenarch-request-deadline': String(DEADLINE_MS),
+		'x-soak-attempt': key,
+		'x-soak-name': name,
+		...(isStream(kind) && {'x-pollenarch-model': model, 'x-pollenarch-token-usage': '100,20', 'x-pollenarch-prompt-prefix': `${Buffer.from(name).toString('hex')}:100`}),
+		...(last > 0 && {'last-event-id': String(last), resumes: firstId}),
+	};
+}
+
 function headerOf({headers}: IncomingMessage, name: string): string | undefined {
 	const value = headers[name];
 	return Array.isArray(value) ? value[0] : value;
@@ -234,17 +262,17 @@
 }
 
 /** Takes over the events of a stream that have arrived whole; returns what is wrong with them. */
-function readEvents(text: string, {name, stream, attempt}: Call): string {
+function readEvents(text: string, request: SoakRequest, {id, isWhole}: Attempt): string {
 	const blocks = text.split('\n\n').slice(0, -1).filter(block => block.startsWith('id: '));
 	for (const block of blocks) {
 		const event = /^id: (?<number>\d+)\ndata: (?<of>\S+) (?<count>\d+)$/v.exec(block)?.groups;
-		if (event?.of !== name || event.number !== event.count || Number(event.number) !== stream.last + 1) {
-			return `event "${block.slice(0, 80)}" after ${stream.last}`;
+		if (event?.of !== request.name || event.number !== event.count || Number(event.number) !== request.last + 1) {
+			return `event "${block.slice(0, 80)}" after ${request.last}`;
 		}
 
-		stream.last++;
-		stream.firstId ||= attempt.id;
+		request.last++;
+		request.firstId ||= id;
 	}
 
-	return attempt.isWhole && stream.last < EVENTS ? `complete after ${stream.last} of ${EVENTS} events` : '';
+	return isWhole && request.last < EVENTS ? `complete after ${request.last} of ${EVENTS} events` : '';
 }
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -4,7 +4,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type FakeStore} from '../standins/fake-store-and-runner.js';
 import {type Relay} from '../standins/relay.js';
-import {type Fleet, hostAddress, type SoakInstance, zones} from './fleet.js';
+import {
+	type Fleet, hostAddress, type SoakInstance, zones,
+} from './fleet.js';
 import {type SoakRecord} from './record.js';
 import {type Fault, type FaultKind} from './schedule.js';
 import {type SoakTarget} from './target.js';
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -20,7 +20,7 @@
 
 /** Loopback addresses that no other soak on this machine uses. */
 export function hostAddress(number: number): string {
-	return `127.${64 + Math.floor(process.pid / 256) % 128}.${process.pid % 256}.${1 + (number % ADDRESSES_MAX)}`;
+	return `127.${64 + (Math.floor(process.pid / 256) % 128)}.${process.pid % 256}.${1 + (number % ADDRESSES_MAX)}`;
 }
 
 export class SoakInstance {
--- a/test/soak/target.ts
+++ b/test/soak/target.ts
@@ -8,9 +8,9 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type RandomSource} from '../../src/experiment/random-source.js';
-import {createRandom} from './seeded-random.js';
 import {type FakeStore} from '../standins/fake-store-and-runner.js';
 import {chunk} from '../standins/scripted-deployment.js';
+import {createRandom} from './seeded-random.js';
 import {type Arrival, type SoakRecord} from './record.js';
 
 export const EVENTS = 8;
@@ -54,6 +54,8 @@
 	buffer: Buffer;
 	isBusy: boolean;
 	current: string | undefined;
+	/** Whether a part of an answer has been written. */
+	isSending: boolean;
 	copies: PendingCopy[];
 };
 
@@ -216,7 +218,7 @@
 	private _accept(socket: Socket): void {
 		this._connections++;
 		const connection: Connection = {
-			number: this._connections, socket, buffer: Buffer.alloc(0), isBusy: false, current: undefined, copies: [],
+			number: this._connections, socket, buffer: Buffer.alloc(0), isBusy: false, current: undefined, isSending: false, copies: [],
 		};
 		this._open.add(connection);
 		socket.setTimeout(IDLE_MS, () => {
@@ -305,7 +307,7 @@
 			key, id, target: this.id, connection: connection.number, atMs: record.nowMs(), ranAtMs: undefined, status: undefined,
 		};
 		record.arrivals.push(arrival);
-		this._writeCopies(connection, ({id: copied, time}) => time === 'arrival' || (time === 'same-id' && copied === id));
+		this._writeCopies(connection, ({id: copied, time}) => time === 'arrival' || time === 'alone' || (time === 'same-id' && copied === id));
 		const isAbsent = service === 'llm' && !this._models.includes(headers['x-pollenarch-model'] ?? '');
 		const isFull = this._running >= SLOTS && this._queue.length >= QUEUE_LENGTH;
 		if (isAbsent || isFull || (this.isRefusing && this._random.uniform() < REFUSED_SHARE)) {
@@ -348,7 +350,7 @@
 		connection.copies.push({id: arrival.id, bytes, time});
 		if (time === 'alone') {
 			setTimeout(() => {
-				this._writeCopies(connection, copy => copy.time === 'alone');
+				this._writeCopies(connection, copy => copy.time === 'alone' && !connection.isSending);
 			}, this._random.uniform() * COPY_DELAY_MAX_MS);
 		}
 	}
@@ -381,6 +383,7 @@
 		this._writeCopies(connection, ({time}) => time === 'answer');
 		arrival.status = 200;
 		this._write(connection, head(200, [`X-Pollenarch-Request-Id: ${arrival.id}`, `X-Pollenarch-Server-Signature: ${this.id}.${arrival.key}`, 'X-Pollenarch-Weight-Versions: 1', 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked']));
+		connection.isSending = true;
 		for (let event = Number(headers['last-event-id'] ?? 0) + 1; event <= EVENTS; event++) {
 			await delay(EVENT_INTERVAL_MS);
 			if (life !== this._life || connection.socket.destroyed) {
@@ -391,6 +394,7 @@
 		}
 
 		this._write(connection, '0\r\n\r\n');
+		connection.isSending = false;
 	}
 
 	private _load(): string {
