--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -48,12 +48,20 @@
 	readonly instances: SoakInstance[];
 	private _hosts = 0;
 	private _isClosed = false;
+	/** Processes must not outlive the soak, however it ends. */
+	private readonly _killAll = () => {
+		for (const {child} of this.instances) {
+			child?.kill('SIGKILL');
+		}
+	};
 
 	constructor(private readonly _options: {readonly bundle: PlatformBundle; readonly count: number; readonly storeAddress: string; readonly record: SoakRecord}) {
 		this.instances = Array.from({length: _options.count}, (_, index) => new SoakInstance(`e-${index}`, zones[index % zones.length]!));
 		for (const instance of this.instances) {
 			instance.host = this._nextHost();
 		}
+
+		process.once('exit', this._killAll);
 	}
 
 	start(instance: SoakInstance, isMoved = false): void {
@@ -141,6 +149,7 @@
 
 	async close(): Promise<void> {
 		this._isClosed = true;
+		process.off('exit', this._killAll);
 		await Promise.all(this.instances.map(async ({child}) => {
 			if (child) {
 				const closed = once(child, 'close');
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -82,6 +82,12 @@
 	}
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		process.exit(EXIT_NOT_RUN);
+	});
+}
+
 const program = new Command('soak')
 	.description('Runs instances as processes under seeded faults and judges what callers and targets see.')
 	.option('--seed <number>', 'seed of the faults and of the requests', parseCount, 1)
