--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -18,6 +18,8 @@
 const PATIENCE_MS = 1500;
 const THINK_MEAN_MS = 80;
 const ATTEMPTS_MAX = 5;
+/** Pause before a caller comes back that was told no time. */
+const RETURN_MIN_MS = 200;
 const LEAVING_SHARE = 0.03;
 const LEAVES_AFTER_MAX_MS = 200;
 const BODY_DELAY_SHARE = 0.05;
@@ -125,7 +127,7 @@
 			}
 
 			const {isAtOnce, sameId, moves} = returns[this._random.pick(returns.map(({weight}) => weight))]!;
-			await delay(isAtOnce ? 0 : retryAfterMs);
+			await delay(isAtOnce && isRefused ? 0 : Math.max(retryAfterMs, RETURN_MIN_MS));
 			if (!sameId || !isRefused) {
 				id = `${name}-${number + 1}`;
 			}
@@ -233,10 +235,11 @@
 }
 
 /** Whether a caller sends a request once more. */
-function comesBack({kind, status, isWhole, hasLeft}: Attempt): boolean {
+function comesBack({kind, status, isWhole, hasLeft, error}: Attempt): boolean {
 	const isServed = isWhole && status === 200;
 	const isRefused = isWhole && refusals.has(status!);
-	return !hasLeft && !isServed && (isRefused || kind === 'repeatable' || kind === 'stream-resumable');
+	// Nothing was read of a request whose connection was not accepted.
+	return !hasLeft && !isServed && (isRefused || error === 'ECONNREFUSED' || kind === 'repeatable' || kind === 'stream-resumable');
 }
 
 function headersOf({name, kind, model, last, firstId}: SoakRequest, {id, key}: Attempt): Record<string, string> {
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -140,12 +140,17 @@
 		store.fault = 'none';
 		record.noteFault('store', 'sound');
 	},
-	async 'fleet-kill'(field, {forMs}) {
-		const {fleet, record} = field;
-		const killedAtMs = record.nowMs();
-		record.fleetKill = {killedAtMs, backAtMs: killedAtMs + forMs};
+	async 'fleet-kill'(field, fault) {
+		const {fleet, targets, record} = field;
+		record.fleetKill = {killedAtMs: record.nowMs(), backAtMs: Number.POSITIVE_INFINITY};
+		const killed = fault.isMoved ? targets.filter(({isUp}) => isUp) : [];
+		for (const target of killed) {
+			target.kill();
+		}
+
 		// Those that are down at this moment come back with the others.
-		await killAll(field, fleet.instances, forMs);
+		await killAll(field, fleet.instances, fault.forMs);
+		await Promise.all(killed.map(async target => target.start()));
 		record.fleetKill.backAtMs = record.nowMs();
 	},
 };
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -13,7 +13,7 @@
 	readonly index: number;
 	/** Until the end of the fault, or the restart. */
 	readonly forMs: number;
-	/** Whether what is restarted comes back at another address. */
+	/** Whether what is restarted comes back at another address; for a kill of the fleet, whether the targets are killed too. */
 	readonly isMoved: boolean;
 };
 
@@ -29,8 +29,8 @@
 	'instance-freeze': {weight: 3, minMs: 200, maxMs: 4000},
 	'zone-kill': {weight: 1, minMs: 200, maxMs: 2000},
 	'rolling-stop': {weight: 1, minMs: 500, maxMs: 2000},
-	'target-refuse': {weight: 6, minMs: 1000, maxMs: 6000},
-	'service-refuse': {weight: 4, minMs: 500, maxMs: 4000},
+	'target-refuse': {weight: 8, minMs: 1000, maxMs: 6000},
+	'service-refuse': {weight: 6, minMs: 500, maxMs: 4000},
 	'target-kill': {weight: 4, minMs: 50, maxMs: 3000},
 	'target-freeze': {weight: 3, minMs: 200, maxMs: 4000},
 	'target-reset': {weight: 3, minMs: 0, maxMs: 0},
@@ -39,11 +39,12 @@
 };
 
 const QUIET_START_MS = 2000;
-const MEAN_INTERVAL_MS = 700;
+const MEAN_INTERVAL_MS = 600;
 /** From the kill of the fleet to the end: its return, the time within which it must serve again, and the time that is judged. */
 export const FLEET_KILL_BEFORE_END_MS = 21_000;
 const FLEET_RETURN_MS = 1500;
 const MOVED_SHARE = 0.3;
+const TARGETS_KILLED_SHARE = 0.5;
 
 export type ScheduleOptions = {
 	readonly seed: number;
@@ -66,7 +67,7 @@
 
 	if (endsWithFleetKill) {
 		faults.push({
-			atMs: lastMs, kind: 'fleet-kill', index: 0, forMs: FLEET_RETURN_MS, isMoved: false,
+			atMs: lastMs, kind: 'fleet-kill', index: 0, forMs: FLEET_RETURN_MS, isMoved: random.uniform() < TARGETS_KILLED_SHARE,
 		});
 	}
 
--- a/test/soak/target.ts
+++ b/test/soak/target.ts
@@ -23,7 +23,9 @@
 const QUEUE_LENGTH = 8;
 const WORK_MIN_MS = 10;
 const WORK_RANGE_MS = 50;
+/** Shares of requests that are refused during the fault and otherwise. */
 const REFUSED_SHARE = 0.7;
+const USUAL_REFUSED_SHARE = 0.15;
 const COPIED_SHARE = 0.9;
 const COPY_DELAY_MAX_MS = 50;
 const HEAD_END = '\r\n\r\n';
@@ -310,7 +312,7 @@
 		this._writeCopies(connection, ({id: copied, time}) => time === 'arrival' || time === 'alone' || (time === 'same-id' && copied === id));
 		const isAbsent = service === 'llm' && !this._models.includes(headers['x-pollenarch-model'] ?? '');
 		const isFull = this._running >= SLOTS && this._queue.length >= QUEUE_LENGTH;
-		if (isAbsent || isFull || (this.isRefusing && this._random.uniform() < REFUSED_SHARE)) {
+		if (isAbsent || isFull || this._random.uniform() < (this.isRefusing ? REFUSED_SHARE : USUAL_REFUSED_SHARE)) {
 			this._refuse(connection, arrival, isAbsent ? 421 : refusalStatuses[Math.floor(this._random.uniform() * refusalStatuses.length)]!);
 			return;
 		}
@@ -342,7 +344,7 @@
 		const bytes = answer(status, [`X-Pollenarch-Request-Id: ${arrival.id}`, 'X-Pollenarch-Not-Executed: 1', `X-Pollenarch-Server-Load: ${this._load()}`]);
 		arrival.status = status;
 		this._write(connection, bytes);
-		if (!this.isRefusing || this._random.uniform() > COPIED_SHARE) {
+		if (this._random.uniform() > COPIED_SHARE) {
 			return;
 		}
 
