Targets: check the deadline and the caller's leaving right before a request is written

Cause: between the decision to send and the write lie the opening of a connection, or one immediate that runs in the same round of the event loop, before anything new is read. Nothing compared the deadline with the clock there, and the header stated what was left at the decision. Ruled out: the queue of undici, which takes one request a connection and writes it at once. Fix: the connection is opened first; then a round of the event loop is read; then the request is written, unless its caller has left or its time has passed. The deadline header is built at that moment. A try that is given up there waits for the deadline of the core, which cancels it and says nothing of the target. Added: event 224, request-delayed, and metrics of the steps of requests and of rounds of the event loop.

--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -42,6 +42,7 @@
 	'quota-unanswered': {number: 221, level: 'warn'},
 	'quota-answered': {number: 222, level: 'info'},
 	'quota-account-opened': {number: 223, level: 'info'},
+	'request-delayed': {number: 224, level: 'warn'},
 	'target-suspected': {number: 300, level: 'warn'},
 	'target-recovered': {number: 301, level: 'info'},
 	'target-restarted': {number: 302, level: 'warn'},
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -23,7 +23,7 @@
 import {createEffectHandlers, type EntryEffectHandlers} from './effect-handlers.js';
 import {countStoreCalls} from './counted-store.js';
 import {EntryLog} from './entry-log.js';
-import {EntryMetrics} from './entry-metrics.js';
+import {EntryMetrics, type RequestStep} from './entry-metrics.js';
 import {EventLoop} from './event-loop.js';
 import {Exchange} from './exchange.js';
 import {createHttpServer} from './http-server.js';
@@ -48,6 +48,14 @@
 /** Part of the grace period of a stop that is left for closing, after which the process is killed. */
 const CLOSE_MARGIN_MS = 200;
 
+type DelayedStep = {
+	readonly requestId: string;
+	readonly tryNumber?: number;
+	readonly waitedMs: number;
+	/** Time to the request's deadline; undefined if its caller stated none. */
+	readonly leftMs: number | undefined;
+};
+
 export type EntryDaemonOptions = {
 	readonly settings: EntrySettings;
 	readonly deployment: Deployment;
@@ -79,7 +87,12 @@
 	private readonly _metrics: EntryMetrics;
 	private readonly _servers: FastifyInstance[] = [];
 	private _tickTimer: NodeJS.Timeout | undefined;
-	private readonly _eventLoop = new EventLoop();
+	private readonly _eventLoop = new EventLoop({
+		onRound: ms => {
+			this._metrics.recordRound(ms);
+		},
+	});
+
 	private _tickAtMs = 0;
 	private _earlierTickAtMs = 0;
 	private _isStopped = false;
@@ -102,6 +115,7 @@
 		const {reuse} = settings.connections;
 		this.connections = new TargetConnections({
 			reuse,
+			eventLoop: this._eventLoop,
 			onConnection(use) {
 				metrics.recordConnection(use);
 			},
@@ -118,6 +132,11 @@
 		});
 		this.tryRunner = new TryRunner({
 			headerCodec: deployment.headerCodec, connections: this.connections, monotonicMs: () => clock.monotonicMs(), dispatch,
+			onWrite: ({requestId, tryNumber, waitedMs, leftMs}) => {
+				this._recordStep('write', {
+					requestId, tryNumber, waitedMs, leftMs,
+				});
+			},
 		});
 		this.callerListener = new CallerListener({
 			limits: () => this.limits,
@@ -342,6 +361,7 @@
 			return;
 		}
 
+		this._recordStep('admission', {requestId: id, waitedMs, leftMs: metadata.deadlineMs === undefined ? undefined : Math.round(metadata.deadlineMs - waitedMs)});
 		this.exchanges.set(id, exchange);
 		response.on('close', () => {
 			this._closeExchange(exchange);
@@ -368,6 +388,13 @@
 		});
 	}
 
+	private _recordStep(step: RequestStep, {waitedMs, ...fields}: DelayedStep): void {
+		this._metrics.recordStep(step, waitedMs);
+		if (waitedMs >= LOGGED_LATE_MS) {
+			this.log.write('request-delayed', {step, waitedMs: Math.round(waitedMs), ...fields});
+		}
+	}
+
 	/** The connection of a request has closed, or its response has been handed over completely. */
 	private _closeExchange(exchange: Exchange): void {
 		const {id, isFinished, isBrokenOff, isFlushed} = exchange;
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -23,6 +23,9 @@
 const MAX_WORKSPACE_LABELS = 31;
 const OTHER_WORKSPACES = 'others';
 
+/** A part of a request's way through this process. */
+export type RequestStep = 'admission' | 'write';
+
 export type EntryMetricsOptions = {
 	readonly state: EntryState;
 	readonly monotonicMs: () => number;
@@ -38,6 +41,8 @@
 	private readonly _duration = this._histogram('pollenarch_request_seconds', 'Time from arrival to the final answer.', DURATION_BUCKETS, ['outcome']);
 	private readonly _tries = this._histogram('pollenarch_request_tries', 'Tries that a request took.', TRY_BUCKETS, ['outcome']);
 	private readonly _tryWait = this._histogram('pollenarch_try_wait_seconds', 'Time from arrival to the sending of a try.', DURATION_BUCKETS, []);
+	private readonly _steps = this._histogram('pollenarch_request_step_seconds', 'Time that a step of a request took.', DURATION_BUCKETS, ['step']);
+	private readonly _rounds = this._histogram('pollenarch_event_loop_round_seconds', 'Length of a round of the event loop in which requests waited.', DURATION_BUCKETS, []);
 	private readonly _firstEvent = this._histogram('pollenarch_first_event_seconds', 'Time from arrival to a stream\'s first event.', DURATION_BUCKETS, []);
 	private readonly _longestPause = this._histogram('pollenarch_longest_pause_seconds', 'Longest pause between two events of a stream.', DURATION_BUCKETS, []);
 	private readonly _failedTries = this._counter('pollenarch_failed_tries_total', 'Tries without a whole answer.', ['outcome', 'target']);
@@ -120,6 +125,14 @@
 		this._storeCalls.inc({kind, outcome});
 	}
 
+	recordStep(step: RequestStep, ms: number): void {
+		this._steps.observe({step}, ms * SECONDS_PER_MS);
+	}
+
+	recordRound(ms: number): void {
+		this._rounds.observe(ms * SECONDS_PER_MS);
+	}
+
 	recordConnection(use: 'reused' | OpeningReason): void {
 		if (use === 'reused') {
 			this._reusedConnections.inc();
--- a/src/entry/kept-connections.ts
+++ b/src/entry/kept-connections.ts
@@ -6,12 +6,13 @@
 one whose response was not sound.
 */
 import {type Buffer} from 'node:buffer';
+import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import {setImmediate} from 'node:timers/promises';
 import {LRUCache} from 'lru-cache';
 import {buildConnector, type Dispatcher} from 'undici';
 import {GuardedClient} from '../daemon/gateways/guarded-client.js';
 import {ABORTED_SILENCE_MS} from './call-times.js';
+import {EventLoop} from './event-loop.js';
 
 export type IdleRule = {
 	/** How long a connection may be idle before it is used again, if the server states no time. */
@@ -26,12 +27,14 @@
 	readonly connectMs: number;
 	readonly idle: IdleRule;
 	readonly maxResponseBytes?: number;
+	readonly eventLoop?: EventLoop;
 };
 
 export type KeptRequest = {
 	readonly method: string;
 	readonly path: string;
-	readonly headers: string[];
+	/** A function is called right before the request is written; if it throws, nothing is. */
+	readonly headers: string[] | (() => string[]);
 	readonly body: Buffer | string | undefined;
 	readonly signal: AbortSignal;
 	/** Id that the server repeats in its response; absent if it repeats none. */
@@ -66,6 +69,8 @@
 type Connection = {
 	readonly number: number;
 	readonly client: GuardedClient;
+	/** A socket that was opened for the first request and has not been given to the client yet. */
+	unused: Socket | undefined;
 	/** Number of sockets that the client has opened: one that was closed while it was idle is replaced before a request is written. */
 	sockets: number;
 	/** The socket that carried the last response, by its number. */
@@ -116,8 +121,10 @@
 	private readonly _carriers = new LRUCache<string, readonly number[]>({max: CARRIED_REQUESTS_MAX});
 	private _lastNumber = 0;
 	private readonly _connectSocket: buildConnector.connector;
+	private readonly _eventLoop: EventLoop;
 
 	constructor(private readonly _options: KeptConnectionsOptions) {
+		this._eventLoop = _options.eventLoop ?? new EventLoop();
 		this._connectSocket = buildConnector({timeout: _options.connectMs});
 	}
 
@@ -135,14 +142,17 @@
 		const sentAtMs = performance.now();
 		const idleMs = sentAtMs - connection.idleSinceMs;
 		try {
-			if (kept) {
-				// What the server has sent or closed meanwhile is read before the request is written, so that it goes over a new connection.
-				await setImmediate();
+			const {method, path, headers, body, signal} = request;
+			if (!kept) {
+				connection.unused = await this._connect(address, signal);
 			}
 
-			const {method, path, headers, body, signal} = request;
-			const response = await connection.client.request({
-				method, path, headers, body, signal, responseHeaders: 'raw',
+			// What has arrived meanwhile is read before the request is written: that its caller has left, or that the server has closed a kept connection.
+			const response = await this._eventLoop.afterRead(async () => {
+				signal.throwIfAborted();
+				return connection.client.request({
+					method, path, headers: typeof headers === 'function' ? headers() : headers, body, signal, responseHeaders: 'raw',
+				});
 			});
 			request.onConnection?.(isReused(connection));
 			return this._receive({address, peer, connection}, request, response);
@@ -271,7 +281,17 @@
 			bodyTimeout: 0,
 			maxResponseSize: maxResponseBytes,
 			connect: (options, callback) => {
-				this._connectSocket(options, (...result) => {
+				const {unused} = connection;
+				connection.unused = undefined;
+				const connect: buildConnector.connector = unused && !unused.destroyed
+					? (_options, done) => {
+						// The client does not go on after a connector that calls back at once.
+						queueMicrotask(() => {
+							done(null, unused);
+						});
+					}
+					: this._connectSocket;
+				connect(options, (...result) => {
 					const [error, socket] = result;
 					if (error === null) {
 						connection.sockets++;
@@ -288,7 +308,7 @@
 		});
 		this._lastNumber++;
 		const connection: Connection = {
-			number: this._lastNumber, client, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
+			number: this._lastNumber, client, unused: undefined, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
 		};
 		this._clients.add(client);
 		client.on('disconnect', () => {
@@ -307,6 +327,29 @@
 		return connection;
 	}
 
+	private async _connect(address: string, signal: AbortSignal): Promise<Socket> {
+		const {host, hostname, port, protocol} = new URL(`http://${address}`);
+		return new Promise((resolve, reject) => {
+			const abort = () => {
+				reject(signal.reason as Error);
+			};
+
+			signal.addEventListener('abort', abort, {once: true});
+			this._connectSocket({
+				host, hostname, port, protocol,
+			}, (error, socket) => {
+				signal.removeEventListener('abort', abort);
+				if (error) {
+					reject(error);
+				} else if (signal.aborted) {
+					socket.destroy();
+				} else {
+					resolve(socket);
+				}
+			});
+		});
+	}
+
 	/** A connection was found closed after this idle time. */
 	private _learn(address: string, idleMs: number): void {
 		if (idleMs < LEARNED_MIN_MS) {
@@ -341,7 +384,8 @@
 		this._forgetUnused(address, peer);
 	}
 
-	private _close({client}: Connection): void {
+	private _close({client, unused}: Connection): void {
+		unused?.destroy();
 		this._clients.delete(client);
 		void client.destroy();
 	}
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -11,6 +11,7 @@
 import {errorCode} from '../daemon/gateways/connection-pool.js';
 import {callTimes} from './call-times.js';
 import {type RawHeaders} from './deployment.js';
+import {type EventLoop} from './event-loop.js';
 import {isServerAddress} from './server-address.js';
 import {KeptConnections, type IdleRule, type KeptResponse} from './kept-connections.js';
 
@@ -28,7 +29,8 @@
 export type TargetRequest = {
 	readonly method: string;
 	readonly path: string;
-	readonly headers: string[];
+	/** A function is called right before the request is written; if it throws, nothing is. */
+	readonly headers: string[] | (() => string[]);
 	readonly body: Buffer | undefined;
 	readonly signal: AbortSignal;
 	/** Id that the target repeats in its response; absent if it repeats none. */
@@ -49,6 +51,7 @@
 
 export type TargetConnectionsOptions = {
 	readonly reuse?: ReuseMode;
+	readonly eventLoop?: EventLoop;
 	/** Called for each request that is given a connection, and for each probe. */
 	readonly onConnection?: (use: 'reused' | OpeningReason) => void;
 };
@@ -63,7 +66,9 @@
 	private readonly _connections: KeptConnections;
 
 	constructor(private readonly _options: TargetConnectionsOptions = {}) {
-		this._connections = new KeptConnections({connectMs: callTimes.targetRequest.connectMs, idle: this._reusesAll ? STATED_IDLE : SHORT_IDLE});
+		this._connections = new KeptConnections({
+			connectMs: callTimes.targetRequest.connectMs, idle: this._reusesAll ? STATED_IDLE : SHORT_IDLE, eventLoop: _options.eventLoop,
+		});
 	}
 
 	private get _reusesAll(): boolean {
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -4,6 +4,7 @@
 complete events that belong to this request are passed on.
 */
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {type EntryEffectOf} from '../core/entry/effect.js';
 import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
 import {type StatedRateLimit} from '../core/entry/target.js';
@@ -37,9 +38,22 @@
 	readonly headerCodec: HeaderCodec;
 	readonly connections: TargetConnections;
 	readonly monotonicMs: () => number;
+	/** Called right before a try is written, or given up since the time for it has passed, which `leftMs` below 1 shows. */
+	readonly onWrite?: (write: TryWrite) => void;
 	readonly dispatch: (event: Untimed<EntryEventOf<'try-progressed'>> | Untimed<EntryEventOf<'try-ended'>>) => void;
 };
 
+export type TryWrite = {
+	readonly requestId: string;
+	readonly tryNumber: number;
+	/** Time since the try was decided on. */
+	readonly waitedMs: number;
+	readonly leftMs: number;
+};
+
+/** The time for a request passed before it was written. */
+class ExpiredError extends Error {}
+
 type TryResult = {
 	readonly outcome: TryOutcome;
 	readonly status?: number;
@@ -96,12 +110,24 @@
 
 	private async _sendAndRead(exchange: Exchange, effect: EntryEffectOf<'send'>, signal: AbortSignal): Promise<TryResult> {
 		const {headerCodec, connections} = this._options;
+		const decidedAtMs = this._options.monotonicMs();
 		let response: TargetResponse;
 		try {
 			response = await connections.request(effect.address, {
 				method: exchange.method,
 				path: exchange.path,
-				headers: this._buildHeaders(exchange, effect),
+				headers: () => {
+					const waitedMs = this._options.monotonicMs() - decidedAtMs;
+					const remainingMs = Math.floor(effect.remainingMs - waitedMs);
+					this._options.onWrite?.({
+						requestId: exchange.id, tryNumber: effect.tryNumber, waitedMs, leftMs: remainingMs,
+					});
+					if (remainingMs < 1) {
+						throw new ExpiredError();
+					}
+
+					return this._buildHeaders(exchange, {...effect, remainingMs});
+				},
 				body: exchange.body.length > 0 || hasLength(exchange.headers) ? exchange.body : undefined,
 				signal,
 				requestId: exchange.id,
@@ -111,6 +137,11 @@
 				maxIdleConnections: effect.maxIdleConnections,
 			});
 		} catch (error) {
+			if (error instanceof ExpiredError && !signal.aborted) {
+				// The core ends the request at its deadline, which says nothing of the target.
+				await once(signal, 'abort');
+			}
+
 			return {outcome: isUnwritten(error) ? 'not-sent' : 'broken', isRefused: errorCode(error) === REFUSED_CODE, reason: errorCode(error) || String(error)};
 		}
 
