Connections to targets: a response on a kept one names its request in both modes

What callers could see, with connections.reuse: repeatable: the error that belongs to another request, as the answer to their own.

Cause: only with `all` did a response on a connection that had carried others have to name its request. With `repeatable` one without an id and without a success status was accepted.

Evidence: reused-connections.test.ts, "with `repeatable`, an answer that names no request", 500 of another request before.

Change: the rule depends on the connection alone. On its first request a connection may bring such a response, as before. Copies of refusals bear an id, so this is not one of them.

--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -93,7 +93,7 @@
 				this._options.onConnection?.(use.carried > 0 ? 'reused' : reason);
 			},
 		});
-		return {...response, mustNameRequest: reusesAll && response.isReused};
+		return {...response, mustNameRequest: response.isReused};
 	}
 
 	/** Opens a connection and closes it at once. */
--- a/test/unit/reused-connections.test.ts
+++ b/test/unit/reused-connections.test.ts
@@ -27,12 +27,13 @@
 const store = new FakeStore();
 const runner = new FakeRunner('t-1');
 let instance: PlatformInstance;
+let storeAddress: string;
 let counter = 0;
 const limit = {timeout: 10_000};
 
 before(async () => {
 	await runner.start();
-	const storeAddress = await store.start();
+	storeAddress = await store.start();
 	store.put('op', 'config', configuration);
 	store.put('servers', runner.id, runner.entry('llm', 'north'));
 	instance = await startPlatformInstance({id: 'instance-1', storeAddress, reuse: 'all'});
@@ -155,3 +156,27 @@
 		assert.equal(arrivalsOf(id), 1);
 	});
 }
+
+// Guards against an answer to another request, without an id, that reaches the caller of the next one where only repeatable requests reuse connections.
+test('with `repeatable`, an answer that names no request on a kept connection is not passed on', limit, async t => {
+	const repeatable = await startPlatformInstance({id: 'instance-2', storeAddress});
+	t.after(async () => repeatable.daemon.stop());
+	while (!repeatable.daemon.isReady || repeatable.daemon.state.targets.size === 0) {
+		await delay(20, undefined, {signal: t.signal});
+	}
+
+	const ask = async (id: string) => {
+		const {statusCode, body} = await httpRequest(`http://${repeatable.callers}/look/1`, {headers: {host: 'a.example', 'x-pollenarch-request-id': id, 'x-pollenarch-request-deadline': '1500'}});
+		return [statusCode, await body.text()];
+	};
+
+	assert.deepEqual(await ask('first'), [200, 'answer of t-1 to first']);
+	while (!repeatable.daemon.connections.hasIdle(runner.address)) {
+		await delay(5, undefined, {signal: t.signal});
+	}
+
+	runner.behaviours = ['nameless-error'];
+	const [status, text] = await ask('second');
+	assert.equal(status, 502);
+	assert.doesNotMatch(String(text), /of another request/v);
+});
