Plan: consider models without a copy by the time for which they have been missing

Cause: a plan considers the 16 models with the largest possible gain. For a model without a copy that bound left out the worth of its absence, which is most of what the plan gives a rare one. Of more rare models than 16 the same ones were considered again and again, in the order of the configuration. Evidence: the test failed before (the plan took m2, missing for 0.2 s, and not m39, missing for 12 s). Change: the bound contains the same worth as the move's gain.

--- a/src/core/entry/desired-copies.ts
+++ b/src/core/entry/desired-copies.ts
@@ -3,7 +3,9 @@
 what the copy is worth.
 */
 import {type EngineModel} from './configuration.js';
-import {type PlanInput, type MoveReason, type PlannedTarget} from './plan-input.js';
+import {
+	type PlanInput, type MoveReason, type PlannedDemand, type PlannedTarget,
+} from './plan-input.js';
 import {type LoadEstimator} from './load-estimator.js';
 
 /** Worth of a copy that provides missing places for adapters in use, in requests a second served in time. */
@@ -12,6 +14,9 @@
 const MIN_SURGE_GAIN = 0.3;
 /** A model's first copy is loaded a second time only if that takes at most this share of the time that the load under way needs. */
 const FASTER_LOAD_SHARE = 0.5;
+/** Worth of ending the absence of a model that is requested, for each second of it. */
+const ABSENCE_WORTH_PER_SECOND = 1;
+const MAX_ABSENCE_WORTH = 20;
 /** Late requests a second from which another copy is considered. */
 const MIN_LATE_PER_SECOND = 0.2;
 
@@ -59,7 +64,7 @@
 	if (estimator.servingCopies(name) === 0) {
 		const maxDurationMs = Math.min(...holders.map(({loadingForMs}) => loadingForMs)) * FASTER_LOAD_SHARE;
 		return {
-			model, reason: 'no-copy', maxGain: estimator.costWithoutCopy(name) + (input.demand.get(name)?.waiting ?? 0), maxDurationMs,
+			model, reason: 'no-copy', maxGain: estimator.costWithoutCopy(name) + absenceWorth(input.demand.get(name)), maxDurationMs,
 		};
 	}
 
@@ -82,6 +87,11 @@
 		: undefined;
 }
 
+/** Requests that wait for the first copy of a model, and more the longer it is missing, so that even the rarest gets its turn. */
+export function absenceWorth(demand: PlannedDemand | undefined): number {
+	return demand ? demand.waiting + Math.min(MAX_ABSENCE_WORTH, ABSENCE_WORTH_PER_SECOND * demand.missingMs / 1000) : 0;
+}
+
 /** Whether that many copies of a model have too few places for its adapters in use. */
 export function lacksAdapterPlaces({input: {engine, demand}}: PlanContext, model: string, copies: number): boolean {
 	const adapters = demand.get(model)?.adapters.size ?? 0;
--- a/src/core/entry/plan-moves.ts
+++ b/src/core/entry/plan-moves.ts
@@ -6,7 +6,7 @@
 import {unreservedMemoryMb, isCached, loadTimeMs} from './engine-memory.js';
 import {type PlannedDemand, type PlannedMove, type PlannedTarget} from './plan-input.js';
 import {
-	ADAPTER_PLACES_WORTH, lacksAdapterPlaces, type PlanContext, type DesiredCopy, type Eviction,
+	absenceWorth, ADAPTER_PLACES_WORTH, lacksAdapterPlaces, type PlanContext, type DesiredCopy, type Eviction,
 } from './desired-copies.js';
 
 /** Demand for a model lasts about this long; a move that takes as long gains nothing. */
@@ -27,9 +27,6 @@
 const ORDER_TIME_COST_PER_SECOND = 0.35;
 /** Open requests per copy above which it counts as in use. */
 const BUSY_OPEN_REQUESTS = 0.5;
-/** Worth of ending the absence of a model that is requested, for each second of it. */
-const ABSENCE_WORTH_PER_SECOND = 1;
-const MAX_ABSENCE_WORTH = 20;
 /** Time in which instances learn of the first copy of a model and send it the requests that wait for it. */
 const FIRST_TURN_MS = 3000;
 /** Costs of a target, as a share of the gain: a copy in each zone saves traffic between zones, and tight memory is filled first. */
@@ -65,10 +62,8 @@
 	return gainPerSecond * Math.max(0, DEMAND_LIFETIME_MS - durationMs) / 1000;
 }
 
-/** Requests that wait for the first copy of a model, and more the longer it is missing, so that even the rarest gets its turn. */
 function waitingRequests({input}: PlanContext, {reason, model}: DesiredCopy): number {
-	const demand = input.demand.get(model.name);
-	return reason === 'no-copy' && demand ? demand.waiting + Math.min(MAX_ABSENCE_WORTH, ABSENCE_WORTH_PER_SECOND * demand.missingMs / 1000) : 0;
+	return reason === 'no-copy' ? absenceWorth(input.demand.get(model.name)) : 0;
 }
 
 function adapterWorth(planContext: PlanContext, {reason, model}: DesiredCopy): number {
--- a/src/core/entry/plan.test.ts
+++ b/src/core/entry/plan.test.ts
@@ -225,3 +225,15 @@
 		.map(({arguments: [{id}, {remove}]}) => `${id} ${remove[0]}`);
 	assert.equal(estimated.length, new Set(estimated).size);
 });
+
+// A plan considers the models with the largest possible gain. The time for which one had been missing was left out of that, so among many rare models some were never considered.
+test('of many models without a copy, the one that has been missing for longest has its turn', () => {
+	const names = Array.from({length: 40}, (_, index) => `m${index}`);
+	const many = {...engine, models: new Map(names.map(name => [name, {...engine.models.get('m0')!, name}]))};
+	const targets = [target('a', ['m0', 'm1']), target('b', ['m0', 'm1'])];
+	const rare = names.slice(2).map(name => [name, demand(0.4, 1, {objectiveMs: 4000, waiting: 1, missingMs: name === 'm39' ? 12_000 : 200})] as const);
+	const move = planMove({
+		engine: many, targets, demand: new Map([['m0', demand(1, 1)], ['m1', demand(1, 1)], ...rare]), storeLoads: 2, mechanisms: allMechanisms,
+	});
+	assert.equal(move?.wanted, 'm39');
+});
