Lease: a holder that follows itself twice goes on with what it knew

Where the answer to the write by which a late holder takes its own lease again is lost too, the row shows its own next epoch instead of the one that it held, and it forgot what it knew all the same. The test failed before (2 reports read anew). Why it is safe: the write was conditional on the row of the epoch that this instance held, so nobody else was between; the epoch in between counts as ended and is never held. The lease's property tests pass.

--- a/src/core/entry/lease.ts
+++ b/src/core/entry/lease.ts
@@ -230,6 +230,9 @@
 		endHeld(lease, lease.held);
 	}
 
+	noteUnansweredSuccession(state, {
+		revision, record, eraRevision, sinceMs: nowMs,
+	});
 	if (lease.observed?.revision !== revision || lease.observed.eraRevision !== eraRevision) {
 		lease.observed = {
 			revision, record, eraRevision, sinceMs: nowMs,
@@ -248,6 +251,15 @@
 	return record?.boot === self.boot && record.epoch === endedEpoch && record.epoch >= previous!.eraRevision;
 }
 
+/** The write by which this instance followed itself was applied although its response was lost. That epoch was never held and will not be; the next one follows it. */
+function noteUnansweredSuccession(state: EntryState, {record, eraRevision}: ObservedRow): void {
+	const {self, lease} = state;
+	const isApplied = !lease.held && record?.boot === self.boot && record.epoch === lease.requestedEpoch;
+	if (isApplied && eraRevision === lease.observed?.eraRevision && isOwnSuccessor(state, lease.observed)) {
+		lease.endedEpoch = Math.max(lease.endedEpoch, record.epoch);
+	}
+}
+
 type ConfirmedWrite = {
 	readonly revision: number;
 	readonly eraRevision: number;
--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -464,8 +464,8 @@
 	assert.equal(engine.loading, 'm3');
 });
 
-/** Has a holder renew too late and take the lease again, where the row shows `before` until then; returns the effects of the next half second. */
-function retakeLease(core: EntryHarness, before: LeaseRecord): EntryEffect[] {
+/** Has a holder renew too late and take the lease again, where the row shows `before` until then; returns the effects of the next half second. With `isLost` the answer to the first write, which is applied, is lost. */
+function retakeLease(core: EntryHarness, before: LeaseRecord, {isLost = false} = {}): EntryEffect[] {
 	const answer = (result: LeaseResult) => {
 		core.dispatch({
 			kind: 'lease-request-completed', result, sentAtMs: core.nowMs, sentAtWallMs: core.nowMs + core.wallOffsetMs,
@@ -475,9 +475,16 @@
 	core.nowMs += 2000;
 	core.advance(50);
 	answer({kind: 'row', revision: 6, record: before});
-	const wrote = core.advance(6000).some(({kind}) => kind === 'write-lease');
-	assert.ok(wrote);
-	answer({kind: 'written', revision: 7});
+	const [write] = effectsOfKind(core.advance(6000), 'write-lease');
+	assert.ok(write);
+	if (isLost) {
+		answer({kind: 'unknown'});
+		core.advance(1000);
+		answer({kind: 'row', revision: 7, record: write.record});
+		core.advance(1000);
+	}
+
+	answer({kind: 'written', revision: 8});
 	return core.advance(500);
 }
 
@@ -495,6 +502,18 @@
 	assert.equal(core.state.orderTracker.missingForMs('llm m3', false, core.nowMs), core.nowMs - missingSinceMs);
 });
 
+// As above: a late holder also gets the answers to its writes too late.
+test('a holder goes on with what it knew when the answer to taking its own lease again is lost', () => {
+	const {core, ...deployment} = createDeployment([['m0', 'm1'], ['m0', 'm2']]);
+	run({core, ...deployment}, 1000);
+	core.effects.length = 0;
+	const effects = retakeLease(core, {
+		holder: 'a', boot: 'a-1', epoch: 1, isReleased: false,
+	}, {isLost: true});
+	assert.equal(core.state.lease.held?.epoch, 3);
+	assert.equal(effectsOfKind(effects, 'read-report').length, 0);
+});
+
 // Copies that were still being unloaded took up all loads that may start from the weight store now, so two swaps at a time were under way in the whole deployment.
 test('swaps are begun at the weight store\'s rate while earlier ones wait for their unloads, and loads stay within it', () => {
 	const names = Array.from({length: 10}, (_, index) => `m${index}`);
