Test: memory is never overcommitted while a holder loses its lease and takes it again

Guards what a holder keeps since: 30 seeds with orders lost and executed late, and the holder held up beyond its lease before 2 % of the ticks. The engine stand-in answers renewals as the store does, so that a lease can be taken in a later epoch; the test without losses draws the same random numbers as before.

--- a/src/core/entry/orders.test.ts
+++ b/src/core/entry/orders.test.ts
@@ -145,7 +145,9 @@
 				kind: 'adapter-resolved', targetId: effect.targetId, name: effect.name, isHeld: effect.isHeld, sequence: effect.sequence,
 			});
 		} else if (effect.kind === 'write-lease') {
-			core.holdLease();
+			core.dispatch({
+				kind: 'lease-request-completed', result: {kind: 'written', revision: effect.expectedRevision + 1}, sentAtMs: core.nowMs, sentAtWallMs: core.nowMs + core.wallOffsetMs,
+			});
 		}
 	}
 }
@@ -222,7 +224,15 @@
 	assert.equal([...deployment.engines.values()].filter(({loading}) => loading).length, 2);
 });
 
-test('memory is never overcommitted when orders are lost or executed late', () => {
+// What a holder keeps over the loss of its lease must not let it give out memory twice.
+for (const lapseShare of [0, 0.02]) {
+	test(`memory is never overcommitted when orders are lost or executed late${lapseShare > 0 ? ' and the holder loses its lease and takes it again' : ''}`, () => {
+		checkMemory(lapseShare);
+	});
+}
+
+/** `lapseShare`: share of the ticks before which the holder is held up until its lease has ended. */
+function checkMemory(lapseShare: number): void {
 	for (let seed = 1; seed <= 30; seed++) {
 		let state = seed;
 		const random = () => {
@@ -237,6 +247,10 @@
 		};
 
 		run(deployment, 12_000, {orderFate}, () => {
+			if (lapseShare > 0 && random() < lapseShare) {
+				deployment.core.nowMs += 1600;
+			}
+
 			for (const engine of deployment.engines.values()) {
 				assert.ok(engine.usedMb <= 1000, `seed ${seed}: ${engine.usedMb} MB`);
 				if (engine.delayed.length > 0 && random() < 0.1) {
@@ -257,8 +271,9 @@
 		});
 		const held = new Set([...deployment.engines.values()].flatMap(({models}) => [...models]));
 		assert.ok(held.has('m0') && held.has('m1') && held.has('m2'), `seed ${seed}: the last copy of a model was unloaded`);
+		assert.ok(lapseShare === 0 || deployment.core.state.lease.endedEpoch > 0, `seed ${seed}: the lease was never lost`);
 	}
-});
+}
 
 test('loads from the weight store stay within its rate', () => {
 	const deployment = createDeployment([[], [], [], [], [], [], [], []]);
