--- a/test/soak/report.ts
+++ b/test/soak/report.ts
@@ -64,6 +64,7 @@
 		`Attempts: ${attempts.length}; ${countBy(attempts.map(({status, isWhole, hasLeft, error}) => hasLeft ? 'left' : (status === undefined ? (error || 'closed') : `${status}${isWhole ? '' : ' cut'}`)))}.`,
 		`Arrivals at targets: ${arrivals.length}, of which ${arrivals.filter(({ranAtMs}) => ranAtMs !== undefined).length} ran.`,
 		`Refusals written once more: ${copies.length}, ${copies.filter(({aheadOf}) => aheadOf !== undefined).length} of them while a request was under way on the connection, ${ownId} while the same id was.`,
+		`The soak's own process was at most ${record.ownLatenessMs.toFixed(0)} ms late.`,
 		`Faults: ${countBy(faults.map(({kind}) => kind))}.`,
 		'',
 		...Object.entries(findings).flatMap(([name, list]) => list.length === 0 ? [] : [`## ${name}`, '', ...list.slice(0, TRACED_MAX).flatMap(finding => describe(result, finding))]),
