--- a/test/unit/soak.test.ts
+++ b/test/unit/soak.test.ts
@@ -11,7 +11,6 @@
 
 const SEED = 1;
 const SECONDS = 25;
-const KNOWN_RED: Readonly<Record<string, string>> = {LOST: 'KNOWN-RED.txt, issue 64'};
 const bundle = new PlatformBundle();
 let result: SoakResult;
 
@@ -33,7 +32,7 @@
 
 for (const [name, {promise}] of Object.entries(judges)) {
 	// Guards against a break of the promise under kills, stops, freezes and refusals that are written once more.
-	test(`${name}: ${promise}`, {todo: KNOWN_RED[name]}, () => {
+	test(`${name}: ${promise}`, () => {
 		check(name);
 	});
 }
