--- a/src/entry/kept-connections.ts
+++ b/src/entry/kept-connections.ts
@@ -113,6 +113,8 @@
 };
 
 const MS_PER_S = 1000;
+/** Bytes of a response that are read while its reader takes none. */
+const READ_AHEAD_BYTES = 16 * 1024;
 /** Part of the idle time after which a connection was found closed, up to which others to the same address are used. */
 const LEARNED_SHARE = 0.5;
 /** A connection that is closed sooner was not closed for being idle. */
@@ -163,7 +165,7 @@
 			const response = await this._eventLoop.afterRead(async () => {
 				signal.throwIfAborted();
 				return connection.client.request({
-					method, path, headers: typeof headers === 'function' ? headers() : headers, body, signal, responseHeaders: 'raw',
+					method, path, headers: typeof headers === 'function' ? headers() : headers, body, signal, responseHeaders: 'raw', highWaterMark: READ_AHEAD_BYTES,
 				});
 			});
 			request.onConnection?.(useOf(connection));
