--- a/src/entry/buffer-budget.ts
+++ b/src/entry/buffer-budget.ts
@@ -32,6 +32,8 @@
 	progressAtMs = 0;
 	/** Whether the response states its length, so that it cannot be one without end. */
 	isEndKnown = false;
+	/** Bytes that have arrived since the last progress. */
+	arrivedBytes = 0;
 
 	/** `giveUp` frees the memory, and then has the account closed. */
 	constructor(private readonly _budget: BufferBudget, readonly giveUp: (error: Error) => void) {}
@@ -41,6 +43,11 @@
 		return this._budget.resize(this, bytes);
 	}
 
+	/** Records bytes that have arrived in the memory that the response takes. */
+	noteArrived(bytes: number): void {
+		this._budget.noteArrived(this, bytes);
+	}
+
 	/** Resolves the promise of `resize` although there is no room, for a response that will not be read on. */
 	stopWaiting(): void {
 		this._budget.stopWaiting(this);
@@ -55,7 +62,7 @@
 	private readonly _accounts = new Set<BufferAccount>();
 	/** The first one has waited the longest. */
 	private readonly _waiters: Waiter[] = [];
-	/** May exceed the limit until it is closed. */
+	/** May exceed the limit until it takes nothing any more. */
 	private _favored: BufferAccount | undefined;
 	private _totalBytes = 0;
 	private _checkTimer: NodeJS.Timeout | undefined;
@@ -74,6 +81,10 @@
 
 		if (counted < account.bytes || this._isGranted(account, counted)) {
 			this._take(account, counted);
+			if (counted === 0 && this._favored === account) {
+				this._favored = undefined;
+			}
+
 			this._serve();
 			return undefined;
 		}
@@ -89,6 +100,14 @@
 		});
 	}
 
+	noteArrived(account: BufferAccount, bytes: number): void {
+		account.arrivedBytes += bytes;
+		if (account.arrivedBytes >= PROGRESS_BYTES) {
+			account.arrivedBytes = 0;
+			account.progressAtMs = this._options.monotonicMs();
+		}
+	}
+
 	stopWaiting(account: BufferAccount): void {
 		const index = this._waiters.findIndex(waiter => waiter.account === account);
 		if (index !== -1) {
--- a/src/entry/held-body.ts
+++ b/src/entry/held-body.ts
@@ -20,6 +20,7 @@
 	private readonly _account: BufferAccount;
 	private _blocks = [new GrowingBuffer()];
 	private _length = 0;
+	private _isReleased = false;
 	private _reservedBytes: number = BLOCK_BYTES;
 
 	/** `statedBytes`: length that the response states; 0 if it states none. */
@@ -31,6 +32,11 @@
 		this._account.isEndKnown = _statedBytes > 0;
 	}
 
+	/** Whether the bytes were given up, or are not needed any more. */
+	get isReleased(): boolean {
+		return this._isReleased;
+	}
+
 	get length(): number {
 		return this._length;
 	}
@@ -38,6 +44,7 @@
 	/** If the bytes take too much memory, returns a promise that resolves once more may be appended. */
 	append(chunk: Buffer): Promise<void> | undefined {
 		this._length += chunk.length;
+		this._account.noteArrived(chunk.length);
 		let rest = chunk;
 		for (let block = this._blocks.at(-1); rest.length > 0; block = this._blocks.at(-1)) {
 			const room = BLOCK_BYTES - (block?.length ?? BLOCK_BYTES);
@@ -95,6 +102,7 @@
 
 	/** Frees the memory. */
 	release(): void {
+		this._isReleased = true;
 		this._blocks = [];
 		this._account.close();
 	}
