Tests: free ports are not those of outgoing connections

Cause: a free port was one that the system had just named, so it came from the range of outgoing connections (32768 to 60999 here), which other tests open by the hundred; one of them took it before the listener did. Ports are now drawn below that range. What the tests check is unchanged.

--- a/test/standins/free-ports.ts
+++ b/test/standins/free-ports.ts
@@ -1,11 +1,17 @@
 /**
 Finds ports that are free for TCP and UDP, for daemons whose settings must name their
-ports. Another process may take a port before the daemon listens on it.
+ports. They are below those that the system gives to outgoing connections, one of which
+could take a port before the daemon listens on it. Another test may still draw the same one.
 */
 import {createSocket, type Socket} from 'node:dgram';
 import {createServer, type AddressInfo, type Server} from 'node:net';
 
 const ATTEMPTS_MAX = 100;
+const FIRST_PORT = 10_000;
+/** The first port that Linux gives to outgoing connections, by default. */
+const END_PORT = 32_768;
+
+let nextPort = FIRST_PORT + Math.floor(Math.random() * (END_PORT - FIRST_PORT));
 
 export async function freePorts(count: number): Promise<number[]> {
 	const servers = await Promise.all(Array.from({length: count}, async () => listenOnFreePort()));
@@ -14,26 +20,28 @@
 	return ports;
 }
 
-/** A daemon's datagram port is free for TCP, so the system may name it when another test asks for a port. */
 async function listenOnFreePort(): Promise<Server> {
 	for (let attempt = 0; attempt < ATTEMPTS_MAX; attempt++) {
-		const server = await listen();
-
-		if (await isFreeForDatagrams((server.address() as AddressInfo).port)) {
+		const port = nextPort;
+		nextPort = port + 1 === END_PORT ? FIRST_PORT : port + 1;
+		const server = await listen(port);
+		if (server && await isFreeForDatagrams(port)) {
 			return server;
 		}
 
-		await close(server);
+		await (server && close(server));
 	}
 
 	throw new Error('No port is free for TCP and UDP');
 }
 
-async function listen(): Promise<Server> {
-	return new Promise((resolve, reject) => {
+async function listen(port: number): Promise<Server | undefined> {
+	return new Promise(resolve => {
 		const server = createServer();
-		server.once('error', reject);
-		server.listen(0, '127.0.0.1', () => {
+		server.once('error', () => {
+			resolve(undefined);
+		});
+		server.listen(port, '127.0.0.1', () => {
 			resolve(server);
 		});
 	});
