Probes: a process that was held up does not take targets for unreached

What callers could see: requests moved away from sound targets, which an instance that is late names as unreached to its zone.

Cause: a probe ended by a timer of the socket. After a hold-up that timer is handled before the connection that the target had accepted meanwhile, so the target counted as unanswered.

Change: the limit of a probe counts the time in which the event loop kept up, as that of calls does.

Read only, not changed: the timers of long polls and of polls that bring no change, of the rest of an answer, and the silence of tries and peers in the core.

--- a/src/entry/held-up-probes.test.ts
+++ b/src/entry/held-up-probes.test.ts
@@ -17,7 +17,7 @@
 }
 
 // Guards against sound targets that a late process takes for unreached, and names to its zone: the connection was accepted, and its timer was handled first.
-test('a target that accepts the connection of a probe counts as reached though the process was held up meanwhile', {timeout: 10_000, todo: 'KNOWN-RED.txt, issue 64'}, async t => {
+test('a target that accepts the connection of a probe counts as reached though the process was held up meanwhile', {timeout: 10_000}, async t => {
 	const server = createServer();
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -9,6 +9,7 @@
 import {connect} from 'node:net';
 import {type ProbeOutcome} from '../core/entry/event.js';
 import {errorCode} from '../daemon/gateways/connection-pool.js';
+import {startLoopTimer} from '../daemon/loop-timer.js';
 import {callTimes} from './call-times.js';
 import {type RawHeaders} from './deployment.js';
 import {type EventLoop} from './event-loop.js';
@@ -112,14 +113,15 @@
 		const [host, port] = address.split(':');
 		return new Promise(resolve => {
 			const socket = connect({host, port: Number(port)});
+			const timer = startLoopTimer(callTimes.targetRequest.connectMs, () => {
+				end('unanswered');
+			});
 			const end = (outcome: ProbeOutcome) => {
+				timer.cancel();
 				socket.destroy();
 				resolve(outcome);
 			};
 
-			socket.setTimeout(callTimes.targetRequest.connectMs, () => {
-				end('unanswered');
-			});
 			socket.once('connect', () => {
 				end('accepted');
 			});
