Connections to targets: a connection that brings little takes no turns

Suspected cause: reading in turns opened a round of the event loop for each chunk, so for each event of a stream.

Change: only what reaches 4 KB since the last turn takes one; the sum of a turn stays at the size of one chunk.

--- a/src/daemon/gateways/read-turns.ts
+++ b/src/daemon/gateways/read-turns.ts
@@ -2,7 +2,8 @@
 Shares the event loop between connections whose peers send faster than the process can
 handle. Node.js reads up to two megabytes from a socket in one round of the event loop, and
 a parser handles all of it at once. Here each connection yields one chunk in a round, and
-further ones only while the time for them lasts; the rest waits in its socket.
+further ones only while the time for them lasts; the rest waits in its socket. A connection
+that brings little, such as the events of a stream one by one, takes no turns.
 */
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
@@ -10,12 +11,16 @@
 
 /** Time for further chunks in a round of the event loop. */
 const TURNS_MS = 5;
+/** What a connection yields between two turns; a round costs processor time that each small chunk would need again. */
+const FREE_BYTES = 4 * 1024;
 
 type Turns = {
 	/** Chunks that may be read. */
 	granted: number;
-	/** Number of the last round in which a chunk was read. */
+	/** Number of the last round in which a turn was taken. */
 	round: number;
+	/** Bytes that were read since then. */
+	freeBytes: number;
 };
 
 /** Connections whose next chunk waits, the oldest first. */
@@ -54,7 +59,7 @@
 
 /** Has a socket yield its chunks in turns. `limitChunk` returns the size of the next one, and may destroy the socket. */
 export function readInTurns(socket: Socket, limitChunk: () => number): void {
-	const turns: Turns = {granted: 0, round: -1};
+	const turns: Turns = {granted: 0, round: -1, freeBytes: 0};
 	const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
 	socket.once('close', () => {
 		waiting.delete(socket);
@@ -72,13 +77,19 @@
 		}
 
 		turns.granted = 0;
-		turns.round = currentRound;
-		openRound();
-		const maxBytes = limitChunk();
+		const maxBytes = limitChunk() - turns.freeBytes;
 		if (socket.destroyed) {
 			return null;
 		}
 
-		return socket.readableLength > maxBytes ? read(maxBytes) : read();
+		const chunk = socket.readableLength > maxBytes ? read(maxBytes) : read();
+		turns.freeBytes += chunk?.length ?? 0;
+		if (turns.freeBytes >= FREE_BYTES) {
+			turns.freeBytes = 0;
+			turns.round = currentRound;
+			openRound();
+		}
+
+		return chunk;
 	};
 }
