Streams: an aborted wait for the caller is handled while memory is waited for

Found by the review, by reading: the wait for memory came first, and an abort of the wait for the caller meanwhile had nobody to handle it, which ends a process. Whether it can happen before the wait for memory ends was not shown. Both are waited for together now. No test of its own.

--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -375,10 +375,9 @@
 	}
 }
 
+/** Rejects with the first wait that is aborted, also while another one goes on. */
 async function all(...waits: ReadonlyArray<Promise<void> | undefined>): Promise<void> {
-	for (const wait of waits) {
-		await wait;
-	}
+	await Promise.all(waits);
 }
 
 function statedLimit({requestsPerSecond, declinesPerSecond}: ResponseMetadata): StatedRateLimit {
