--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -377,7 +377,7 @@
 
 /** Rejects with the first wait that is aborted, also while another one goes on. */
 async function all(...waits: ReadonlyArray<Promise<void> | undefined>): Promise<void> {
-	await Promise.all(waits);
+	await Promise.all(waits.filter(wait => wait !== undefined));
 }
 
 function statedLimit({requestsPerSecond, declinesPerSecond}: ResponseMetadata): StatedRateLimit {
