Logs: requests that a stop closes unread, and the event loop's delay when a try is moved for silence

The account of a connection is a class of its own now, begun at its accepting; nothing else changes. Conclusion: no change of logic.

--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -29,7 +29,8 @@
 
 type EntryEventBody =
 	| {readonly kind: 'started'; readonly self: EntryInstance; readonly bounds: EntryBounds; readonly seed: number; readonly mechanisms?: EnabledMechanisms; readonly paceMode?: PaceMode}
-	| {readonly kind: 'tick'}
+	/** `lateMs`: how late the event loop was with it. */
+	| {readonly kind: 'tick'; readonly lateMs?: number}
 	| {readonly kind: 'configuration-read'; readonly configuration: EntryConfiguration}
 	/** The store has answered whether there is a newer configuration than the last one read; `sentAtMs` and `storeMs` as for the registry. */
 	| {readonly kind: 'configuration-checked'; readonly sentAtMs: number; readonly sentAtWallMs?: number; readonly storeMs: number}
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -61,7 +61,10 @@
 		state.startedAtMs = context.nowMs;
 		logEvent(context, 'daemon-started', {instanceId: self.id, zone: self.zone, boot: self.boot});
 	},
-	tick: runPeriodicTasks,
+	tick(context, {lateMs = 0}) {
+		context.state.tickLateMs = lateMs;
+		runPeriodicTasks(context);
+	},
 	'configuration-read'(context, {configuration}) {
 		adoptConfiguration(context, configuration, 'store');
 	},
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -80,6 +80,8 @@
 	random: RandomGenerator;
 	lifecycle: 'starting' | 'serving' | 'draining' | 'stopped';
 	/** When the signal to stop may have been sent at the earliest, from which the grace period counts, and when it was noticed. */
+	/** How late the event loop was with the last tick. */
+	tickLateMs: number;
 	drainSinceMs: number;
 	drainNoticedAtMs: number;
 	/** Whether idle connections of callers are closed and no new ones accepted. */
@@ -213,6 +215,7 @@
 		pacesEnded: new RecentMap(MAX_PACES_ENDED),
 		random: xoroshiro128plus(0),
 		lifecycle: 'starting',
+		tickLateMs: 0,
 		drainSinceMs: 0,
 		drainNoticedAtMs: 0,
 		isCallerListenerClosed: false,
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -486,7 +486,7 @@
 	}
 
 	logEvent(context, 'connection-silent', {
-		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(context.nowMs - attempt.progressAtMs),
+		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(context.nowMs - attempt.progressAtMs), hasBegun: attempt.hasBegun, lateMs: Math.round(context.state.tickLateMs),
 	});
 	context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
 	endTry(context, request, attempt, 'canceled');
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -13,6 +13,7 @@
 import {type CallerLimits} from '../core/entry/configuration.js';
 import {createProblem} from '../daemon/problem.js';
 import {type ResultName} from '../core/result-codes.js';
+import {CallerConnection} from './caller-connection.js';
 import {type RawHeaders} from './deployment.js';
 import {type EventLoop} from './event-loop.js';
 import {createHttpServer} from './http-server.js';
@@ -49,7 +50,7 @@
 	readonly waitedMs: number;
 };
 
-export type DropReason = 'caller-left' | 'body-incomplete';
+export type DropReason = 'caller-left' | 'body-incomplete' | 'process-stopped';
 
 /** Where input that gets no further than the listener came from. */
 export type InputOrigin = {
@@ -58,15 +59,8 @@
 	readonly remotePort: number | undefined;
 	/** Requests that the connection had carried before. */
 	readonly earlierRequests: number;
-};
-
-type ConnectionUsage = {
-	/** Requests whose heads have been read. */
-	requests: number;
-	/** Requests whose responses are not flushed yet. */
-	open: number;
-	/** Bytes that had been received when the last response was flushed; more mean that another request has begun. */
-	bytesRead: number;
+	/** Bytes received of a request whose head is not complete. */
+	readonly unansweredBytes?: number;
 };
 
 type Answerable = {
@@ -76,7 +70,7 @@
 
 export class CallerListener {
 	private readonly _app: FastifyInstance;
-	private readonly _usage = new Map<Socket, ConnectionUsage>();
+	private readonly _connections = new Map<Socket, CallerConnection>();
 	private _server: Server | undefined;
 	private _idleCloseTimer: NodeJS.Timeout | undefined;
 
@@ -90,8 +84,11 @@
 					keepAlive: true,
 					noDelay: true,
 				}, handler);
+				this._server.prependListener('connection', socket => {
+					this._trackConnection(socket);
+				});
 				this._server.prependListener('request', (request, response) => {
-					this._trackRequest(request.socket, response);
+					this._connections.get(request.socket)?.beginRequest(response);
 				});
 				// Also called by the server's own `close`.
 				this._server.closeIdleConnections = () => {
@@ -137,7 +134,7 @@
 
 	/** Number of requests whose heads have been read and whose responses are not flushed yet. */
 	get openRequests(): number {
-		return [...this._usage.values()].reduce((sum, {open}) => sum + open, 0);
+		return [...this._connections.values()].reduce((sum, {open}) => sum + open, 0);
 	}
 
 	/** Applies the configured timeouts to new connections. */
@@ -158,28 +155,17 @@
 		}, IDLE_CLOSE_INTERVAL_MS);
 	}
 
-	private _trackRequest(socket: Socket, response: ServerResponse): void {
-		let usage = this._usage.get(socket);
-		if (!usage) {
-			usage = {requests: 0, open: 0, bytesRead: 0};
-			this._usage.set(socket, usage);
-			socket.once('close', () => {
-				this._usage.delete(socket);
-			});
-		}
-
-		usage.requests++;
-		usage.open++;
-		response.once('close', () => {
-			usage.open--;
-			usage.bytesRead = socket.bytesRead;
+	private _trackConnection(socket: Socket): void {
+		this._connections.set(socket, new CallerConnection(socket));
+		socket.once('close', () => {
+			this._connections.delete(socket);
 		});
 	}
 
 	/** Node counts a connection as idle as soon as its last response has been handed over, and would cut off what a slow caller has yet to read. */
 	private _closeIdleConnections(): void {
-		for (const [socket, {open, bytesRead}] of this._usage) {
-			if (open === 0 && socket.bytesRead === bytesRead) {
+		for (const {socket, requests, isIdle} of this._connections.values()) {
+			if (requests > 0 && isIdle) {
 				socket.destroy();
 			}
 		}
@@ -187,6 +173,12 @@
 
 	async close(): Promise<void> {
 		clearInterval(this._idleCloseTimer);
+		for (const {socket, unansweredBytes} of this._connections.values()) {
+			if (unansweredBytes > 0) {
+				this._options.onDropped('process-stopped', {...this._originOf(socket), unansweredBytes});
+			}
+		}
+
 		this._server?.closeAllConnections();
 		await this._app.close();
 	}
@@ -238,7 +230,7 @@
 	}
 
 	private _originOf(socket: Socket, request?: IncomingMessage): InputOrigin {
-		const requests = this._usage.get(socket)?.requests ?? 0;
+		const requests = this._connections.get(socket)?.requests ?? 0;
 		return {request, remotePort: socket.remotePort, earlierRequests: request ? requests - 1 : requests};
 	}
 
@@ -268,7 +260,7 @@
 	private _rejectLate(socket: Socket): void {
 		void (async () => {
 			await setImmediate();
-			if (!this._usage.get(socket)?.open) {
+			if (!this._connections.get(socket)?.open) {
 				this._rejectUnread(socket, 'headers-late', 'Request Timeout');
 			}
 		})();
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -267,7 +267,7 @@
 			}
 
 			dueAtMs = nowMs + TICK_MS;
-			this.dispatch({kind: 'tick'});
+			this.dispatch({kind: 'tick', lateMs});
 			if (this.state.lifecycle !== 'serving') {
 				// The platform kills the process at the end of the grace period, with what is still in the buffer.
 				this.log.flush();
@@ -418,13 +418,14 @@
 		return request && Math.round(this._clock.monotonicMs() - request.arrivedAtMs);
 	}
 
-	private _describeOrigin({request, remotePort, earlierRequests}: InputOrigin): Readonly<Record<string, unknown>> {
+	private _describeOrigin({request, remotePort, earlierRequests, unansweredBytes}: InputOrigin): Readonly<Record<string, unknown>> {
 		return {
 			requestId: request && this._idOf(request),
 			host: request?.headers.host,
 			path: request?.url?.split('?', 1)[0],
 			remotePort,
 			earlierRequests,
+			unansweredBytes,
 			configurationVersion: this.state.configuration?.version,
 		};
 	}
