--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -88,9 +88,9 @@
 	private _requests = 0;
 	private readonly _servers: Server[] = [];
 
-	static async start(bundle: PlatformBundle, nodeArguments: readonly string[] = []): Promise<StoppingProcess> {
+	static async start(bundle: PlatformBundle, nodeArguments: readonly string[] = [], limits: Partial<typeof configuration.limits> = {}): Promise<StoppingProcess> {
 		const stopping = new StoppingProcess();
-		await stopping._start(bundle, nodeArguments);
+		await stopping._start(bundle, nodeArguments, limits);
 		return stopping;
 	}
 
@@ -169,7 +169,7 @@
 		return this.lines.filter(line => line.requestId === requestId);
 	}
 
-	private async _start(bundle: PlatformBundle, nodeArguments: readonly string[]): Promise<void> {
+	private async _start(bundle: PlatformBundle, nodeArguments: readonly string[], limits: Partial<typeof configuration.limits>): Promise<void> {
 		const storeAddress = await this.store.start();
 		for (const id of ['i-1', 'i-2']) {
 			this.store.put('servers', id, {
@@ -177,7 +177,7 @@
 			});
 		}
 
-		this.store.put('op', 'config', configuration);
+		this.store.put('op', 'config', {...configuration, limits: {...configuration.limits, ...limits}});
 		const {listen, document} = await createDaemonSettings(storeAddress);
 		this.callersPort = Number(listen.callers.split(':')[1]);
 		this.process = bundle.start({...document, bounds: {...document.bounds as object, graceMs: GRACE_MS}}, nodeArguments);
