Callers: a limit for their connections

Cause: connections of callers had no bound but that of the process, which connections to targets, peers and the store need too. Change: beyond callers.maxConnections (1024) one is closed on which no request is being served, first one with part of a request. Ruled out: refusing new connections, which would let those that came first keep ordinary callers out.

--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -35,7 +35,7 @@
 	/** Connections whose bodies arrive in chunks so small that parsing them takes most of the time. */
 	readonly fragmented: Set<CallerConnection>;
 	readonly maxFragmented: number;
-	/** Called before the connection is closed for want of memory. */
+	/** Called before the connection is closed for others although something is under way on it. */
 	readonly onGivenUp: (connection: CallerConnection) => void;
 };
 
@@ -60,12 +60,7 @@
 				this._account.resize(this._heldBytes);
 			},
 		});
-		this._account = _options.memory.open({
-			isExpendable: () => this._isExpendable,
-			giveUp: () => {
-				this._giveUp();
-			},
-		});
+		this._account = _options.memory.open(this);
 		this.socket.once('close', () => {
 			_options.memory.close(this._account);
 		});
@@ -114,6 +109,27 @@
 		}
 	}
 
+	/** Whether the connection may be closed for others. A request that is served alone is left to its end, also where its response is large: the memory of responses has a limit of its own. */
+	get isExpendable(): boolean {
+		const [first, second] = this._open;
+		return first === undefined || second !== undefined || !first.request.complete || first.response.writableEnded;
+	}
+
+	/** Leaves what the connection takes to others: refuses a request whose body has not arrived, else closes the connection. */
+	giveUp(): void {
+		const last = this._open.at(-1);
+		if (this._open.length === 1 && last?.body) {
+			last.body.giveUp();
+			return;
+		}
+
+		if (!this.isIdle) {
+			this._options.onGivenUp(this);
+		}
+
+		this.socket.destroy();
+	}
+
 	/** Reads a body, whose memory counts until the response is flushed. */
 	async readBody(response: ServerResponse, createBody: (onGrowth: () => void) => IncomingBody): ReturnType<IncomingBody['read']> {
 		const resize = () => {
@@ -165,21 +181,4 @@
 
 		return bytes;
 	}
-
-	/** A request that is served alone is left to its end, also where its response is large: the memory of responses has a limit of its own. */
-	private get _isExpendable(): boolean {
-		const [first, second] = this._open;
-		return first === undefined || second !== undefined || !first.request.complete || first.response.writableEnded;
-	}
-
-	private _giveUp(): void {
-		const last = this._open.at(-1);
-		if (this._open.length === 1 && last?.body) {
-			last.body.giveUp();
-			return;
-		}
-
-		this._options.onGivenUp(this);
-		this.socket.destroy();
-	}
 }
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -46,6 +46,8 @@
 	readonly eventLoop: EventLoop;
 	/** Limit for the memory of all connections together, in bytes; without limit if absent. */
 	readonly memoryBytes?: number;
+	/** Limit for connections; without limit if absent. */
+	readonly maxConnections?: number;
 	/** Limit for bodies in very small chunks that arrive at once; without limit if absent. */
 	readonly fragmentedBodies?: number;
 	/** Receives a request with its complete body, and how long ago its head was read. */
@@ -203,6 +205,7 @@
 				},
 			});
 			const {socket} = connection;
+			this._makeRoom();
 			this._connections.set(socket, connection);
 			socket.once('close', () => {
 				this._connections.delete(socket);
@@ -213,6 +216,18 @@
 		});
 	}
 
+	/** Descriptors have to be left for the connections to targets. */
+	private _makeRoom(): void {
+		if (this._connections.size < (this._options.maxConnections ?? Number.POSITIVE_INFINITY)) {
+			return;
+		}
+
+		// The map has them in the order in which they were accepted. Those that callers have kept go last.
+		const expendable = [...this._connections.values()].filter(({isExpendable}) => isExpendable);
+		const chosen = expendable.find(({isIdle}) => !isIdle) ?? expendable.find(({requests}) => requests === 0) ?? expendable[0];
+		chosen?.giveUp();
+	}
+
 	/**
 	Closes the connections that are idle before and after everything that had arrived was read. Node counts a connection as idle as soon as
 	its last response has been handed over, and would cut off what a slow caller has yet to read.
--- a/src/entry/caller-memory.ts
+++ b/src/entry/caller-memory.ts
@@ -12,7 +12,7 @@
 /** What a connection is to the memory that it holds. */
 export type MemoryHolder = {
 	/** Whether the connection may be given up. */
-	isExpendable(): boolean;
+	readonly isExpendable: boolean;
 	/** Releases most of the memory at once. */
 	giveUp(): void;
 };
@@ -66,7 +66,7 @@
 	private _giveUpLargest(): void {
 		let largest: MemoryAccount | undefined;
 		for (const account of this._accounts) {
-			if (account.bytes > (largest?.bytes ?? 0) && account.holder.isExpendable()) {
+			if (account.bytes > (largest?.bytes ?? 0) && account.holder.isExpendable) {
 				largest = account;
 			}
 		}
--- a/test/standins/caller-crowd.ts
+++ b/test/standins/caller-crowd.ts
@@ -40,6 +40,7 @@
 	'requests sent ahead for a path without a route, answers unread': {
 		bytes: id => Buffer.from(Array.from({length: REQUESTS_AHEAD}, (_, index) => `GET /nowhere HTTP/1.1\r\nHost: a.example\r\nX-Pollenarch-Request-Id: ${id}-${index}\r\n\r\n`).join('')),
 	},
+	'heads short of their end': {bytes: id => Buffer.from(head(id, 'Content-Length: 1').slice(0, -2))},
 } as const satisfies Record<string, Form>;
 
 export type CrowdForm = keyof typeof crowdForms;
--- a/test/unit/clients-outside-limits.test.ts
+++ b/test/unit/clients-outside-limits.test.ts
@@ -16,6 +16,8 @@
 const MEMORY_MAX_BYTES = 272 * MB;
 /** Descriptors beside those of the crowd, which has left. */
 const DESCRIPTORS_MAX = 100;
+/** Of callers, by the default settings. */
+const CONNECTIONS_MAX = 1024;
 /** For everything that the process takes; and for the ordinary request, many times what it takes. */
 const SENDING_MS = 20_000;
 const ANSWER_MS = 30_000;
@@ -28,7 +30,7 @@
 	'bodies of one large chunk, short of their end': 300,
 	'bodies of chunks of one byte, short of their end': 150,
 	'requests sent ahead for a path without a route, answers unread': 30,
-} as const satisfies Record<CrowdForm, number>;
+} as const satisfies Partial<Record<CrowdForm, number>>;
 
 const bundle = new PlatformBundle();
 before(async () => {
@@ -74,3 +76,28 @@
 		assert.ok(bytes <= MEMORY_MAX_BYTES, `${Math.round(bytes / MB)} MB`);
 	});
 }
+
+// Guards against connections that send nothing whole and take the descriptors that requests need at targets.
+test('3000 connections with heads short of their end: descriptors stay bounded, and a request is answered beside them', async t => {
+	const stopping = await StoppingProcess.start(bundle, [], {headerTimeoutMs: 60_000});
+	const crowd = new CallerCrowd(stopping.callersPort);
+	t.after(async () => {
+		crowd.leave();
+		await stopping.close();
+	});
+	const pid = stopping.process.pid!;
+	let descriptors = 0;
+	const sampling = setInterval(() => {
+		descriptors = Math.max(descriptors, readdirSync(`/proc/${pid}/fd`).length);
+	}, 20);
+	t.after(() => {
+		clearInterval(sampling);
+	});
+	await crowd.send('heads short of their end', 3000, SENDING_MS);
+	await delay(STAY_MS);
+	const answer = await Promise.race([stopping.call(new Agent(), '/read/0'), delay(ANSWER_MS)]);
+	assert.equal(answer?.status, 200);
+	assert.equal(stopping.exitCode, undefined);
+	t.diagnostic(`${descriptors} descriptors, ${Math.round(peakBytes(pid) / MB)} MB at most`);
+	assert.ok(descriptors <= CONNECTIONS_MAX + DESCRIPTORS_MAX, `${descriptors} descriptors`);
+});
