Callers: a 400 for what follows a request is not written in place of its answer

Callers outside the limits saw: a request, whole, and then bytes that are no HTTP: 400 as the first response on the connection, while the request ran; its own answer followed, to no request. Cause: the response to malformed input is written to the connection whatever is open on it.

--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -109,6 +109,19 @@
 		}
 	}
 
+	/** Whether a request that was read whole has no response yet, so that what is written next is taken for it. */
+	get owesResponse(): boolean {
+		return this._open.some(({request, response}) => request.complete && !response.writableEnded);
+	}
+
+	/** Closes the connection after the responses to the requests that were read whole. */
+	closeAfterResponses(): void {
+		const last = this._open.findLast(({request}) => request.complete);
+		last?.response.once('close', () => {
+			this.socket.destroySoon();
+		});
+	}
+
 	/** Whether the connection may be closed for others. A request that is served alone is left to its end, also where its response is large: the memory of responses has a limit of its own. */
 	get isExpendable(): boolean {
 		const [first, second] = this._open;
--- a/src/entry/caller-listener.test.ts
+++ b/src/entry/caller-listener.test.ts
@@ -2,12 +2,13 @@
 Requests whose callers have left before they are read, since the process was held up.
 */
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {after, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type CallerLimits} from '../core/entry/configuration.js';
 import {freePorts} from '../../test/standins/free-ports.js';
-import {CallerListener, defaultLimits} from './caller-listener.js';
+import {CallerListener, defaultLimits, type CallerListenerOptions} from './caller-listener.js';
 import {EventLoop} from './event-loop.js';
 
 const HELD_UP_MS = 200;
@@ -23,15 +24,20 @@
 
 type Received = {readonly listener: CallerListener; readonly socket: Socket; readonly text: () => string};
 
-async function connectTo(limits: () => CallerLimits | undefined): Promise<Received> {
+async function listenWith(onRequest: CallerListenerOptions['onRequest'], limits: CallerListenerOptions['limits'] = () => defaultLimits): Promise<{readonly listener: CallerListener; readonly port: number}> {
 	const listener = new CallerListener({
-		limits, eventLoop: new EventLoop(), onRejected: () => undefined, onDropped: () => undefined, onRequest(_request, response) {
-			response.end('x');
-		},
+		limits, eventLoop: new EventLoop(), onRejected: () => undefined, onDropped: () => undefined, onRequest,
 	});
 	const [port] = await freePorts(1) as [number];
 	await listener.listen('127.0.0.1', port);
 	after(async () => listener.close());
+	return {listener, port};
+}
+
+async function connectTo(limits: () => CallerLimits | undefined): Promise<Received> {
+	const {listener, port} = await listenWith((_request, response) => {
+		response.end('x');
+	}, limits);
 	const socket = connect(port, '127.0.0.1');
 	let text = '';
 	socket.on('error', () => undefined);
@@ -43,15 +49,10 @@
 
 async function receive({leaves}: {readonly leaves: boolean}): Promise<number> {
 	let received = 0;
-	const listener = new CallerListener({
-		limits: () => defaultLimits, eventLoop: new EventLoop(), onRejected: () => undefined, onDropped: () => undefined, onRequest(_request, response) {
-			received++;
-			response.end('x');
-		},
+	const {port} = await listenWith((_request, response) => {
+		received++;
+		response.end('x');
 	});
-	const [port] = await freePorts(1) as [number];
-	await listener.listen('127.0.0.1', port);
-	after(async () => listener.close());
 	const sockets = await Promise.all(Array.from({length: 5}, async () => new Promise<Socket>(resolve => {
 		const socket = connect(port, '127.0.0.1', () => {
 			resolve(socket);
@@ -101,3 +102,22 @@
 		}
 	}
 });
+
+// Guards against a 400 for what follows a request on its connection, which its caller would take for the answer to the request (MIXED).
+test('input that is no HTTP after a request does not answer the request', async () => {
+	const {port} = await listenWith((_request, response) => {
+		setTimeout(() => {
+			response.end('x');
+		}, 100);
+	});
+	const socket = connect(port, '127.0.0.1');
+	let text = '';
+	socket.on('error', () => undefined);
+	socket.on('data', data => {
+		text += data.toString('latin1');
+	});
+	socket.write(`${REQUEST}no HTTP at all\r\n\r\n`);
+	await once(socket, 'close');
+	assert.match(text, /^HTTP\/1\.1 200 /v);
+	assert.equal(text.split('HTTP/1.1').length, 2, text);
+});
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -364,6 +364,13 @@
 			return;
 		}
 
+		const connection = this._connections.get(socket);
+		if (connection?.owesResponse) {
+			this._options.onRejected(code, detail, this._originOf(socket));
+			connection.closeAfterResponses();
+			return;
+		}
+
 		const problem = createProblem(code, {detail});
 		this._options.onRejected(code, detail, this._originOf(socket));
 		socket.end([
@@ -374,7 +381,7 @@
 			'',
 			problem.body,
 		].join('\r\n'));
-		this._connections.get(socket)?.socket.destroySoon();
+		connection?.socket.destroySoon();
 	}
 }
 
