--- a/src/entry/incoming-body.ts
+++ b/src/entry/incoming-body.ts
@@ -37,6 +37,10 @@
 	async read(): Promise<Buffer | BodyFault> {
 		const {timeoutMs} = this._options;
 		const request = this._request;
+		if (request.destroyed) {
+			return 'broken';
+		}
+
 		let timer: NodeJS.Timeout | undefined;
 		if (timeoutMs !== undefined) {
 			timer = setTimeout(() => {
