--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -45,7 +45,7 @@
 	requests = 0;
 	/** In the order of their responses. */
 	private _open: OpenRequest[] = [];
-	/** Bytes that had been received when the last response was flushed; more mean that another request has begun. */
+	/** Bytes that had been parsed when the last response was flushed; more that were received mean that another request has begun. */
 	private _answeredBytes = 0;
 	private readonly _acceptedAtMs = performance.now();
 	private readonly _account: MemoryAccount;
@@ -93,7 +93,7 @@
 		});
 		response.once('close', () => {
 			this._open = this._open.filter(open => open.response !== response);
-			this._answeredBytes = this.socket.bytesRead;
+			this._answeredBytes = this.socket.parsedBytes;
 			this.socket.readOn();
 		});
 	}
