--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -78,12 +78,12 @@
 	/** Limits that have ended, by target, with the epoch at which they did. */
 	readonly pacesEnded: RecentMap<{readonly epoch: number; readonly atMs: number}>;
 	random: RandomGenerator;
-	lifecycle: 'starting' | 'serving' | 'draining' | 'stopped';
-	/** When the signal to stop may have been sent at the earliest, from which the grace period counts, and when it was noticed. */
 	/** How late the event loop was with the last tick. */
 	tickLateMs: number;
 	/** Everything that had arrived by then has been handled: only silence up to then is that of others. */
 	readUntilMs: number;
+	lifecycle: 'starting' | 'serving' | 'draining' | 'stopped';
+	/** When the signal to stop may have been sent at the earliest, from which the grace period counts, and when it was noticed. */
 	drainSinceMs: number;
 	drainNoticedAtMs: number;
 	/** Whether idle connections of callers are closed and no new ones accepted. */
--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -15,7 +15,7 @@
 /** Memory of a request beside its body: its headers, and the objects that serve it. */
 const REQUEST_BYTES = 8 * 1024;
 
-/** Framing that a body may bring along, beside as much as its content: chunks of six bytes and more never reach it. */
+/** Framing that a body may bring along, beside as much as its content: chunks of five bytes and more never reach it. */
 const FRAMING_BYTES_MAX = 64 * 1024;
 
 /** A request whose response is not flushed yet. */
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -54,7 +54,7 @@
 		memoryBytes: z.int().positive().default(32 * 1024 * 1024),
 		/** Limit for connections of callers; descriptors have to be left for those to targets, peers and the store. */
 		maxConnections: z.int().positive().default(1024),
-		/** Bodies in chunks of under six bytes that may arrive at once. */
+		/** Bodies in chunks of under five bytes that may arrive at once. */
 		fragmentedBodies: z.int().nonnegative().default(16),
 	}).prefault({}),
 	pace: z.strictObject({
