Callers: input after a request is parsed until the request is passed on

Cause: counted every whole request as being served, and input after it was held up as soon as it was whole, so that what follows it was found to be no HTTP only after its answer. Change: input is held up once the request has been passed on, or a second one is whole; malformed input before that gets 400 and drops the request, as until; after it, the connection is closed behind the answer.

--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -28,6 +28,8 @@
 	body: IncomingBody | undefined;
 	/** Length of the body that is kept for its targets. */
 	keptBytes: number;
+	/** Whether it is being served. Until then, input after it may still show that it is not valid. */
+	isPassedOn: boolean;
 };
 
 export type CallerConnectionOptions = {
@@ -52,7 +54,7 @@
 
 	constructor(socket: Socket, private readonly _options: CallerConnectionOptions) {
 		this.socket = new CallerSocket(socket, {
-			isHeld: () => this._open.at(-1)?.request.complete ?? false,
+			isHeld: () => this._isHeld,
 			onYield: () => {
 				this._limitFragmented();
 			},
@@ -89,7 +91,7 @@
 	beginRequest(request: IncomingMessage, response: ServerResponse): void {
 		this.requests++;
 		this._open.push({
-			request, response, parsedBytes: this.socket.parsedBytes, body: undefined, keptBytes: 0,
+			request, response, parsedBytes: this.socket.parsedBytes, body: undefined, keptBytes: 0, isPassedOn: false,
 		});
 		response.once('close', () => {
 			this._open = this._open.filter(open => open.response !== response);
@@ -109,19 +111,27 @@
 		}
 	}
 
-	/** Whether a request that was read whole has no response yet, so that what is written next is taken for it. */
+	/** Whether a request that is being served has no response yet, so that what is written next is taken for it. */
 	get owesResponse(): boolean {
-		return this._open.some(({request, response}) => request.complete && !response.writableEnded);
+		return this._open.some(({response, isPassedOn}) => isPassedOn && !response.writableEnded);
 	}
 
-	/** Closes the connection after the responses to the requests that were read whole. */
-	closeAfterResponses(): void {
-		const last = this._open.findLast(({request}) => request.complete);
-		last?.response.once('close', () => {
+	/** Closes the connection after the response to the request that is being served. */
+	closeAfterResponse(): void {
+		const served = this._open.find(({isPassedOn}) => isPassedOn);
+		served?.response.once('close', () => {
 			this.socket.destroySoon();
 		});
 	}
 
+	/** The request is being served from now on. */
+	passOn(response: ServerResponse): void {
+		const open = this._open.find(candidate => candidate.response === response);
+		if (open) {
+			open.isPassedOn = true;
+		}
+	}
+
 	/** Whether the connection may be closed for others. A request that is served alone is left to its end, also where its response is large: the memory of responses has a limit of its own. */
 	get isExpendable(): boolean {
 		const [first, second] = this._open;
@@ -186,6 +196,11 @@
 		}
 	}
 
+	private get _isHeld(): boolean {
+		const last = this._open.at(-1);
+		return last !== undefined && last.request.complete && (last.isPassedOn || this._open.length > 1);
+	}
+
 	private get _heldBytes(): number {
 		let bytes = this.socket.bufferedBytes;
 		for (const {body, keptBytes} of this._open) {
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -306,6 +306,7 @@
 			return;
 		}
 
+		connection.passOn(response);
 		this._options.onRequest(request, response, received);
 	}
 
@@ -367,7 +368,7 @@
 		const connection = this._connections.get(socket);
 		if (connection?.owesResponse) {
 			this._options.onRejected(code, detail, this._originOf(socket));
-			connection.closeAfterResponses();
+			connection.closeAfterResponse();
 			return;
 		}
 
