Metrics: answers that are broken off, and connections of callers that are closed

Ruled out: lines per connection, of which there would be hundreds a second. Change: two counters, pollenarch_broken_off_answers_total by code and pollenarch_caller_connections_closed_total by reason. No logic changes. Conclusion: the first two hypotheses are told apart by 303, 206, 207 and 205 of one request, the third by the counter.

--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -55,6 +55,8 @@
 	readonly onRejected: (code: ResultName, detail: string, origin: InputOrigin) => void;
 	/** Called for a request that is dropped without a response, since its caller has closed the connection. */
 	readonly onDropped: (reason: DropReason, origin: InputOrigin) => void;
+	/** Called before this process closes a connection that owes no response. */
+	readonly onClosing?: (reason: CloseReason) => void;
 };
 
 export type ReceivedBody = {
@@ -64,6 +66,8 @@
 
 export type DropReason = 'caller-left' | 'body-incomplete' | 'process-stopped' | 'input-overload';
 
+export type CloseReason = 'idle' | 'stopping' | 'given-up';
+
 /** Where input that gets no further than the listener came from. */
 export type InputOrigin = {
 	/** Undefined if the input is no request. */
@@ -201,10 +205,14 @@
 				fragmented: this._fragmented,
 				maxFragmented: this._options.fragmentedBodies ?? Number.POSITIVE_INFINITY,
 				onGivenUp: ({socket}) => {
+					this._options.onClosing?.('given-up');
 					this._options.onDropped('input-overload', this._originOf(socket));
 				},
 			});
 			const {socket} = connection;
+			socket.once('timeout', () => {
+				this._options.onClosing?.('idle');
+			});
 			this._makeRoom();
 			this._connections.set(socket, connection);
 			socket.once('close', () => {
@@ -238,6 +246,7 @@
 		await readArrived();
 		for (const {socket, isIdle} of idle) {
 			if (isIdle) {
+				this._options.onClosing?.('stopping');
 				socket.destroy();
 			}
 		}
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -155,6 +155,9 @@
 			onDropped: (reason, origin) => {
 				this.log.write('request-unanswered', {reason, ...this._describeOrigin(origin)});
 			},
+			onClosing(reason) {
+				metrics.recordClosedConnection(reason);
+			},
 		});
 		this.datagramSocket = new DatagramSocket(datagram => {
 			dispatch(toEvent(datagram));
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -13,6 +13,7 @@
 import {type WorkspaceUse} from '../core/entry/quota-state.js';
 import {isLimited, isUsable} from '../core/entry/target.js';
 import {type EntryState} from '../core/entry/state.js';
+import {type CloseReason} from './caller-listener.js';
 import {type OpeningReason} from './target-connections.js';
 
 const SECONDS_PER_MS = 0.001;
@@ -52,6 +53,8 @@
 	private readonly _newConnections = this._counter('pollenarch_new_connections_total', 'Connections opened to targets, and to other instances for requests.', ['reason']);
 	private readonly _reusedConnections = this._counter('pollenarch_reused_connections_total', 'Requests to targets over a connection that had carried others.', []);
 	private readonly _unanswered = this._counter('pollenarch_unanswered_requests_total', 'Requests whose connection was closed without a whole answer, for a reason outside the reducer.', ['reason']);
+	private readonly _brokenOff = this._counter('pollenarch_broken_off_answers_total', 'Answers that had begun and ended with their connection, before the caller left.', ['outcome']);
+	private readonly _closedConnections = this._counter('pollenarch_caller_connections_closed_total', 'Connections of callers that this instance closed.', ['reason']);
 	private readonly _quotaRefusals = this._counter('pollenarch_quota_refused_total', 'Requests refused with 429, by workspace.', ['workspace']);
 	private readonly _workspaceLabels = new Set<string>();
 	private readonly _events = this._counter('pollenarch_events_total', 'Log events, written or left out.', ['event']);
@@ -62,6 +65,9 @@
 		},
 		'request-ended': fields => {
 			this._recordRequestEnd(toText(fields.outcome), fields);
+			if (fields.isBrokenOff === true) {
+				this._brokenOff.inc({outcome: toText(fields.outcome)});
+			}
 		},
 		'request-refused': fields => {
 			this._requests.inc({outcome: toText(fields.code), route: ''});
@@ -133,6 +139,10 @@
 		this._rounds.observe(ms * SECONDS_PER_MS);
 	}
 
+	recordClosedConnection(reason: CloseReason): void {
+		this._closedConnections.inc({reason});
+	}
+
 	recordConnection(use: 'reused' | OpeningReason): void {
 		if (use === 'reused') {
 			this._reusedConnections.inc();
