Tries: a silent try goes on beside the one that is sent for it

Cause: an irrevocable step before what it depends on is known. A try that was silent was cancelled as soon as another target was chosen; from then on the request depended on a target of which nothing was known, and its failure ended the answer. Ruled out: leaving begun streams at targets that are heard by other means. A target whose engine has stopped is heard by its probes, and all of its streams would stay until their callers leave. Going back to the first target after the second has failed: the run begins anew, and pauses anew. Change: the request is sent to another target as well, and both tries stay open, within maxAttempts and the retry budget as before. The first that brings the next event or the whole answer ends the others: the exchange claims the answer for it before a byte is written, so that no pieces of two runs are joined. A try that fails ends nothing while another is open, and the one left alone is watched again. Open tries stand in a file of their own. The silence of a try counts against its target at once, as before; that the request may have run, only when the try has ended. Conclusion: no request ends early for silence while a target that has it is at work.

--- a/src/core/entry/closing.ts
+++ b/src/core/entry/closing.ts
@@ -7,6 +7,7 @@
 import {knownAgeMs} from './configuration-watch.js';
 import {recordClosed} from './demand.js';
 import {dispatchTarget} from './dispatch.js';
+import {currentTry, openTries} from './open-tries.js';
 import {queueOf} from './queues.js';
 import {refundCharge} from './quotas.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
@@ -49,13 +50,15 @@
 
 	const attempt = currentTry(request);
 	const heardAtMs = attempt && state.targets.get(attempt.targetId)?.heardAtMs;
-	if (attempt) {
-		context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
-		endTry(context, request, attempt, 'canceled');
-	} else {
+	if (!attempt) {
 		queueOf(state, request.queueKey).remove(request);
 	}
 
+	for (const open of openTries(request)) {
+		context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: open.number});
+		endTry(context, request, open, 'canceled');
+	}
+
 	if (outcome === 'answered') {
 		recordAnswerTime(state, request, nowMs - request.arrivedAtMs);
 	} else if (request.charge) {
@@ -99,11 +102,6 @@
 		: {firstEventMs: Math.round(first - arrivedAtMs), longestPauseMs: Math.round(Math.max(...tries.map(({longestPauseMs}) => longestPauseMs ?? 0)))};
 }
 
-export function currentTry(request: EntryRequest): EntryTry | undefined {
-	const last = request.tries.at(-1);
-	return last?.outcome === undefined ? last : undefined;
-}
-
 /** Ends a try and dispatches waiting requests to the slot that it frees. */
 export function endTry(context: EntryContext, request: EntryRequest, attempt: EntryTry, outcome: NonNullable<EntryTry['outcome']>): void {
 	attempt.outcome = outcome;
--- a/src/core/entry/crash-suspects.ts
+++ b/src/core/entry/crash-suspects.ts
@@ -7,8 +7,9 @@
 sent to a target.
 */
 import {QUARANTINE_CRASHES, type CrashRecord, type Fingerprint} from '../request/crash-evidence.js';
-import {currentTry, refuse} from './closing.js';
+import {refuse} from './closing.js';
 import {type EntryEventOf} from './event.js';
+import {currentTry, openTries, openTry} from './open-tries.js';
 import {culpritOf, fingerprintsOf, quarantineRefusal} from './quarantine.js';
 import {markReached, recordUnreached} from './reachability.js';
 import {logEvent, type EntryContext} from './state.js';
@@ -94,10 +95,9 @@
 
 /** Fingerprints of this instance's requests at a target that have no answer yet. */
 function unansweredFingerprints({state}: EntryContext, target: Target): Fingerprint[] {
-	return [...target.inFlight.keys()]
-		.map(id => state.open.get(id))
-		.filter(request => request !== undefined && !currentTry(request)?.hasBegun)
-		.flatMap(request => fingerprintsOf(request!.arrival));
+	return [...target.inFlight]
+		.map(([id, tryNumber]) => ({request: state.open.get(id), tryNumber}))
+		.flatMap(({request, tryNumber}) => request && !openTry(request, tryNumber)?.hasBegun ? fingerprintsOf(request.arrival) : []);
 }
 
 /** Adds what peers know of crashes. */
@@ -139,7 +139,7 @@
 /** Refuses the open requests that must not be sent any more, and cancels those whose answer has not begun. */
 function refuseQuarantined(context: EntryContext): void {
 	for (const request of context.state.open.values()) {
-		if (!currentTry(request)?.hasBegun) {
+		if (!openTries(request).some(({hasBegun}) => hasBegun)) {
 			refuseIfQuarantined(context, request);
 		}
 	}
--- a/src/core/entry/dark-targets.ts
+++ b/src/core/entry/dark-targets.ts
@@ -12,7 +12,7 @@
 import {logEvent, type EntryContext} from './state.js';
 import {isListed, type Target} from './target.js';
 import {targetsOf} from './targets.js';
-import {moveTry} from './tries.js';
+import {sendBeside} from './tries.js';
 
 /** Reports that are not renewed end after this time: beacons renew them, and reach each peer of a zone of 39 every 1.5 s. */
 const REPORT_VALID_MS = 2500;
@@ -111,7 +111,7 @@
 	}
 }
 
-/** Drops reports that have not been renewed, and moves requests away from dark targets. */
+/** Drops reports that have not been renewed, and sends requests that wait at dark targets to others as well. */
 export function watchDarkTargets(context: EntryContext): void {
 	const {state, nowMs} = context;
 	for (const id of state.reportedTargets) {
@@ -134,7 +134,7 @@
 
 		updateDark(context, target);
 		if (target.darkSinceMs !== undefined && nowMs - target.darkSinceMs >= CONTRADICTION_MS) {
-			moveTries(context, target);
+			sendElsewhere(context, target);
 		}
 	}
 }
@@ -183,13 +183,13 @@
 	return targetsOf(state, target.entry.service).some(other => other.id !== target.id && isListed(other, nowMs) && other.unreachedSinceMs === undefined && other.heardAtMs > sinceMs - REACHES_OTHERS_MS);
 }
 
-function moveTries(context: EntryContext, target: Target): void {
+function sendElsewhere(context: EntryContext, target: Target): void {
 	const {state, nowMs} = context;
 	for (const [requestId, tryNumber] of target.inFlight) {
 		const request = state.open.get(requestId);
 		const attempt = request?.tries[tryNumber - 1];
 		if (request?.route.repeat === 'idempotent' && attempt && nowMs - attempt.progressAtMs >= MIN_QUIET_MS) {
-			moveTry(context, request, attempt);
+			sendBeside(context, request, attempt);
 		}
 	}
 }
--- a/src/core/entry/demand.ts
+++ b/src/core/entry/demand.ts
@@ -2,6 +2,7 @@
 Demand for each model at this instance. Beacons carry it to peers, so that the lease
 holder can place copies of models accordingly.
 */
+import {openTries} from './open-tries.js';
 import {type ModelDemand, type RunningAdapter} from './peer-messages.js';
 import {queueKeyOf, queueOf} from './queues.js';
 import {msPerToken, tokensToRead} from './reading-speed.js';
@@ -109,10 +110,10 @@
 /** Adapters that requests in flight use, by queue key. */
 function runningAdapters({open}: EntryState): Map<string, RunningAdapter[]> {
 	const running = new Map<string, RunningAdapter[]>();
-	for (const {phase, queueKey, tries, arrival: {adapter}} of open.values()) {
-		const targetId = tries.at(-1)?.targetId;
-		if (phase === 'running' && adapter !== undefined && targetId !== undefined) {
-			running.set(queueKey, [...running.get(queueKey) ?? [], [targetId, adapter]]);
+	for (const request of open.values()) {
+		const {phase, queueKey, arrival: {adapter}} = request;
+		if (phase === 'running' && adapter !== undefined) {
+			running.set(queueKey, [...running.get(queueKey) ?? [], ...openTries(request).map(({targetId}): RunningAdapter => [targetId, adapter])]);
 		}
 	}
 
--- a/src/core/entry/drain.ts
+++ b/src/core/entry/drain.ts
@@ -5,9 +5,10 @@
 grace period gets its final response then.
 */
 import {upperLimitMs} from '../request/estimate.js';
-import {currentTry, refuse} from './closing.js';
+import {refuse} from './closing.js';
 import {type Route} from './configuration.js';
 import {type EntryEventOf} from './event.js';
+import {currentTry} from './open-tries.js';
 import {logEvent, type EntryContext} from './state.js';
 import {type EntryRequest} from './types.js';
 
--- a/src/core/entry/mechanisms.ts
+++ b/src/core/entry/mechanisms.ts
@@ -51,7 +51,7 @@
 		plain: 'such a target counts as full',
 	},
 	'shared-reachability': {
-		purpose: 'tells the zone of a target that no connection can be opened to, and moves requests away from it',
+		purpose: 'tells the zone of a target that no connection can be opened to, and sends requests that wait there elsewhere',
 		plain: 'each instance finds out by its own requests',
 	},
 	'shared-failures': {
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -29,7 +29,7 @@
 const AVOIDED_MS = 1000;
 /** Time reserved for the response to get back to this instance. */
 const RESPONSE_MARGIN_MS = 10;
-/** A relayed request without a response for this multiple of its latency objective moves on. */
+/** A relayed request without a response for this multiple of its latency objective is sent elsewhere as well. */
 const SILENCE_FACTOR = 3;
 
 /** Whether there are targets that could serve the request, and this instance reaches none of them. */
@@ -122,6 +122,7 @@
 		silenceLimitMs: route.objectiveMs * SILENCE_FACTOR,
 		progressAtMs: nowMs,
 		hasBegun: false,
+		hasReplacement: false,
 		outcome: undefined,
 	};
 	request.tries.push(attempt);
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -13,6 +13,7 @@
 import {recordArrival, recordClosed} from './demand.js';
 import {enqueue} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
+import {openTries} from './open-tries.js';
 import {type AnnouncedOrigin} from './peer-messages.js';
 import {liveInstances, PEER_SILENT_MS} from './peers.js';
 import {queueKeyOf} from './queues.js';
@@ -160,7 +161,7 @@
 	for (const [streamId, service, release] of announcement.origins) {
 		state.streamOrigins.set(streamId, {service, release});
 		const request = state.open.get(streamId);
-		if (request?.service === service && request.tries.at(-1)?.isRelay) {
+		if (request?.service === service && openTries(request).some(({isRelay}) => isRelay)) {
 			request.release ??= release;
 		}
 	}
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -8,7 +8,7 @@
 import {type RequestId} from '../types.js';
 import {holdOff, recordStatedBrittleness} from './brittle-services.js';
 import {
-	close, endAtDeadline, endTry, markRead, refuse, currentTry, type EntryRefusal,
+	close, endAtDeadline, endTry, markRead, refuse, type EntryRefusal,
 } from './closing.js';
 import {
 	addSuspect, hasSurvived, recordRefusal, recordSurvival, refuseIfQuarantined,
@@ -20,6 +20,7 @@
 import {failureRateOf, recordOutcome} from './failure-rates.js';
 import {markLeaving} from './leaving.js';
 import {addReading, createReadingSpeed} from './reading-speed.js';
+import {currentTry, openTries, openTry} from './open-tries.js';
 import {beginPace, recordPaceAnswer, recordPaceFailure} from './pace.js';
 import {recordHeard, recordUnreached} from './reachability.js';
 import {takeRetry} from './retry-budgets.js';
@@ -51,6 +52,13 @@
 	readonly status?: number;
 };
 
+type FailedTry = {
+	readonly request: EntryRequest;
+	readonly attempt: EntryTry;
+	readonly outcome: FailedOutcome;
+	readonly details?: FailureDetails;
+};
+
 type OutcomeRule = {
 	/** Whether the target may have executed the request. */
 	readonly mayHaveRun: boolean;
@@ -58,7 +66,7 @@
 	readonly isRetry: boolean;
 	readonly code: ResultName;
 	/** Updates what this instance knows of the target. */
-	readonly updateTarget: (context: EntryContext, target: Target, request: EntryRequest, details: FailureDetails) => void;
+	readonly updateTarget: (context: EntryContext, target: Target, failed: FailedTry) => void;
 };
 
 const UNAUTHORIZED_STATUS = 401;
@@ -73,7 +81,7 @@
 /** Smoothed share of failed tries from which a target has to find its pace again. */
 const PACED_FAILURE_RATE = 0.4;
 /**
-Share of a caller's patience after which a stream without a new event is moved to another target. Sound targets pause for
+Share of a caller's patience after which a stream without a new event is sent to another target as well. Sound targets pause for
 about a second, and a stream that has paused beyond its objective is late wherever it goes on.
 */
 const MAX_PAUSE_SHARE = 0.65;
@@ -83,7 +91,7 @@
 const MISSING_COPY_MS = 1000;
 /** A silent try is checked again after this time while no other target has room. */
 const SILENCE_CHECK_MS = 250;
-/** Retries that are left after a silent try has moved, since its new target may decline it. */
+/** Retries that are left after a request was sent beside a silent try, since the other target may decline it. */
 const MOVE_RESERVE = 1;
 /** A slot at a full target becomes free in about this time. */
 const MIN_RETRY_AFTER_MS = 200;
@@ -91,18 +99,20 @@
 const outcomeRules: Readonly<Record<FailedOutcome, OutcomeRule>> = {
 	'not-sent': {
 		mayHaveRun: false, isRetry: false, code: 'no-target',
-		updateTarget(context, target, {tries}, {wasRefused}) {
+		updateTarget(context, target, {attempt, details}) {
 			backOff(context, target);
-			recordUnreached(context, target, {sinceMs: tries.at(-1)!.startedAtMs, isRefused: wasRefused === true});
-			if (wasRefused) {
+			const isRefused = details?.wasRefused === true;
+			recordUnreached(context, target, {sinceMs: attempt.startedAtMs, isRefused});
+			if (isRefused) {
 				recordRefusal(context, target);
 			}
 		},
 	},
 	'not-run': {
 		mayHaveRun: false, isRetry: true, code: 'no-target',
-		updateTarget({nowMs}, target, request, {wasMissing}) {
+		updateTarget({nowMs}, target, {request, details}) {
 			const {model, adapter} = request.arrival;
+			const wasMissing = details?.wasMissing === true;
 			if (wasMissing && adapter !== undefined) {
 				target.adapters.delete(`${model}/${adapter}`);
 			} else if (wasMissing && model !== undefined) {
@@ -122,14 +132,14 @@
 	},
 	broken: {
 		mayHaveRun: true, isRetry: true, code: 'target-failed',
-		updateTarget(context, target, request) {
+		updateTarget(context, target, {request}) {
 			recordOutcome(context, target, true);
 			addSuspect(context, target, request);
 		},
 	},
 	canceled: {
 		mayHaveRun: true, isRetry: true, code: 'target-timeout',
-		updateTarget(context, target, request) {
+		updateTarget(context, target, {request}) {
 			recordOutcome(context, target, true);
 			addSuspect(context, target, request);
 		},
@@ -144,8 +154,8 @@
 /** A target that has not been sent the request is not silent. */
 export function handleWritten({state, nowMs}: EntryContext, event: EntryEventOf<'try-written'>): void {
 	const request = state.open.get(event.requestId);
-	const attempt = request && currentTry(request);
-	if (attempt?.number === event.tryNumber && !attempt.hasBegun) {
+	const attempt = request && openTry(request, event.tryNumber);
+	if (attempt && !attempt.hasBegun) {
 		attempt.progressAtMs = nowMs;
 	}
 }
@@ -153,8 +163,8 @@
 export function handleProgress(context: EntryContext, event: EntryEventOf<'try-progressed'>): void {
 	const {state, nowMs} = context;
 	const request = state.open.get(event.requestId);
-	const attempt = request && currentTry(request);
-	if (!request || attempt?.number !== event.tryNumber) {
+	const attempt = request && openTry(request, event.tryNumber);
+	if (!request || !attempt) {
 		return;
 	}
 
@@ -191,6 +201,8 @@
 	}
 
 	attempt.progressAtMs = nowMs;
+	endOtherTries(context, request, attempt);
+	watchAgain(context, request, attempt);
 	request.delivered = event.delivered;
 	request.patienceEndsAtMs = Math.min(request.deadlineAtMs, nowMs + request.route.patienceMs);
 	request.hasHead = true;
@@ -232,8 +244,8 @@
 export function handleTryEnded(context: EntryContext, event: EntryEventOf<'try-ended'>): void {
 	const {state, nowMs} = context;
 	const request = state.open.get(event.requestId);
-	const attempt = request && currentTry(request);
-	if (!request || attempt?.number !== event.tryNumber) {
+	const attempt = request && openTry(request, event.tryNumber);
+	if (!request || !attempt) {
 		return;
 	}
 
@@ -265,15 +277,28 @@
 		return;
 	}
 
-	logTryEnded(context, request, event);
+	logTryEnded(context, {request, attempt}, event);
 	const usesMissing = attempt.isRelay === true || state.mechanisms.has('missing-copies');
-	handleFailure(context, request, event.outcome, {
-		wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs, status: event.status,
+	handleFailure(context, {
+		request, attempt, outcome: event.outcome, details: {
+			wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs, status: event.status,
+		},
 	});
 }
 
-function logTryEnded(context: EntryContext, request: EntryRequest, event: EntryEventOf<'try-ended'>): void {
-	const attempt = request.tries.at(-1)!;
+/** One try brings the answer; what the others would bring is not needed. */
+function endOtherTries(context: EntryContext, request: EntryRequest, attempt: EntryTry): void {
+	for (const other of openTries(request).filter(open => open !== attempt)) {
+		context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: other.number});
+		endTry(context, request, other, 'canceled');
+		request.mayHaveRun = true;
+		logEvent(context, 'try-ended', {
+			requestId: request.id, tryNumber: other.number, targetId: other.targetId, outcome: 'canceled', reason: 'another try brought the answer', tookMs: Math.round(context.nowMs - other.startedAtMs),
+		});
+	}
+}
+
+function logTryEnded(context: EntryContext, {request, attempt}: Pick<FailedTry, 'request' | 'attempt'>, event: EntryEventOf<'try-ended'>): void {
 	logEvent(context, 'try-ended', {
 		requestId: request.id,
 		tryNumber: attempt.number,
@@ -339,9 +364,10 @@
 	close(context, request, 'answered');
 }
 
-function handleFailure(context: EntryContext, request: EntryRequest, outcome: FailedOutcome, details: FailureDetails): void {
+function handleFailure(context: EntryContext, failed: FailedTry): void {
 	const {state} = context;
-	const rule = recordFailure(context, request, outcome, details);
+	const {request, attempt, outcome, details = {}} = failed;
+	const rule = recordFailure(context, failed);
 	if (!state.open.has(request.id)) {
 		// What it brings has just turned out to crash targets.
 		return;
@@ -351,13 +377,19 @@
 		request.declined++;
 	}
 
-	const isRelay = request.tries.at(-1)?.isRelay ?? false;
-	if (isRelay && outcome === 'not-run' && !details.wasMissing) {
+	const other = currentTry(request);
+	if (other) {
+		// What the failed one was sent for may be sound and go on.
+		watchAgain(context, request, other);
+		return;
+	}
+
+	if (attempt.isRelay && outcome === 'not-run' && !details.wasMissing) {
 		refuse(context, request, relayRefusal(request, details));
 		return;
 	}
 
-	const reason = finalReason(context, request, rule);
+	const reason = finalReason(context, failed, rule);
 	if (reason === undefined) {
 		enqueue(context, request);
 		return;
@@ -386,22 +418,26 @@
 	return status === UNAUTHORIZED_STATUS ? {code: 'api-key-unknown', detail} : {code: 'no-target', detail, retryAfterMs};
 }
 
-/** Records what the outcome of the last try says of its target and of whether the request may have run. */
-function recordFailure(context: EntryContext, request: EntryRequest, outcome: FailedOutcome, details: FailureDetails = {}): OutcomeRule {
-	const rule = outcomeRules[outcome];
-	const target = context.state.targets.get(request.tries.at(-1)?.targetId ?? '');
-	request.mayHaveRun ||= rule.mayHaveRun;
-	const attempt = request.tries.at(-1);
-	if (attempt?.isRelay && outcome !== 'failed') {
+/** Records what the outcome of a try says of its target and of whether the request may have run. */
+function recordFailure(context: EntryContext, failed: FailedTry): OutcomeRule {
+	const rule = outcomeRules[failed.outcome];
+	failed.request.mayHaveRun ||= rule.mayHaveRun;
+	recordAgainstTarget(context, failed);
+	return rule;
+}
+
+/** Records what a try says of its target, or of the instance that it was passed on to. */
+function recordAgainstTarget(context: EntryContext, failed: FailedTry): void {
+	const {attempt, outcome, details} = failed;
+	if (attempt.isRelay && outcome !== 'failed') {
 		avoidRelay(context, attempt);
 	}
 
+	const target = context.state.targets.get(attempt.targetId);
 	if (target) {
-		rule.updateTarget(context, target, request, details);
-		pace(context, target, {outcome, wasMissing: details.wasMissing ?? false});
+		outcomeRules[outcome].updateTarget(context, target, failed);
+		pace(context, target, {outcome, wasMissing: details?.wasMissing ?? false});
 	}
-
-	return rule;
 }
 
 /** Failures and shed requests slow a target's pace; one that fails often begins to have one. */
@@ -427,7 +463,7 @@
 }
 
 /** Why a request gets its final response now; undefined when it is retried. */
-function finalReason(context: EntryContext, request: EntryRequest, rule: OutcomeRule): string | undefined {
+function finalReason(context: EntryContext, {request, attempt}: FailedTry, rule: OutcomeRule): string | undefined {
 	if (request.mayHaveRun && request.route.repeat === 'once') {
 		return 'the work may have run and must not be repeated';
 	}
@@ -444,13 +480,12 @@
 		return 'targets declined it several times';
 	}
 
-	const last = request.tries.at(-1);
-	if (last?.isRelay && request.hasHead && request.release === undefined) {
+	if (attempt.isRelay && request.hasHead && request.release === undefined) {
 		return 'the release that began the stream is not known';
 	}
 
 	// What another instance declined has reached no target.
-	const isFree = last?.isRelay === true && last.outcome === 'not-run';
+	const isFree = attempt.isRelay === true && attempt.outcome === 'not-run';
 	if (rule.isRetry && !isFree && !takeRetry(context, request.service)) {
 		return 'the repeat budget is used up';
 	}
@@ -459,19 +494,18 @@
 }
 
 /**
-Moves a request whose try has been silent for longer than its target usually takes. The try is canceled only once another
-target is chosen and the retry budget has allowed it: its target may be sound and go on, and a response that has begun
-cannot end otherwise than whole or cut off.
+Sends a request whose try has been silent for longer than its target usually takes to another target as well. The silent one goes
+on: its target may be sound, and of the other nothing is known yet. The first of them to bring the answer ends the others.
 */
 export function handleSilence(context: EntryContext, timer: Timer): void {
 	const {state, nowMs} = context;
 	const request = openRequest(context, timer);
-	const attempt = request && currentTry(request);
-	if (!request || attempt?.number !== timer.tryNumber) {
+	const attempt = request && openTry(request, timer.tryNumber);
+	if (!request || !attempt || attempt.hasReplacement) {
 		return;
 	}
 
-	const limitMs = attempt.hasBegun ? Math.min(MAX_PAUSE_MS, request.route.patienceMs * MAX_PAUSE_SHARE) : attempt.silenceLimitMs;
+	const limitMs = silenceLimitMs(request, attempt);
 	// What has arrived since may not be read yet.
 	const quietMs = state.readUntilMs - attempt.progressAtMs;
 	if (quietMs < limitMs) {
@@ -479,18 +513,39 @@
 		return;
 	}
 
-	if (moveTry(context, request, attempt) === 'later') {
+	if (sendBeside(context, request, attempt) === 'later') {
 		reschedule(context, timer, nowMs + SILENCE_CHECK_MS);
 	}
 }
 
-/** Moves a silent try to another target. `later`: none has room now, or the budget allows no retry; `never`: the request may not be sent again. */
-export function moveTry(context: EntryContext, request: EntryRequest, attempt: EntryTry): 'moved' | 'later' | 'never' {
-	if (countRuns(request) + 1 >= request.route.maxAttempts || (!attempt.hasBegun && refuseIfQuarantined(context, request))) {
+function silenceLimitMs({route}: EntryRequest, attempt: EntryTry): number {
+	return attempt.hasBegun ? Math.min(MAX_PAUSE_MS, route.patienceMs * MAX_PAUSE_SHARE) : attempt.silenceLimitMs;
+}
+
+/** Has a try that goes on, or is left alone, checked for silence again. */
+function watchAgain({state, nowMs}: EntryContext, request: EntryRequest, attempt: EntryTry): void {
+	if (!attempt.hasReplacement) {
+		return;
+	}
+
+	attempt.hasReplacement = false;
+	state.timers.push({
+		atMs: Math.max(attempt.progressAtMs + silenceLimitMs(request, attempt), nowMs + SILENCE_CHECK_MS), request, kind: 'silence', tryNumber: attempt.number,
+	});
+}
+
+/** Sends a request to another target beside a silent try. `later`: none has room now, or the budget allows no retry; `never`: the request may not be sent again. */
+export function sendBeside(context: EntryContext, request: EntryRequest, attempt: EntryTry): 'sent' | 'later' | 'never' {
+	const open = openTries(request);
+	if (attempt.hasReplacement || countRuns(request) + open.length >= request.route.maxAttempts) {
+		return 'never';
+	}
+
+	if (!open.some(({hasBegun}) => hasBegun) && refuseIfQuarantined(context, request)) {
 		return 'never';
 	}
 
-	const replacement = chooseReplacement(context, request, attempt);
+	const replacement = chooseReplacement(context, request);
 	if (!replacement || !takeRetry(context, request.service, {reserve: MOVE_RESERVE})) {
 		return 'later';
 	}
@@ -498,18 +553,17 @@
 	logEvent(context, 'connection-silent', {
 		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(context.state.readUntilMs - attempt.progressAtMs), hasBegun: attempt.hasBegun, lateMs: Math.round(context.state.tickLateMs),
 	});
-	context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
-	endTry(context, request, attempt, 'canceled');
-	recordFailure(context, request, 'canceled');
+	attempt.hasReplacement = true;
+	recordAgainstTarget(context, {request, attempt, outcome: 'canceled'});
 	replacement.send();
-	return 'moved';
+	return 'sent';
 }
 
 /** Ends a try that would arrive too late, and retries its request or gives it its final response, as after any try that may have run. */
 export function cancelTry(context: EntryContext, request: EntryRequest, attempt: EntryTry): void {
 	context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
 	endTry(context, request, attempt, 'canceled');
-	handleFailure(context, request, 'canceled', {});
+	handleFailure(context, {request, attempt, outcome: 'canceled'});
 }
 
 type Replacement = {
@@ -517,7 +571,8 @@
 };
 
 /** Another target that can serve the request at once or, if this instance reaches none, another instance. */
-function chooseReplacement(context: EntryContext, request: EntryRequest, {targetId}: EntryTry): Replacement | undefined {
+function chooseReplacement(context: EntryContext, request: EntryRequest): Replacement | undefined {
+	const tried = new Set(openTries(request).map(({targetId}) => targetId));
 	const standing = keyStanding(context, request);
 	if (standing === 'withdrawn') {
 		return undefined;
@@ -525,7 +580,7 @@
 
 	if (standing === 'unconfirmed' || isUnreached(context, request)) {
 		const peer = standing === 'unconfirmed' ? chooseInformedPeer(context, request) : chooseRelay(context, request);
-		return peer && peer.instance.id !== targetId
+		return peer && !tried.has(peer.instance.id)
 			? {
 				send() {
 					sendRelay(context, request, peer, standing === 'unconfirmed' ? 'configuration-outdated' : 'targets-unreached');
@@ -534,7 +589,7 @@
 			: undefined;
 	}
 
-	const choice = chooseTarget(context, request, targetsOf(context.state, request.service).filter(({id}) => id !== targetId));
+	const choice = chooseTarget(context, request, targetsOf(context.state, request.service).filter(({id}) => !tried.has(id)));
 	return choice.kind === 'send'
 		? {
 			send() {
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -134,6 +134,8 @@
 	/** When the try was sent, the response began, or its last event arrived. */
 	progressAtMs: number;
 	hasBegun: boolean;
+	/** Whether it was silent, and the request was sent to another target as well. */
+	hasReplacement: boolean;
 	/** When the first event of a stream arrived, as the core was told. */
 	beganAtMs?: number;
 	outcome: TryOutcome | undefined;
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -113,6 +113,16 @@
 		this._abortControllers.delete(tryNumber);
 	}
 
+	/** The answer comes from this try, and no other one may add to it. Returns whether others were under way. */
+	claim(tryNumber: number): boolean {
+		const others = [...this._abortControllers.keys()].filter(number => number !== tryNumber);
+		for (const other of others) {
+			this.cancelTry(other);
+		}
+
+		return others.length > 0;
+	}
+
 	cancelAllTries(): void {
 		for (const tryNumber of this._abortControllers.keys()) {
 			this.cancelTry(tryNumber);
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -243,9 +243,14 @@
 			};
 		}
 
-		exchange.keep({status, headers, body: held});
 		// A stream that has begun can only be completed by the rest of its events.
-		return {outcome: status >= 500 || exchange.headersSent ? 'failed' : 'answered', status, load};
+		const outcome = status >= 500 || exchange.headersSent ? 'failed' : 'answered';
+		if (outcome === 'answered') {
+			exchange.claim(effect.tryNumber);
+		}
+
+		exchange.keep({status, headers, body: held});
+		return {outcome, status, load};
 	}
 
 	/** Reads a complete response into memory. */
@@ -328,7 +333,7 @@
 			}
 
 			repeatedBytes = 0;
-
+			const wasContested = exchange.claim(effect.tryNumber);
 			if (!exchange.headersSent) {
 				exchange.beginStream(response.status, response.headers);
 			}
@@ -339,7 +344,7 @@
 			timing.firstEventAtMs ??= nowMs;
 			timing.longestPauseMs = Math.max(timing.longestPauseMs, nowMs - (lastEventAtMs ?? nowMs));
 			lastEventAtMs = nowMs;
-			if (nowMs - progressSentAtMs >= PROGRESS_INTERVAL_MS) {
+			if (wasContested || nowMs - progressSentAtMs >= PROGRESS_INTERVAL_MS) {
 				progressSentAtMs = nowMs;
 				this._options.dispatch({
 					kind: 'try-progressed', requestId: exchange.id, tryNumber: effect.tryNumber, delivered: exchange.delivered, load: metadata.load, rateLimit: statedLimit(metadata), isLeaving: metadata.isLeaving,
@@ -363,6 +368,7 @@
 
 		// A complete stream may have no events. After a broken one the caller may still get another response.
 		if (!exchange.headersSent && !signal.aborted) {
+			exchange.claim(effect.tryNumber);
 			exchange.beginStream(response.status, response.headers);
 		}
 
