Soak: targets that pause or fail, a judge of requests that end early, and kinds of faults to choose

Ruled out: widening LOST, which a failure of any target explains. An arrival notes when its connection was closed under it.

--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -140,6 +140,19 @@
 			}
 		}
 	},
+	async 'target-pause'(field, fault) {
+		targetOf(field, fault, ({isUp, isFrozen}) => isUp && !isFrozen)?.pause(fault.forMs);
+	},
+	async 'target-fail'(field, fault) {
+		const target = targetOf(field, fault, ({isUp, isFailing}) => isUp && !isFailing);
+		if (target) {
+			target.isFailing = true;
+			field.record.noteFault(target.id, 'fail');
+			await delay(fault.forMs);
+			target.isFailing = false;
+			field.record.noteFault(target.id, 'serve');
+		}
+	},
 	async 'target-reset'(field, fault) {
 		targetOf(field, fault, ({isUp}) => isUp)?.resetConnections();
 	},
--- a/test/soak/judges.ts
+++ b/test/soak/judges.ts
@@ -50,6 +50,16 @@
 	return faults.some(fault => fault.subject === subject && harmful.has(fault.what) && fault.atMs >= fromMs && fault.atMs <= toMs);
 }
 
+/** Whether an attempt ended with neither a success nor a promise that it has not run. */
+function isFailure({status, isWhole}: Attempt): boolean {
+	return !isWhole || status === undefined || (status >= 500 && !refusals.has(status));
+}
+
+/** Whether a target was sound and at work when the instance closed the connection of what it ran. */
+function isCutAtWork(seen: Seen, {target, ranAtMs, cutAtMs, isBrokenOff}: Arrival): boolean {
+	return ranAtMs !== undefined && cutAtMs !== undefined && ranAtMs <= cutAtMs && !isBrokenOff && !wasHarmed(seen, target, ranAtMs - CONTACT_MS, cutAtMs);
+}
+
 /** Requests sent in an interval by callers that stayed, and how many of them were served. */
 function servedShare({attempts}: Seen, fromMs: number, toMs: number): {sent: number; served: number} {
 	const sent = attempts.filter(({sentAtMs, hasLeft, endedAtMs}) => sentAtMs >= fromMs && sentAtMs < toMs && !hasLeft && Number.isFinite(endedAtMs));
@@ -132,6 +142,21 @@
 			});
 		},
 	},
+	EARLY: {
+		promise: 'a repeatable request is not ended before its time while a sound target is at work on it, however long that pauses',
+		count: seen => seen.attempts.filter(attempt => !mustRunOnce(attempt)).length,
+		find(seen) {
+			const arrivals = groupBy(seen.arrivals, ({key}) => key);
+			const ended = seen.attempts.filter(attempt => !mustRunOnce(attempt) && !attempt.hasLeft && isFailure(attempt) && attempt.endedAtMs - attempt.sentAtMs < DEADLINE_MS * USED_SHARE);
+			return ended.filter(({instance, sentAtMs, endedAtMs}) => !wasHarmed(seen, instance, sentAtMs - CONTACT_MS, endedAtMs)).flatMap(({key, id, instance, status, isWhole, sentAtMs, endedAtMs}) => {
+				const reached = (arrivals.get(key) ?? []).toSorted((one, other) => one.atMs - other.atMs);
+				const cut = reached.find((arrival, index) => isCutAtWork(seen, arrival) && !reached.slice(0, index).some(({cutAtMs}) => cutAtMs !== undefined && cutAtMs > arrival.cutAtMs!));
+				return cut
+					? [{text: `${key} at ${instance} got ${status ?? 'nothing'}${isWhole ? '' : ', not whole'}, ${(endedAtMs - sentAtMs).toFixed(0)} ms after it was sent; ${cut.target} ran it from ${cut.ranAtMs!.toFixed(0)} ms and was cut off at ${cut.cutAtMs!.toFixed(0)} ms`, ids: [id]}]
+					: [];
+			});
+		},
+	},
 	ENDED: {
 		promise: 'no process ends by itself',
 		count: seen => new Set(seen.faults.filter(({what}) => what === 'ready').map(({subject}) => subject)).size,
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -9,6 +9,7 @@
 import {Command, InvalidArgumentError} from 'commander';
 import {PlatformBundle} from '../standins/platform-process.js';
 import {createReport} from './report.js';
+import {faultKinds, type FaultKind} from './schedule.js';
 import {runSoak, type SoakOptions, type SoakResult} from './soak.js';
 
 const EXIT_BROKEN = 1;
@@ -20,6 +21,7 @@
 	readonly seeds: number;
 	readonly seconds: number;
 	readonly instances: number;
+	readonly kinds?: readonly FaultKind[];
 	readonly commit?: string;
 	readonly keep?: string;
 };
@@ -33,6 +35,16 @@
 	return value;
 }
 
+function parseKinds(text: string): FaultKind[] {
+	const kinds = text.split(',');
+	const unknown = kinds.filter(kind => !faultKinds.has(kind));
+	if (unknown.length > 0) {
+		throw new InvalidArgumentError(`there is no ${unknown.join(', ')}; known are ${[...faultKinds].join(', ')}`);
+	}
+
+	return kinds as FaultKind[];
+}
+
 async function run({seed, seeds, commit, keep, ...sizes}: Options): Promise<void> {
 	if (sizes.instances > INSTANCES_MAX) {
 		throw new InvalidArgumentError(`--instances must be at most ${INSTANCES_MAX}`);
@@ -94,6 +106,7 @@
 	.option('--seeds <number>', 'number of soaks, with seeds that follow each other', parseCount, 1)
 	.option('--seconds <number>', 'length; from 23 s on it ends with a kill of all instances', parseCount, 60)
 	.option('--instances <number>', 'number of instances', parseCount, 6)
+	.option('--kinds <list>', 'kinds of faults, separated by commas; all if absent', parseKinds)
 	.option('--commit <commit>', 'soak the build of this commit rather than of the working tree')
 	.option('--keep <directory>', 'write the report, the record and the logs of all instances there')
 	.exitOverride()
--- a/test/soak/record.ts
+++ b/test/soak/record.ts
@@ -45,6 +45,8 @@
 	status: number | undefined;
 	/** The target closed the connection in place of the rest of its answer. */
 	isBrokenOff: boolean;
+	/** When the connection was closed by either side before the target had written its answer; undefined if it was not. */
+	cutAtMs: number | undefined;
 };
 
 /** An answer that a target wrote once more. */
@@ -62,7 +64,7 @@
 	readonly atMs: number;
 	/** Name of the instance or target, or `store`. */
 	readonly subject: string;
-	readonly what: 'kill' | 'stop' | 'exit' | 'freeze' | 'thaw' | 'start' | 'ready' | 'refuse' | 'accept' | 'reset' | 'leave' | 'change' | 'silent' | 'busy' | 'sound' | 'own-end';
+	readonly what: 'kill' | 'stop' | 'exit' | 'freeze' | 'thaw' | 'pause' | 'go-on' | 'fail' | 'serve' | 'start' | 'ready' | 'refuse' | 'accept' | 'reset' | 'leave' | 'change' | 'silent' | 'busy' | 'sound' | 'own-end';
 };
 
 export class SoakRecord {
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -4,7 +4,7 @@
 */
 import {createRandom} from './seeded-random.js';
 
-export type FaultKind = 'instance-kill' | 'instance-stop' | 'instance-freeze' | 'zone-kill' | 'rolling-stop' | 'target-refuse' | 'service-refuse' | 'target-kill' | 'target-freeze' | 'target-reset' | 'target-leave' | 'configuration-change' | 'store-cut' | 'store-silent' | 'store-busy' | 'fleet-kill';
+export type FaultKind = 'instance-kill' | 'instance-stop' | 'instance-freeze' | 'zone-kill' | 'rolling-stop' | 'target-refuse' | 'service-refuse' | 'target-kill' | 'target-freeze' | 'target-pause' | 'target-fail' | 'target-reset' | 'target-leave' | 'configuration-change' | 'store-cut' | 'store-silent' | 'store-busy' | 'fleet-kill';
 
 export type Fault = {
 	readonly atMs: number;
@@ -33,6 +33,8 @@
 	'service-refuse': {weight: 6, minMs: 500, maxMs: 4000},
 	'target-kill': {weight: 4, minMs: 50, maxMs: 3000},
 	'target-freeze': {weight: 3, minMs: 200, maxMs: 4000},
+	'target-pause': {weight: 6, minMs: 500, maxMs: 2500},
+	'target-fail': {weight: 4, minMs: 500, maxMs: 4000},
 	'target-reset': {weight: 3, minMs: 0, maxMs: 0},
 	'target-leave': {weight: 2, minMs: 100, maxMs: 2000},
 	'configuration-change': {weight: 2, minMs: 0, maxMs: 0},
@@ -41,6 +43,8 @@
 	'store-busy': {weight: 1, minMs: 500, maxMs: 5000},
 };
 
+export const faultKinds: ReadonlySet<string> = new Set([...Object.keys(rules), 'fleet-kill']);
+
 const QUIET_START_MS = 2000;
 const MEAN_INTERVAL_MS = 600;
 /** From the kill of the fleet to the end: its return, the time within which it must serve again, and the time that is judged. */
--- a/test/soak/target.ts
+++ b/test/soak/target.ts
@@ -1,7 +1,8 @@
 /**
 Stand-ins for targets on raw sockets: a plain service, and an engine that holds models,
-takes orders and sends streams. They refuse, write refusals once more, are killed, come
-back, and stop reading, as the faults say, and note what arrives and what they run.
+takes orders and sends streams. They refuse, write refusals once more, fail, are killed,
+come back, and stop reading, as the faults say, and note what arrives and what they run.
+Sound ones may pause: what they run goes on when the pause is over.
 */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
@@ -29,6 +30,8 @@
 const COPIED_SHARE = 0.9;
 /** Share of the answers that are lost, and of those that are failures. */
 const FAILED_SHARE = 0.02;
+/** The same during the fault; of streams, the share that breaks off inside an event. */
+const FAILING_SHARE = 0.5;
 const COPY_DELAY_MAX_MS = 50;
 const HEAD_END = '\r\n\r\n';
 
@@ -112,6 +115,8 @@
 	isUp = false;
 	isRefusing = false;
 	isFrozen = false;
+	/** Whether half of what runs here fails. */
+	isFailing = false;
 	private _isLeaving = false;
 	private _host: string;
 	private _born = Date.now();
@@ -120,6 +125,7 @@
 	private _running = 0;
 	private _queue: Array<() => void> = [];
 	private _models: string[] = [];
+	private _pauseEndsAtMs = 0;
 	/** Number of starts, which tells the runs of an earlier process from those of this one. */
 	private _life = 0;
 	private _connections = 0;
@@ -209,6 +215,20 @@
 		}
 	}
 
+	/** Brings nothing of what it runs for a while, as a sound target whose engine is busy; all else goes on. */
+	pause(forMs: number): void {
+		this._pauseEndsAtMs = this._options.record.nowMs() + forMs;
+		this._options.record.noteFault(this.id, 'pause');
+	}
+
+	private async _workFor(ms: number): Promise<void> {
+		const {record} = this._options;
+		await delay(ms);
+		while (record.nowMs() < this._pauseEndsAtMs) {
+			await delay(this._pauseEndsAtMs - record.nowMs());
+		}
+	}
+
 	private _resetAll(): void {
 		for (const {socket} of this._open) {
 			socket.resetAndDestroy();
@@ -317,7 +337,7 @@
 		const {record, service, dropsQueued} = this._options;
 		const key = headers['x-soak-attempt'] ?? '';
 		const arrival: Arrival = {
-			key, id, target: this.id, connection: connection.number, atMs: record.nowMs(), ranAtMs: undefined, status: undefined, isBrokenOff: false,
+			key, id, target: this.id, connection: connection.number, atMs: record.nowMs(), ranAtMs: undefined, status: undefined, isBrokenOff: false, cutAtMs: undefined,
 		};
 		record.arrivals.push(arrival);
 		this._writeCopies(connection, ({id: copied, time}) => time === 'arrival' || time === 'alone' || (time === 'same-id' && copied === id));
@@ -340,7 +360,13 @@
 		if (life === this._life) {
 			if (!connection.socket.destroyed || !dropsQueued) {
 				arrival.ranAtMs = record.nowMs();
+				const noteCut = () => {
+					arrival.cutAtMs ??= record.nowMs();
+				};
+
+				connection.socket.once('close', noteCut);
 				await (service === 'llm' ? this._sendStream(headers, connection, arrival, life) : this._sendAnswer(connection, arrival, life));
+				connection.socket.off('close', noteCut);
 			}
 
 			if (life === this._life) {
@@ -384,13 +410,14 @@
 	}
 
 	private async _sendAnswer(connection: Connection, arrival: Arrival, life: number): Promise<void> {
-		await delay(WORK_MIN_MS + (this._random.uniform() * WORK_RANGE_MS));
+		await this._workFor(WORK_MIN_MS + (this._random.uniform() * WORK_RANGE_MS));
 		if (life === this._life) {
 			this._writeCopies(connection, ({time}) => time === 'answer');
-			const failure = this._random.uniform() / FAILED_SHARE;
+			const failure = this._random.uniform() / (this.isFailing ? FAILING_SHARE : FAILED_SHARE);
 			if (failure < 1) {
 				// Its answer is lost, or its end is.
 				arrival.isBrokenOff = true;
+				arrival.cutAtMs = this._options.record.nowMs();
 				arrival.status = 200;
 				connection.socket.end(failure < 0.5 ? '' : head(200, [`X-Pollenarch-Request-Id: ${arrival.id}`, `X-Pollenarch-Server-Signature: ${this.id}.${arrival.key}`, 'Content-Length: 100']));
 				return;
@@ -407,11 +434,19 @@
 		this._write(connection, head(200, [`X-Pollenarch-Request-Id: ${arrival.id}`, `X-Pollenarch-Server-Signature: ${this.id}.${arrival.key}`, 'X-Pollenarch-Weight-Versions: 1', 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked']));
 		connection.isSending = true;
 		for (let event = Number(headers['last-event-id'] ?? 0) + 1; event <= EVENTS; event++) {
-			await delay(EVENT_INTERVAL_MS);
+			await this._workFor(EVENT_INTERVAL_MS);
 			if (life !== this._life || connection.socket.destroyed) {
 				return;
 			}
 
+			if (this.isFailing && this._random.uniform() < FAILING_SHARE) {
+				arrival.isBrokenOff = true;
+				arrival.cutAtMs = this._options.record.nowMs();
+				this._write(connection, chunk(`id: ${event}\nda`));
+				connection.socket.end();
+				return;
+			}
+
 			this._write(connection, chunk(`id: ${event}\ndata: ${headers['x-soak-name']} ${event}\n\n`));
 		}
 
--- a/test/unit/soak-judges.test.ts
+++ b/test/unit/soak-judges.test.ts
@@ -14,7 +14,7 @@
 
 function arrival(overrides: Partial<Arrival> = {}): Arrival {
 	return {
-		key: 'c1-1.1', id: 'c1-1-1', target: 't-0', connection: 1, atMs: 10_100, ranAtMs: 10_100, status: 200, isBrokenOff: false, ...overrides,
+		key: 'c1-1.1', id: 'c1-1-1', target: 't-0', connection: 1, atMs: 10_100, ranAtMs: 10_100, status: 200, isBrokenOff: false, cutAtMs: undefined, ...overrides,
 	};
 }
 
@@ -65,6 +65,10 @@
 		['broken off', {attempts: [attempt({isWhole: false})]}],
 		['not passed on, by an instance that stops', {attempts: [attempt(cutOff)], arrivals: [], faults: [fault('e-0', 'stop', 9000)]}],
 	],
+	EARLY: [
+		['a sound target is given up, and the next one fails', {attempts: [attempt({kind: 'stream-resumable', isWhole: false})], arrivals: [arrival({cutAtMs: 10_300}), arrival({target: 't-1', atMs: 10_300, isBrokenOff: true})]}],
+		['with a failure of the next one', {attempts: [attempt({kind: 'repeatable', status: 500, signature: 't-1.c1-1.1'})], arrivals: [arrival({status: undefined, cutAtMs: 10_300}), arrival({target: 't-1', atMs: 10_300, status: 500})]}],
+	],
 	ENDED: [['by itself', {faults: [fault('e-0', 'own-end', 100)]}]],
 };
 
@@ -76,6 +80,14 @@
 	'a repeatable request that ran twice': {attempts: [attempt({kind: 'repeatable'})], arrivals: [arrival(), arrival({target: 't-1'})]},
 	'an answer that its target broke off': {attempts: [attempt({isWhole: false})], faults: [fault('t-0', 'kill', 10_200)]},
 	'a connection of an instance that was killed': {attempts: [attempt(cutOff)], faults: [fault('e-0', 'kill', 10_400)]},
+	'a stream that a target takes up again and breaks off, when another was sent it meanwhile': {
+		attempts: [attempt({kind: 'stream-resumable', isWhole: false})],
+		arrivals: [arrival({cutAtMs: 10_400}), arrival({target: 't-1', atMs: 10_300, ranAtMs: 10_300, cutAtMs: 10_350})],
+		faults: [fault('t-0', 'kill', 10_400)],
+	},
+	'a repeatable request that is answered by the second of two targets': {
+		attempts: [attempt({kind: 'repeatable', signature: 't-1.c1-1.1'})], arrivals: [arrival({status: undefined, cutAtMs: 10_400}), arrival({target: 't-1', atMs: 10_300})],
+	},
 	'a fleet that serves again': aroundKill(3),
 };
 
