Answers: a status that no final answer has is no answer

What callers saw on other systems: an answer with the status 000. Here 000 never reached one, since the parser stops it; 600 and 999 did, with their body, at instances on a platform and at the embedded daemon alike. Cause: nothing of ours looked at the range of a status; what passed was left to the HTTP parser. The class is bytes that are no answer in the protocol and are taken for one. Ruled out by tests that pass before: orders (lost), reports (none), pulls from peers (nothing). Relays take the same way as answers of targets.

--- /dev/null
+++ b/src/daemon/gateways/final-status.ts
@@ -0,0 +1,11 @@
+/**
+Which status codes a final answer may have (RFC 9110, section 15). Anything else is bytes
+that are no answer, whatever its header fields state.
+*/
+
+const FIRST_FINAL = 200;
+const LAST_FINAL = 599;
+
+export function isFinalStatus(status: number): boolean {
+	return status >= FIRST_FINAL && status <= LAST_FINAL;
+}
--- a/src/daemon/gateways/http-gateway.test.ts
+++ b/src/daemon/gateways/http-gateway.test.ts
@@ -111,6 +111,17 @@
 	});
 }
 
+for (const status of ['000', '099', '600', '999']) {
+	// Guards against an answer whose status is none, and which the caller gets as an answer.
+	test(`a response with the status ${status} is no answer, whether errors are forwarded or not`, async () => {
+		for (const forwardsServerErrors of [true, false]) {
+			const {failure, response} = await runTryAgainst(respondWith(`HTTP/1.1 ${status} Status\r\ncontent-length: 5\r\n\r\nwrong`), {forwardsServerErrors});
+			assert.ok(failure === 'target-error' || failure === 'reset', failure);
+			assert.equal(response, undefined);
+		}
+	});
+}
+
 test('a server error is forwarded if the request must not be sent again', async () => {
 	const {failure, response} = await runTryAgainst(respondWith('HTTP/1.1 500 No\r\ncontent-length: 2\r\n\r\nno', false), {forwardsServerErrors: true});
 	assert.equal(failure, 'completed');
--- a/src/daemon/gateways/http-gateway.ts
+++ b/src/daemon/gateways/http-gateway.ts
@@ -5,6 +5,7 @@
 import {type TargetReport} from '../../core/event.js';
 import {type Order, type OrderOutcome} from '../../core/placement/types.js';
 import {type Failure} from '../../core/request/types.js';
+import {isFinalStatus} from './final-status.js';
 import {forwardEvents, readResponse} from './responses.js';
 import {
 	ConnectionPool, isUnwritten, classifyProbeError, classifyFailure, type HttpRequest,
@@ -38,6 +39,13 @@
 		try {
 			const response = await this._connectionPool.request({...this._protocol.buildRequest(tryRequest), signal});
 			hasResponseHeaders = true;
+			if (!isFinalStatus(response.statusCode)) {
+				response.body.on('error', () => undefined);
+				response.body.destroy();
+				sink.failed('target-error', undefined);
+				return;
+			}
+
 			if (request.stream && response.statusCode === 200) {
 				const isComplete = await forwardEvents(response.body, sink);
 				endTry(sink, isComplete ? undefined : 'truncated', undefined);
--- a/src/entry/silent-peers.test.ts
+++ b/src/entry/silent-peers.test.ts
@@ -107,3 +107,22 @@
 	await Promise.all(sockets.map(async socket => socket.closed || once(socket, 'close')));
 	assert.equal(sockets.length, 2);
 });
+
+for (const status of ['000', '199', '600', '999']) {
+	// Guards against the answer of a peer, or of what has its address, whose status is none and which is taken for one.
+	test(`a pull that is answered ${status} brings nothing`, {timeout: 10_000}, async t => {
+		const server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				socket.end(`HTTP/1.1 ${status} Status\r\nContent-Type: application/proto\r\nContent-Length: 0\r\n\r\n`);
+			});
+		}).listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const client = new EntryPeerClient();
+		t.after(() => {
+			client.close();
+			server.close();
+		});
+		assert.equal(await client.pull(`127.0.0.1:${(server.address() as AddressInfo).port}`, known), undefined);
+	});
+}
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -9,6 +9,7 @@
 import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
 import {type StatedRateLimit} from '../core/entry/target.js';
 import {type TryOutcome} from '../core/entry/types.js';
+import {isFinalStatus} from '../daemon/gateways/final-status.js';
 import {readChunks} from './body-chunks.js';
 import {BufferBudget} from './buffer-budget.js';
 import {mediaTypeOf, type Exchange, withoutHopByHopHeaders} from './exchange.js';
@@ -417,6 +418,10 @@
 
 /** Returns why a response is rejected as not the target's own response to this request, or undefined if it is accepted. */
 function rejectionReason(exchange: Exchange, {status, headers, mustNameRequest}: TargetResponse, metadata: ResponseMetadata): string | undefined {
+	if (!isFinalStatus(status)) {
+		return `no final answer has the status ${status}`;
+	}
+
 	if (metadata.requestId === undefined && mustNameRequest) {
 		return 'the answer on a reused connection names no request';
 	}
