Tests: a stop beside changes of the configuration, a runner that leaves, and pauses

Cause: no process test had a stop, changes and pauses at once, nor that in a process that is behind. Ruled out: leaving this to the soak, whose processes get the processor time that they want.

--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -101,6 +101,7 @@
 	callersPort = 0;
 	private _requests = 0;
 	private readonly _servers: Server[] = [];
+	private readonly _entries = new Map<string, object>();
 
 	private constructor(private readonly _options: StoppingProcessOptions) {}
 
@@ -180,6 +181,26 @@
 		});
 	}
 
+	/** Writes a newer version of the configuration, with a route more or less. */
+	changeConfiguration(change: number): void {
+		const more = {
+			...route, name: 'more', prefix: '/more/', kind: 'idempotent', maxAttempts: 2,
+		};
+		this.store.put('op', 'config', {
+			...configuration, version: configuration.version + change, routes: change % 2 === 0 ? configuration.routes : [...configuration.routes, more], limits: {...configuration.limits, ...this._options.limits},
+		});
+	}
+
+	/** Writes the entry of a runner with another state. */
+	setRunnerState(id: string, state: 'ready' | 'draining'): void {
+		this.store.put('servers', id, {...this._entries.get(id), state});
+	}
+
+	/** Removes the entry of a runner, which serves on. */
+	removeRunner(id: string): void {
+		this.store.deleteRow('servers', id);
+	}
+
 	/** A caller's line in the log by request and event. */
 	linesOf(requestId: string): LogLine[] {
 		return this.lines.filter(line => line.requestId === requestId);
@@ -189,9 +210,10 @@
 		const {nodeArguments, limits} = this._options;
 		const storeAddress = await this.store.start();
 		for (const id of ['i-1', 'i-2']) {
-			this.store.put('servers', id, {
-				service: 'records', address: await this._startRunner(id), zone: 'north', version: 'v1', slots: 500, state: 'ready', coldLeftMs: 0, seq: 0, born: 1, models: [],
+			this._entries.set(id, {
+				service: 'records', address: await this._startRunner(id), zone: 'north', version: 'v1', slots: 500, coldLeftMs: 0, seq: 0, born: 1, models: [],
 			});
+			this.setRunnerState(id, 'ready');
 		}
 
 		this.store.put('op', 'config', {...configuration, limits: {...configuration.limits, ...limits}});
