--- a/test/unit/soak-judges.test.ts
+++ b/test/unit/soak-judges.test.ts
@@ -82,7 +82,9 @@
 	'a connection of an instance that was killed': {attempts: [attempt(cutOff)], faults: [fault('e-0', 'kill', 10_400)]},
 	'a stream that a target takes up again and breaks off, when another was sent it meanwhile': {
 		attempts: [attempt({kind: 'stream-resumable', isWhole: false})],
-		arrivals: [arrival({cutAtMs: 10_400}), arrival({target: 't-1', atMs: 10_300, ranAtMs: 10_300, cutAtMs: 10_350})],
+		arrivals: [arrival({cutAtMs: 10_400}), arrival({
+			target: 't-1', atMs: 10_300, ranAtMs: 10_300, cutAtMs: 10_350,
+		})],
 		faults: [fault('t-0', 'kill', 10_400)],
 	},
 	'a repeatable request that is answered by the second of two targets': {
