Embedded daemon: a silent try whose target answers probes is left where no retry is allowed

What callers saw: 504 before their deadline for a repeatable request, though its target was sound and would have answered. Ruled out: targets that do not answer the probe; their tries are given up as before. Change: the try stays, and is checked again after a second, while neither the budget nor the number of tries allows another. That it retries in place of, and not beside, a silent try remains.

--- a/src/core/request/crash-suspects.test.ts
+++ b/src/core/request/crash-suspects.test.ts
@@ -12,6 +12,9 @@
 const SERVICE_MS = 300;
 const RESTART_MS = 3000;
 const CRASHING_CONTENT = 'culprit';
+const SLOW_CONTENT = 'slow';
+/** Longer than a try may be silent before its target is probed. */
+const SLOW_MS = 9000;
 
 type Setup = {
 	readonly simulation: Simulation;
@@ -28,7 +31,7 @@
 	const simulation = new Simulation({
 		seed: 21, tryScript(current, _instance, effect) {
 			const content = current.arrivals.get(effect.requestId)?.contentHash ?? '';
-			return {serviceMs: SERVICE_MS, crashes: crashing.has(content), silent: silent.has(content) && effect.tryNumber === 1};
+			return {serviceMs: content === SLOW_CONTENT ? SLOW_MS : SERVICE_MS, crashes: crashing.has(content), silent: silent.has(content) && effect.tryNumber === 1};
 		},
 	});
 	const targets = Array.from({length: TARGETS}, (_, index) => ({
@@ -162,3 +165,16 @@
 	assert.ok([...targets.values()].every(({health}) => health === 'up'));
 	assert.deepEqual(requests.closed.get('quiet')?.tries.map(({ended}) => ended), ['silent', 'completed']);
 });
+
+// Guards against an answer that is ended early, since its target was silent and no retry was left, though the target was sound.
+test('a request whose sound target is silent for long is answered by it when no retry is allowed', () => {
+	const {simulation, instances} = setUp();
+	const [instance] = instances;
+	simulation.arrive(instance!, promptArrival('warm', 'm'));
+	simulation.run(2000);
+	instance!.state.requests.retryBudget = 0;
+	simulation.arrive(instance!, promptArrival('slow', 'm', {contentHash: SLOW_CONTENT, deadlineMs: 30_000}));
+	simulation.run(20_000);
+	assert.equal(simulation.outcomes.get('slow')?.kind, 'answered');
+	assert.deepEqual(instance!.state.requests.closed.get('slow')?.tries.map(({ended}) => ended), ['completed']);
+});
--- a/src/core/request/silence.ts
+++ b/src/core/request/silence.ts
@@ -6,13 +6,15 @@
 import {logEvent, type Context} from '../context.js';
 import {upperLimitMs} from './estimate.js';
 import {estimatedLoad, type Target} from './target.js';
-import {currentTry, handleFailed} from './tries.js';
+import {currentTry, handleFailed, wouldBeRetried} from './tries.js';
 import {type OpenRequest, type Try} from './types.js';
 
 /** Bounds of the time without progress after which a try counts as silent: before the first event of a stream, before any other response is complete or begins to be forwarded, and between two chunks. */
 const FIRST_BYTE_BOUNDS = {minMs: 2000, maxMs: 15_000};
 const COMPLETE_RESPONSE_BOUNDS = {minMs: 5000, maxMs: 60_000};
 const GAP_BOUNDS = {minMs: 3000, maxMs: 10_000};
+/** A silent try that may not be retried is checked again after this time. */
+const SILENCE_CHECK_MS = 1000;
 
 /** Checks a try for silence when its timer fires; probes the target if it is silent, else sets the timer again. */
 export function handleSilence(context: Context, requestId: string, tryNumber: number): void {
@@ -42,7 +44,7 @@
 
 /**
 Resolves the silent tries of a target once its probe has a result. Idempotent work is
-retried on a new connection; work that runs at most once stays with its try.
+retried on a new connection where a retry is allowed; other work stays with its try.
 */
 export function resolveSilentTries(context: Context, target: Target, reachable: boolean): void {
 	for (const [requestId, tryNumber] of target.inFlight) {
@@ -57,6 +59,12 @@
 			continue;
 		}
 
+		if (reachable && !wouldBeRetried(context, request)) {
+			// The target may be sound and go on, and no other one may be tried.
+			context.state.timers.set(context.nowMs + SILENCE_CHECK_MS, {kind: 'silence', requestId, tryNumber});
+			continue;
+		}
+
 		logEvent(context, 'connection-silent', {requestId, targetId: target.id, reachable});
 		context.effects.push({kind: 'cancel-try', requestId, tryNumber});
 		handleFailed(context, {
--- a/src/core/request/tries.ts
+++ b/src/core/request/tries.ts
@@ -213,9 +213,7 @@
 	const {requests} = context.state;
 	const mayRepeat = request.repeat === 'idempotent' || request.ran === 'no';
 	const isProvenNotRun = !rule.mayHaveRun;
-	const isInTime = context.nowMs < request.deadlineAtMs || request.delivered > 0;
-	const isWithinBudget = isProvenNotRun || (request.tries.length < MAX_TRIES && requests.retryBudget >= 1);
-	if (!mayRepeat || !isInTime || !isWithinBudget) {
+	if (!mayRepeat || !isInTime(context, request) || !(isProvenNotRun || isWithinBudget(context, request))) {
 		refuse(context, request, {code: rule.code, detail: answer ? `the target answered with status ${answer.status}` : undefined});
 		return;
 	}
@@ -229,6 +227,19 @@
 	}
 }
 
+/** Whether a request that may be repeated would be sent again now if its try failed. */
+export function wouldBeRetried(context: Context, request: OpenRequest): boolean {
+	return isInTime(context, request) && isWithinBudget(context, request);
+}
+
+function isInTime({nowMs}: Context, {deadlineAtMs, delivered}: OpenRequest): boolean {
+	return nowMs < deadlineAtMs || delivered > 0;
+}
+
+function isWithinBudget({state}: Context, {tries}: OpenRequest): boolean {
+	return tries.length < MAX_TRIES && state.requests.retryBudget >= 1;
+}
+
 /** Resumes a stream at the target of the last try, unless the try before went there too. Returns whether it did. */
 function resumeStream(context: Context, request: OpenRequest, failure: Failure): boolean {
 	const last = request.tries.at(-1);
