Tries: silence and the outcomes of tries stand in files of their own

Cause: tries.ts had grown to 615 lines with three concepts: events of tries, what their outcomes prove, and silence, whose test already stood in silence.test.ts. No logic changes. Conclusion: one concept a file.

--- a/src/core/entry/dark-targets.ts
+++ b/src/core/entry/dark-targets.ts
@@ -12,7 +12,7 @@
 import {logEvent, type EntryContext} from './state.js';
 import {isListed, type Target} from './target.js';
 import {targetsOf} from './targets.js';
-import {sendBeside} from './tries.js';
+import {sendBeside} from './silence.js';
 
 /** Reports that are not renewed end after this time: beacons renew them, and reach each peer of a zone of 39 every 1.5 s. */
 const REPORT_VALID_MS = 2500;
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -37,12 +37,13 @@
 import {
 	logEvent, type Timer, type EntryContext, type EntryState,
 } from './state.js';
+import {handleSilence} from './silence.js';
 import {checkSpeeds} from './target-speeds.js';
 import {
 	continueProven, continueResolved, handleOriginAsked, handleOriginsAnnounced, handleOriginTimeout,
 } from './stream-origins.js';
 import {
-	handleDeadline, handleTryEnded, handleProgress, handleSilence, handleWritten,
+	handleDeadline, handleTryEnded, handleProgress, handleWritten,
 } from './tries.js';
 
 type Handlers = {
