Tests of statuses: answers that would count with 200, and that case as well

Cause: the pull of silent-peers.test.ts was answered without a message, which brings nothing with any status, so that the case could not fail. Conclusion: guards that can fail.

--- a/src/entry/silent-peers.test.ts
+++ b/src/entry/silent-peers.test.ts
@@ -3,7 +3,9 @@
 */
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {instance} from '../../test/standins/entry-harness.js';
@@ -108,21 +110,35 @@
 	assert.equal(sockets.length, 2);
 });
 
-for (const status of ['000', '199', '600', '999']) {
-	// Guards against the answer of a peer, or of what has its address, whose status is none and which is taken for one.
-	test(`a pull that is answered ${status} brings nothing`, {timeout: 10_000}, async t => {
-		const server = createServer(socket => {
-			socket.on('error', () => undefined);
-			socket.once('data', () => {
-				socket.end(`HTTP/1.1 ${status} Status\r\nContent-Type: application/proto\r\nContent-Length: 0\r\n\r\n`);
-			});
-		}).listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const client = new EntryPeerClient();
-		t.after(() => {
-			client.close();
-			server.close();
+/** Answers as the peer at `address` does, but with another status. */
+async function startWithStatus(t: TestContext, address: string, status: string): Promise<string> {
+	const [host, port] = address.split(':');
+	const server = createServer(socket => {
+		const upstream = connect(Number(port), host);
+		for (const end of [socket, upstream]) {
+			end.on('error', () => undefined);
+		}
+
+		socket.pipe(upstream);
+		upstream.on('data', data => {
+			socket.write(data.toString('latin1').replace('HTTP/1.1 200 ', `HTTP/1.1 ${status} `), 'latin1');
 		});
-		assert.equal(await client.pull(`127.0.0.1:${(server.address() as AddressInfo).port}`, known), undefined);
+		upstream.on('close', () => {
+			socket.destroy();
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.after(() => {
+		server.close();
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+for (const [status, isAnswer] of [['200', true], ['000', false], ['199', false], ['600', false], ['999', false]] as const) {
+	// Guards against the answer of a peer, or of what has its address, whose status is none and which is taken for one.
+	test(`a pull that is answered ${status} brings ${isAnswer ? 'what the peer knows' : 'nothing'}`, {timeout: 10_000}, async t => {
+		const {address, client} = await start(t);
+		const transfer = await client.pull(await startWithStatus(t, address, status), known);
+		assert.equal(transfer !== undefined, isAnswer);
 	});
 }
