Tries: a silent try counts once against its target

Ruled out: evidence of crashes, which needs the break as well, and what a refusal says of the target's load. Change: the silence counts; how the try ends does not, until it has made progress. The rate of failures is recorded in one place for all outcomes that may have run. Conclusion: a target that serves again is not avoided for longer than before.

--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -123,6 +123,7 @@
 		progressAtMs: nowMs,
 		hasBegun: false,
 		hasReplacement: false,
+		wasSilent: false,
 		outcome: undefined,
 	};
 	request.tries.push(attempt);
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -38,6 +38,7 @@
 		progressAtMs: nowMs,
 		hasBegun: false,
 		hasReplacement: false,
+		wasSilent: false,
 		outcome: undefined,
 	};
 	const isRetry = request.tries.length > 0;
--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -9,6 +9,7 @@
 	beacon, engineEntry, EntryHarness, effectsOfKind, instance, route,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffect} from './effect.js';
+import {failureRateOf} from './failure-rates.js';
 import {isLeaseVacant} from './lease.js';
 import {retryBudget} from './retry-budgets.js';
 import {type EntryArrival} from './types.js';
@@ -108,6 +109,22 @@
 	});
 }
 
+// Guards against a target that counts as failing twice for one try, by its silence and by its end, and is avoided once it serves again.
+test('a try that is silent and then breaks counts as one failure of its target', () => {
+	const rates = [false, true].map(isSilent => {
+		const core = createCore();
+		const first = beginStream(core, 'r');
+		if (isSilent) {
+			core.advance(SILENCE_MS);
+		}
+
+		core.endTry('r', 1, 'broken');
+		const target = core.state.targets.get(first)!;
+		return Math.round(failureRateOf(target, target.failureRateAtMs) * 100);
+	});
+	assert.equal(rates[1], rates[0]);
+});
+
 // Guards against two runs of a stream that go on beside each other.
 test('of a stream that was sent to two targets, the try that brings the next event ends the other', () => {
 	for (const [winner, loser] of [[1, 2], [2, 1]] as const) {
--- a/src/core/entry/silence.ts
+++ b/src/core/entry/silence.ts
@@ -88,8 +88,9 @@
 	logEvent(context, 'connection-silent', {
 		requestId: request.id, tryNumber: attempt.number, targetId: attempt.targetId, quietMs: Math.round(context.state.readUntilMs - attempt.progressAtMs), hasBegun: attempt.hasBegun, lateMs: Math.round(context.state.tickLateMs),
 	});
-	attempt.hasReplacement = true;
 	recordAgainstTarget(context, {request, attempt, outcome: 'canceled'});
+	attempt.hasReplacement = true;
+	attempt.wasSilent = true;
 	replacement.send();
 	return 'sent';
 }
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -94,6 +94,7 @@
 	}
 
 	attempt.progressAtMs = nowMs;
+	attempt.wasSilent = false;
 	endOtherTries(context, request, attempt);
 	watchAgain(context, request, attempt);
 	request.delivered = event.delivered;
--- a/src/core/entry/try-outcomes.ts
+++ b/src/core/entry/try-outcomes.ts
@@ -37,8 +37,8 @@
 	/** Whether the next try counts against the retry budget. */
 	readonly isRetry: boolean;
 	readonly code: ResultName;
-	/** Updates what this instance knows of the target. */
-	readonly updateTarget: (context: EntryContext, target: Target, failed: FailedTry) => void;
+	/** Updates what this instance knows of the target, beside its rate of failures. */
+	readonly updateTarget?: (context: EntryContext, target: Target, failed: FailedTry) => void;
 };
 
 /** Exponential backoff for a target that could not be reached: the base is doubled with each consecutive failure, up to the maximum. */
@@ -79,21 +79,16 @@
 	},
 	failed: {
 		mayHaveRun: true, isRetry: true, code: 'target-failed',
-		updateTarget(context, target) {
-			recordOutcome(context, target, true);
-		},
 	},
 	broken: {
 		mayHaveRun: true, isRetry: true, code: 'target-failed',
 		updateTarget(context, target, {request}) {
-			recordOutcome(context, target, true);
 			addSuspect(context, target, request);
 		},
 	},
 	canceled: {
 		mayHaveRun: true, isRetry: true, code: 'target-timeout',
 		updateTarget(context, target, {request}) {
-			recordOutcome(context, target, true);
 			addSuspect(context, target, request);
 		},
 	},
@@ -107,15 +102,27 @@
 /** Records what a try says of its target, or of the instance that it was passed on to. */
 export function recordAgainstTarget(context: EntryContext, failed: FailedTry): void {
 	const {attempt, outcome, details} = failed;
+	const rule = outcomeRules[outcome];
 	if (attempt.isRelay && outcome !== 'failed') {
 		avoidRelay(context, attempt);
 	}
 
 	const target = context.state.targets.get(attempt.targetId);
-	if (target) {
-		outcomeRules[outcome].updateTarget(context, target, failed);
-		pace(context, target, {outcome, wasMissing: details?.wasMissing ?? false});
+	if (!target) {
+		return;
+	}
+
+	rule.updateTarget?.(context, target, failed);
+	if (attempt.wasSilent) {
+		// Its silence has counted.
+		return;
+	}
+
+	if (rule.mayHaveRun) {
+		recordOutcome(context, target, true);
 	}
+
+	pace(context, target, {outcome, wasMissing: details?.wasMissing ?? false});
 }
 
 /** Failures and shed requests slow a target's pace; one that fails often begins to have one. */
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -136,6 +136,8 @@
 	hasBegun: boolean;
 	/** Whether it was silent, and the request was sent to another target as well. */
 	hasReplacement: boolean;
+	/** Whether it has been silent since its last progress, which has counted as a failure of its target. */
+	wasSilent: boolean;
 	/** When the first event of a stream arrived, as the core was told. */
 	beganAtMs?: number;
 	outcome: TryOutcome | undefined;
