Review case 10: a runner that has left stays in use after a restart of the reader

Cause: an instance that has just started passes its list of removals on as complete. Change: a script, review/10/run.sh, and what it needs of the stand-ins; no fix.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/harness/case.mjs
+++ b/review/harness/case.mjs
@@ -39,7 +39,9 @@
 export async function runCase(file, play) {
 	const record = new Record(file);
 	const closers = [];
+	let isTooLong = false;
 	const timer = setTimeout(() => {
+		isTooLong = true;
 		record.note('the case took too long');
 		record.write();
 		process.exitCode = EXIT_NOT_RUN;
@@ -62,6 +64,11 @@
 	}
 
 	clearTimeout(timer);
+	if (isTooLong) {
+		process.exitCode = EXIT_NOT_RUN;
+		return;
+	}
+
 	await closeAll(closers);
 	record.write();
 	process.stdout.write(`${record.lines.at(-1).text}\n`);
--- a/review/harness/cluster.mjs
+++ b/review/harness/cluster.mjs
@@ -207,7 +207,7 @@
 
 		await Promise.all(this.instances.map(async instance => instance.stop('SIGKILL')));
 		if (process.env.KEEP_LOGS === undefined) {
-			rmSync(this.folder, {recursive: true});
+			rmSync(this.folder, {recursive: true, force: true});
 		} else {
 			process.stderr.write(`logs: ${this.folder}\n`);
 		}
