--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -138,6 +138,10 @@
 		}
 	}
 
+	for (const {id, path, front, status, reason, sentAtMs} of answers) {
+		record.note(`${id} ${path} sent to ${front}: ${status ?? reason}`, sentAtMs);
+	}
+
 	const lost = answers.filter(({status}) => status !== 200);
 	record.note(`${answers.length} sign-offs, ${lost.length} of them not answered with success: ${lost.map(({id, status, reason}) => `${id} ${status ?? reason}`).join(', ')}`);
 	for (const {atMs, kind, runner, id} of runners.flatMap(({arrivals}) => arrivals)) {
