Review case 10: sign-offs of 200 ms, so that what is lost shows

Cause: with work of 100 ms a run might lose no request when the runner exits. Change: the time of a sign-off, within what the site file allows; the claim says what is lost.

--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -28,7 +28,7 @@
 /** A killed process is restarted after a short delay. */
 const RESTART_AFTER_MS = 20;
 const REQUEST_INTERVAL_MS = 20;
-const WORK_MS = 100;
+const WORK_MS = 200;
 const HOST = 'records.example';
 const configuration = {
 	version: 7,
