--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -4,14 +4,18 @@
 */
 /* eslint-disable no-await-in-loop -- the steps follow one another */
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {hasTrouble, runCase} from '../harness/case.mjs';
+import {runCase} from '../harness/case.mjs';
 import {Cluster} from '../harness/cluster.mjs';
 import {send} from '../harness/requester.mjs';
 import {Runner} from '../harness/runner.mjs';
 import {Store} from '../harness/store.mjs';
 
+/** Whether the run brings its disruption about: `TROUBLE=0` leaves it out. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 /** Machines by zone. As in the settings of the platform, the first one of each zone is a seed. */
 const ZONES = ['one', 'one', 'one', 'two', 'three'];
 const SEEDS = [0, 3, 4];
@@ -59,7 +63,7 @@
 	await delay(10);
 }
 
-await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), async (record, onClose) => {
+await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), {hasTrouble}, async (record, onClose) => {
 	const store = new Store();
 	onClose(() => {
 		store.close();
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -4,14 +4,18 @@
 */
 /* eslint-disable no-await-in-loop -- the steps follow one another */
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {hasTrouble, runCase} from '../harness/case.mjs';
+import {runCase} from '../harness/case.mjs';
 import {Cluster} from '../harness/cluster.mjs';
 import {eventIds, send} from '../harness/requester.mjs';
 import {Runner} from '../harness/runner.mjs';
 import {Store} from '../harness/store.mjs';
 
+/** Whether the run brings its disruption about: `TROUBLE=0` leaves it out. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const INSTANCES = 4;
 const SETTLED_MS = 3000;
 const STREAM_INTERVAL_MS = 125;
@@ -52,7 +56,7 @@
 	return [...body.matchAll(/^data: (?<version>\S+) /gmv)].map(({groups}) => groups.version);
 }
 
-await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), async (record, onClose) => {
+await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), {hasTrouble}, async (record, onClose) => {
 	const store = new Store();
 	onClose(() => {
 		store.close();
--- a/review/harness/case.mjs
+++ b/review/harness/case.mjs
@@ -8,9 +8,6 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 
-/** Whether the run brings its disruption about. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 const EXIT_HELD = 0;
 const EXIT_BROKEN = 1;
 const EXIT_NOT_RUN = 2;
@@ -36,7 +33,7 @@
 }
 
 /** Runs a case, whose `play` resolves to the descriptions of what broke the rule. */
-export async function runCase(file, play) {
+export async function runCase(file, {hasTrouble}, play) {
 	const record = new Record(file);
 	const closers = [];
 	let isTooLong = false;
