Review cases: no port is given to two instances

Cause: a free port was chosen for each instance before any of them had started, so that two could get the same one; a run of case 9 could not start. Change: ports that were given out are remembered.

--- a/review/harness/cluster.mjs
+++ b/review/harness/cluster.mjs
@@ -53,6 +53,8 @@
 /** Below the ports that the system gives to outgoing connections. */
 const FIRST_PORT = 11_000;
 const PORTS = 20_000;
+/** Ports that were given out in this run: those of an instance that has not started yet still look free. */
+const given = new Set();
 
 async function isFree(port) {
 	const server = createServer();
@@ -72,7 +74,8 @@
 	const ports = new Set();
 	while (ports.size < count) {
 		const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
-		if (!ports.has(port) && await isFree(port)) {
+		if (!given.has(port) && await isFree(port)) {
+			given.add(port);
 			ports.add(port);
 		}
 	}
