Registry: a copy that a pull does not make equal to its sender's is logged

Three causes were possible, and no line told them apart:

1. the reader that has just started passes on its changes as complete, though it never knew the runner; 2. the removal of a runner that a running reader never knew is not passed on; 3. the pull is not asked for, or its answer is lost.

--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -282,6 +282,8 @@
 	readonly entries: readonly TargetEntry[];
 	/** Targets removed since that revision; undefined if `entries` are all. */
 	readonly removed?: readonly TargetId[];
+	/** Digest of the sender's copy; undefined from instances of an earlier release. */
+	readonly digest?: number;
 };
 
 /** Answer to a pull: only what is newer than the versions known to the sender of the pull. */
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -332,11 +332,17 @@
 
 	if (transfer.registry) {
 		const {revision, asOfStoreMs, entries, removed} = transfer.registry;
-		const {digest} = context.state.registry;
+		const {digest, revision: heldRevision} = context.state.registry;
 		adoptRegistry(context, {
 			revision, asOfStoreMs, entries, removed: removed ?? [], isFullSnapshot: removed === undefined,
 		});
 		const [peer] = transfer.instances;
+		if (revision >= heldRevision && transfer.registry.digest !== undefined && transfer.registry.digest !== context.state.registry.digest) {
+			logEvent(context, 'registry-differs', {
+				instanceId: peer?.id, boot: peer?.boot, revision, heldRevision, entries: entries.length, removed: removed?.length,
+			});
+		}
+
 		if (peer?.zone !== context.state.self.zone && context.state.registry.digest !== digest) {
 			// Nobody in this zone reads the store.
 			announceChange(context);
--- a/src/core/entry/registry-transfer.ts
+++ b/src/core/entry/registry-transfer.ts
@@ -11,16 +11,19 @@
 
 /** What has changed in the registry since a revision, or all of it if not all removals since then are known. */
 export function registryTransfer({registry, targets}: EntryState, sinceRevision: number): RegistryTransfer {
-	const {revision, asOfStoreMs, removals, removalsCompleteFrom} = registry;
+	const {revision, asOfStoreMs, digest, removals, removalsCompleteFrom} = registry;
 	const listed = [...targets.values()].filter(({unlistedFromMs}) => unlistedFromMs === undefined);
 	if (sinceRevision === 0 || sinceRevision < removalsCompleteFrom) {
-		return {revision, asOfStoreMs, entries: listed.map(target => target.listed)};
+		return {
+			revision, asOfStoreMs, digest, entries: listed.map(target => target.listed),
+		};
 	}
 
 	const listedIds = new Set(listed.map(({id}) => id));
 	return {
 		revision,
 		asOfStoreMs,
+		digest,
 		entries: listed.filter(({listedRevision}) => listedRevision > sinceRevision).map(target => target.listed),
 		removed: removals.filter(({id, revision: removedAt}) => removedAt > sinceRevision && !listedIds.has(id)).map(({id}) => id),
 	};
