Registry: a change that does not lead to its sender's copy is not adopted

Cause: an instance that pulled took the removals that its peer remembered for all that there were since its own revision. A peer knows only of what it has listed itself. A removal is missing from its list if it

- read before the target came and after it had gone, a part or all of it;
- was told by a beacon that its copy is current at a later revision;
- adopted the change that a beacon carried.

The puller takes the later revision all the same, asks only for what came after it from then on, and keeps the target until it reads the store itself.

Ruled out: a pull that is not asked for or not answered (event 705).

Weighed: to keep each of those lists complete (removals of unknown targets remembered, complete from the last whole copy on).

Change: what is passed on carries the digest of its sender's copy. A change is adopted only if the receiver's copy gets that digest with it; else the receiver keeps its copy and its revision, and asks for all entries at once. So nobody has to know all removals, and the list of the last 200 is gone: removed targets that are still kept serve as hints. A change of an earlier release has no digest and is pulled as a whole.

Conclusion: a copy that shows that it differs makes a fact out of what was an assumption, at the cost of one number in a pull.

--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -12,14 +12,16 @@
 import {dispatchAll} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
 import {
-	type Beacon, type KnownVersions, type LeaseStatus, type Peer, type StateTransfer,
+	type Beacon, type KnownVersions, type LeaseStatus, type Peer, type RegistryTransfer, type StateTransfer,
 } from './peer-messages.js';
 import {adoptPace} from './pace.js';
 import {recordInstanceCount} from './peers.js';
 import {holderAccount} from './quota-account.js';
 import {noteLevels} from './quotas.js';
 import {adoptAnnouncedLimits} from './rate-limit.js';
-import {adoptRegistry, announceChange, updateFreshness} from './registry.js';
+import {
+	adoptRegistry, announceChange, digestAfter, updateFreshness,
+} from './registry.js';
 import {registryTransfer} from './registry-transfer.js';
 import {leaseStatus} from './beacon-sender.js';
 import {adoptSlowness} from './slowness.js';
@@ -177,10 +179,10 @@
 	state.lease.steppedDownSinceMs = hasEnded ? state.lease.steppedDownSinceMs ?? nowMs : undefined;
 }
 
-/** Adopts what a reader of this zone has just read, if this instance's copy is the one that has changed. */
-function adoptRegistryChange(context: EntryContext, {registry: {change, revision, asOfStoreMs}}: Beacon): void {
+/** Adopts what a reader of this zone has just read, if this instance's copy is the one that has changed and becomes the reader's with it. */
+function adoptRegistryChange(context: EntryContext, {registry: {change, revision, asOfStoreMs, digest}}: Beacon): void {
 	const {registry} = context.state;
-	if (change?.sinceDigest === registry.digest && revision > registry.revision) {
+	if (change?.sinceDigest === registry.digest && revision > registry.revision && digestAfter(context.state, change) === digest) {
 		adoptRegistry(context, {
 			revision, asOfStoreMs, entries: change.entries, removed: change.removed, isFullSnapshot: false,
 		});
@@ -191,6 +193,7 @@
 	const {state} = context;
 	if (registry.digest === state.registry.digest && registry.revision >= state.registry.revision) {
 		state.registry.revision = registry.revision;
+		state.registry.isWholeNeeded = false;
 		updateFreshness(context, registry.asOfStoreMs);
 	}
 }
@@ -294,7 +297,11 @@
 
 export function knownVersions({state}: EntryContext): KnownVersions {
 	return {
-		from: state.self, configurationVersion: state.configuration?.version ?? 0, registryRevision: state.registry.revision, acceptsChanges: true, crashDigest: state.crashEvidence.digest,
+		from: state.self,
+		configurationVersion: state.configuration?.version ?? 0,
+		registryRevision: state.registry.isWholeNeeded ? 0 : state.registry.revision,
+		acceptsChanges: true,
+		crashDigest: state.crashEvidence.digest,
 	};
 }
 
@@ -331,21 +338,42 @@
 	}
 
 	if (transfer.registry) {
-		const {revision, asOfStoreMs, entries, removed} = transfer.registry;
-		const {digest, revision: heldRevision} = context.state.registry;
-		adoptRegistry(context, {
-			revision, asOfStoreMs, entries, removed: removed ?? [], isFullSnapshot: removed === undefined,
+		const [sender] = transfer.instances;
+		adoptTransfer(context, transfer.registry, sender!);
+	}
+}
+
+function adoptTransfer(context: EntryContext, transfer: RegistryTransfer, sender: EntryInstance): void {
+	const {state} = context;
+	const {digest, revision: heldRevision} = state.registry;
+	const {revision, asOfStoreMs, entries, removed} = transfer;
+	if (revision < heldRevision) {
+		return;
+	}
+
+	// A change of an earlier release comes without the digest that proves it.
+	if (removed && transfer.digest !== digestAfter(state, {entries, removed})) {
+		logEvent(context, 'registry-differs', {
+			instanceId: sender.id, boot: sender.boot, revision, heldRevision, entries: entries.length, removed: removed.length,
 		});
-		const [peer] = transfer.instances;
-		if (revision >= heldRevision && transfer.registry.digest !== undefined && transfer.registry.digest !== context.state.registry.digest) {
-			logEvent(context, 'registry-differs', {
-				instanceId: peer?.id, boot: peer?.boot, revision, heldRevision, entries: entries.length, removed: removed?.length,
-			});
-		}
+		pullWholeRegistry(context, sender);
+		return;
+	}
 
-		if (peer?.zone !== context.state.self.zone && context.state.registry.digest !== digest) {
-			// Nobody in this zone reads the store.
-			announceChange(context);
-		}
+	adoptRegistry(context, {
+		revision, asOfStoreMs, entries, removed: removed ?? [], isFullSnapshot: removed === undefined,
+	});
+	if (sender.zone !== state.self.zone && state.registry.digest !== digest) {
+		// Nobody in this zone reads the store.
+		announceChange(context);
+	}
+}
+
+function pullWholeRegistry(context: EntryContext, {id}: EntryInstance): void {
+	context.state.registry.isWholeNeeded = true;
+	const peer = context.state.peers.get(id);
+	if (peer) {
+		peer.pulledAtMs = Number.NEGATIVE_INFINITY;
+		pullFrom(context, peer);
 	}
 }
--- a/src/core/entry/registry-transfer.ts
+++ b/src/core/entry/registry-transfer.ts
@@ -1,31 +1,32 @@
 /**
 What an instance passes on of its copy of the registry: to a peer that pulls, and, as soon
 as it has read a change itself, to all peers of its availability zone in a beacon, so that
-none of them has to pull it.
+none of them has to pull it. A change names what this instance knows to have changed. It
+may lack a target that came and went while this instance read nothing, or before it
+started, so the digest of the copy goes with it: a receiver whose copy would get another
+one leaves the change alone and pulls all entries.
 */
 import {type RegistryTransfer, type AnnouncedRegistryChange} from './peer-messages.js';
 import {type EntryState} from './state.js';
 
 /** A beacon has to fit into a datagram of few packets. */
 const MAX_ANNOUNCED_ENTRIES = 24;
+/** The same for removals, which are ids alone. */
+const MAX_ANNOUNCED_REMOVALS = 200;
 
-/** What has changed in the registry since a revision, or all of it if not all removals since then are known. */
-export function registryTransfer({registry, targets}: EntryState, sinceRevision: number): RegistryTransfer {
-	const {revision, asOfStoreMs, digest, removals, removalsCompleteFrom} = registry;
-	const listed = [...targets.values()].filter(({unlistedFromMs}) => unlistedFromMs === undefined);
-	if (sinceRevision === 0 || sinceRevision < removalsCompleteFrom) {
-		return {
-			revision, asOfStoreMs, digest, entries: listed.map(target => target.listed),
-		};
+/** What is known to have changed in the registry since a revision, or all of it since revision 0. */
+export function registryTransfer({registry: {revision, asOfStoreMs, digest}, targets}: EntryState, sinceRevision: number): RegistryTransfer {
+	const known = [...targets.values()];
+	const listed = known.filter(({unlistedFromMs}) => unlistedFromMs === undefined);
+	const copy = {revision, asOfStoreMs, digest};
+	if (sinceRevision === 0) {
+		return {...copy, entries: listed.map(target => target.listed)};
 	}
 
-	const listedIds = new Set(listed.map(({id}) => id));
 	return {
-		revision,
-		asOfStoreMs,
-		digest,
-		entries: listed.filter(({listedRevision}) => listedRevision > sinceRevision).map(target => target.listed),
-		removed: removals.filter(({id, revision: removedAt}) => removedAt > sinceRevision && !listedIds.has(id)).map(({id}) => id),
+		...copy,
+		entries: listed.filter(({changedRevision}) => changedRevision > sinceRevision).map(target => target.listed),
+		removed: known.filter(({unlistedFromMs, changedRevision}) => unlistedFromMs !== undefined && changedRevision > sinceRevision).map(({id}) => id),
 	};
 }
 
@@ -39,5 +40,6 @@
 	}
 
 	const {entries, removed} = registryTransfer(state, since.revision);
-	return removed && entries.length <= MAX_ANNOUNCED_ENTRIES ? {sinceDigest: since.digest, entries, removed} : undefined;
+	const isSmall = removed !== undefined && entries.length <= MAX_ANNOUNCED_ENTRIES && removed.length <= MAX_ANNOUNCED_REMOVALS;
+	return isSmall ? {sinceDigest: since.digest, entries, removed} : undefined;
 }
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -31,8 +31,6 @@
 /** A time further in the future than this shows that this instance's clock was stopped. */
 const CLOCK_TOLERANCE_MS = 100;
 const DIGEST_MODULUS = 2 ** 32;
-/** Removals that are remembered for peers that pull what has changed; a peer that lacks older ones pulls the whole registry. */
-const MAX_REMOVALS = 200;
 /** Time after which an unlisted target without in-flight requests is removed: streams that it began may be resumed until then. */
 const TARGET_RETENTION_MS = 30_000;
 
@@ -121,6 +119,10 @@
 		return;
 	}
 
+	if (change.isFullSnapshot) {
+		registry.isWholeNeeded = false;
+	}
+
 	updateFreshness(context, change.asOfStoreMs);
 	// To an instance that has just started, all targets are new.
 	const isFirst = state.targets.size === 0;
@@ -204,6 +206,19 @@
 	return digest;
 }
 
+/** Digest of the copy that a change would make of this instance's copy. */
+export function digestAfter({targets, registry}: EntryState, {entries, removed}: Pick<RegistryChange, 'entries' | 'removed'>): number {
+	let {digest} = registry;
+	for (const id of new Set([...entries.map(entry => entry.id), ...removed])) {
+		const target = targets.get(id);
+		if (target && target.unlistedFromMs === undefined) {
+			digest += DIGEST_MODULUS - target.listedHash;
+		}
+	}
+
+	return entries.reduce((sum, entry) => sum + hashOf(entry), digest) % DIGEST_MODULUS;
+}
+
 /** Hash of what the registry says of a target, but for what changes with every heartbeat. */
 function hashOf({id, incarnation, release, address, isLeaving, sequence, copies}: TargetEntry): number {
 	return Number(fnv1a(JSON.stringify([id, incarnation, release, address, isLeaving, sequence, copies]), {size: 32}));
@@ -220,7 +235,7 @@
 	const listedHash = hashOf(entry);
 	if (target.listedHash !== listedHash) {
 		target.listedHash = listedHash;
-		target.listedRevision = registry.revision;
+		target.changedRevision = registry.revision;
 	}
 }
 
@@ -255,7 +270,7 @@
 
 	if (target.unlistedFromMs !== undefined) {
 		target.unlistedFromMs = undefined;
-		target.listedRevision = state.registry.revision;
+		target.changedRevision = state.registry.revision;
 		logEvent(context, 'target-listed', {
 			targetId: entry.id, service: entry.service, zone: entry.zone, revision: state.registry.revision,
 		});
@@ -313,11 +328,8 @@
 
 	const {graceUntilMs, revision} = state.registry;
 	target.unlistedFromMs = Math.max(nowMs, graceUntilMs);
+	target.changedRevision = revision;
 	state.registry.unlisted.add(id);
-	state.registry.removals.push({id, revision});
-	if (state.registry.removals.length > MAX_REMOVALS) {
-		state.registry.removalsCompleteFrom = state.registry.removals.shift()!.revision;
-	}
 
 	// One that leaves ends what it still runs.
 	if (target.leavingSinceMs === undefined) {
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -136,9 +136,8 @@
 		announced: {readonly revision: number; readonly digest: number} | undefined;
 		/** Digest of the entries: equal on instances whose entries are equal. */
 		digest: number;
-		/** The last removals of targets, and the revision after which none is missing among them. */
-		readonly removals: Array<{readonly id: TargetId; readonly revision: number}>;
-		removalsCompleteFrom: number;
+		/** Whether what a peer has passed on did not lead to its copy, so that the next pull asks for all entries. */
+		isWholeNeeded: boolean;
 		/** Targets that are not listed; may contain some that are listed again. */
 		readonly unlisted: Set<TargetId>;
 	};
@@ -249,8 +248,7 @@
 			isReadNews: false,
 			announced: undefined,
 			digest: 0,
-			removals: [],
-			removalsCompleteFrom: 0,
+			isWholeNeeded: false,
 			unlisted: new Set(),
 		},
 		open: new Map(),
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -106,10 +106,11 @@
 	entry: TargetEntry;
 	/** The entry as read from the registry, without updates from reports. */
 	listed: TargetEntry;
-	/** Hash of `hashedEntry`, an entry equal to `listed`, and the registry's revision at which it last changed. */
+	/** Hash of `hashedEntry`, an entry equal to `listed`. */
 	listedHash: number;
 	hashedEntry: TargetEntry | undefined;
-	listedRevision: number;
+	/** Revision of the registry at which the entry last changed, was listed again or was removed, as far as this instance knows. */
+	changedRevision: number;
 	/** Since when this instance has known that this incarnation leaves, by its entry or an answer; undefined while it does not. It does not take that back. */
 	leavingSinceMs: number | undefined;
 	/** Time from which the target counts as removed from the registry, undefined while it is listed. */
@@ -192,7 +193,7 @@
 		listed: entry,
 		listedHash: 0,
 		hashedEntry: undefined,
-		listedRevision: 0,
+		changedRevision: 0,
 		leavingSinceMs: undefined,
 		unlistedFromMs: undefined,
 		reportValidUntilMs: Number.NEGATIVE_INFINITY,
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -95,7 +95,7 @@
 	'store-went-back': {number: 702, level: 'warn'},
 	'store-restored': {number: 703, level: 'warn'},
 	'releases-recorded': {number: 704, level: 'info'},
-	'registry-differs': {number: 705, level: 'warn'},
+	'registry-differs': {number: 705, level: 'info'},
 } as const satisfies Record<string, LogEvent>;
 
 export type LogEventName = keyof typeof logEvents;
