Record of releases: a release is absent only while its writer has looked

Cause: the first reader of a zone kept since when a recorded release was not listed, and looked again only while it was the first reader. A release that came back for two seconds while another instance was it did not end that time. When the instance was the first reader again it dropped the release at once, with streams of it under way, and a started instance then took the one release on record for proven.

Line 704 now also says for how long its writer has followed the registry.

Change: release-history.ts keeps with every change of the copy when a release was last listed. Every instance does, whatever its role. A release is dropped if its writer has followed the registry for 30 s without a gap, which inStepSinceMs tells, and has not seen it in that time.

Weighed: the time of absence in the row itself. It takes two more writes for each release that goes or returns, and a return that no first reader saw would still be missing in it.

A release is not counted as dropped in the 1.2 s after it is listed anew, as the record does not have a new one either.

Conclusion: the absence comes from what all instances follow, and no longer from how long one of them was not asked.

--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -12,6 +12,7 @@
 import {dispatchAll} from './dispatch.js';
 import {beginPace} from './pace.js';
 import {isDueAsReader} from './registry-readers.js';
+import {updateReleaseHistory} from './release-history.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {updateMixedServices} from './stream-origins.js';
 import {
@@ -152,6 +153,7 @@
 	const digest = registryDigest(state.targets.values());
 	if (digest !== registry.digest) {
 		registry.digest = digest;
+		updateReleaseHistory(context);
 		updateMixedServices(context);
 	}
 
--- a/src/core/entry/release-record.test.ts
+++ b/src/core/entry/release-record.test.ts
@@ -146,3 +146,52 @@
 		assert.equal(core.row.record !== undefined, isWriter, id);
 	}
 });
+
+/** Lets another instance of the zone be its first reader for a while. */
+function runBeside(core: Writer, first: string, durationMs: number): void {
+	for (let passedMs = 0; passedMs < durationMs; passedMs += 300) {
+		core.dispatch({
+			kind: 'beacon-received', beacon: beacon({
+				from: instance(first), registry: {
+					revision: core.state.registry.revision, digest: core.state.registry.digest, asOfStoreMs: core.storeMs, isRead: true,
+				},
+			}),
+		});
+		core.run(300);
+	}
+}
+
+// Guards against the time of an absence that runs on while another instance of the zone writes the record: a release that had come back was dropped at once.
+for (const firstReaderMs of [1000, 20_000]) {
+	for (const writeAfterMs of [500, 5000]) {
+		test(`a release that came back while another instance was the first reader is kept for as long as streams last; this one was it ${firstReaderMs} ms into the first absence and is it again ${writeAfterMs} ms into the second`, () => {
+			const core = new Writer(instance('b')).readRegistry([v1, v2]);
+			core.run(31_000);
+			core.readRegistry([v2]);
+			core.run(firstReaderMs);
+			runBeside(core, 'a', 36_000);
+			core.row = {revision: 40, record: {...core.row.record!, releases: {llm: ['v2']}}};
+			core.readRegistry([v1, v2]);
+			runBeside(core, 'a', 2100);
+			core.row = {revision: 41, record: {...core.row.record!, releases: {llm: ['v2', 'v1']}}};
+			core.readRegistry([v2]);
+			runBeside(core, 'a', writeAfterMs);
+			core.run(24_000);
+			assert.deepEqual(core.row.record?.releases, {llm: ['v2', 'v1']});
+			core.run(8000);
+			assert.deepEqual(core.row.record?.releases, {llm: ['v2']});
+		});
+	}
+}
+
+test('a release is not dropped by an instance that has not followed the registry for as long as streams last', () => {
+	const core = new Writer().readRegistry([v1, v2]);
+	core.run(1000);
+	core.readRegistry([v2]);
+	core.run(20_000);
+	core.suspend(4000).readRegistry([v2]);
+	core.run(25_000);
+	assert.deepEqual(core.row.record?.releases, {llm: ['v1', 'v2']});
+	core.run(8000);
+	assert.deepEqual(core.row.record.releases, {llm: ['v2']});
+});
--- a/src/core/entry/release-record.ts
+++ b/src/core/entry/release-record.ts
@@ -7,11 +7,10 @@
 */
 import {type EntryEventOf} from './event.js';
 import {canReadStore, isFirstReader} from './registry-readers.js';
+import {absentForMs, listedReleases, STREAM_LIFETIME_MS} from './release-history.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {targetsOf} from './targets.js';
 
-/** Longer than streams last, by the time limits of requests. */
-export const STREAM_LIFETIME_MS = 30_000;
 /** The store's client gives up by then, so that the next call may be sent. */
 const CALL_TIMEOUT_MS = 2500;
 const RETRY_INTERVAL_MS = 250;
@@ -50,8 +49,6 @@
 	/** Digest of the registry that the row was last compared with. */
 	comparedDigest: number | undefined;
 	nextRemovalCheckAtMs: number;
-	/** Since when recorded releases have not been listed, by `service release`. */
-	readonly absentSinceMs: Map<string, number>;
 };
 
 export function createKnownReleases(): KnownReleases {
@@ -63,7 +60,6 @@
 		nextCallAtMs: Number.NEGATIVE_INFINITY,
 		comparedDigest: undefined,
 		nextRemovalCheckAtMs: Number.NEGATIVE_INFINITY,
-		absentSinceMs: new Map(),
 	};
 }
 
@@ -131,7 +127,9 @@
 	knownReleases.row = {...row, revision, record: pendingRecord};
 	knownReleases.comparedDigest = undefined;
 	knownReleases.nextCallAtMs = nowMs;
-	logEvent(context, 'releases-recorded', {releases: pendingRecord.releases, sinceStoreMs: pendingRecord.sinceMs, revision});
+	logEvent(context, 'releases-recorded', {
+		releases: pendingRecord.releases, sinceStoreMs: pendingRecord.sinceMs, revision, followedForMs: Math.round(nowMs - context.state.registry.inStepSinceMs),
+	});
 }
 
 /** The only release at which a stream of a service can have begun before a time, by what is listed and on record; undefined if that is not proven. */
@@ -168,30 +166,13 @@
 
 /** What the record has to name, undefined if that is what it names already. */
 function releasesToRecord(context: EntryContext, record: ReleaseRecord | undefined): ReleaseRecord['releases'] | undefined {
-	const {state: {targets, registry, knownReleases: {absentSinceMs}}, nowMs} = context;
-	const listed = new Map<string, Set<string>>();
-	for (const {unlistedFromMs, entry: {service, release}} of targets.values()) {
-		if (unlistedFromMs === undefined) {
-			listed.set(service, (listed.get(service) ?? new Set()).add(release));
-		}
-	}
-
+	const {state} = context;
 	const releases: Record<string, string[]> = {};
-	let isChanged = record?.eraRevision !== registry.eraRevision;
-	for (const service of new Set([...Object.keys(record?.releases ?? {}), ...listed.keys()])) {
+	let isChanged = record?.eraRevision !== state.registry.eraRevision;
+	for (const service of new Set([...Object.keys(record?.releases ?? {}), ...state.releaseHistory.listed.keys()])) {
 		const recorded = record?.releases[service] ?? [];
-		const kept = recorded.filter(release => {
-			const key = `${service} ${release}`;
-			if (listed.get(service)?.has(release)) {
-				absentSinceMs.delete(key);
-				return true;
-			}
-
-			const sinceMs = absentSinceMs.get(key) ?? nowMs;
-			absentSinceMs.set(key, sinceMs);
-			return nowMs - sinceMs < STREAM_LIFETIME_MS;
-		});
-		const added = [...listed.get(service) ?? []].filter(release => !recorded.includes(release));
+		const kept = recorded.filter(release => absentForMs(context, service, release) < STREAM_LIFETIME_MS);
+		const added = [...listedReleases(state, service)].filter(release => !recorded.includes(release));
 		isChanged ||= added.length > 0 || kept.length < recorded.length;
 		if (kept.length + added.length > 0) {
 			releases[service] = [...kept, ...added];
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -22,6 +22,7 @@
 import {type PaceMode} from './pace.js';
 import {type ReadingSpeed} from './reading-speed.js';
 import {createKnownReleases, type KnownReleases} from './release-record.js';
+import {createReleaseHistory, type ReleaseHistory} from './release-history.js';
 import {type RetryBudget} from './retry-budget.js';
 import {createTargetSpeeds, type TargetSpeeds} from './target-speeds.js';
 import {type Target} from './target.js';
@@ -178,6 +179,7 @@
 	/** Requests that wait for the proof that a single release can have begun their stream. */
 	readonly unprovenStreams: Set<RequestId>;
 	readonly knownReleases: KnownReleases;
+	readonly releaseHistory: ReleaseHistory;
 	/** Services of which several releases are known. */
 	readonly mixedServices: Set<string>;
 	/** Adapters loaded recently, and the time until which beacons carry them. */
@@ -273,6 +275,7 @@
 		originQueries: new Map(),
 		unprovenStreams: new Set(),
 		knownReleases: createKnownReleases(),
+		releaseHistory: createReleaseHistory(),
 		mixedServices: new Set(),
 		adaptersToAnnounce: new Map(),
 		comingCopies: new Map(),
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -21,9 +21,8 @@
 import {
 	openRequest, type EntryContext, type EntryState, type Timer,
 } from './state.js';
-import {
-	askReleaseRecord, onlyRelease, releasesOf, STREAM_LIFETIME_MS,
-} from './release-record.js';
+import {STREAM_LIFETIME_MS} from './release-history.js';
+import {askReleaseRecord, onlyRelease, releasesOf} from './release-record.js';
 import {canGoOn} from './targets.js';
 import {
 	type EntryInstance, type EntryRequest, type EntryTry, type StreamOrigin,
