Registry: two copies of one revision that differ are noticed and read again

A pull is asked for only where the peer's revision is later, so that two copies of the same revision that differ were never compared, though each beacon carries the digest.

Since changes are proven by their digest no such pair comes about in the property test; what remains are entries that one instance leaves alone (of an earlier start of their target, or gone before a restore of the store), and instances of an earlier release, whose pulls are not proven.

Change: an instance that hears of another digest for its own revision in its zone logs it (706). The one that reads for the other reads all entries with its next read of the store, and the other one pulls all entries from it, each at most every 10 s: two releases may decode an entry differently for as long as it is there.

Weighed: a read of the store by each that notices. In a zone of 39 that would be 39 reads at once for what one of them and pulls settle.

Tests: registry-copies.test.ts, the last two, which fail before. Conclusion: a fault of a kind that is not known yet shows, and ends.

--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -43,6 +43,8 @@
 /** Copies reported by the lease holder override the registry until its next beacons. */
 const REPORTED_COPIES_VALID_MS = 1500;
 const RECENT_PEER_MS = 3000;
+/** Instances of two releases may read an entry differently for as long as it is there. */
+const DOUBT_INTERVAL_MS = 10_000;
 const NONE_UNREACHED: ReadonlySet<TargetId> = new Set();
 
 export function handleBeacon(context: EntryContext, {beacon}: EntryEventOf<'beacon-received'>): void {
@@ -56,6 +58,7 @@
 	updateSteppedDown(context, beacon);
 	adoptRegistryChange(context, beacon);
 	confirmRegistry(context, beacon);
+	compareRegistry(context, beacon);
 	confirmConfiguration(context, beacon);
 	applyReportedCopies(context, beacon);
 	applyLoads(context, beacon);
@@ -198,6 +201,24 @@
 	}
 }
 
+/** Two copies of one revision that differ cannot both be right: the instance that reads for the other one reads all entries, and the other one pulls them from it. */
+function compareRegistry(context: EntryContext, {from, registry: {revision, digest, isRead}}: Beacon): void {
+	const {state: {self, registry, peers}, nowMs} = context;
+	if (revision !== registry.revision || digest === registry.digest || from.zone !== self.zone || nowMs - registry.doubtedAtMs < DOUBT_INTERVAL_MS) {
+		return;
+	}
+
+	registry.doubtedAtMs = nowMs;
+	logEvent(context, 'registry-copies-differ', {instanceId: from.id, boot: from.boot, revision});
+	const peer = peers.get(from.id);
+	if (isRead && from.id < self.id && peer) {
+		registry.isWholeNeeded = true;
+		pullFrom(context, peer);
+	} else {
+		registry.isWholeReadNeeded = true;
+	}
+}
+
 function applyReportedCopies(context: EntryContext, {reported, from}: Beacon): void {
 	const {state, nowMs} = context;
 	if (from.id !== state.lease.lastKnown?.holder.id || reported.length === 0) {
--- a/src/core/entry/registry-copies.test.ts
+++ b/src/core/entry/registry-copies.test.ts
@@ -7,7 +7,7 @@
 import {test} from 'node:test';
 import * as fc from 'fast-check';
 import {
-	EntryHarness, effectsOfKind, engineEntry, instance,
+	beacon as beaconOf, EntryHarness, effectsOfKind, engineEntry, instance,
 } from '../../../test/standins/entry-harness.js';
 import {type EntryEffect} from './effect.js';
 import {knownVersions, transferFor} from './peer-sync.js';
@@ -221,3 +221,49 @@
 		play(steps);
 	});
 }
+
+/** Two instances that hold the same revision, of which one lists a target that the store did not list then. */
+function createDiffering(idOfFaulty: 'a' | 'b'): {faulty: EntryHarness; other: EntryHarness} {
+	const [a, b] = ['a', 'b'].map(id => new EntryHarness(instance(id)).configure());
+	const [faulty, other] = idOfFaulty === 'a' ? [a!, b!] : [b!, a!];
+	other.readRegistry([engineEntry('e0', ['m0'])]);
+	faulty.readRegistry([engineEntry('e0', ['m0']), engineEntry('e1', ['m0'])]);
+	return {faulty, other};
+}
+
+function hear(receiver: EntryHarness, sender: EntryHarness): EntryEffect[] {
+	const {revision, digest, asOfStoreMs} = sender.state.registry;
+	return receiver.dispatch({
+		kind: 'beacon-received', beacon: beaconOf({
+			from: sender.self, registry: {
+				revision, digest, asOfStoreMs, isRead: true,
+			},
+		}),
+	});
+}
+
+// Guards against two copies of one revision that differ for good, since a pull is asked for only where the other revision is later.
+test('of two instances with different copies of one revision the one that reads for the other reads the whole registry, once in a while', () => {
+	const {faulty, other} = createDiffering('a');
+	assert.deepEqual(effectsOfKind(hear(faulty, other), 'pull'), []);
+	const reads = effectsOfKind(faulty.advance(1000), 'read-registry');
+	assert.deepEqual(reads.map(({isWhole}) => isWhole), [true, false].slice(0, reads.length));
+	faulty.readRegistry([engineEntry('e0', ['m0'])]);
+	assert.equal(faulty.state.registry.digest, other.state.registry.digest);
+	faulty.dispatch({kind: 'tick'});
+	assert.equal(effectsOfKind(faulty.effects, 'log').filter(({event}) => event === 'registry-copies-differ').length, 1);
+});
+
+test('the other one pulls the whole registry from it, but not with every beacon', () => {
+	const {faulty, other} = createDiffering('b');
+	const [pulled] = effectsOfKind(hear(faulty, other), 'pull');
+	assert.equal(pulled?.known.registryRevision, 0);
+	faulty.dispatch({kind: 'pull-completed', transfer: transferFor(contextOf(other), pulled.known)});
+	assert.equal(faulty.state.registry.digest, other.state.registry.digest);
+	faulty.readRegistry([engineEntry('e2', ['m0'])]);
+	other.readRegistry([engineEntry('e0', ['m0'])]);
+	faulty.advance(1000);
+	assert.deepEqual(effectsOfKind(hear(faulty, other), 'pull'), []);
+	faulty.advance(10_000);
+	assert.equal(effectsOfKind(hear(faulty, other), 'pull').length, 1);
+});
--- a/src/core/entry/registry-readers.ts
+++ b/src/core/entry/registry-readers.ts
@@ -57,10 +57,15 @@
 }
 
 /** Reads the registry unless a read that was sent since then is on its way or complete. */
-export function readRegistrySince({state: {registry}, nowMs, effects}: EntryContext, sinceMs: number): void {
+export function readRegistrySince(context: EntryContext, sinceMs: number): void {
+	const {state: {registry}, nowMs} = context;
 	if (registry.readSentAtMs < sinceMs && registry.confirmedAtMs < sinceMs && nowMs - registry.readSentAtMs >= EARLY_READ_INTERVAL_MS) {
-		registry.unansweredSinceMs ??= nowMs;
-		registry.readSentAtMs = nowMs;
-		effects.push({kind: 'read-registry', afterRevision: registry.revision});
+		sendRegistryRead(context);
 	}
 }
+
+export function sendRegistryRead({state: {registry}, nowMs, effects}: EntryContext): void {
+	registry.unansweredSinceMs ??= nowMs;
+	registry.readSentAtMs = nowMs;
+	effects.push({kind: 'read-registry', isWhole: registry.isWholeReadNeeded});
+}
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -11,7 +11,7 @@
 import {type EntryEventOf} from './event.js';
 import {dispatchAll} from './dispatch.js';
 import {beginPace} from './pace.js';
-import {isDueAsReader} from './registry-readers.js';
+import {isDueAsReader, sendRegistryRead} from './registry-readers.js';
 import {updateReleaseHistory} from './release-history.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {updateMixedServices} from './stream-origins.js';
@@ -41,9 +41,7 @@
 	removeUnlistedTargets(context);
 	const isFailing = registry.failedAtMs > registry.restoredAtMs;
 	if (isDueAsReader(context, registry.freshAtMs + READ_INTERVAL_MS) && nowMs - registry.readSentAtMs >= (isFailing ? RETRY_INTERVAL_MS : HEDGED_READ_DELAY_MS)) {
-		registry.unansweredSinceMs ??= nowMs;
-		registry.readSentAtMs = nowMs;
-		context.effects.push({kind: 'read-registry', afterRevision: registry.revision});
+		sendRegistryRead(context);
 	}
 }
 
@@ -77,6 +75,10 @@
 		logEvent(context, 'platform-reachable', {what: 'registry', awayMs: Math.round(nowMs - registry.freshAtMs)});
 	}
 
+	if (event.isFullSnapshot && event.revision >= registry.revision) {
+		registry.isWholeReadNeeded = false;
+	}
+
 	registry.confirmedAtMs = Math.max(registry.confirmedAtMs, event.sentAtMs);
 	const {digest} = registry;
 	adoptRegistry(context, {
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -139,6 +139,10 @@
 		digest: number;
 		/** Whether what a peer has passed on did not lead to its copy, so that the next pull asks for all entries. */
 		isWholeNeeded: boolean;
+		/** Whether the next read of the store is to bring all entries. */
+		isWholeReadNeeded: boolean;
+		/** When a peer with another copy of the same revision was last taken for a reason to obtain all entries. */
+		doubtedAtMs: number;
 		/** Targets that are not listed; may contain some that are listed again. */
 		readonly unlisted: Set<TargetId>;
 	};
@@ -251,6 +255,8 @@
 			announced: undefined,
 			digest: 0,
 			isWholeNeeded: false,
+			isWholeReadNeeded: false,
+			doubtedAtMs: Number.NEGATIVE_INFINITY,
 			unlisted: new Set(),
 		},
 		open: new Map(),
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -96,6 +96,7 @@
 	'store-restored': {number: 703, level: 'warn'},
 	'releases-recorded': {number: 704, level: 'info'},
 	'registry-differs': {number: 705, level: 'info'},
+	'registry-copies-differ': {number: 706, level: 'warn'},
 } as const satisfies Record<string, LogEvent>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/src/entry/effect-handlers.ts
+++ b/src/entry/effect-handlers.ts
@@ -29,8 +29,8 @@
 		'break-off'({requestId}) {
 			exchanges.get(requestId)?.abortResponse();
 		},
-		'read-registry'() {
-			void daemon.storeWatcher.readRegistry();
+		'read-registry'({isWhole}) {
+			void daemon.storeWatcher.readRegistry({isWhole});
 		},
 		'check-configuration'() {
 			void daemon.storeWatcher.checkConfiguration();
--- a/src/entry/store-watcher.ts
+++ b/src/entry/store-watcher.ts
@@ -107,11 +107,12 @@
 		});
 	}
 
-	async readRegistry(): Promise<void> {
+	/** Reads what has changed since the last answer, or all of the registry. */
+	async readRegistry({isWhole = false}: {readonly isWhole?: boolean} = {}): Promise<void> {
 		const {deployment, dispatch} = this._options;
 		const {store, documents} = deployment;
 		const sent = this._sendTimes();
-		let isFullSnapshot = this._registryRevision === 0;
+		let isFullSnapshot = isWhole || this._registryRevision === 0;
 		let page = isFullSnapshot
 			? await store.read(documents.registryTable)
 			: await store.pollChanges(documents.registryTable, this._registryRevision, 0);
