Record of releases: services may be called like members of every object

Cause: the record of releases was asked by the service's name as a plain object, which answers `constructor`, `toString` and `__proto__` with what every object has. The function found there has no `filter`, so the tick of the first reader threw, and the record was written no more. The codec of the row (`z.record`) besides left out a service of the name `__proto__`.

Change: the record is asked only for members of its own, is built from a map, and its row is checked without being copied.

That one bad row ended the tick for all that comes after it is a fault of its own.

Conclusion: a name from outside is never looked up in a plain object.

--- a/src/core/entry/release-record.test.ts
+++ b/src/core/entry/release-record.test.ts
@@ -8,7 +8,8 @@
 import {
 	beacon, engineEntry, EntryHarness, effectsOfKind, instance, targetEntry,
 } from '../../../test/standins/entry-harness.js';
-import {type ReleaseRecord} from './release-record.js';
+import {onlyRelease, type ReleaseRecord} from './release-record.js';
+import {type EntryContext} from './state.js';
 
 const v1 = engineEntry('e1', ['m0'], {release: 'v1'});
 const v2 = engineEntry('e2', ['m0'], {release: 'v2'});
@@ -195,3 +196,25 @@
 	core.run(8000);
 	assert.deepEqual(core.row.record.releases, {llm: ['v2']});
 });
+
+// Guards against names that every object has: a tick that looked up the service `constructor` threw, and nothing after it was done.
+test('services and releases may have the names of members that every object has', () => {
+	const names = ['constructor', 'toString', '__proto__', 'hasOwnProperty'];
+	const odd = names.map((name, index) => targetEntry(`t${index}`, {service: name, release: name}));
+	const core = new Writer().readRegistry([v1, ...odd]);
+	core.run(1000);
+	assert.deepEqual(Object.entries(core.row.record!.releases), [['llm', ['v1']], ...names.map(name => [name, [name]])]);
+	core.readRegistry([v1, v2, ...odd.slice(1)]);
+	core.run(32_000);
+	assert.deepEqual(Object.entries(core.row.record!.releases), [['llm', ['v1', 'v2']], ...names.slice(1).map(name => [name, [name]])]);
+	assert.equal(core.writes, 3);
+	assert.equal(onlyRelease(contextOf(core), '__proto__', 0), undefined, 'the record was not read since');
+	core.dispatch({kind: 'releases-read', row: {...core.row, storeMs: core.storeMs, eraRevision: 0}, sentAtMs: core.nowMs});
+	assert.deepEqual([...names.slice(1), 'valueOf'].map(name => onlyRelease(contextOf(core), name, core.nowMs)), [...names.slice(1), undefined]);
+});
+
+function contextOf({state, nowMs, wallOffsetMs}: EntryHarness): EntryContext {
+	return {
+		state, nowMs, wallMs: nowMs + wallOffsetMs, effects: [],
+	};
+}
--- a/src/core/entry/release-record.ts
+++ b/src/core/entry/release-record.ts
@@ -140,7 +140,7 @@
 		return undefined;
 	}
 
-	const [release, ...others] = new Set([...record.releases[service] ?? [], ...releasesOf(state, service)]);
+	const [release, ...others] = new Set([...recordedReleases(record, service), ...releasesOf(state, service)]);
 	const isComplete = record.eraRevision === eraRevision && storeMs - record.sinceMs >= STREAM_LIFETIME_MS;
 	return isComplete && others.length === 0 ? release : undefined;
 }
@@ -167,17 +167,22 @@
 /** What the record has to name, undefined if that is what it names already. */
 function releasesToRecord(context: EntryContext, record: ReleaseRecord | undefined): ReleaseRecord['releases'] | undefined {
 	const {state} = context;
-	const releases: Record<string, string[]> = {};
+	const releases = new Map<string, readonly string[]>();
 	let isChanged = record?.eraRevision !== state.registry.eraRevision;
 	for (const service of new Set([...Object.keys(record?.releases ?? {}), ...state.releaseHistory.listed.keys()])) {
-		const recorded = record?.releases[service] ?? [];
+		const recorded = recordedReleases(record, service);
 		const kept = recorded.filter(release => absentForMs(context, service, release) < STREAM_LIFETIME_MS);
 		const added = [...listedReleases(state, service)].filter(release => !recorded.includes(release));
 		isChanged ||= added.length > 0 || kept.length < recorded.length;
 		if (kept.length + added.length > 0) {
-			releases[service] = [...kept, ...added];
+			releases.set(service, [...kept, ...added]);
 		}
 	}
 
-	return isChanged ? releases : undefined;
+	return isChanged ? Object.fromEntries(releases) : undefined;
+}
+
+/** Services are named by entries of the registry, which may also use the name of a member that every object has. */
+function recordedReleases(record: ReleaseRecord | undefined, service: string): readonly string[] {
+	return record && Object.hasOwn(record.releases, service) ? record.releases[service]! : [];
 }
--- a/src/entry/row-codec.ts
+++ b/src/entry/row-codec.ts
@@ -22,8 +22,13 @@
 	holder: z.string(), boot: z.string(), epoch: z.number().int(), isReleased: z.boolean(),
 });
 
+const releaseNames = z.array(z.string());
+
 const releasesSchema = z.object({
-	sinceMs: z.number(), eraRevision: z.number(), releases: z.record(z.string(), z.array(z.string())),
+	sinceMs: z.number(),
+	eraRevision: z.number(),
+	// `z.record` leaves out a service of the name `__proto__`.
+	releases: z.custom<ReleaseRecord['releases']>(value => typeof value === 'object' && value !== null && Object.values(value).every(names => releaseNames.safeParse(names).success)),
 });
 
 export function encodeRow(record: EntryInstance | LeaseRecord | ReleaseRecord): Buffer {
