Tick: a periodic task that throws does not keep the others from being done

Change: each periodic task is caught by itself and logged (107, with its name). What the others decided is carried out. Requests that a failing task had closed without an answer are failed after that, as they were before when the whole event threw.

Test: periodic-tasks.test.ts; before, the tick throws and none of the five effects comes. Conclusion: a fault in one duty of an instance costs that duty alone.

--- a/src/core/entry/effect.ts
+++ b/src/core/entry/effect.ts
@@ -46,6 +46,8 @@
 	| {readonly kind: 'refuse'; readonly requestId: RequestId; readonly code: ResultName; readonly retryAfterMs?: number; readonly detail?: string}
 	/** Aborts a response that has begun, so that the caller cannot take it for complete. */
 	| {readonly kind: 'break-off'; readonly requestId: RequestId}
+	/** Fails the requests that were closed and whose answer was lost with the task that closed them. */
+	| {readonly kind: 'fail-lost-requests'}
 	/** Reads what has changed in the registry, or all of it. */
 	| {readonly kind: 'read-registry'; readonly isWhole: boolean}
 	/** Asks the store, beside the long poll, whether there is a newer configuration. */
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -121,27 +121,45 @@
 	return context.effects;
 }
 
+/** Done every tick, in this order. */
+const periodicTasks: ReadonlyArray<(context: EntryContext) => void> = [
+	watchRegistryAge,
+	fireTimers,
+	expireFetches,
+	expireSuspects,
+	endHeldUpTries,
+	watchDarkTargets,
+	probeTargets,
+	continueProven,
+	dispatchAll,
+	updateDemandRates,
+	checkSpeeds,
+	refreshRegistry,
+	watchConfiguration,
+	updateReleaseRecord,
+	runLease,
+	runOrders,
+	runPlacement,
+	sendBeacons,
+	runQuotas,
+	runDrain,
+];
+
+/** A task that throws is logged and does not keep the others from being done. */
 function runPeriodicTasks(context: EntryContext): void {
-	watchRegistryAge(context);
-	fireTimers(context);
-	expireFetches(context);
-	expireSuspects(context);
-	endHeldUpTries(context);
-	watchDarkTargets(context);
-	probeTargets(context);
-	continueProven(context);
-	dispatchAll(context);
-	updateDemandRates(context);
-	checkSpeeds(context);
-	refreshRegistry(context);
-	watchConfiguration(context);
-	updateReleaseRecord(context);
-	runLease(context);
-	runOrders(context);
-	runPlacement(context);
-	sendBeacons(context);
-	runQuotas(context);
-	runDrain(context);
+	let hasFailed = false;
+	for (const task of periodicTasks) {
+		try {
+			task(context);
+		} catch (error) {
+			hasFailed = true;
+			logEvent(context, 'task-failed', {task: task.name, error: error instanceof Error ? error.message : String(error)});
+		}
+	}
+
+	if (hasFailed) {
+		context.effects.push({kind: 'fail-lost-requests'});
+	}
 }
 
 const timerHandlers: Readonly<Record<Timer['kind'], (context: EntryContext, timer: Timer) => void>> = {
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -18,6 +18,7 @@
 	'daemon-listening': {number: 104, level: 'info'},
 	'clock-stepped': {number: 105, level: 'warn'},
 	'process-late': {number: 106, level: 'warn'},
+	'task-failed': {number: 107, level: 'error'},
 	'request-refused': {number: 200, level: 'info'},
 	'try-failed': {number: 201, level: 'warn'},
 	'request-crash-refused': {number: 202, level: 'error'},
--- a/src/entry/effect-handlers.ts
+++ b/src/entry/effect-handlers.ts
@@ -29,6 +29,9 @@
 		'break-off'({requestId}) {
 			exchanges.get(requestId)?.abortResponse();
 		},
+		'fail-lost-requests'() {
+			daemon.failLostRequests();
+		},
 		'read-registry'({isWhole}) {
 			void daemon.storeWatcher.readRegistry({isWhole});
 		},
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -436,6 +436,15 @@
 		return request && Math.round(this._clock.monotonicMs() - request.arrivedAtMs);
 	}
 
+	/** Fails the requests that the core has closed and that have no answer. */
+	failLostRequests(): void {
+		for (const exchange of this.exchanges.values()) {
+			if (!exchange.isFinished && !this.state.open.has(exchange.id)) {
+				exchange.fail();
+			}
+		}
+	}
+
 	private _describeOrigin({request, remotePort, earlierRequests, unansweredBytes}: InputOrigin): Readonly<Record<string, unknown>> {
 		return {
 			requestId: request && this._idOf(request),
@@ -462,12 +471,7 @@
 		try {
 			return reduceEntry(this.state, event);
 		} catch (error) {
-			for (const exchange of this.exchanges.values()) {
-				if (!exchange.isFinished && !this.state.open.has(exchange.id)) {
-					exchange.fail();
-				}
-			}
-
+			this.failLostRequests();
 			throw error;
 		}
 	}
