Streams: the release of a target that restarts as another one is remembered

Cause: an entry with a later start replaces its target as a whole, so that the release it had was forgotten at once, while that of a target which leaves for good is kept for 30 s. An instance that had followed the registry took the one release that was left for proven.

Ruled out: the record of releases. It names both, but is not asked by an instance that has followed the registry for 30 s.

Change: which releases may have begun a stream comes from release-history.ts, which follows every change of the copy, and not from the targets that are still kept. The origins of streams are announced for as long.

Tests: stream-origins.test.ts, two that failed before.

Conclusion: one history of what was listed serves the record and the proof.

--- a/src/core/entry/release-history.ts
+++ b/src/core/entry/release-history.ts
@@ -4,6 +4,7 @@
 as absent only while this instance has followed the registry without seeing it.
 */
 import {type EntryContext, type EntryState} from './state.js';
+import {targetsOf} from './targets.js';
 
 /** Longer than streams last, by the time limits of requests. */
 export const STREAM_LIFETIME_MS = 30_000;
@@ -58,6 +59,12 @@
 	return releaseHistory.listed.get(service) ?? new Set();
 }
 
+/** Releases of a service that are listed, or were within the lifetime of streams, and those of targets that still work. */
+export function recentReleases({state, nowMs}: Pick<EntryContext, 'state' | 'nowMs'>, service: string): Set<string> {
+	const ended = [...state.releaseHistory.listedUntilMs.get(service) ?? []].filter(([, untilMs]) => nowMs - untilMs < STREAM_LIFETIME_MS);
+	return new Set([...listedReleases(state, service), ...targetsOf(state, service).map(({entry}) => entry.release), ...ended.map(([release]) => release)]);
+}
+
 /** For how long this instance has followed the registry without a gap and has not seen a release listed; 0 while it is listed. */
 export function absentForMs({state: {releaseHistory, registry}, nowMs}: Pick<EntryContext, 'state' | 'nowMs'>, service: string, release: string): number {
 	if (releaseHistory.listed.get(service)?.has(release)) {
--- a/src/core/entry/release-record.ts
+++ b/src/core/entry/release-record.ts
@@ -7,9 +7,10 @@
 */
 import {type EntryEventOf} from './event.js';
 import {canReadStore, isFirstReader} from './registry-readers.js';
-import {absentForMs, listedReleases, STREAM_LIFETIME_MS} from './release-history.js';
-import {logEvent, type EntryContext, type EntryState} from './state.js';
-import {targetsOf} from './targets.js';
+import {
+	absentForMs, listedReleases, recentReleases, STREAM_LIFETIME_MS,
+} from './release-history.js';
+import {logEvent, type EntryContext} from './state.js';
 
 /** The store's client gives up by then, so that the next call may be sent. */
 const CALL_TIMEOUT_MS = 2500;
@@ -133,23 +134,18 @@
 }
 
 /** The only release at which a stream of a service can have begun before a time, by what is listed and on record; undefined if that is not proven. */
-export function onlyRelease({state}: EntryContext, service: string, beforeMs: number): string | undefined {
-	const {read} = state.knownReleases;
+export function onlyRelease(context: EntryContext, service: string, beforeMs: number): string | undefined {
+	const {read} = context.state.knownReleases;
 	const {record, storeMs = 0, eraRevision} = read?.row ?? {};
 	if (!read || !record || read.sentAtMs < beforeMs) {
 		return undefined;
 	}
 
-	const [release, ...others] = new Set([...recordedReleases(record, service), ...releasesOf(state, service)]);
+	const [release, ...others] = new Set([...recordedReleases(record, service), ...recentReleases(context, service)]);
 	const isComplete = record.eraRevision === eraRevision && storeMs - record.sinceMs >= STREAM_LIFETIME_MS;
 	return isComplete && others.length === 0 ? release : undefined;
 }
 
-/** Releases of the targets of a service, those included that have left the registry lately. */
-export function releasesOf(state: EntryState, service: string): Set<string> {
-	return new Set(targetsOf(state, service).map(({entry}) => entry.release));
-}
-
 function readReleases(context: EntryContext): void {
 	noteCall(context);
 	context.effects.push({kind: 'read-releases'});
--- a/src/core/entry/stream-origins.test.ts
+++ b/src/core/entry/stream-origins.test.ts
@@ -325,3 +325,33 @@
 		assert.equal(effectsOfKind(core.effects, 'refuse')[0]?.code, isAlone ? 'stream-not-resumable' : undefined);
 	}
 });
+
+// Guards against a release that is forgotten at once since its targets have started again as another one, under their ids.
+test('the release of targets that have restarted as another one may have begun a stream for as long as streams last', () => {
+	const core = createCore().readRegistry([v1]);
+	stayInStep(core, 31_000);
+	core.readRegistry([{...v1, incarnation: 2, release: 'v2'}]);
+	hearPeers(core);
+	resume(core, 'r1', 's9');
+	core.confirmRegistry();
+	core.advance(300);
+	assert.deepEqual(effectsOfKind(core.effects, 'refuse').map(({requestId, code}) => [requestId, code]), [['r1', 'stream-not-resumable']]);
+	assert.equal(effectsOfKind(core.effects, 'send').length, 0);
+	core.dispatch({kind: 'origins-announced', announcement: {origins: [['s8', 'llm', 'v2']]}});
+	assert.equal(effectsOfKind(resume(core, 'r2', 's8'), 'send')[0]?.targetId, 'e1', 'one that is known goes on');
+	core.dispatch({kind: 'caller-left', requestId: 'r2'});
+	stayInStep(core, 31_000);
+	core.confirmRegistry();
+	resume(core, 'r3', 's7');
+	core.advance(50);
+	core.confirmRegistry();
+	assert.equal(effectsOfKind(core.effects, 'send').at(-1)?.requestId, 'r3', 'streams of the old release are over');
+});
+
+test('while targets restart as another release, the origins of streams that begin are announced', () => {
+	const core = createCore().readRegistry([v1]);
+	hearPeers(core);
+	core.readRegistry([{...v1, incarnation: 2, release: 'v2'}]);
+	begin(core, 'r1');
+	assert.deepEqual(effectsOfKind(core.effects, 'announce-origins')[0]?.announcement.origins, [['r1', 'llm', 'v2']]);
+});
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -21,8 +21,8 @@
 import {
 	openRequest, type EntryContext, type EntryState, type Timer,
 } from './state.js';
-import {STREAM_LIFETIME_MS} from './release-history.js';
-import {askReleaseRecord, onlyRelease, releasesOf} from './release-record.js';
+import {recentReleases, STREAM_LIFETIME_MS} from './release-history.js';
+import {askReleaseRecord, onlyRelease} from './release-record.js';
 import {canGoOn} from './targets.js';
 import {
 	type EntryInstance, type EntryRequest, type EntryTry, type StreamOrigin,
@@ -45,7 +45,7 @@
 		return;
 	}
 
-	if (releasesOf(state, request.service).size > 1) {
+	if (recentReleases(context, request.service).size > 1) {
 		askPeers(context, request);
 	} else if (!goOnIfProven(context, request)) {
 		const isCertain = isInStep(state, nowMs) && canReadStore(state, nowMs);
@@ -137,10 +137,10 @@
 	}
 }
 
-/** Notes which services run several releases. When one begins to, the origins of its open streams are announced. */
+/** Notes which services run several releases, or have until lately. When one begins to, the origins of its open streams are announced. */
 export function updateMixedServices(context: EntryContext): void {
-	const {targets, mixedServices, open} = context.state;
-	const releases = new Map<string, Set<string>>();
+	const {targets, releaseHistory, mixedServices, open} = context.state;
+	const releases = new Map([...releaseHistory.listedUntilMs].map(([service, ended]) => [service, new Set(ended.keys())]));
 	for (const {entry: {service, release}} of targets.values()) {
 		releases.set(service, (releases.get(service) ?? new Set()).add(release));
 	}
@@ -199,7 +199,7 @@
 		const request = state.open.get(requestId);
 		if (request?.phase !== 'resolving') {
 			state.unprovenStreams.delete(requestId);
-		} else if (releasesOf(state, request.service).size > 1) {
+		} else if (recentReleases(context, request.service).size > 1) {
 			state.unprovenStreams.delete(requestId);
 			if (!state.originQueries.get(request.streamId)?.includes(requestId)) {
 				askPeers(context, request);
@@ -230,7 +230,7 @@
 		return undefined;
 	}
 
-	const [release, ...others] = releasesOf(state, service);
+	const [release, ...others] = recentReleases(context, service);
 	return isInStep(state, nowMs) && others.length === 0 ? release : onlyRelease(context, service, arrivedAtMs);
 }
 
