Streams: any service that the route leads to may have begun a stream

Cause: an instance that does not know which service began a stream drew one by the weights of the split, and looked only at the releases of that one. The service that happened to be drawn passed for the one that it was.

Change: what may have begun a stream is each recent release of each service that its route leads to. The registry, or the record of releases, proves an origin only if it names a single one over all of them; else peers are asked, and the stream is refused as not run where none knows. So that more of them go on, the origins of streams of such routes are announced to their keepers, as those of services with several releases are.

Tests: stream-origins.test.ts, three that failed before.

Conclusion: a drawn service is a place to send to, and no proof.

--- a/src/core/entry/release-record.test.ts
+++ b/src/core/entry/release-record.test.ts
@@ -8,7 +8,7 @@
 import {
 	beacon, engineEntry, EntryHarness, effectsOfKind, instance, targetEntry,
 } from '../../../test/standins/entry-harness.js';
-import {onlyRelease, type ReleaseRecord} from './release-record.js';
+import {onlyOrigin, type ReleaseRecord} from './release-record.js';
 import {type EntryContext} from './state.js';
 
 const v1 = engineEntry('e1', ['m0'], {release: 'v1'});
@@ -208,9 +208,9 @@
 	core.run(32_000);
 	assert.deepEqual(Object.entries(core.row.record!.releases), [['llm', ['v1', 'v2']], ...names.slice(1).map(name => [name, [name]])]);
 	assert.equal(core.writes, 3);
-	assert.equal(onlyRelease(contextOf(core), '__proto__', 0), undefined, 'the record was not read since');
+	assert.equal(onlyOrigin(contextOf(core), ['__proto__'], core.nowMs), undefined, 'the record was not read since');
 	core.dispatch({kind: 'releases-read', row: {...core.row, storeMs: core.storeMs, eraRevision: 0}, sentAtMs: core.nowMs});
-	assert.deepEqual([...names.slice(1), 'valueOf'].map(name => onlyRelease(contextOf(core), name, core.nowMs)), [...names.slice(1), undefined]);
+	assert.deepEqual([...names.slice(1), 'valueOf'].map(name => onlyOrigin(contextOf(core), [name], core.nowMs)?.release), [...names.slice(1), undefined]);
 });
 
 function contextOf({state, nowMs, wallOffsetMs}: EntryHarness): EntryContext {
--- a/src/core/entry/release-record.ts
+++ b/src/core/entry/release-record.ts
@@ -11,6 +11,7 @@
 	absentForMs, listedReleases, recentReleases, STREAM_LIFETIME_MS,
 } from './release-history.js';
 import {logEvent, type EntryContext} from './state.js';
+import {type StreamOrigin} from './types.js';
 
 /** The store's client gives up by then, so that the next call may be sent. */
 const CALL_TIMEOUT_MS = 2500;
@@ -133,17 +134,18 @@
 	});
 }
 
-/** The only release at which a stream of a service can have begun before a time, by what is listed and on record; undefined if that is not proven. */
-export function onlyRelease(context: EntryContext, service: string, beforeMs: number): string | undefined {
+/** What alone can have begun a stream of some services before a time, by what is listed and on record; undefined if that is not proven. */
+export function onlyOrigin(context: EntryContext, services: readonly string[], beforeMs: number): StreamOrigin | undefined {
 	const {read} = context.state.knownReleases;
 	const {record, storeMs = 0, eraRevision} = read?.row ?? {};
 	if (!read || !record || read.sentAtMs < beforeMs) {
 		return undefined;
 	}
 
-	const [release, ...others] = new Set([...recordedReleases(record, service), ...recentReleases(context, service)]);
+	const [origin, ...others] = services.flatMap(service => [...new Set([...recordedReleases(record, service), ...recentReleases(context, service)])]
+		.map(release => ({service, release})));
 	const isComplete = record.eraRevision === eraRevision && storeMs - record.sinceMs >= STREAM_LIFETIME_MS;
-	return isComplete && others.length === 0 ? release : undefined;
+	return isComplete && others.length === 0 ? origin : undefined;
 }
 
 function readReleases(context: EntryContext): void {
--- a/src/core/entry/stream-origins.test.ts
+++ b/src/core/entry/stream-origins.test.ts
@@ -355,3 +355,45 @@
 	begin(core, 'r1');
 	assert.deepEqual(effectsOfKind(core.effects, 'announce-origins')[0]?.announcement.origins, [['r1', 'llm', 'v2']]);
 });
+
+const split = {...ask, destinations: [{service: 'llm', weight: 1}, {service: 'other', weight: 1}]};
+const other = engineEntry('o1', ['m0'], {service: 'other', release: 'v1'});
+
+// Guards against streams joined from two services of a split route: the one that was drawn for the resumption was taken for the one that began it.
+test('a stream of a route that leads to several services is not resumed while any of them may have begun it', () => {
+	for (const releases of [['v1', 'v1'], ['v1', 'v2']]) {
+		const core = createCore().configure({version: 2, routes: [split]});
+		core.readRegistry([{...v1, release: releases[0]!}, {...other, release: releases[1]!}]);
+		stayInStep(core, 31_000);
+		hearPeers(core);
+		core.arrive('r1', '/ask/1', {model: 'm0', deadlineMs: 10_000, lastEventId: 3});
+		for (let index = 0; index < 8; index++) {
+			resume(core, `s${index}`, `begun-${index}`);
+		}
+
+		core.confirmRegistry();
+		core.advance(300);
+		assert.deepEqual(new Set(effectsOfKind(core.effects, 'refuse').map(({code}) => code)), new Set(['stream-not-resumable']));
+		assert.equal(effectsOfKind(core.effects, 'send').length, 0);
+	}
+});
+
+test('the record of releases proves what began a stream only over all services that its route leads to', () => {
+	for (const {releases, isRefused} of [{releases: {llm: ['v1']}, isRefused: false}, {releases: {llm: ['v1'], other: ['v1']}, isRefused: true}]) {
+		const core = createCore().configure({version: 2, routes: [split]}).readRegistry([v1]);
+		resume(core, 'r1', 's9');
+		readRecord(core, releases);
+		core.advance(300);
+		assert.deepEqual(effectsOfKind(core.effects, 'send').map(({targetId}) => targetId), isRefused ? [] : ['e1']);
+		assert.equal(effectsOfKind(core.effects, 'refuse').length, isRefused ? 1 : 0);
+	}
+});
+
+test('the origin of a stream of a split route is announced, so that it goes on where it is resumed', () => {
+	const core = createCore().configure({version: 2, routes: [split]}).readRegistry([v1, other]);
+	const targetId = begin(core, 's1');
+	assert.deepEqual(effectsOfKind(core.effects, 'announce-origins').at(-1)?.announcement.origins, [['s1', targetId === 'o1' ? 'other' : 'llm', 'v1']]);
+	resume(core, 'r1', 's9');
+	core.dispatch({kind: 'origins-announced', announcement: {origins: [['s9', 'other', 'v1']]}});
+	assert.equal(effectsOfKind(core.effects, 'send').at(-1)?.targetId, 'o1');
+});
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -22,7 +22,7 @@
 	openRequest, type EntryContext, type EntryState, type Timer,
 } from './state.js';
 import {recentReleases, STREAM_LIFETIME_MS} from './release-history.js';
-import {askReleaseRecord, onlyRelease} from './release-record.js';
+import {askReleaseRecord, onlyOrigin} from './release-record.js';
 import {canGoOn} from './targets.js';
 import {
 	type EntryInstance, type EntryRequest, type EntryTry, type StreamOrigin,
@@ -45,7 +45,7 @@
 		return;
 	}
 
-	if (recentReleases(context, request.service).size > 1) {
+	if (possibleOrigins(context, request).length > 1) {
 		askPeers(context, request);
 	} else if (!goOnIfProven(context, request)) {
 		const isCertain = isInStep(state, nowMs) && canReadStore(state, nowMs);
@@ -126,7 +126,7 @@
 	const origin = {service: request.service, release};
 	state.streamOrigins.set(request.streamId, origin);
 	const announced: AnnouncedOrigin = [request.streamId, origin.service, origin.release];
-	if (state.mixedServices.has(request.service)) {
+	if (state.mixedServices.has(request.service) || possibleServices(request).length > 1) {
 		announce(context, [announced]);
 	}
 
@@ -199,7 +199,7 @@
 		const request = state.open.get(requestId);
 		if (request?.phase !== 'resolving') {
 			state.unprovenStreams.delete(requestId);
-		} else if (recentReleases(context, request.service).size > 1) {
+		} else if (possibleOrigins(context, request).length > 1) {
 			state.unprovenStreams.delete(requestId);
 			if (!state.originQueries.get(request.streamId)?.includes(requestId)) {
 				askPeers(context, request);
@@ -211,17 +211,28 @@
 }
 
 function goOnIfProven(context: EntryContext, request: EntryRequest): boolean {
-	const release = provenRelease(context, request);
-	if (release !== undefined) {
+	const origin = provenOrigin(context, request);
+	if (origin) {
 		context.state.unprovenStreams.delete(request.id);
-		goOn(context, request, {service: request.service, release});
+		goOn(context, request, origin);
 	}
 
-	return release !== undefined;
+	return origin !== undefined;
+}
+
+/** Services that may have begun the stream of a request: it may have been sent to any that its route leads to. */
+function possibleServices({route, service}: EntryRequest): string[] {
+	return [...new Set([service, ...route.destinations.map(destination => destination.service)])];
+}
+
+/** What may have begun the stream of a request, by what is and was listed here. */
+function possibleOrigins(context: EntryContext, request: EntryRequest): StreamOrigin[] {
+	return possibleServices(request).flatMap(service => [...recentReleases(context, service)].map(release => ({service, release})));
 }
 
-/** The only release that can have begun the stream; undefined while that is not proven. */
-function provenRelease(context: EntryContext, {service, arrivedAtMs}: EntryRequest): string | undefined {
+/** What alone can have begun the stream; undefined while that is not proven. */
+function provenOrigin(context: EntryContext, request: EntryRequest): StreamOrigin | undefined {
+	const {arrivedAtMs} = request;
 	const {state, nowMs} = context;
 	const {registry} = state;
 	// An instance that has just started binds the stream to the release on record before it has read the registry.
@@ -230,8 +241,8 @@
 		return undefined;
 	}
 
-	const [release, ...others] = recentReleases(context, service);
-	return isInStep(state, nowMs) && others.length === 0 ? release : onlyRelease(context, service, arrivedAtMs);
+	const [origin, ...others] = possibleOrigins(context, request);
+	return isInStep(state, nowMs) && others.length === 0 ? origin : onlyOrigin(context, possibleServices(request), arrivedAtMs);
 }
 
 /** Whether no instance that is heard of reads the store, so that none has learned of a release since this one has. */
