Streams: a service that the route led to lately may have begun a stream

An instance that does not know a stream looked at the one service that the path leads to now, and joined the rest from there.

Change: routes of earlier versions are kept for as long as streams last, and a stream's path is looked up in them too. Open streams whose path leads to another service with a new version are announced to their keepers, so that they are refused or go on rightly where they are resumed.

Weighed: services by the name of the route. A new version may give a part of a route's paths to a route of another name.

Tests: stream-origins.test.ts, two that failed before. Conclusion: the configuration of a stream's start counts, not the present one.

--- a/src/core/entry/configuration-adoption.ts
+++ b/src/core/entry/configuration-adoption.ts
@@ -4,6 +4,7 @@
 */
 import {indexRoutes, type EntryConfiguration} from './configuration.js';
 import {dispatchAll} from './dispatch.js';
+import {announceMovedStreams, keepFormerRoutes} from './stream-origins.js';
 import {logEvent, type EntryContext, type EntryState} from './state.js';
 import {indexWorkspaces} from './workspaces.js';
 
@@ -14,6 +15,10 @@
 	}
 
 	const isFirst = !state.configuration;
+	if (!isFirst) {
+		keepFormerRoutes(context);
+	}
+
 	state.configuration = configuration;
 	state.configurationBehindSinceMs = undefined;
 	state.routes = indexRoutes(configuration.routes);
@@ -28,6 +33,7 @@
 
 	// Sends beacons at the next tick, for peers in the zone whose store feed delivers nothing.
 	state.beaconsSentAtMs = Number.NEGATIVE_INFINITY;
+	announceMovedStreams(context);
 	dispatchAll(context);
 }
 
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -92,6 +92,8 @@
 	startedAtMs: number;
 	configuration: EntryConfiguration | undefined;
 	routes: RouteIndex;
+	/** Those of earlier versions, until the streams that they led to a service are over. */
+	formerRoutes: ReadonlyArray<{readonly routes: RouteIndex; readonly untilMs: number}>;
 	/** Undefined if the configuration contains no workspaces. */
 	workspaces: WorkspaceIndex | undefined;
 	/** Since when a peer is known to have a newer configuration. */
@@ -230,6 +232,7 @@
 		startedAtMs: 0,
 		configuration: undefined,
 		routes: new Map(),
+		formerRoutes: [],
 		workspaces: undefined,
 		configurationBehindSinceMs: undefined,
 		configurationWatch: {
--- a/src/core/entry/stream-origins.test.ts
+++ b/src/core/entry/stream-origins.test.ts
@@ -397,3 +397,34 @@
 	core.dispatch({kind: 'origins-announced', announcement: {origins: [['s9', 'other', 'v1']]}});
 	assert.equal(effectsOfKind(core.effects, 'send').at(-1)?.targetId, 'o1');
 });
+
+// Guards against streams joined from two services after a route was moved: only the service that it leads to now was looked at.
+test('a stream of a route that has led to another service lately is not resumed at the new one unless it is known to have begun there', () => {
+	const core = createCore().readRegistry([v1, other]);
+	stayInStep(core, 31_000);
+	core.configure({version: 2, routes: [{...ask, destinations: [{service: 'other', weight: 1}]}]});
+	hearPeers(core);
+	resume(core, 'r1', 's9');
+	core.confirmRegistry();
+	core.advance(300);
+	assert.deepEqual(effectsOfKind(core.effects, 'refuse').map(({code}) => code), ['stream-not-resumable']);
+	core.dispatch({kind: 'origins-announced', announcement: {origins: [['s8', 'other', 'v1']]}});
+	assert.equal(effectsOfKind(resume(core, 'r2', 's8'), 'send')[0]?.targetId, 'o1');
+	core.dispatch({kind: 'caller-left', requestId: 'r2'});
+	stayInStep(core, 31_000);
+	core.configure({version: 3, routes: [{...ask, destinations: [{service: 'other', weight: 1}]}]});
+	resume(core, 'r3', 's7');
+	core.advance(50);
+	core.confirmRegistry();
+	assert.equal(effectsOfKind(core.effects, 'send').at(-1)?.requestId, 'r3', 'streams of the service before are over');
+});
+
+test('while a route has led to another service lately, the origins of streams that begin are announced, and of those that are open', () => {
+	const core = createCore().readRegistry([v1, other]);
+	begin(core, 's1');
+	core.effects.length = 0;
+	core.configure({version: 2, routes: [{...ask, destinations: [{service: 'other', weight: 1}]}]});
+	begin(core, 's2');
+	const origins = effectsOfKind(core.effects, 'announce-origins').flatMap(({announcement}) => announcement.origins);
+	assert.deepEqual(new Set(origins.map(origin => origin.join(' '))), new Set(['s1 llm v1', 's2 other v1']));
+});
--- a/src/core/entry/stream-origins.ts
+++ b/src/core/entry/stream-origins.ts
@@ -10,6 +10,7 @@
 */
 import fnv1a from '@sindresorhus/fnv1a';
 import {refuse} from './closing.js';
+import {findRoute} from './configuration.js';
 import {recordArrival, recordClosed} from './demand.js';
 import {enqueue} from './dispatch.js';
 import {type EntryEventOf} from './event.js';
@@ -126,7 +127,7 @@
 	const origin = {service: request.service, release};
 	state.streamOrigins.set(request.streamId, origin);
 	const announced: AnnouncedOrigin = [request.streamId, origin.service, origin.release];
-	if (state.mixedServices.has(request.service) || possibleServices(request).length > 1) {
+	if (state.mixedServices.has(request.service) || possibleServices(context, request).length > 1) {
 		announce(context, [announced]);
 	}
 
@@ -220,14 +221,33 @@
 	return origin !== undefined;
 }
 
-/** Services that may have begun the stream of a request: it may have been sent to any that its route leads to. */
-function possibleServices({route, service}: EntryRequest): string[] {
-	return [...new Set([service, ...route.destinations.map(destination => destination.service)])];
+/** Called before a configuration is replaced. */
+export function keepFormerRoutes({state, nowMs}: EntryContext): void {
+	state.formerRoutes = [...state.formerRoutes.filter(({untilMs}) => nowMs < untilMs), {routes: state.routes, untilMs: nowMs + STREAM_LIFETIME_MS}];
+}
+
+/** Announces the open streams whose callers may find another service when they resume them. */
+export function announceMovedStreams(context: EntryContext): void {
+	const begun = [...context.state.open.values()].filter(request => request.release !== undefined && leadsElsewhere(context, request));
+	announce(context, begun.map(({streamId, service, release = ''}) => [streamId, service, release] as const));
+}
+
+/** Whether a resumption of the stream may be sent to a service that its own route did not lead to. */
+function leadsElsewhere({state}: EntryContext, {arrival: {host, path}, route}: EntryRequest): boolean {
+	const destinations = findRoute(state.routes, host, path)?.destinations ?? [];
+	return destinations.some(({service}) => route.destinations.every(known => known.service !== service));
+}
+
+/** Services that may have begun the stream of a request: it may have been sent to any that its path leads or has led to lately. */
+function possibleServices({state, nowMs}: EntryContext, {arrival: {host, path}, route, service}: EntryRequest): string[] {
+	const former = state.formerRoutes.filter(({untilMs}) => nowMs < untilMs).map(({routes}) => findRoute(routes, host, path));
+	const destinations = [route, ...former].flatMap(({destinations: leads} = route) => leads);
+	return [...new Set([service, ...destinations.map(destination => destination.service)])];
 }
 
 /** What may have begun the stream of a request, by what is and was listed here. */
 function possibleOrigins(context: EntryContext, request: EntryRequest): StreamOrigin[] {
-	return possibleServices(request).flatMap(service => [...recentReleases(context, service)].map(release => ({service, release})));
+	return possibleServices(context, request).flatMap(service => [...recentReleases(context, service)].map(release => ({service, release})));
 }
 
 /** What alone can have begun the stream; undefined while that is not proven. */
@@ -242,7 +262,7 @@
 	}
 
 	const [origin, ...others] = possibleOrigins(context, request);
-	return isInStep(state, nowMs) && others.length === 0 ? origin : onlyOrigin(context, possibleServices(request), arrivedAtMs);
+	return isInStep(state, nowMs) && others.length === 0 ? origin : onlyOrigin(context, possibleServices(context, request), arrivedAtMs);
 }
 
 /** Whether no instance that is heard of reads the store, so that none has learned of a release since this one has. */
