--- a/src/core/configuration/index.ts
+++ b/src/core/configuration/index.ts
@@ -75,7 +75,8 @@
 }
 
 export function callerOrDefault(configuration: Configuration, id: string): Caller {
-	return configuration.callers[id] ?? {weight: 1, priority: 'normal'};
+	// The id may be the name of a member that every object has.
+	return Object.hasOwn(configuration.callers, id) ? configuration.callers[id]! : {weight: 1, priority: 'normal'};
 }
 
 export function modelRoute(model: string): RouteId {
--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -109,7 +109,7 @@
 function findReferenceErrors(configuration: Configuration): ValidationError[] {
 	const errors: ValidationError[] = [];
 	const requireService = (path: string, serviceId: string, kind: 'engine' | undefined) => {
-		const referenced = configuration.services[serviceId];
+		const referenced = Object.hasOwn(configuration.services, serviceId) ? configuration.services[serviceId] : undefined;
 		if (!referenced) {
 			errors.push({path, message: `service ${serviceId} is not configured`, code: 'patch-invalid'});
 		} else if (kind && referenced.kind !== kind) {
