Registry: an entry that lacks a listed field names no target

Cause: the decoder gave the missing fields defaults. PROTOCOL.md lists the first three as fields of an entry, and says that an entry with fields missing names no runner to use.

Tests: odd-registry-entries.test.ts, the listed fields missing, null or of another type; four of 81 failed before.

--- a/test/unit/odd-registry-entries.test.ts
+++ b/test/unit/odd-registry-entries.test.ts
@@ -1,7 +1,7 @@
 /**
-Entries of another writer among those of the targets: too deeply nested, with numbers out
-of range, with an address that nothing can listen on. They name no target, and the
-instances that read them go on following the others.
+Entries of another writer among those of the targets: too deeply nested, with fields
+missing or of another type, with numbers out of range, with an address that nothing can
+listen on. They name no target, and the instances that read them go on following the others.
 */
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
@@ -27,6 +27,14 @@
 const oddEntries: Readonly<Record<string, string>> = {
 	'nested as a whole': nested,
 	...Object.fromEntries(['service', 'address', 'zone', 'version', 'slots', 'state', 'coldLeftMs', 'seq', 'born', 'models', 'atHand'].map(name => [`nested in ${name}`, withField(name, nested)])),
+	...Object.fromEntries(['service', 'address', 'zone', 'version', 'slots', 'state', 'coldLeftMs', 'seq'].flatMap(name => [
+		[`without ${name}`, JSON.stringify({...sound, [name]: undefined})],
+		[`${name} null`, withField(name, 'null')],
+		[`${name} of another type`, withField(name, '{"a":1}')],
+	])),
+	'without version, coldLeftMs, seq and born': JSON.stringify({
+		...sound, version: undefined, coldLeftMs: undefined, seq: undefined, born: undefined,
+	}),
 	'nested in a model': withField('models', `[${nested}]`),
 	'nested in an adapter': withField('models', `[{"name":"m","adapters":[${nested}]}]`),
 	...Object.fromEntries(['slots', 'coldLeftMs', 'seq', 'born'].flatMap(name => ['1e400', '1e308', '1e21', '9007199254740993', '-1', '-1e308'].map(value => [`${name} ${value}`, withField(name, value)]))),
