Registry: an instance of an earlier build is told all entries

Change: a pull says whether its sender checks the digest; only such a one is told what has changed. The other way round, a change without a digest is not adopted, as before this commit, which now has a test.

Tests: registry.test.ts and registry-copies.test.ts; the first failed before for a pull that accepts changes without checking the digest. Conclusion: costs bytes while an upgrade is on its way, and nothing after it.

--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -270,8 +270,10 @@
 	readonly configurationVersion: number;
 	readonly registryRevision: number;
 	readonly crashDigest?: number;
-	/** Whether it can take a transfer of only what has changed; instances of an earlier release cannot. */
+	/** Whether it can take a transfer of only what has changed; for instances of an earlier release, which do not look at the next one. */
 	readonly acceptsChanges?: boolean;
+	/** Whether it compares its copy with the digest of a transfer, and asks for all entries if it differs; instances of an earlier release do not. */
+	readonly checksDigest?: boolean;
 };
 
 export type RegistryTransfer = {
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -322,6 +322,7 @@
 		configurationVersion: state.configuration?.version ?? 0,
 		registryRevision: state.registry.isWholeNeeded ? 0 : state.registry.revision,
 		acceptsChanges: true,
+		checksDigest: true,
 		crashDigest: state.crashEvidence.digest,
 	};
 }
@@ -332,7 +333,7 @@
 	return {
 		instances: [state.self, ...[...state.peers.values()].filter(({beaconReceivedAtMs, isLeaving}) => !isLeaving && nowMs - beaconReceivedAtMs < RECENT_PEER_MS).map(({instance}) => instance)],
 		configuration: (configuration?.version ?? 0) > known.configurationVersion ? configuration : undefined,
-		registry: registry.revision > known.registryRevision ? registryTransfer(state, known.acceptsChanges ? known.registryRevision : 0) : undefined,
+		registry: registry.revision > known.registryRevision ? registryTransfer(state, known.checksDigest ? known.registryRevision : 0) : undefined,
 		lease: leaseStatus({state, nowMs, ...rest}),
 		crashes: state.crashEvidence.digest === known.crashDigest ? undefined : state.crashEvidence.records(nowMs),
 	};
--- a/src/core/entry/registry-copies.test.ts
+++ b/src/core/entry/registry-copies.test.ts
@@ -267,3 +267,17 @@
 	faulty.advance(10_000);
 	assert.equal(effectsOfKind(hear(faulty, other), 'pull').length, 1);
 });
+
+// Guards against a change that is taken from an instance of an earlier release, which passes on too little and no digest.
+test('a change without a digest is not adopted: all entries are pulled', () => {
+	const {faulty: receiver, other: sender} = createDiffering('b');
+	sender.readRegistry([engineEntry('e0', ['m0'])]);
+	receiver.dispatch({kind: 'instances-read', instances: [sender.self]});
+	const {digest, ...registry} = transferFor(contextOf(sender), knownVersions(contextOf(receiver))).registry!;
+	assert.notEqual(digest, undefined);
+	const [pulled] = effectsOfKind(receiver.dispatch({kind: 'pull-completed', transfer: {instances: [sender.self], registry}}), 'pull');
+	assert.equal(pulled?.known.registryRevision, 0);
+	const {digest: _, ...whole} = transferFor(contextOf(sender), pulled.known).registry!;
+	receiver.dispatch({kind: 'pull-completed', transfer: {instances: [sender.self], registry: whole}});
+	assert.equal(receiver.state.registry.digest, sender.state.registry.digest);
+});
--- a/src/core/entry/registry.test.ts
+++ b/src/core/entry/registry.test.ts
@@ -308,9 +308,12 @@
 	reader.readRegistry([targetEntry('t1'), targetEntry('t2', {sequence: 4}), targetEntry('t3')]);
 	assert.deepEqual(pull()?.entries.map(({id}) => id), ['t3']);
 	assert.equal(peer.state.registry.digest, reader.state.registry.digest);
-	const {acceptsChanges, ...known} = knownVersions(contextOf(peer));
-	assert.equal(acceptsChanges, true);
-	assert.equal(transferFor(contextOf(reader.readRegistry([targetEntry('t1', {sequence: 9})])), known).registry?.removed, undefined, 'an earlier release gets the whole registry');
+	const {acceptsChanges, checksDigest, ...known} = knownVersions(contextOf(peer));
+	assert.deepEqual([acceptsChanges, checksDigest], [true, true]);
+	reader.readRegistry([targetEntry('t1', {sequence: 9})]);
+	for (const earlier of [known, {...known, acceptsChanges}]) {
+		assert.equal(transferFor(contextOf(reader), earlier).registry?.removed, undefined, 'an earlier release gets the whole registry');
+	}
 });
 
 test('an instance that has read the registry tells its whole zone, also when it is larger than a round of beacons', () => {
