Registry: what is listed is kept apart from what is used

Found by a fresh read of the diff: an entry that an instance does not use (of an earlier start of its target, put back by another writer; gone before a restore of the store) was missing from its copy, so that its digest differed from those of its peers for as long as the entry was there. Since a change is proven by that digest, each beacon would then have led to a pull of the whole registry.

Change: a target has isInRegistry beside the time from which it counts as removed. The copy that is passed on, and its digest, are what the registry lists; which targets get requests is decided as before. A removed target that is still listed is not forgotten.

Tests: the property of registry-copies.test.ts also puts back entries of earlier starts and restores the store, and looks for targets that are in use and not listed.

Conclusion: two instances with the same revision hold the same copy, whatever they make of it.

--- a/src/core/entry/registry-copies.test.ts
+++ b/src/core/entry/registry-copies.test.ts
@@ -1,7 +1,7 @@
 /**
 Copies of the registry over random reads, beacons and pulls, lost or not, restarts and
-removals. What an instance lists at any moment is what the store listed at the revision
-that its copy names.
+removals, entries of earlier starts and restores of the store. What an instance's copy
+lists at any moment is what the store listed at the revision that the copy names.
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
@@ -19,11 +19,16 @@
 const RUNS = 1000;
 const MAX_STEPS = 60;
 const BEACON_INTERVAL_MS = 300;
+const ERA_REVISIONS = 2 ** 40;
+
+/** Another writer may put back an entry of before the last start. */
+const incarnationSteps = {same: 0, next: 1, earlier: -1} as const;
 
 type Step =
-	| {readonly kind: 'publish'; readonly target: number; readonly isRestarted: boolean}
+	| {readonly kind: 'publish'; readonly target: number; readonly start: keyof typeof incarnationSteps}
 	| {readonly kind: 'remove'; readonly target: number}
 	| {readonly kind: 'write-elsewhere'}
+	| {readonly kind: 'restore'; readonly lostChanges: number}
 	| {readonly kind: 'read'; readonly member: number; readonly isWhole: boolean}
 	| {readonly kind: 'pull'; readonly member: number; readonly from: number}
 	| {readonly kind: 'beacons'; readonly from: readonly number[]; readonly to: readonly number[]; readonly isPullLost: boolean}
@@ -34,6 +39,8 @@
 /** The registry as the store keeps it, with all that it has ever listed. */
 class History {
 	revision = 1;
+	/** Revisions below this one are from before the last restore. */
+	eraRevision = 0;
 	readonly changes: Change[] = [];
 
 	write(id: string, entry: TargetEntry | undefined): void {
@@ -45,6 +52,17 @@
 		return this.changes.findLast(change => change.id === id)?.entry;
 	}
 
+	/** The store comes back from a copy that lacks the last changes. */
+	restore(lostChanges: number): void {
+		const copy = this.changes.slice(0, Math.max(0, this.changes.length - lostChanges));
+		const ids = new Set(this.changes.map(({id}) => id));
+		this.eraRevision += ERA_REVISIONS;
+		this.revision = this.eraRevision + (this.revision % ERA_REVISIONS);
+		for (const id of ids) {
+			this.changes.push({revision: this.revision, id, entry: copy.findLast(change => change.id === id)?.entry});
+		}
+	}
+
 	/** The last change of each target in a range of revisions. */
 	changedIn(afterRevision: number, untilRevision = this.revision): Change[] {
 		const changes = this.changes.filter(({revision}) => revision > afterRevision && revision <= untilRevision);
@@ -75,18 +93,19 @@
 	/** What the copies list that the store did not list at their revisions, and the other way round. */
 	faults(): string[] {
 		return this.members.flatMap(({core: {self, state}}) => {
-			const held = describe([...state.targets.values()].filter(({unlistedFromMs}) => unlistedFromMs === undefined).map(({listed}) => listed));
+			const held = describe([...state.targets.values()].filter(({isInRegistry}) => isInRegistry).map(({listed}) => listed));
 			const stored = describe(state.registry.revision === 0 ? [] : this.history.listedAt(state.registry.revision));
-			return held === stored ? [] : [`${self.id} at revision ${state.registry.revision} lists [${held}], the store listed [${stored}]`];
+			const unlisted = [...state.targets.values()].filter(({unlistedFromMs, isInRegistry}) => unlistedFromMs === undefined && !isInRegistry);
+			return held === stored && unlisted.length === 0 ? [] : [`${self.id} at revision ${state.registry.revision} lists [${held}], the store listed [${stored}], and [${describe(unlisted.map(({entry}) => entry))}] are in use unlisted`];
 		});
 	}
 
 	private readonly _handlers: {readonly [Kind in Step['kind']]: (step: Extract<Step, {kind: Kind}>) => void} = {
-		publish: ({target, isRestarted}) => {
+		publish: ({target, start}) => {
 			const id = `e${target}`;
-			const known = this.history.changes.findLast(change => change.id === id && change.entry)?.entry;
+			const last = this.history.changes.findLast(change => change.id === id && change.entry)?.entry?.incarnation ?? 1;
 			this._sequence++;
-			this.history.write(id, engineEntry(id, ['m0'], {incarnation: (known?.incarnation ?? 1) + (isRestarted ? 1 : 0), sequence: this._sequence}));
+			this.history.write(id, engineEntry(id, ['m0'], {incarnation: last + incarnationSteps[start], sequence: this._sequence}));
 		},
 		remove: ({target}) => {
 			if (this.history.current(`e${target}`)) {
@@ -96,10 +115,13 @@
 		'write-elsewhere': () => {
 			this.history.revision++;
 		},
+		restore: ({lostChanges}) => {
+			this.history.restore(lostChanges);
+		},
 		read: ({member, isWhole}) => {
 			const reader = this.members[member]!;
 			const {core} = reader;
-			const isFullSnapshot = isWhole || reader.feedRevision === 0;
+			const isFullSnapshot = isWhole || reader.feedRevision <= this.history.eraRevision;
 			const changes = isFullSnapshot ? [] : this.history.changedIn(reader.feedRevision);
 			reader.feedRevision = this.history.revision;
 			core.dispatch({
@@ -108,6 +130,7 @@
 				entries: isFullSnapshot ? this.history.listedAt(this.history.revision) : changes.map(({entry}) => entry).filter(entry => entry !== undefined),
 				removed: changes.filter(({entry}) => !entry).map(({id}) => id),
 				isFullSnapshot,
+				eraRevision: this.history.eraRevision,
 				sentAtMs: core.nowMs,
 				storeMs: core.storeMs,
 			});
@@ -169,7 +192,7 @@
 const member = fc.nat({max: zones.length - 1});
 const target = fc.nat({max: TARGETS - 1});
 const step: fc.Arbitrary<Step> = fc.oneof(
-	{weight: 4, arbitrary: fc.record({kind: fc.constant('publish'), target, isRestarted: fc.boolean()})},
+	{weight: 4, arbitrary: fc.record({kind: fc.constant('publish'), target, start: fc.constantFrom('same', 'next', 'earlier')})},
 	{weight: 3, arbitrary: fc.record({kind: fc.constant('remove'), target})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('write-elsewhere')})},
 	{weight: 6, arbitrary: fc.record({kind: fc.constant('read'), member, isWhole: fc.boolean()})},
@@ -180,6 +203,7 @@
 		}),
 	},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('restart'), member})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('restore'), lostChanges: fc.nat({max: 4})})},
 );
 
 function play(steps: readonly Step[]): void {
@@ -195,7 +219,7 @@
 	fc.assert(fc.property(fc.array(step, {minLength: 10, maxLength: MAX_STEPS, size: 'max'}), play), {numRuns: RUNS, seed: 76});
 });
 
-const publish = (index: number): Step => ({kind: 'publish', target: index, isRestarted: false});
+const publish = (index: number): Step => ({kind: 'publish', target: index, start: 'same'});
 const read = (index: number, isWhole = false): Step => ({kind: 'read', member: index, isWhole});
 const pull = (index: number, from: number): Step => ({kind: 'pull', member: index, from});
 const beacon = (from: number, to: number): Step => ({
--- a/src/core/entry/registry-transfer.ts
+++ b/src/core/entry/registry-transfer.ts
@@ -17,7 +17,7 @@
 /** What is known to have changed in the registry since a revision, or all of it since revision 0. */
 export function registryTransfer({registry: {revision, asOfStoreMs, digest}, targets}: EntryState, sinceRevision: number): RegistryTransfer {
 	const known = [...targets.values()];
-	const listed = known.filter(({unlistedFromMs}) => unlistedFromMs === undefined);
+	const listed = known.filter(({isInRegistry}) => isInRegistry);
 	const copy = {revision, asOfStoreMs, digest};
 	if (sinceRevision === 0) {
 		return {...copy, entries: listed.map(target => target.listed)};
@@ -26,7 +26,7 @@
 	return {
 		...copy,
 		entries: listed.filter(({changedRevision}) => changedRevision > sinceRevision).map(target => target.listed),
-		removed: known.filter(({unlistedFromMs, changedRevision}) => unlistedFromMs !== undefined && changedRevision > sinceRevision).map(({id}) => id),
+		removed: known.filter(({isInRegistry, changedRevision}) => !isInRegistry && changedRevision > sinceRevision).map(({id}) => id),
 	};
 }
 
--- a/src/core/entry/registry.ts
+++ b/src/core/entry/registry.ts
@@ -137,12 +137,16 @@
 	}
 
 	for (const entry of change.entries) {
-		if (isRestored && isGone(state.targets.get(entry.id), entry)) {
-			// Its entry may have been removed since the copy; if it serves, its next heartbeat lists it.
-			continue;
+		const target = state.targets.get(entry.id);
+		if (target) {
+			markInRegistry(context, target, entry);
+		}
+
+		// After a restore its entry may have been removed since the store's copy was made; if it serves, its next heartbeat lists it.
+		if (!isRestored || !isGone(target, entry)) {
+			adoptEntry(context, entry, isFirst);
 		}
 
-		adoptEntry(context, entry, isFirst);
 		recordChange(context, entry);
 	}
 
@@ -201,8 +205,8 @@
 /** Equal on instances whose entries have the same content, regardless of when they were read and in which order. */
 function registryDigest(targets: Iterable<Target>): number {
 	let digest = 0;
-	for (const {unlistedFromMs, listedHash} of targets) {
-		if (unlistedFromMs === undefined) {
+	for (const {isInRegistry, listedHash} of targets) {
+		if (isInRegistry) {
 			digest = (digest + listedHash) % DIGEST_MODULUS;
 		}
 	}
@@ -215,7 +219,7 @@
 	let {digest} = registry;
 	for (const id of new Set([...entries.map(entry => entry.id), ...removed])) {
 		const target = targets.get(id);
-		if (target && target.unlistedFromMs === undefined) {
+		if (target?.isInRegistry) {
 			digest += DIGEST_MODULUS - target.listedHash;
 		}
 	}
@@ -274,7 +278,6 @@
 
 	if (target.unlistedFromMs !== undefined) {
 		target.unlistedFromMs = undefined;
-		target.changedRevision = state.registry.revision;
 		logEvent(context, 'target-listed', {
 			targetId: entry.id, service: entry.service, zone: entry.zone, revision: state.registry.revision,
 		});
@@ -284,11 +287,20 @@
 		markLeaving(context, target, 'registry');
 	}
 
-	target.listed = entry;
 	target.entry = mergeEntry(target, entry, context.nowMs);
 	mergeAdapters(target, entry);
 }
 
+/** Notes what the registry lists, whether or not it is used: that is what this instance passes on. */
+function markInRegistry({state}: EntryContext, target: Target, entry: TargetEntry): void {
+	if (!target.isInRegistry) {
+		target.isInRegistry = true;
+		target.changedRevision = state.registry.revision;
+	}
+
+	target.listed = entry;
+}
+
 function addTarget(context: EntryContext, entry: TargetEntry): Target {
 	const target = createTarget(entry);
 	context.state.targets.set(entry.id, target);
@@ -326,13 +338,17 @@
 function markUnlisted(context: EntryContext, id: TargetId): void {
 	const {state, nowMs} = context;
 	const target = state.targets.get(id);
+	const {graceUntilMs, revision} = state.registry;
+	if (target?.isInRegistry) {
+		target.isInRegistry = false;
+		target.changedRevision = revision;
+	}
+
 	if (!target || target.unlistedFromMs !== undefined) {
 		return;
 	}
 
-	const {graceUntilMs, revision} = state.registry;
 	target.unlistedFromMs = Math.max(nowMs, graceUntilMs);
-	target.changedRevision = revision;
 	state.registry.unlisted.add(id);
 
 	// One that leaves ends what it still runs.
@@ -348,7 +364,7 @@
 		const target = state.targets.get(id);
 		if (target?.unlistedFromMs === undefined) {
 			state.registry.unlisted.delete(id);
-		} else if (nowMs - target.unlistedFromMs > TARGET_RETENTION_MS && target.inFlight.size === 0) {
+		} else if (nowMs - target.unlistedFromMs > TARGET_RETENTION_MS && target.inFlight.size === 0 && !target.isInRegistry) {
 			state.registry.unlisted.delete(id);
 			state.targets.delete(id);
 			state.orderTracker.forget(id);
--- a/src/core/entry/target.ts
+++ b/src/core/entry/target.ts
@@ -104,8 +104,10 @@
 export type Target = {
 	readonly id: TargetId;
 	entry: TargetEntry;
-	/** The entry as read from the registry, without updates from reports. */
+	/** The entry as last read from the registry, without updates from reports. It may be of an earlier incarnation, which is not used. */
 	listed: TargetEntry;
+	/** Whether the registry lists it, used or not. */
+	isInRegistry: boolean;
 	/** Hash of `hashedEntry`, an entry equal to `listed`. */
 	listedHash: number;
 	hashedEntry: TargetEntry | undefined;
@@ -113,7 +115,7 @@
 	changedRevision: number;
 	/** Since when this instance has known that this incarnation leaves, by its entry or an answer; undefined while it does not. It does not take that back. */
 	leavingSinceMs: number | undefined;
-	/** Time from which the target counts as removed from the registry, undefined while it is listed. */
+	/** Time from which the target counts as removed from the registry and gets nothing new, undefined while it is listed. */
 	unlistedFromMs: number | undefined;
 	/** Until then, the last report of the engine overrides the registry entry. */
 	reportValidUntilMs: number;
@@ -191,6 +193,7 @@
 		id: entry.id,
 		entry,
 		listed: entry,
+		isInRegistry: true,
 		listedHash: 0,
 		hashedEntry: undefined,
 		changedRevision: 0,
