Tests of copies and releases: what they guard against, and one that could pass without a read

The test of two differing copies compared the reads with a list cut to their number, which holds for none as well. It now asks for the first read to be of all entries, and for no further read once the copy is sound. Three tests say which failure they guard against. 70 tests of both files' families pass.

--- a/src/core/entry/registry-copies.test.ts
+++ b/src/core/entry/registry-copies.test.ts
@@ -240,7 +240,7 @@
 ];
 
 for (const [name, steps] of paths) {
-	// Each is a way to a copy whose holder knows nothing of a removal that the puller lacks.
+	// Guards against requests at a target that has left: each is a way to a copy whose holder knows nothing of a removal that the puller lacks.
 	test(`an instance that pulls learns of a removal from one that ${name}`, () => {
 		play(steps);
 	});
@@ -271,14 +271,15 @@
 	const {faulty, other} = createDiffering('a');
 	assert.deepEqual(effectsOfKind(hear(faulty, other), 'pull'), []);
 	const reads = effectsOfKind(faulty.advance(1000), 'read-registry');
-	assert.deepEqual(reads.map(({isWhole}) => isWhole), [true, false].slice(0, reads.length));
+	assert.equal(reads[0]?.isWhole, true);
 	faulty.readRegistry([engineEntry('e0', ['m0'])]);
 	assert.equal(faulty.state.registry.digest, other.state.registry.digest);
-	faulty.dispatch({kind: 'tick'});
+	assert.equal(effectsOfKind(faulty.advance(100), 'read-registry').length, 0);
 	assert.equal(effectsOfKind(faulty.effects, 'log').filter(({event}) => event === 'registry-copies-differ').length, 1);
 });
 
-test('the other one pulls the whole registry from it, but not with every beacon', () => {
+// Guards against the same, and against a pull of everything with each beacon while an entry is read differently.
+test('of two instances with different copies of one revision the other one pulls the whole registry, but not with every beacon', () => {
 	const {faulty, other} = createDiffering('b');
 	const [pulled] = effectsOfKind(hear(faulty, other), 'pull');
 	assert.equal(pulled?.known.registryRevision, 0);
--- a/src/core/entry/release-record.test.ts
+++ b/src/core/entry/release-record.test.ts
@@ -185,6 +185,7 @@
 	}
 }
 
+// Guards against a release that came back and went again in a gap in which the writer of the record saw nothing.
 test('a release is not dropped by an instance that has not followed the registry for as long as streams last', () => {
 	const core = new Writer().readRegistry([v1, v2]);
 	core.run(1000);
