Stop: a request that is read after the instance was to close is refused without waiting for the tick

What callers see: a request that comes later than 3 s after SIGTERM to a process that is behind is passed on, and broken off at the end of the grace period.

Cause: whether the listener counts as closed was a flag that only a tick sets. What is read before that tick was passed on.

Ruled out: a process that is paused by SIGSTOP across that time. That leaves a process that gets no processor time, which only the test of the core shows.

Change: the core asks the time at each arrival.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -7,7 +7,7 @@
 import {close, refuse} from './closing.js';
 import {knownAgeMs, mayBeOutdated} from './configuration-watch.js';
 import {recordArrival} from './demand.js';
-import {isTaken} from './drain.js';
+import {hasClosed, isTaken} from './drain.js';
 import {beginTrial, culpritOf, quarantineRefusal} from './quarantine.js';
 import {pullFrom} from './peer-sync.js';
 import {queueKeyOf, queueOf} from './queues.js';
@@ -28,7 +28,7 @@
 
 export function handleArrival(context: EntryContext, {arrival}: EntryEventOf<'request-arrived'>): void {
 	const {state, nowMs} = context;
-	if (state.isCallerListenerClosed) {
+	if (hasClosed(context)) {
 		// A keep-alive connection that was busy until now; there is no time left for new requests on it.
 		refuseArrival(context, arrival, {code: 'stopping', retryAfterMs: STOPPING_RETRY_AFTER_MS});
 		return;
--- a/src/core/entry/drain.test.ts
+++ b/src/core/entry/drain.test.ts
@@ -143,3 +143,25 @@
 	assert.equal(effectsOfKind(core.effects, 'stop').length, 1);
 	assert.deepEqual(effectsOfKind(core.arrive('r', '/records/1'), 'refuse').map(({code}) => code), ['stopping']);
 });
+
+// Guards against requests that a process which is behind passes on although they came later than 3 s after the signal: the end of the grace period cuts them off (LOST).
+test('a request that is read before the tick that closes the listener is refused if it came after that was due', () => {
+	const core = new EntryHarness().configure({routes: [route({isStream: true, timeoutMs: 20_000, patienceMs: 20_000})]}).readRegistry([targetEntry('t0', {slots: 8})]);
+	core.dispatch({kind: 'drain-requested'});
+	core.advance(2200);
+	core.nowMs += 50;
+	assert.equal(effectsOfKind(core.arrive('in-time', '/records/1', {deadlineMs: 20_000}), 'send').length, 1);
+	core.nowMs += 950;
+	const effects = core.arrive('late', '/records/1', {deadlineMs: 20_000});
+	assert.deepEqual(effectsOfKind(effects, 'refuse').map(({requestId, code}) => [requestId, code]), [['late', 'stopping']]);
+	assert.equal(effectsOfKind(effects, 'send').length, 0);
+});
+
+test('a process that noticed the signal late refuses what is read later than 3 s after the signal may have been sent', () => {
+	const core = new EntryHarness().configure({routes: [route({isStream: true, timeoutMs: 20_000, patienceMs: 20_000})]}).readRegistry([targetEntry('t0', {slots: 8})]);
+	core.dispatch({kind: 'drain-requested', noticedWithinMs: 2000});
+	core.nowMs += 800;
+	assert.equal(effectsOfKind(core.arrive('in-time', '/records/1', {deadlineMs: 20_000}), 'send').length, 1);
+	core.nowMs += 200;
+	assert.deepEqual(effectsOfKind(core.arrive('late', '/records/1', {deadlineMs: 20_000}), 'refuse').map(({code}) => code), ['stopping']);
+});
--- a/src/core/entry/drain.ts
+++ b/src/core/entry/drain.ts
@@ -52,7 +52,7 @@
 
 	const sinceMs = nowMs - state.drainSinceMs;
 	const isEnding = nowMs >= endOfDrainMs(context);
-	if (!state.isCallerListenerClosed && (isEnding || nowMs >= closingMs(context))) {
+	if (!state.isCallerListenerClosed && hasClosed(context)) {
 		state.isCallerListenerClosed = true;
 		context.effects.push({kind: 'close-front'});
 	}
@@ -73,6 +73,12 @@
 	}
 }
 
+/** Whether no request is taken any more. A process that is behind reads requests before the tick that closes its listener. */
+export function hasClosed(context: EntryContext): boolean {
+	const {state, nowMs} = context;
+	return state.isCallerListenerClosed || (state.lifecycle === 'draining' && nowMs >= Math.min(closingMs(context), endOfDrainMs(context)));
+}
+
 /** When new connections are no longer accepted. A process that noticed the signal late has less time left for what they bring. */
 function closingMs({state}: EntryContext): number {
 	return Math.min(state.drainNoticedAtMs + DEREGISTRATION_DELAY_MS, state.drainSinceMs + MAX_ACCEPTING_MS);
