Stop: answers that callers still read are waited for as long as streams go on

What callers see: the rest of a whole answer is cut off 0.7 s before the end of the grace period, by a process that was held up until SIGTERM, if another caller's stream goes on until then.

Cause: streams go on until 0.7 s before the grace period ends if it counts from when the signal was noticed; the wait for unread answers ended 0.2 s before its end if it counts from when the signal may have been sent. With more than 0.5 s in between, the wait was over before it began.

Change: both count from when the signal was noticed.

Before: the new test failed, the answer of 7.9 MB ended short of its length.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -205,7 +205,8 @@
 
 	/** Stops once requests that are being read have been answered and the last responses flushed, or at the end of the grace period. */
 	async stopAfterFlush(): Promise<void> {
-		const endsAtMs = this.state.drainSinceMs + this.state.bounds.graceMs - CLOSE_MARGIN_MS;
+		// As late as streams go on: until shortly before the process is killed if the signal came at the last possible moment.
+		const endsAtMs = this.state.drainNoticedAtMs + this.state.bounds.graceMs - CLOSE_MARGIN_MS;
 		while (!await this.callerListener.isIdle() && this._clock.monotonicMs() < endsAtMs) {
 			await delay(TICK_MS);
 		}
--- a/test/unit/planned-stop.test.ts
+++ b/test/unit/planned-stop.test.ts
@@ -4,6 +4,7 @@
 allows.
 */
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {writeFileSync} from 'node:fs';
 import {Agent} from 'node:http';
@@ -20,7 +21,9 @@
 import {writeBusyLoop} from '../standins/busy-loop.js';
 import {FakeStore} from '../standins/fake-store-and-runner.js';
 import {createDaemonSettings, PlatformBundle} from '../standins/platform-process.js';
-import {GRACE_MS, StoppingProcess, type Outcome} from '../standins/stopping-process.js';
+import {
+	GRACE_MS, StoppingProcess, type Outcome, type RunHandler,
+} from '../standins/stopping-process.js';
 
 /** Until then a request that is answered by its target in time may not be ended by the stop. */
 const CUT_FROM_MS = GRACE_MS * 5 / 6;
@@ -45,8 +48,8 @@
 	return file;
 }
 
-async function start(t: TestContext, nodeArguments: readonly string[] = []): Promise<{readonly stopping: StoppingProcess; readonly agent: Agent}> {
-	const stopping = await StoppingProcess.start(bundle, {nodeArguments});
+async function start(t: TestContext, nodeArguments: readonly string[] = [], handlers: Readonly<Record<string, RunHandler>> = {}): Promise<{readonly stopping: StoppingProcess; readonly agent: Agent}> {
+	const stopping = await StoppingProcess.start(bundle, {nodeArguments, handlers});
 	const agent = new Agent({keepAlive: true});
 	t.after(async () => {
 		agent.destroy();
@@ -177,6 +180,46 @@
 	assert.deepEqual(describe(outcomes.filter(({isWhole, status}) => !isWhole || status !== 200), signalledAtMs), []);
 });
 
+// Guards against whole answers that a process which was held up until SIGTERM cuts off while their callers still read them, as soon as its last stream has ended (LOST).
+test('an answer that its caller reads slowly is whole in a process that was held up until SIGTERM and has streams until the end of the grace period', async t => {
+	const heldUpMs = 1600;
+	const large = Buffer.alloc(7_900_000);
+	const answer: RunHandler = async ({url = ''}, response, headers) => {
+		if (url.startsWith('/read/')) {
+			await delay(Number(url.split('/')[2]));
+			response.writeHead(200, {...headers, 'content-length': large.length}).end(large);
+			return;
+		}
+
+		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+		for (let event = 1; !response.destroyed; event++) {
+			response.write(`id: ${event}\ndata: x\n\n`);
+			await delay(100);
+		}
+	};
+
+	const {stopping, agent} = await start(t, [], {'i-1': answer, 'i-2': answer});
+	const stream = stopping.call(agent, '/ask/never');
+	const slow = httpRequest(`http://127.0.0.1:${stopping.callersPort}/read/5000`, {
+		method: 'POST', body: 'body', headers: {host: 'a.example', 'x-pollenarch-request-id': 'slow', 'x-pollenarch-request-deadline': '20000'},
+	});
+	await delay(200);
+	stopping.process.kill('SIGSTOP');
+	await delay(heldUpMs - 200);
+	const signalledAtMs = performance.now();
+	stopping.process.kill('SIGTERM');
+	stopping.process.kill('SIGCONT');
+	const exited = stopping.exit(signalledAtMs);
+	const {body} = await slow;
+	await delay(signalledAtMs + GRACE_MS - 550 - performance.now());
+	const {byteLength} = await body.arrayBuffer();
+	assert.equal(byteLength, large.length);
+	await exited;
+	const {endedAtMs} = await stream;
+	assert.ok(endedAtMs - signalledAtMs >= CUT_FROM_MS);
+	assert.equal(stopping.exitCode, 0);
+});
+
 // Guards against streams that are broken off at their deadline before the time of their callers has passed, which may count from the last byte of the request (LOST).
 test('a stream whose body arrives late is broken off when its time has passed from its last byte on, and not much later than from its head on', async t => {
 	const {stopping, agent} = await start(t);
