Targets: a reset fails each answer, and throws no uncaught error

What callers saw: nothing in the records names it. An answer that is the last on its connection (without a length, or with `Connection: close`, as a target that leaves sends) whose connection was reset while its reader was slow never ended: the request stayed open until something else ended it, and an uncaught error was logged for it. Cause: undici 7 takes ECONNRESET for a possible regular end of such an answer and finishes its parser in the listener of the error. With the parser paused, an assertion fails there and in the listener of `close`, so that neither the answer nor the connection is ended. An answer without a length that was reset passed for whole to the client, which only `wasReset` corrected. Ruled out: FIN in place of RST, and answers after which the connection is kept, fail as they should with each framing and each reader. Change: the error of a reset reaches undici without the code, as the cause of another error. No run of a whole process was made with it; a slow reader must let more wait than the kernel's buffers hold, so that it is not shown to be part of the incident. Conclusion: a fault of the same class (an end that nobody is told of), not the cause shown.

--- a/src/daemon/gateways/guarded-client.ts
+++ b/src/daemon/gateways/guarded-client.ts
@@ -1,14 +1,15 @@
 /**
-HTTP client that guards against four things that undici leaves open. It closes its
+HTTP client that guards against five things that undici leaves open. It closes its
 connection when a server sends bytes that bring no content: a head, interim responses,
 chunk framing or trailers without end. And it resets the connection of a request that is
 aborted: closed in the regular way, the kernel would go on sending bytes that the server
 has not acknowledged, and a request that nobody waits for any more would still arrive
 once a broken path has healed. And it closes an idle connection on which anything arrives:
 undici does so only once a complete head has arrived, so that the rest of a response that
-nobody asked for could be taken for the response to the next request. And it reads from all
-its connections in turns, so that one that sends fast does not take the process for itself,
-and joins small pieces of a body, which would take many times their length in a list.
+nobody asked for could be taken for the response to the next request. And it fails each
+response whose connection is reset before its end. And it reads from all its connections in
+turns, so that one that sends fast does not take the process for itself, and joins small
+pieces of a body, which would take many times their length in a list.
 */
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
@@ -27,9 +28,23 @@
 const CHUNK_BYTES = 16 * 1024;
 /** Content up to this size is joined with what follows it at once. */
 const SMALL_BYTES = 1024;
+const RESET_CODE = 'ECONNRESET';
 /** Bytes of framing that each byte of content may bring along: chunks of five bytes and more are allowed, a flood of smaller ones is not. */
 const FRAMING_PER_CONTENT_BYTE = 1;
 
+/**
+Has a connection that was reset fail with an error that has no code of its own. undici would take `ECONNRESET` for the
+regular end of a response whose connection closes after it, and fail an assertion if its reader is slow.
+*/
+function markResets(socket: Socket): void {
+	const destroy = socket.destroy.bind(socket);
+	socket.destroy = error => destroy(errorCodeOf(error) === RESET_CODE ? new Error('the server has reset the connection', {cause: error}) : error);
+}
+
+function errorCodeOf(error: Error | undefined): unknown {
+	return error && 'code' in error ? error.code : undefined;
+}
+
 /** Compares what a connection receives with the content that its responses yield. */
 class FramingMeter {
 	private _socket: Socket | undefined;
@@ -47,6 +62,7 @@
 			this._checkIdle(socket);
 		});
 		readInTurns(socket, () => this._limitChunk(socket));
+		markResets(socket);
 	}
 
 	/** Drops the bytes that the server has not acknowledged. */
--- /dev/null
+++ b/src/entry/ends-of-answers.test.ts
@@ -0,0 +1,77 @@
+/**
+Answers whose connection is closed or reset before they are whole, with each kind of framing,
+for readers that take them at once and for such as let them wait.
+*/
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {TargetConnections, type TargetResponse} from './target-connections.js';
+
+/** More than is read ahead of a reader. */
+const BODY_BYTES = 40_000;
+const body = 'x'.repeat(BODY_BYTES);
+/** Until then what was sent has been read, as far as a reader that takes nothing allows. */
+const ENDS_AFTER_MS = 50;
+const READ_AFTER_MS = 150;
+/** Many times what an end takes to show. */
+const WAIT_LIMIT_MS = 3000;
+
+type End = 'reset' | 'close';
+
+const ends: Readonly<Record<End, (socket: Socket) => void>> = {
+	reset(socket) {
+		socket.resetAndDestroy();
+	},
+	close(socket) {
+		socket.end();
+	},
+};
+
+/** Answers that are not whole. */
+const cutOff = {
+	'without a length': body,
+	'with a length': `Content-Length: ${BODY_BYTES + 1}\r\n\r\n${body}`,
+	'with a length, the last on its connection': `Connection: close\r\nContent-Length: ${BODY_BYTES + 1}\r\n\r\n${body}`,
+	'in chunks': `Transfer-Encoding: chunked\r\n\r\n${BODY_BYTES.toString(16)}\r\n${body}\r\n`,
+	'in chunks, the last on its connection': `Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n${BODY_BYTES.toString(16)}\r\n${body}\r\n`,
+};
+
+async function receive(t: TestContext, answer: string, end: End): Promise<TargetResponse> {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write(`HTTP/1.1 200 OK\r\n${answer}`);
+			setTimeout(() => {
+				ends[end](socket);
+			}, ENDS_AFTER_MS);
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const connections = new TargetConnections();
+	t.after(async () => {
+		server.close();
+		await connections.close();
+	});
+	return connections.request(`127.0.0.1:${(server.address() as AddressInfo).port}`, {
+		method: 'GET', path: '/', headers: [], body: undefined, signal: t.signal, usesFreshConnection: true, maxConnections: 1,
+	});
+}
+
+for (const [framing, answer] of Object.entries(cutOff)) {
+	for (const end of ['reset', 'close'] as const) {
+		if (framing === 'without a length' && end === 'close') {
+			continue;
+		}
+
+		for (const readAfterMs of [0, READ_AFTER_MS]) {
+			// Guards against an answer that ends for nobody, or looks whole: undici took a reset for the regular end of an answer that is the last on its connection, and threw an uncaught error while its reader was slow.
+			test(`an answer ${framing} fails when its connection ends by a ${end}, for a reader that begins after ${readAfterMs} ms`, {timeout: WAIT_LIMIT_MS}, async t => {
+				const response = await receive(t, framing === 'without a length' ? `\r\n${answer}` : answer, end);
+				await delay(readAfterMs);
+				await assert.rejects(response.body.text());
+			});
+		}
+	}
+}
