Stand-in of a stopping process: started again, with more runners, callers that pause

Options only: the process is started again at the addresses of the one before, runners are added and named, and callers read nothing for a while after a response has begun. No test uses other defaults than before.

--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -12,7 +12,9 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {FakeStore} from './fake-store-and-runner.js';
-import {createDaemonSettings, type PlatformBundle, waitUntilReady} from './platform-process.js';
+import {
+	createDaemonSettings, type DaemonSettings, type PlatformBundle, waitUntilReady,
+} from './platform-process.js';
 
 export const GRACE_MS = 8000;
 const EVENT_INTERVAL_MS = 100;
@@ -57,6 +59,10 @@
 	readonly limits?: Partial<typeof configuration.limits>;
 	/** By the id of a runner, `i-1` or `i-2`. */
 	readonly handlers?: Readonly<Record<string, RunHandler>>;
+	/** Time for which callers read nothing after the begin of a response. */
+	readonly readPauseMs?: number;
+	/** Ids of the runners. */
+	readonly runnerIds?: readonly string[];
 };
 
 export type LogLine = Readonly<Record<string, unknown>> & {readonly msg: string; readonly time: number};
@@ -99,6 +105,7 @@
 	exitedAtMs = Number.POSITIVE_INFINITY;
 	exitCode: number | undefined;
 	callersPort = 0;
+	private _settings!: DaemonSettings;
 	private _requests = 0;
 	private readonly _servers: Server[] = [];
 	private readonly _entries = new Map<string, object>();
@@ -160,6 +167,15 @@
 				response.on('data', (text: string) => {
 					outcome.events += text.split('data:').length - 1;
 				});
+				if (this._options.readPauseMs !== undefined) {
+					response.once('data', () => {
+						response.pause();
+						setTimeout(() => {
+							response.resume();
+						}, this._options.readPauseMs);
+					});
+				}
+
 				response.on('error', () => undefined);
 				response.on('close', () => {
 					outcome.isWhole = response.complete;
@@ -207,26 +223,17 @@
 	}
 
 	private async _start(bundle: PlatformBundle): Promise<void> {
-		const {nodeArguments, limits} = this._options;
+		const {limits, runnerIds = ['i-1', 'i-2']} = this._options;
 		const storeAddress = await this.store.start();
-		for (const id of ['i-1', 'i-2']) {
-			this._entries.set(id, {
-				service: 'records', address: await this._startRunner(id), zone: 'north', version: 'v1', slots: 500, coldLeftMs: 0, seq: 0, born: 1, models: [],
-			});
-			this.setRunnerState(id, 'ready');
+		for (const id of runnerIds) {
+			await this.addRunner(id);
 		}
 
 		this.store.put('op', 'config', {...configuration, limits: {...configuration.limits, ...limits}});
-		const {listen, document} = await createDaemonSettings(storeAddress);
-		this.callersPort = Number(listen.callers.split(':')[1]);
-		this.process = bundle.start({...document, bounds: {...document.bounds as object, graceMs: GRACE_MS}}, nodeArguments);
-		this.process.stderr!.resume();
-		this._readLog();
-		this.process.once('close', code => {
-			this.exitedAtMs = performance.now();
-			this.exitCode = code ?? undefined;
-		});
-		await waitUntilReady(listen);
+		this._settings = await createDaemonSettings(storeAddress);
+		this.callersPort = Number(this._settings.listen.callers.split(':')[1]);
+		this.startProcess(bundle);
+		await waitUntilReady(this._settings.listen);
 		// The first read of the registry follows the configuration.
 		for (let status: number | undefined; status !== 200;) {
 			({status} = await this.call(new Agent(), PROBE_PATH));
@@ -234,10 +241,32 @@
 		}
 	}
 
-	private _readLog(): void {
+	/** Starts the process, once the one before it has gone, at the same addresses. */
+	startProcess(bundle: PlatformBundle): void {
+		const {document} = this._settings;
+		const started = bundle.start({...document, bounds: {...document.bounds as object, graceMs: GRACE_MS}}, this._options.nodeArguments);
+		this.process = started;
+		this.exitedAtMs = Number.POSITIVE_INFINITY;
+		started.stderr!.resume();
+		this._readLog(started);
+		started.once('close', code => {
+			this.exitedAtMs = performance.now();
+			this.exitCode = code ?? undefined;
+		});
+	}
+
+	/** Starts a runner that is ready. */
+	async addRunner(id: string): Promise<void> {
+		this._entries.set(id, {
+			service: 'records', address: await this._startRunner(id), zone: 'north', version: 'v1', slots: 500, coldLeftMs: 0, seq: 0, born: 1, models: [],
+		});
+		this.setRunnerState(id, 'ready');
+	}
+
+	private _readLog(started: ChildProcess): void {
 		let rest = '';
-		this.process.stdout!.setEncoding('utf8');
-		this.process.stdout!.on('data', (text: string) => {
+		started.stdout!.setEncoding('utf8');
+		started.stdout!.on('data', (text: string) => {
 			const parts = (rest + text).split('\n');
 			rest = parts.pop()!;
 			this.lines.push(...parts.map(part => JSON.parse(part) as LogLine));
