Streams: a target whose response is not read is not silent

What callers saw: a stream was closed without its end although its target was sound. Its caller had read nothing for a while; the other target, which it was moved to, broke it off. Cause: while a caller does not read, nothing is read from the target either, and no progress is dispatched. The core takes that for a silent target and sends the request to another one as well; the first event of that one claims the answer although the caller still takes nothing, and the sound run is cancelled. From then on the stream depends on the other target, and the attempts of its route are used up. The same happens while a response waits for memory. Change: a wait of more than 200 ms in which nothing of a response is read is told to the core (`try-held`), and its end too. A held try is not silent; the time of its silence, and of its caller's patience, counts from when it is read again.

--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -54,6 +54,13 @@
 	| {readonly kind: 'caller-left'; readonly requestId: RequestId}
 	/** Told of a try that was written long after it was decided on. */
 	| {readonly kind: 'try-written'; readonly requestId: RequestId; readonly tryNumber: number}
+	/** Told of a try whose response is not read for a while, until its caller has taken what it brought or there is memory for more, and when it is read again. */
+	| {
+		readonly kind: 'try-held';
+		readonly requestId: RequestId;
+		readonly tryNumber: number;
+		readonly isHeld: boolean;
+	}
 	| {
 		readonly kind: 'try-progressed';
 		readonly requestId: RequestId;
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -43,7 +43,7 @@
 	continueProven, continueResolved, handleOriginAsked, handleOriginsAnnounced, handleOriginTimeout,
 } from './stream-origins.js';
 import {
-	handleDeadline, handleTryEnded, handleProgress, handleWritten,
+	handleDeadline, handleTryEnded, handleProgress, handleHeld, handleWritten,
 } from './tries.js';
 
 type Handlers = {
@@ -82,6 +82,7 @@
 	'request-arrived': handleArrival,
 	'caller-left': handleCallerLeft,
 	'try-written': handleWritten,
+	'try-held': handleHeld,
 	'try-progressed': handleProgress,
 	'try-ended': handleTryEnded,
 	'target-probed': handleTargetProbed,
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -122,6 +122,7 @@
 		silenceLimitMs: route.objectiveMs * SILENCE_FACTOR,
 		progressAtMs: nowMs,
 		hasBegun: false,
+		isHeld: false,
 		hasReplacement: false,
 		wasSilent: false,
 		outcome: undefined,
--- a/src/core/entry/send.ts
+++ b/src/core/entry/send.ts
@@ -37,6 +37,7 @@
 		silenceLimitMs: upperLimitMs(target.firstByte, {minMs: request.route.objectiveMs * MIN_SILENCE_FACTOR, maxMs: request.route.objectiveMs * MAX_SILENCE_FACTOR}),
 		progressAtMs: nowMs,
 		hasBegun: false,
+		isHeld: false,
 		hasReplacement: false,
 		wasSilent: false,
 		outcome: undefined,
--- a/src/core/entry/silence.test.ts
+++ b/src/core/entry/silence.test.ts
@@ -320,3 +320,21 @@
 	assert.deepEqual(effectsOfKind(effects, 'send').map(({requestId}) => requestId).sort(), ['begun', 'sent']);
 	assertUntouched(effects, 'sent to the other target as well');
 });
+
+// Guards against taking a target for silent whose stream is not read, since its caller reads slowly (LOST: the other target may break off).
+test('a stream does not move while its response is not read, and counts as silent only from when it is', () => {
+	const core = createCore();
+	const first = beginStream(core, 'r');
+	core.dispatch({
+		kind: 'try-held', requestId: 'r', tryNumber: 1, isHeld: true,
+	});
+	const held = core.advance(2 * SILENCE_MS);
+	assert.deepEqual(effectsOfKind(held, 'send'), []);
+	assertUntouched(held, 'not read');
+	core.dispatch({
+		kind: 'try-held', requestId: 'r', tryNumber: 1, isHeld: false,
+	});
+	assert.deepEqual(effectsOfKind(core.advance(SILENCE_MS / 2), 'send'), []);
+	const [second] = effectsOfKind(core.advance(SILENCE_MS), 'send');
+	assert.notEqual(second?.targetId ?? first, first);
+});
--- a/src/core/entry/silence.ts
+++ b/src/core/entry/silence.ts
@@ -69,8 +69,15 @@
 	});
 }
 
-/** Sends a request to another target beside a silent try. `later`: none has room now, or the budget allows no retry; `never`: the request may not be sent again. */
+/**
+Sends a request to another target beside a silent try. `later`: its response is not read now, no other target has room, or the budget
+allows no retry; `never`: the request may not be sent again.
+*/
 export function sendBeside(context: EntryContext, request: EntryRequest, attempt: EntryTry): 'sent' | 'later' | 'never' {
+	if (attempt.isHeld) {
+		return 'later';
+	}
+
 	const open = openTries(request);
 	if (attempt.hasReplacement || countRuns(request) + open.length >= request.route.maxAttempts) {
 		return 'never';
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -53,6 +53,21 @@
 	}
 }
 
+/** A target whose response is not read is not silent, nor is its caller waiting for it. */
+export function handleHeld({state, nowMs}: EntryContext, event: EntryEventOf<'try-held'>): void {
+	const request = state.open.get(event.requestId);
+	const attempt = request && openTry(request, event.tryNumber);
+	if (!request || !attempt) {
+		return;
+	}
+
+	attempt.isHeld = event.isHeld;
+	attempt.progressAtMs = nowMs;
+	if (attempt.hasBegun) {
+		request.patienceEndsAtMs = Math.min(request.deadlineAtMs, nowMs + request.route.patienceMs);
+	}
+}
+
 export function handleProgress(context: EntryContext, event: EntryEventOf<'try-progressed'>): void {
 	const {state, nowMs} = context;
 	const request = state.open.get(event.requestId);
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -134,6 +134,8 @@
 	/** When the try was sent, the response began, or its last event arrived. */
 	progressAtMs: number;
 	hasBegun: boolean;
+	/** Whether its response is not read until its caller has taken what it brought. */
+	isHeld: boolean;
 	/** Whether it was silent, and the request was sent to another target as well. */
 	hasReplacement: boolean;
 	/** Whether it has been silent since its last progress, which has counted as a failure of its target. */
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -24,6 +24,8 @@
 const BUFFERED_BYTES_MAX = 24 * 1024 * 1024;
 /** Bytes of a stream without an event that the caller lacks; a target that repeats more does not resume the stream. */
 const REPEATED_BYTES_MAX = 1024 * 1024;
+/** Responses that are not read for longer are told of to the core, well before it takes a target for silent. */
+const HELD_REPORT_MS = 200;
 /** Interval at which the progress of a stream is dispatched to the core; the first event is dispatched at once. */
 const PROGRESS_INTERVAL_MS = 200;
 const TOO_LARGE = 'the answer is too large';
@@ -43,7 +45,7 @@
 	readonly monotonicMs: () => number;
 	/** Called right before a try is written, or given up since the time for it has passed, which `leftMs` below 1 shows. */
 	readonly onWrite?: (write: TryWrite) => void;
-	readonly dispatch: (event: Untimed<EntryEventOf<'try-progressed'>> | Untimed<EntryEventOf<'try-ended'>>) => void;
+	readonly dispatch: (event: Untimed<EntryEventOf<'try-progressed'>> | Untimed<EntryEventOf<'try-held'>> | Untimed<EntryEventOf<'try-ended'>>) => void;
 };
 
 export type TryWrite = {
@@ -76,6 +78,11 @@
 	longestPauseMs: number;
 };
 
+type TryName = {
+	readonly requestId: string;
+	readonly tryNumber: number;
+};
+
 type ReceivedResponse = {
 	readonly response: TargetResponse;
 	readonly metadata: ResponseMetadata;
@@ -223,7 +230,7 @@
 			};
 		}
 
-		const held = await this._readAll(response, exchange.method === 'HEAD' ? 0 : statedLength(headers));
+		const held = await this._readAll({requestId: exchange.id, tryNumber: effect.tryNumber}, response, exchange.method === 'HEAD' ? 0 : statedLength(headers));
 		if (isTruncated(response)) {
 			held.release();
 			return {
@@ -255,7 +262,7 @@
 	}
 
 	/** Reads a complete response into memory. */
-	private async _readAll({body}: TargetResponse, statedBytes: number): Promise<HeldBody> {
+	private async _readAll(tryOf: TryName, {body}: TargetResponse, statedBytes: number): Promise<HeldBody> {
 		if (statedBytes > BODY_BYTES_MAX) {
 			body.on('error', () => undefined);
 			body.destroy();
@@ -273,7 +280,7 @@
 					throw new Error(TOO_LARGE);
 				}
 
-				return until && {until};
+				return until && {until: this._holdBack(tryOf, until)};
 			});
 			held.end();
 			return held;
@@ -283,9 +290,27 @@
 		}
 	}
 
+	/** Tells the core of a wait that lasts, in which nothing of the response is read. */
+	private async _holdBack(tryOf: TryName, until: Promise<void>): Promise<void> {
+		let isHeld = false;
+		const timer = setTimeout(() => {
+			isHeld = true;
+			this._options.dispatch({kind: 'try-held', ...tryOf, isHeld});
+		}, HELD_REPORT_MS);
+		try {
+			await until;
+		} finally {
+			clearTimeout(timer);
+			if (isHeld) {
+				this._options.dispatch({kind: 'try-held', ...tryOf, isHeld: false});
+			}
+		}
+	}
+
 	/** Forwards a stream event by event. Returns the reason why it is incomplete, or undefined if it is complete. */
 	private async _forwardStream(exchange: Exchange, effect: EntryEffectOf<'send'>, {response, metadata, signal, timing}: ReceivedResponse): Promise<string | undefined> {
 		const splitter = new EventSplitter();
+		const tryOf = {requestId: exchange.id, tryNumber: effect.tryNumber};
 		const isRest = exchange.headersSent;
 		if (isRest && mediaTypeOf(response.headers) !== exchange.mediaType) {
 			response.body.on('error', () => undefined);
@@ -330,7 +355,7 @@
 					return {stop: 'the stream brings no new event'};
 				}
 
-				return room && {until: room};
+				return room && {until: this._holdBack(tryOf, room)};
 			}
 
 			repeatedBytes = 0;
@@ -353,7 +378,7 @@
 			}
 
 			const isFull = exchange.write(undelivered.length === 1 ? undelivered[0]!.bytes : Buffer.concat(undelivered.map(({bytes}) => bytes)));
-			return isFull || room ? {until: all(room, isFull ? exchange.drained(signal) : undefined)} : undefined;
+			return isFull || room ? {until: this._holdBack(tryOf, all(room, isFull ? exchange.drained(signal) : undefined))} : undefined;
 		});
 		if (reason !== undefined) {
 			return reason;
