Stops: all connections that wait are accepted before the listening socket closes

What callers saw: requests sent on new connections before and after SIGTERM were reset without a byte, all at one moment, up to 2.9 s after they were sent, by a process that had too little processor time. Cause: libuv accepts one connection in each round of the event loop (since 1.45; Node.js 20 has 1.46). A process whose rounds take long falls behind with its new connections while all others go on, and a stopping one accepted at most 20 of those that waited (ten times two rounds) before it closed the listening socket, which resets the rest. Ruled out: connections that were accepted (none of the requests was read or passed on, the log has no line of them); the process that comes back (it was not up yet). Change: what waits is accepted until two rounds accept nothing, for 1.5 s at most. The stop does not count as idle meanwhile, and is not held up by it at the end of the grace period. Conclusion: proved for requests that no process has read. What remains: a process that is behind accepts one connection a round at all times, so that new ones wait for seconds.

--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -36,8 +36,8 @@
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 /** Interval at which a stopping instance closes connections that have become idle. */
 const IDLE_CLOSE_INTERVAL_MS = 50;
-/** Limit for the rounds of the event loop in which a stopping instance goes on accepting what waits. */
-const ACCEPT_ROUNDS_MAX = 10;
+/** Limit for the time in which a stopping instance goes on accepting what waits. */
+const ACCEPTING_MS_MAX = 1500;
 
 export type CallerListenerOptions = {
 	/** Undefined until a configuration states them. */
@@ -93,7 +93,8 @@
 	private _server: Server | undefined;
 	private _idleCloseTimer: NodeJS.Timeout | undefined;
 	private _accepted = 0;
-	private _acceptingEnded: Promise<void> = Promise.resolve();
+	/** Whether connections that wait are still accepted, although the instance stops. */
+	private _isEndingAccepting = false;
 
 	constructor(private readonly _options: CallerListenerOptions) {
 		this._memory = new CallerMemory({maxBytes: _options.memoryBytes ?? Number.POSITIVE_INFINITY});
@@ -152,7 +153,10 @@
 
 	/** Whether nothing is under way on any connection, once everything that had arrived was read. */
 	async isIdle(): Promise<boolean> {
-		await this._acceptingEnded;
+		if (this._isEndingAccepting) {
+			return false;
+		}
+
 		await readArrived();
 		const nowMs = performance.now();
 		return [...this._connections.values()].every(connection => !connection.isUsed(nowMs));
@@ -173,23 +177,24 @@
 			return;
 		}
 
-		this._acceptingEnded = this._endAccepting();
+		void this._endAccepting();
 		this._idleCloseTimer = setInterval(() => {
 			void this._closeIdleConnections();
 		}, IDLE_CLOSE_INTERVAL_MS);
 	}
 
-	/** Connections that wait to be accepted would be reset with the requests that were sent on them. */
+	/** Connections that wait to be accepted would be reset with the requests that were sent on them. Each round of the event loop accepts one. */
 	private async _endAccepting(): Promise<void> {
+		const untilMs = performance.now() + ACCEPTING_MS_MAX;
 		let accepted: number;
-		let rounds = 0;
+		this._isEndingAccepting = true;
 		do {
 			accepted = this._accepted;
 			await readArrived();
-			rounds++;
-		} while (this._accepted > accepted && rounds < ACCEPT_ROUNDS_MAX);
+		} while (this._accepted > accepted && performance.now() < untilMs);
 
-		if (this._server) {
+		this._isEndingAccepting = false;
+		if (this._server?.listening) {
 			// The HTTP server's own `close` would also end the check of header timeouts.
 			NetServer.prototype.close.call(this._server);
 		}
--- a/test/unit/planned-stop.test.ts
+++ b/test/unit/planned-stop.test.ts
@@ -29,6 +29,8 @@
 const HANDLERS_MS = 20;
 const SEED = Number(process.env.STOP_SEED ?? 1);
 const CALLERS = 40;
+/** Within the backlog of a listening socket. */
+const WAITING_CONNECTIONS = 200;
 
 const bundle = new PlatformBundle();
 before(async () => {
@@ -144,6 +146,23 @@
 	});
 }
 
+// Guards against requests that a stop resets before it has accepted their connections (LOST): one connection is accepted in each round of the event loop, and many may wait.
+test('requests on new connections that wait to be accepted when the instance stops accepting get a whole response', async t => {
+	const {stopping} = await start(t);
+	const signalledAtMs = performance.now();
+	stopping.process.kill('SIGTERM');
+	await delay(1500);
+	stopping.process.kill('SIGSTOP');
+	const targets = ['/read/20', '/ask/300', '/sign/20'];
+	const calls = Array.from({length: WAITING_CONNECTIONS}, async (_, index) => stopping.call(new Agent(), targets[index % targets.length]!));
+	await delay(signalledAtMs + 2700 - performance.now());
+	stopping.process.kill('SIGCONT');
+	const outcomes = await Promise.all(calls);
+	await stopping.exit(signalledAtMs);
+	assert.deepEqual(describe(outcomes.filter(({isWhole}) => !isWhole), signalledAtMs), []);
+	assert.equal(stopping.exitCode, 0);
+});
+
 // Guards against sound streams that a process which was held up takes for silent, before it has read what arrived meanwhile (LOST).
 test('streams go on at their targets when the process was held up', async t => {
 	const {stopping, agent} = await start(t, ['--require', writeBusyLoop(bundle.folder, 800)]);
