Log: lines of ends are written at once, and no limit drops them

What users saw: records of lost requests in which no line names them. Causes found by reading: a line of an end shares its limit of lines a second with all refusals; it waits in a buffer of 4 KB, which a killed process loses; behind a slow reader it is dropped with all others; and the last flush of a stop is an asynchronous write that does nothing while another write is under way, so that process.exit leaves out the rest.

Change: standard output is written through LogOutput. The last flush waits for the reader, 100 ms at most.

Ruled out: writing urgent lines with blocking calls (a full pipe would hold up the process that stops).

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -232,7 +232,7 @@
 		await this.connections.close();
 		await this.deployment.engines.close();
 		await this.deployment.store.close();
-		this.log.flush();
+		this.log.flushNow();
 		this._resolveStopped();
 	}
 
--- a/src/entry/entry-log.ts
+++ b/src/entry/entry-log.ts
@@ -2,11 +2,13 @@
 Structured log on standard output with a limited rate. Above a first limit of lines per
 second, lines about successful requests are dropped; above a second one, all lines are but those
 that alone tell why a request got no answer or an error of this instance, which have a limit of their own.
-A line of its own reports how many were dropped. Writing never blocks on the reader.
+A line of its own reports how many were dropped. Urgent lines, which tell how requests that were passed on ended
+without a whole answer and what a stop does, are written at once whatever else is. Writing never blocks on the reader.
 */
 import {pino, type DestinationStream, type Logger} from 'pino';
 import {logEvents, type LogEventName} from '../core/log-events.js';
 import {type Clock} from '../core/clock.js';
+import {LogOutput} from './log-output.js';
 
 /** Line rate up to which routine events are written, and up to which all other events are. */
 const ROUTINE_LINES_PER_SECOND = 60;
@@ -15,10 +17,11 @@
 const ESSENTIAL_LINES_PER_SECOND = 500;
 /** Written once or twice per request. All other events are failures or changes in what the instance knows. */
 const routineEvents: ReadonlySet<LogEventName> = new Set(['try-sent', 'request-answered']);
-const essentialEvents: ReadonlySet<LogEventName> = new Set(['request-refused', 'request-ended', 'request-unanswered', 'relay-unrecognized', 'daemon-draining', 'daemon-stopped']);
-/** Output buffered for a slow reader; output beyond it is dropped. */
-const BUFFERED_BYTES_MAX = 512 * 1024;
-const BATCH_BYTES = 4096;
+const essentialEvents: ReadonlySet<LogEventName> = new Set(['request-refused', 'request-ended', 'request-unanswered', 'relay-unrecognized']);
+/** Each written some times in a process, or a few times a second. */
+const urgentEvents: ReadonlySet<LogEventName> = new Set(['daemon-draining', 'daemon-stopped', 'process-late']);
+/** How long the end of the process waits for a reader that is slow. */
+const LAST_FLUSH_MS = 100;
 
 type Fields = Readonly<Record<string, unknown>>;
 
@@ -27,41 +30,45 @@
 	readonly instanceId: string;
 	readonly clock: Clock;
 	readonly destination?: DestinationStream;
+	readonly output?: LogOutput;
+};
+
+export type LineOptions = {
+	/** Whether the line is written at once and no limit of the rate of lines drops it. The number of such lines has to be bounded by their cause. */
+	readonly isUrgent?: boolean;
 };
 
 export class EntryLog {
 	private readonly _logger: Logger;
 	private readonly _clock: Clock;
-	private readonly _flush: () => void;
+	private readonly _output: LogOutput | undefined;
+	private _isUrgent = false;
 	private _currentSecond = 0;
 	private _linesThisSecond = 0;
 	private _droppedUnreported = 0;
 	private _droppedTotal = 0;
 	private _observer: (event: LogEventName, fields: Fields) => void = () => undefined;
 
-	constructor({level, instanceId, clock, destination}: EntryLogOptions) {
-		const standardOutput = destination
-			? undefined
-			: pino.destination({
-				fd: 1, sync: false, minLength: BATCH_BYTES, maxLength: BUFFERED_BYTES_MAX,
-			});
-		standardOutput?.on('error', () => {
-			// The reader has gone; the instance keeps serving without a log.
-		});
-		this._logger = pino({level, base: {instance: instanceId}}, destination ?? standardOutput!);
-		this._clock = clock;
-		this._flush = () => {
-			try {
-				standardOutput?.flush();
-			} catch {
-				// Standard output is closed; the instance keeps serving without a log.
+	constructor({level, instanceId, clock, destination, output}: EntryLogOptions) {
+		const written = output ?? (destination ? undefined : new LogOutput());
+		this._output = written;
+		this._logger = pino({level, base: {instance: instanceId}}, written
+			? {
+				write: line => {
+					if (this._isUrgent) {
+						written.writeUrgent(line);
+					} else {
+						written.write(line);
+					}
+				},
 			}
-		};
+			: destination!);
+		this._clock = clock;
 	}
 
 	/** Number of lines dropped since the start. */
 	get droppedLines(): number {
-		return this._droppedTotal;
+		return this._droppedTotal + (this._output?.droppedLines ?? 0);
 	}
 
 	/** Sets the observer, which receives every event, also those whose lines are dropped. */
@@ -69,20 +76,28 @@
 		this._observer = observer;
 	}
 
-	write(event: LogEventName, fields: Fields): void {
+	write(event: LogEventName, fields: Fields, {isUrgent = urgentEvents.has(event)}: LineOptions = {}): void {
 		this._observer(event, fields);
 		const {number, level} = logEvents[event];
-		if (!this._consumeLineQuota(event)) {
+		if (!isUrgent && !this._consumeLineQuota(event)) {
 			this._droppedUnreported++;
 			this._droppedTotal++;
 			return;
 		}
 
+		this._isUrgent = isUrgent;
 		this._logger[level]({event: number, ...fields}, event);
+		this._isUrgent = false;
 	}
 
+	/** Hands over what has been written, as far as the reader takes it. */
 	flush(): void {
-		this._flush();
+		this._output?.flush();
+	}
+
+	/** The same for a process that is about to end: waits for a reader that is slow, for a short time. */
+	flushNow(): void {
+		this._output?.flushNow(LAST_FLUSH_MS);
 	}
 
 	private _consumeLineQuota(event: LogEventName): boolean {
