--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -514,7 +514,9 @@
 		const {id, isFinished, arrivedAtMs, metadata: {deadlineMs}} = exchange;
 		const nowMs = this._clock.monotonicMs();
 		const open = this.state.open.get(id);
+		const facts = exchange.cutFacts;
 		exchange.isCutLogged = true;
+		this._countCut(exchange, reason);
 		this.log.write('request-unanswered', {
 			requestId: id,
 			reason,
@@ -522,7 +524,7 @@
 			outcome: isFinished ? 'decided' : 'open',
 			openForMs: Math.round(nowMs - arrivedAtMs),
 			leftMs: open ? Math.round(open.deadlineAtMs - nowMs) : (deadlineMs === undefined ? undefined : Math.round(arrivedAtMs + deadlineMs - nowMs)),
-			...exchange.cutFacts,
+			...facts,
 			tries: open?.tries.map(attempt => describeTry(attempt)) ?? exchange.tries,
 			delivered: exchange.delivered,
 		}, {isUrgent: this._isUrgent(exchange)});
@@ -562,11 +564,22 @@
 		const {requestId, reason, ...rest} = fields;
 		const hasLeft = reason === 'caller-left';
 		exchange.isCutLogged = hasLeft || fields.isBrokenOff === true;
+		const endReason = hasLeft ? exchange.cutReason : String(reason);
+		if (exchange.isCutLogged) {
+			this._countCut(exchange, endReason);
+		}
+
 		this.log.write(event, {
-			requestId, reason: hasLeft ? exchange.cutReason : reason, ...this._describeStop(), ...exchange.cutFacts, ...rest,
+			requestId, reason: endReason, ...this._describeStop(), ...exchange.cutFacts, ...rest,
 		}, {isUrgent: this._isUrgent(exchange)});
 	}
 
+	private _countCut({isPassedOn, cutFacts}: Exchange, reason: string): void {
+		if (isPassedOn) {
+			this._metrics.recordCut(reason, cutFacts.closedBy ?? '');
+		}
+	}
+
 	/** Connections and requests that are open, and how late this process was at most of late. */
 	private _describeLoad(): Readonly<Record<string, number>> {
 		const {connections, idle, unread, unsent} = this.callerListener.counts;
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -54,6 +54,7 @@
 	private readonly _reusedConnections = this._counter('pollenarch_reused_connections_total', 'Requests to targets over a connection that had carried others.', []);
 	private readonly _unanswered = this._counter('pollenarch_unanswered_requests_total', 'Requests whose connection was closed without a whole answer, for a reason outside the reducer.', ['reason']);
 	private readonly _brokenOff = this._counter('pollenarch_broken_off_answers_total', 'Answers that had begun and ended with their connection, before the caller left.', ['outcome']);
+	private readonly _cutRequests = this._counter('pollenarch_cut_requests_total', 'Requests that were passed on and ended with their connection, without a whole answer.', ['reason', 'closer']);
 	private readonly _closedConnections = this._counter('pollenarch_caller_connections_closed_total', 'Connections of callers that this instance closed.', ['reason']);
 	private readonly _quotaRefusals = this._counter('pollenarch_quota_refused_total', 'Requests refused with 429, by workspace.', ['workspace']);
 	private readonly _workspaceLabels = new Set<string>();
@@ -122,6 +123,10 @@
 		this._addQuotaGauges(state, monotonicMs);
 	}
 
+	recordCut(reason: string, closer: string): void {
+		this._cutRequests.inc({reason, closer});
+	}
+
 	recordEvent(event: LogEventName, fields: Fields): void {
 		this._events.inc({event});
 		this._handlers[event]?.(fields);
--- a/test/unit/request-ends.test.ts
+++ b/test/unit/request-ends.test.ts
@@ -214,26 +214,33 @@
 }
 
 // Guards against lines of requests that a stop cuts off (LOST) which are lost with the process: dropped among others, or not written when it ends.
-for (const [reader, logBytesPerSecond] of [['quick', undefined], ['slow', 60_000]] as const) {
+for (const [reader, logBytesPerSecond, floodedMs] of [['quick', undefined, 1000], ['slow', 60_000, 5000]] as const) {
 	test(`a stop names each request that it cuts off while other lines flood the log and its reader is ${reader}`, async t => {
 		const stopping = await start(t, {logBytesPerSecond});
 		const streams = Array.from({length: 10}, (_, index) => new RawCaller(stopping.callersPort).send('/ask/stream', `stream-${index}`));
 		await waitFor(() => streams.every(({text}) => text.includes(EVENT)));
 		const flooded = flood(stopping);
-		await delay(1000);
+		await delay(floodedMs);
+		const brief = Array.from({length: 10}, (_, index) => new RawCaller(stopping.callersPort).send('/ask/stream', `brief-${index}`, {deadlineMs: 1500}));
+		await waitFor(() => brief.every(({text}) => text.includes(EVENT)));
 		const signalledAtMs = performance.now();
 		stopping.process.kill('SIGTERM');
 		await delay(200);
 		const unread = new RawCaller(stopping.callersPort, {readsAll: false}).send('/read/large', 'unread');
 		await waitFor(() => unread.text.includes('\r\n\r\n'));
 		await stopping.exit(signalledAtMs);
-		t.diagnostic(`${await flooded} others, ${stopping.lines.length} lines`);
+		t.diagnostic(`${await flooded} others, ${stopping.lines.length} lines, ${JSON.stringify(stopping.lines.findLast(({event}) => event === 109)?.linesLeftOut)} left out`);
 		for (const index of streams.keys()) {
 			const [line, ...others] = endsOf(stopping, `stream-${index}`);
 			assert.deepEqual([line?.reason, line?.closedBy, line?.headSent, others.length], ['instance-stopped', 'instance', true, 0], JSON.stringify(line));
 			assert.ok(Number(line?.sinceStopMs) >= GRACE_MS * 5 / 6, `${String(line?.sinceStopMs)} ms`);
 		}
 
+		for (const index of brief.keys()) {
+			const [line, ...others] = endsOf(stopping, `brief-${index}`);
+			assert.deepEqual([line?.reason, line?.lifecycle, others.length], ['deadline', 'draining', 0], JSON.stringify(line));
+		}
+
 		const [line, ...others] = endsOf(stopping, 'unread');
 		assert.deepEqual([line?.reason, line?.outcome, others.length], ['process-stopped', 'decided', 0], JSON.stringify(line));
 		assert.ok(Number(line?.unsentBytes) > 0, 'nothing unsent');
--- a/test/unit/unanswered-requests.test.ts
+++ b/test/unit/unanswered-requests.test.ts
@@ -7,6 +7,7 @@
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type LogEventName} from '../../src/core/log-events.js';
+import {type CallerConnection} from '../../src/entry/caller-connection.js';
 import {
 	responseHead, ScriptedDeployment, waitUntil, type Script,
 } from '../standins/scripted-deployment.js';
@@ -124,3 +125,33 @@
 	assert.equal(rejected?.earlierRequests, 1);
 	assert.equal(rejected?.remotePort, localPort);
 });
+
+// Guards against an answer that ends with its connection and that no line names: the core has ended the request in a task that failed.
+test('a request whose answer had begun and that an error of this instance ends has a line', async t => {
+	const {deployment, lines} = await start(t, (socket, {id}) => {
+		socket.write(`${responseHead(id, 'Content-Type: text/event-stream')}id: 1\ndata: x\n\n`);
+	});
+	const caller = deployment.connect();
+	caller.send('/ask/1', 'lost');
+	await caller.waitFor('data: x');
+	deployment.daemon.state.open.delete('lost');
+	deployment.daemon.failLostRequests();
+	await waitUntil(() => linesOf(lines, 'lost').length > 0 && caller.isClosed);
+	const [line, ...others] = linesOf(lines, 'lost');
+	assert.deepEqual([line?.reason, line?.closedBy, line?.headSent, others.length], ['exception', 'instance', true, 0]);
+});
+
+// Guards against a request that is said to have been left by its caller where this instance has closed its connection.
+test('a request that is given up for others is not said to have been left by its caller', async t => {
+	const {deployment, lines} = await start(t, () => undefined);
+	const caller = deployment.connect();
+	caller.send('/sign/1', 'first');
+	await waitUntil(() => deployment.received === 1);
+	const [connection] = (deployment.daemon.callerListener as unknown as {_connections: Map<unknown, CallerConnection>})._connections.values();
+	caller.send('/sign/1', 'second');
+	await delay(50);
+	connection!.giveUp();
+	await waitUntil(() => linesOf(lines, 'first').some(({event}) => event === 'request-ended'));
+	const line = linesOf(lines, 'first').find(({event}) => event === 'request-ended');
+	assert.deepEqual([line?.reason, line?.closedBy], ['input-overload', 'instance']);
+});
