--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -245,7 +245,8 @@
 		this.storeWatcher.stop();
 		const load = this._describeLoad();
 		for (const exchange of this.exchanges.values()) {
-			this._cutExchange(exchange);
+			this._reportStopped(exchange);
+			exchange.cancelAllTries();
 		}
 
 		this.peerClient.close();
@@ -500,13 +501,19 @@
 		}
 	}
 
-	/** The connection is about to be closed by the stop of this process. */
-	private _cutExchange(exchange: Exchange): void {
+	/** For the end of the process, also one that nothing has stopped: names the requests that end with it, and hands over all lines. */
+	endLog(): void {
+		for (const exchange of this.exchanges.values()) {
+			this._reportStopped(exchange);
+		}
+
+		this.log.flushNow();
+	}
+
+	private _reportStopped(exchange: Exchange): void {
 		if (!exchange.isWhole && !exchange.isCutLogged) {
 			this._logCut(exchange, 'process-stopped');
 		}
-
-		exchange.cancelAllTries();
 	}
 
 	/** For a request whose end without a whole answer no decision of the core tells. */
--- a/test/unit/request-ends.test.ts
+++ b/test/unit/request-ends.test.ts
@@ -4,8 +4,10 @@
 while other lines flood the log and its reader is slow, and before the process is killed.
 */
 import assert from 'node:assert/strict';
+import {writeFileSync} from 'node:fs';
 import {Agent, type ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
+import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import {
 	after, before, test, type TestContext,
@@ -91,8 +93,8 @@
 		});
 	}
 
-	send(path: string, id: string, {framing = 'Content-Length: 4\r\n\r\nbody', deadlineMs = 20_000} = {}): this {
-		this.socket.write(`POST ${path} HTTP/1.1\r\nHost: a.example\r\nX-Pollenarch-Request-Id: ${id}\r\nX-Pollenarch-Request-Deadline: ${deadlineMs}\r\n${framing}`);
+	send(target: string, id: string, {framing = 'Content-Length: 4\r\n\r\nbody', deadlineMs = 20_000} = {}): this {
+		this.socket.write(`POST ${target} HTTP/1.1\r\nHost: a.example\r\nX-Pollenarch-Request-Id: ${id}\r\nX-Pollenarch-Request-Deadline: ${deadlineMs}\r\n${framing}`);
 		return this;
 	}
 }
@@ -118,7 +120,7 @@
 }
 
 type End = {
-	readonly path: string;
+	readonly target: string;
 	/** Called once the answer has begun. */
 	readonly end?: (caller: RawCaller) => void;
 	readonly framing?: string;
@@ -130,32 +132,32 @@
 
 const ends: Readonly<Record<string, End>> = {
 	'its time is over': {
-		path: '/ask/stream', deadlineMs: 900, expected: {
+		target: '/ask/stream', deadlineMs: 900, expected: {
 			reason: 'deadline', closedBy: 'instance', headSent: true, framing: 'length', bodyBytes: 4,
 		}, tries: [/^i-\d:canceled$/v],
 	},
 	'both targets reset their connections': {
-		path: '/ask/reset', framing: 'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n', expected: {
+		target: '/ask/reset', framing: 'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n', expected: {
 			reason: 'attempts-used', closedBy: 'instance', headSent: true, framing: 'chunks', delivered: 1,
 		}, tries: [/^i-\d:broken:(?:ECONNRESET|UND_ERR_SOCKET)$/v, /^i-\d:broken:\S+$/v],
 	},
 	'both targets end in the middle of an event': {
-		path: '/ask/cut', expected: {reason: 'attempts-used', closedBy: 'instance', headSent: true}, tries: [/^i-\d:broken:event-cut$/v, /^i-\d:broken:event-cut$/v],
+		target: '/ask/cut', expected: {reason: 'attempts-used', closedBy: 'instance', headSent: true}, tries: [/^i-\d:broken:event-cut$/v, /^i-\d:broken:event-cut$/v],
 	},
 	'its caller resets the connection': {
-		path: '/ask/stream', end(caller) {
+		target: '/ask/stream', end(caller) {
 			caller.socket.resetAndDestroy();
 		}, expected: {
 			reason: 'connection-error', closedBy: 'caller', closeCode: 'ECONNRESET', headSent: true,
 		}, tries: [/^i-\d:canceled$/v],
 	},
 	'its caller closes its side': {
-		path: '/ask/stream', end(caller) {
+		target: '/ask/stream', end(caller) {
 			caller.socket.end();
 		}, expected: {reason: 'caller-ended', closedBy: 'caller', headSent: true}, tries: [/^i-\d:canceled$/v],
 	},
 	'its caller leaves an answer unread': {
-		path: '/read/large', end(caller) {
+		target: '/read/large', end(caller) {
 			setTimeout(() => {
 				caller.socket.resetAndDestroy();
 			}, 300);
@@ -168,10 +170,10 @@
 // Guards against a request without a whole answer whose record does not name the cause.
 test('each end of a request that was passed on has one line with its reason', async t => {
 	const stopping = await start(t);
-	for (const [name, {path, end, framing, deadlineMs, readsAll, expected, tries}] of Object.entries(ends)) {
+	for (const [name, {target, end, framing, deadlineMs, readsAll, expected, tries}] of Object.entries(ends)) {
 		await t.test(name, async () => {
 			const id = name.replaceAll(' ', '-');
-			const caller = new RawCaller(stopping.callersPort, {readsAll}).send(path, id, {framing, deadlineMs});
+			const caller = new RawCaller(stopping.callersPort, {readsAll}).send(target, id, {framing, deadlineMs});
 			await waitFor(() => caller.text.includes('\r\n\r\n'));
 			end?.(caller);
 			const line = await endOf(stopping, id);
@@ -271,6 +273,30 @@
 	silent.socket.destroy();
 });
 
+/** A script that has the program throw, or exit, when it gets a signal. */
+function writeFault(): string {
+	const file = path.join(bundle.folder, 'fault.cjs');
+	writeFileSync(file, 'process.on(\'SIGUSR2\', () => { throw new Error(\'unexpected\'); });\nprocess.on(\'SIGWINCH\', () => { process.exit(3); });\n');
+	return file;
+}
+
+// Guards against lines that are lost with a process that ends by an error.
+test('a process that throws tells of it at once and goes on, and one that exits names its open requests', async t => {
+	const stopping = await start(t, {nodeArguments: ['--require', writeFault()]});
+	const streams = Array.from({length: 5}, (_, index) => new RawCaller(stopping.callersPort).send('/ask/stream', `stream-${index}`));
+	await waitFor(() => streams.every(({text}) => text.includes(EVENT)));
+	stopping.process.kill('SIGUSR2');
+	await waitFor(() => stopping.lines.some(({event, effect}) => event === 103 && effect === 'uncaughtException'));
+	assert.deepEqual(streams.flatMap((_, index) => endsOf(stopping, `stream-${index}`)), []);
+	stopping.process.kill('SIGWINCH');
+	await waitFor(() => Number.isFinite(stopping.exitedAtMs));
+	assert.equal(stopping.exitCode, 3);
+	for (const index of streams.keys()) {
+		const [line, ...others] = endsOf(stopping, `stream-${index}`);
+		assert.deepEqual([line?.reason, line?.lifecycle, line?.outcome, others.length], ['process-stopped', 'serving', 'open', 0], JSON.stringify(line));
+	}
+});
+
 // Guards against records that do not tell a process that has come back from the one before it, nor how late it is.
 test('a process tells of its first request and of its first seconds', async t => {
 	const stopping = await start(t);
