Lines of ends: what names the cause, the time and the closer is in the first 200 characters

Records of users show about 200 characters of a line. Order: id, reason, sinceStopMs, time since its arrival, time left, closedBy, closeCode; lifecycle goes last.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -528,12 +528,13 @@
 			requestId: id,
 			reason,
 			...this._describeStop(),
-			outcome: isFinished ? 'decided' : 'open',
 			openForMs: Math.round(nowMs - arrivedAtMs),
+			outcome: isFinished ? 'decided' : 'open',
 			leftMs: open ? Math.round(open.deadlineAtMs - nowMs) : (deadlineMs === undefined ? undefined : Math.round(arrivedAtMs + deadlineMs - nowMs)),
 			...facts,
 			tries: open?.tries.map(attempt => describeTry(attempt)) ?? exchange.tries,
 			delivered: exchange.delivered,
+			lifecycle: this.state.lifecycle,
 		}, {isUrgent: this._isUrgent(exchange)});
 	}
 
@@ -545,10 +546,11 @@
 		return isPassedOn && (headersSent || this.state.lifecycle !== 'serving');
 	}
 
-	private _describeStop(): {readonly lifecycle: string; readonly sinceStopMs: number | undefined} {
+	/** Undefined while the instance serves. */
+	private _describeStop(): {readonly sinceStopMs: number | undefined} {
 		const {lifecycle, drainSinceMs} = this.state;
 		const isStopping = lifecycle === 'draining' || lifecycle === 'stopped';
-		return {lifecycle, sinceStopMs: isStopping ? Math.round(this._clock.monotonicMs() - drainSinceMs) : undefined};
+		return {sinceStopMs: isStopping ? Math.round(this._clock.monotonicMs() - drainSinceMs) : undefined};
 	}
 
 	/** Writes a line that the core has decided on, with what only this daemon knows. */
@@ -568,7 +570,7 @@
 			return;
 		}
 
-		const {requestId, reason, ...rest} = fields;
+		const {requestId, reason, tookMs, leftMs, ...rest} = fields;
 		const hasLeft = reason === 'caller-left';
 		exchange.isCutLogged = hasLeft || fields.isBrokenOff === true;
 		const endReason = hasLeft ? exchange.cutReason : String(reason);
@@ -577,7 +579,7 @@
 		}
 
 		this.log.write(event, {
-			requestId, reason: endReason, ...this._describeStop(), ...exchange.cutFacts, ...rest,
+			requestId, reason: endReason, ...this._describeStop(), tookMs, leftMs, ...exchange.cutFacts, ...rest, lifecycle: this.state.lifecycle,
 		}, {isUrgent: this._isUrgent(exchange)});
 	}
 
@@ -616,6 +618,7 @@
 			headSent: true,
 			unsentBytes: socket.unsentBytes,
 			unreadBytes: socket.unreadBytes,
+			lifecycle: this.state.lifecycle,
 		}, {isUrgent: true});
 	}
 
--- a/test/unit/request-ends.test.ts
+++ b/test/unit/request-ends.test.ts
@@ -189,7 +189,8 @@
 			}
 
 			// What names the cause comes first, since records may show only the beginnings of lines.
-			assert.ok(JSON.stringify(line).indexOf('"reason"') < 150, JSON.stringify(line));
+			const beginning = JSON.stringify(line).slice(0, 200);
+			assert.match(beginning, /"reason".*"(?:tookMs|openForMs)".*"closedBy"/v);
 			assert.equal(line.lifecycle, 'serving');
 			caller.socket.destroy();
 		});
