--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -125,7 +125,7 @@
 export function handleCallerLeft(context: EntryContext, {requestId}: EntryEventOf<'caller-left'>): void {
 	const request = context.state.open.get(requestId);
 	if (request) {
-		close(context, request, 'caller-left');
+		close(context, request, 'caller-left', {reason: 'caller-left'});
 	}
 }
 
--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -63,6 +63,8 @@
 	readonly readPauseMs?: number;
 	/** Ids of the runners. */
 	readonly runnerIds?: readonly string[];
+	/** How fast the log is read; at once if absent. */
+	readonly logBytesPerSecond?: number;
 };
 
 export type LogLine = Readonly<Record<string, unknown>> & {readonly msg: string; readonly time: number};
@@ -270,6 +272,13 @@
 			const parts = (rest + text).split('\n');
 			rest = parts.pop()!;
 			this.lines.push(...parts.map(part => JSON.parse(part) as LogLine));
+			const {logBytesPerSecond} = this._options;
+			if (logBytesPerSecond !== undefined) {
+				this.process.stdout!.pause();
+				setTimeout(() => {
+					this.process.stdout!.resume();
+				}, text.length / logBytesPerSecond * 1000);
+			}
 		});
 	}
 
