Soak: a scenario of a deployment's shape under planned work

Cause: the soak's instances have all the processor time that they want, in two zones of one size, with requests of 3 s and short bodies; what users lose around planned stops is not like that. Change: a second scenario: 13 instances in zones of 7, 4 and 2, a part of a core each (shared out by SIGSTOP and SIGCONT), callers with the rates, lengths, chunks and times of the users' deployment, engines that decode in batches and preempt, plain services that shed, stops in turn beside releases, leavings, versions and SIGHUP; judged by LOST as the users state it.

--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -55,12 +55,12 @@
 /** Lets nothing through between instances and the store. */
 async function cutFromStore(instances: readonly SoakInstance[], forMs: number): Promise<void> {
 	for (const {storeRelay} of instances) {
-		storeRelay.block();
+		storeRelay!.block();
 	}
 
 	await delay(forMs);
 	for (const {storeRelay} of instances) {
-		storeRelay.unblock();
+		storeRelay!.unblock();
 	}
 }
 
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -29,11 +29,13 @@
 	isReady = false;
 	isFrozen = false;
 	isStopping = false;
+	/** Readiness polls in a row without a 200. */
+	misses = 0;
 	/** Log lines of all its processes. */
 	readonly lines: string[] = [];
 	host = '';
 	/** Its connections to the store. */
-	storeRelay!: Relay;
+	storeRelay: Relay | undefined;
 
 	constructor(readonly name: string, readonly zone: string) {}
 
@@ -47,6 +49,25 @@
 	}
 }
 
+export type FleetOptions = {
+	readonly bundle: PlatformBundle;
+	readonly count: number;
+	/** Names and zones, in place of so many in two zones. */
+	readonly layout?: ReadonlyArray<{readonly name: string; readonly zone: string}>;
+	readonly storeAddress: string;
+	readonly record: SoakRecord;
+	/** Whether each reaches the store over a relay of its own. */
+	readonly hasRelays?: boolean;
+	/** Members of the settings that differ. */
+	readonly settings?: object;
+	readonly pollMs?: number;
+	/** Readiness polls in a row that fail before an instance counts as not ready. */
+	readonly missesMax?: number;
+	/** Is told of each process as it starts and once it has ended. */
+	readonly onProcess?: (pid: number, isRunning: boolean) => void;
+	readonly onRotation?: () => void;
+};
+
 export class Fleet {
 	readonly instances: SoakInstance[];
 	private _hosts = 0;
@@ -58,8 +79,9 @@
 		}
 	};
 
-	constructor(private readonly _options: {readonly bundle: PlatformBundle; readonly count: number; readonly storeAddress: string; readonly record: SoakRecord}) {
-		this.instances = Array.from({length: _options.count}, (_, index) => new SoakInstance(`e-${index}`, zones[index % zones.length]!));
+	constructor(private readonly _options: FleetOptions) {
+		const {count, layout} = _options;
+		this.instances = layout?.map(({name, zone}) => new SoakInstance(name, zone)) ?? Array.from({length: count}, (_, index) => new SoakInstance(`e-${index}`, zones[index % zones.length]!));
 		for (const instance of this.instances) {
 			instance.host = this._nextHost();
 		}
@@ -69,7 +91,7 @@
 
 	async startAll(): Promise<void> {
 		for (const instance of this.instances) {
-			instance.storeRelay = await Relay.start(this._options.storeAddress);
+			instance.storeRelay = this._options.hasRelays === false ? undefined : await Relay.start(this._options.storeAddress);
 			this.start(instance);
 		}
 	}
@@ -79,7 +101,7 @@
 			return;
 		}
 
-		const {bundle, record} = this._options;
+		const {bundle, record, onProcess} = this._options;
 		if (isMoved) {
 			instance.host = this._nextHost();
 		}
@@ -89,6 +111,7 @@
 		instance.isStopping = false;
 		instance.isFrozen = false;
 		record.noteFault(instance.name, 'start');
+		onProcess?.(child.pid!, true);
 		let rest = '';
 		const read = (text: string) => {
 			const parts = (rest + text).split('\n');
@@ -100,7 +123,8 @@
 		child.stderr!.setEncoding('utf8').on('data', read);
 		child.once('close', () => {
 			instance.child = undefined;
-			instance.isReady = false;
+			instance.isReady &&= this._options.missesMax !== undefined;
+			onProcess?.(child.pid!, false);
 			record.noteFault(instance.name, instance.isStopping || this._isClosed ? 'exit' : 'own-end');
 		});
 	}
@@ -123,13 +147,20 @@
 			this._options.record.noteFault(instance.name, 'stop');
 			child.kill('SIGTERM');
 			const timer = setTimeout(() => {
-				void this.kill(instance);
+				this._options.record.noteFault(instance.name, 'grace-end');
+				child.kill('SIGKILL');
 			}, GRACE_MS);
 			await once(child, 'close');
 			clearTimeout(timer);
 		}
 	}
 
+	/** SIGHUP: the settings file has changed. */
+	hangUp(instance: SoakInstance): void {
+		this._options.record.noteFault(instance.name, 'hang-up');
+		instance.child?.kill('SIGHUP');
+	}
+
 	freeze(instance: SoakInstance): void {
 		instance.isFrozen = true;
 		this._options.record.noteFault(instance.name, 'freeze');
@@ -144,16 +175,20 @@
 
 	/** Keeps asking instances whether they are ready, as the platform does, until the fleet is closed. */
 	async watch(): Promise<void> {
+		const {pollMs = POLL_MS, missesMax = 1, record, onRotation} = this._options;
 		while (!this._isClosed) {
 			await Promise.all(this.instances.map(async instance => {
-				const isReady = instance.isUp && await this._isReady(instance);
+				const isAnswered = instance.isUp && await this._isReady(instance);
+				instance.misses = isAnswered ? 0 : instance.misses + 1;
+				const isReady = isAnswered || (instance.isReady && instance.misses < missesMax);
 				if (isReady && !instance.isReady) {
-					this._options.record.noteFault(instance.name, 'ready');
+					record.noteFault(instance.name, 'ready');
 				}
 
 				instance.isReady = isReady;
 			}));
-			await delay(POLL_MS);
+			onRotation?.();
+			await delay(pollMs);
 		}
 	}
 
@@ -191,13 +226,14 @@
 				callers: `${host}:${CALLERS_PORT}`, readiness: `${host}:${READINESS_PORT}`, peers: `${host}:8002`, beacons: `${host}:8003`, metrics: `${host}:8004`,
 			},
 			seeds: this.instances.slice(0, 3).map(seed => `${seed.host}:8002`),
-			store: {address: new URL(storeRelay.address).host},
+			store: {address: new URL(storeRelay?.address ?? this._options.storeAddress).host},
 			bounds: {
 				graceMs: GRACE_MS, drainMs: 2000, leaseMs: 3000, repeatShare: 0.2, repeatWindowMs: 10_000, repeatSlack: 265,
 			},
 			contracts: ['base', 'drain', 'config', 'retry', 'recover', 'health', 'pool', 'fleet', 'stream', 'engine', 'tenants', 'quota', 'pressure', 'platform'],
 			withdrawnKeys: {strictRevoke: true, revokeMs: 5000},
 			quotas: {quotaWindowS: 8, quotaOver: 0.1, quotaSlack: 100},
+			...this._options.settings,
 		};
 	}
 
--- a/test/soak/judges.ts
+++ b/test/soak/judges.ts
@@ -14,6 +14,8 @@
 	readonly text: string;
 	/** Ids of the requests concerned. */
 	readonly ids: readonly string[];
+	/** When it was seen, if that is known. */
+	readonly atMs?: number;
 };
 
 export type Judge = {
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -6,22 +6,36 @@
 import path from 'node:path';
 import process from 'node:process';
 import {SingleBar} from 'cli-progress';
-import {Command, InvalidArgumentError} from 'commander';
+import {Command, InvalidArgumentError, Option} from 'commander';
 import {PlatformBundle} from '../standins/platform-process.js';
 import {createReport} from './report.js';
 import {faultKinds, type FaultKind} from './schedule.js';
-import {runSoak, type SoakOptions, type SoakResult} from './soak.js';
+import {planKinds, type PlanKind} from './shape/data.js';
+import {runShape} from './shape/soak.js';
+import {runSoak, type SoakResult} from './soak.js';
 
 const EXIT_BROKEN = 1;
 const EXIT_NOT_RUN = 2;
 const INSTANCES_MAX = 40;
 
+type Scenario = (options: Options & {readonly bundle: PlatformBundle; readonly onProgress: (elapsedMs: number) => void}) => Promise<SoakResult>;
+
+/** Drawn faults, or planned work at the shape of a deployment. */
+const scenarios = {faults: runSoak, shape: runShape} as const satisfies Readonly<Record<string, Scenario>>;
+
 type Options = {
 	readonly seed: number;
 	readonly seeds: number;
 	readonly seconds: number;
 	readonly instances: number;
 	readonly kinds?: readonly FaultKind[];
+	readonly scenario: keyof typeof scenarios;
+	readonly share: number;
+	readonly scale: number;
+	readonly focus: number;
+	readonly bodyMaxMs: number;
+	readonly unframedShare?: number;
+	readonly plan?: readonly PlanKind[];
 	readonly commit?: string;
 	readonly keep?: string;
 };
@@ -35,6 +49,25 @@
 	return value;
 }
 
+function parsePositive(text: string): number {
+	const value = Number(text);
+	if (!Number.isFinite(value) || value < 0) {
+		throw new InvalidArgumentError('must be a number of 0 or more');
+	}
+
+	return value;
+}
+
+function parsePlan(text: string): PlanKind[] {
+	const kinds = text.split(',');
+	const unknown = kinds.filter(kind => !(planKinds as readonly string[]).includes(kind));
+	if (unknown.length > 0) {
+		throw new InvalidArgumentError(`there is no ${unknown.join(', ')}; known are ${planKinds.join(', ')}`);
+	}
+
+	return kinds as PlanKind[];
+}
+
 function parseKinds(text: string): FaultKind[] {
 	const kinds = text.split(',');
 	const unknown = kinds.filter(kind => !faultKinds.has(kind));
@@ -54,7 +87,9 @@
 	try {
 		await bundle.build(commit);
 		for (let next = seed; next < seed + seeds; next++) {
-			const result = await runSoakWithBar({...sizes, seed: next, bundle});
+			const result = await runSoakWithBar({
+				...sizes, seed: next, seeds, bundle,
+			});
 			if (keep !== undefined) {
 				keepResult(path.join(keep, String(next)), result);
 			}
@@ -69,12 +104,12 @@
 	}
 }
 
-async function runSoakWithBar(options: SoakOptions): Promise<SoakResult> {
-	const {seed, seconds} = options;
+async function runSoakWithBar(options: Options & {readonly bundle: PlatformBundle}): Promise<SoakResult> {
+	const {seed, seconds, scenario} = options;
 	const bar = new SingleBar({format: `seed ${seed} [{bar}] {value}/{total} s`, stream: process.stderr});
 	bar.start(seconds, 0);
 	try {
-		return await runSoak({
+		return await scenarios[scenario]({
 			...options,
 			onProgress(elapsedMs) {
 				bar.update(Math.round(elapsedMs / 1000));
@@ -101,12 +136,19 @@
 }
 
 const program = new Command('soak')
-	.description('Runs instances as processes under seeded faults and judges what callers and targets see.')
+	.description('Runs instances as processes under seeded faults or planned work and judges what callers and targets see.')
+	.addOption(new Option('--scenario <name>', 'drawn faults, or planned work at the shape of a deployment').choices(Object.keys(scenarios)).default('faults'))
 	.option('--seed <number>', 'seed of the faults and of the requests', parseCount, 1)
 	.option('--seeds <number>', 'number of soaks, with seeds that follow each other', parseCount, 1)
 	.option('--seconds <number>', 'length; from 23 s on it ends with a kill of all instances', parseCount, 60)
 	.option('--instances <number>', 'number of instances', parseCount, 6)
 	.option('--kinds <list>', 'kinds of faults, separated by commas; all if absent', parseKinds)
+	.option('--share <number>', 'shape: part of a core that each instance gets; 1 for all that it wants', parsePositive, 0.459)
+	.option('--scale <number>', 'shape: factor on the rates of requests', parsePositive, 1)
+	.option('--focus <number>', 'shape: weight of the stops at the zone with two instances; 0 for none, above 0.5 for the closest series', parsePositive, 0.7)
+	.option('--body-max-ms <number>', 'shape: longest time of bodies in several writes', parsePositive, 300)
+	.option('--unframed-share <number>', 'shape: share of answers that end with their connection', parsePositive)
+	.option('--plan <list>', 'shape: kinds of planned work, separated by commas; all if absent', parsePlan)
 	.option('--commit <commit>', 'soak the build of this commit rather than of the working tree')
 	.option('--keep <directory>', 'write the report, the record and the logs of all instances there')
 	.exitOverride()
--- a/test/soak/record.ts
+++ b/test/soak/record.ts
@@ -29,6 +29,13 @@
 	mismatch: string;
 	/** The caller closed its connection before the answer was whole. */
 	hasLeft: boolean;
+	/** When the last byte of the request was written; absent where requests are sent at once. */
+	lastByteAtMs?: number | undefined;
+	/** Name of its route, and the time limit that it stated, where these differ. */
+	readonly route?: string;
+	readonly deadlineMs?: number;
+	/** How it was sent and why its caller left, for the report. */
+	note?: string;
 };
 
 /** A request that reached a target. */
@@ -47,6 +54,8 @@
 	isBrokenOff: boolean;
 	/** When the connection was closed by either side before the target had written its answer; undefined if it was not. */
 	cutAtMs: number | undefined;
+	/** When the target had written its whole answer. */
+	doneAtMs?: number | undefined;
 };
 
 /** An answer that a target wrote once more. */
@@ -64,7 +73,7 @@
 	readonly atMs: number;
 	/** Name of the instance or target, or `store`. */
 	readonly subject: string;
-	readonly what: 'kill' | 'stop' | 'exit' | 'freeze' | 'thaw' | 'pause' | 'go-on' | 'fail' | 'serve' | 'start' | 'ready' | 'refuse' | 'accept' | 'reset' | 'leave' | 'change' | 'silent' | 'busy' | 'sound' | 'own-end';
+	readonly what: 'kill' | 'stop' | 'grace-end' | 'exit' | 'freeze' | 'thaw' | 'pause' | 'go-on' | 'fail' | 'serve' | 'start' | 'ready' | 'refuse' | 'accept' | 'reset' | 'leave' | 'hang-up' | 'change' | 'silent' | 'busy' | 'sound' | 'own-end';
 };
 
 export class SoakRecord {
@@ -76,7 +85,11 @@
 	fleetKill: {readonly killedAtMs: number; backAtMs: number} | undefined;
 	/** How late the soak's own process was at most: it is callers, targets and store at once. */
 	ownLatenessMs = 0;
+	/** Moments at which a process of the soak's own was late, and by how much. */
+	readonly lateness: Array<readonly [atMs: number, lateMs: number]> = [];
 	private readonly _startMs = performance.now();
+	/** Time of day at the start by the steady clock, which other processes of the soak go by. */
+	readonly epochMs = performance.timeOrigin + this._startMs;
 	/** Time of day at the start, to compare with the log lines of instances. */
 	readonly startedAt = Date.now();
 
--- a/test/soak/report.ts
+++ b/test/soak/report.ts
@@ -2,7 +2,7 @@
 The report of a soak: a table of promises, counts of what was seen, the timeline of faults,
 and for each finding the trace of its request with the log lines that name it.
 */
-import {judges, type Finding} from './judges.js';
+import {type Finding} from './judges.js';
 import {groupBy} from './record.js';
 import {type SoakResult} from './soak.js';
 
@@ -51,7 +51,7 @@
 }
 
 export function createReport(result: SoakResult): string {
-	const {options: {seed, seconds, instances}, record, findings, faults} = result;
+	const {options: {seed, seconds, instances}, record, findings, faults, judges, notes} = result;
 	const {attempts, arrivals, copies} = record;
 	const ownId = copies.filter(({id, aheadOf}) => attempts.some(({key, id: underWay}) => key === aheadOf && id === underWay)).length;
 	return [
@@ -65,6 +65,7 @@
 		`Arrivals at targets: ${arrivals.length}, of which ${arrivals.filter(({ranAtMs}) => ranAtMs !== undefined).length} ran.`,
 		`Refusals written once more: ${copies.length}, ${copies.filter(({aheadOf}) => aheadOf !== undefined).length} of them while a request was under way on the connection, ${ownId} while the same id was.`,
 		`The soak's own process was at most ${record.ownLatenessMs.toFixed(0)} ms late.`,
+		...notes,
 		`Faults: ${countBy(faults.map(({kind}) => kind))}.`,
 		'',
 		...Object.entries(findings).flatMap(([name, list]) => list.length === 0 ? [] : [`## ${name}`, '', ...list.slice(0, TRACED_MAX).flatMap(finding => describe(result, finding))]),
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -9,7 +9,7 @@
 import {createConfiguration, FIRST_VERSION} from './configuration.js';
 import {inject} from './faults.js';
 import {Fleet, hostAddress, zones} from './fleet.js';
-import {judges, type Finding} from './judges.js';
+import {judges, type Finding, type Judge} from './judges.js';
 import {SoakRecord} from './record.js';
 import {drawSchedule, type Fault, type FaultKind} from './schedule.js';
 import {modelNames, SoakTarget} from './target.js';
@@ -28,10 +28,13 @@
 };
 
 export type SoakResult = {
-	readonly options: Omit<SoakOptions, 'bundle' | 'onProgress'>;
+	readonly options: Pick<SoakOptions, 'seed' | 'seconds' | 'instances'>;
 	readonly faults: readonly Fault[];
 	readonly record: SoakRecord;
+	readonly judges: Readonly<Record<string, Judge>>;
 	readonly findings: Readonly<Record<string, readonly Finding[]>>;
+	/** Further lines of the report. */
+	readonly notes: readonly string[];
 	/** Log lines by instance. */
 	readonly lines: ReadonlyMap<string, readonly string[]>;
 };
@@ -96,7 +99,7 @@
 		}).run(endMs)));
 		await injected;
 		return {
-			options, faults, record, lines: new Map(fleet.instances.map(({name, lines}) => [name, lines])),
+			options, faults, record, judges, notes: [], lines: new Map(fleet.instances.map(({name, lines}) => [name, lines])),
 			findings: Object.fromEntries(Object.entries(judges).map(([name, {find}]) => [name, find(record)])),
 		};
 	} finally {
@@ -106,7 +109,7 @@
 	}
 }
 
-async function waitUntilReady({instances}: Fleet): Promise<void> {
+export async function waitUntilReady({instances}: Fleet): Promise<void> {
 	for (let waitedMs = 0; instances.some(({isReady}) => !isReady); waitedMs += POLL_MS) {
 		if (waitedMs > READY_TIMEOUT_MS) {
 			throw new Error(`not ready in time: ${instances.filter(({isReady}) => !isReady).map(({name, lines}) => `${name}: ${lines.slice(-3).join(' ')}`).join('; ')}`);
