--- a/test/soak/shape/callers.ts
+++ b/test/soak/shape/callers.ts
@@ -9,6 +9,7 @@
 import {type Socket} from 'node:net';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import fnv1a from '@sindresorhus/fnv1a';
 import {type RandomSource} from '../../../src/experiment/random-source.js';
 import {type Attempt} from '../record.js';
 import {createRandom} from '../seeded-random.js';
@@ -71,12 +72,7 @@
 }
 
 function hash(text: string): number {
-	let value = 2_166_136_261;
-	for (const character of text) {
-		value = Math.imul(value ^ character.codePointAt(0)!, 16_777_619) >>> 0;
-	}
-
-	return (value ^ (value >>> 15)) >>> 0;
+	return Number(fnv1a(text, {size: 32}));
 }
 
 /** All of a zone are used if under half of them are in rotation; without one of them, the other zones'. */
@@ -110,13 +106,14 @@
 	const events = stream ? random.size({mean: stream.events[0], spread: stream.events[1], max: stream.events[2]}) : 0;
 	const model = stream ? stream.models[random.pick(stream.modelWeights)]! : '';
 	const hasAdapter = stream !== undefined && (model === 'm0' || model === 'm2') && random.uniform() < stream.adapterShare;
+	const adapter = hasAdapter ? `/a${1 + Math.floor((random.uniform() ** 2) * 6)}` : '';
 	const prompt = stream ? random.size({mean: stream.promptTokens[0], spread: stream.promptTokens[1], max: stream.promptTokens[2]}) : 0;
 	return {
 		name, kind, client, endsAtMs: nowMs() + deadlineMs, body: Buffer.alloc(size, 'b'), events, last: 0, headers: {
 			'x-soak-name': name,
 			...(failedShare > 0 && {'x-soak-failed': String(failedShare)}),
 			...(stream && {
-				'x-soak-events': String(events), 'x-pollenarch-model': hasAdapter ? `${model}/a${1 + Math.floor(random.uniform() ** 2 * 6)}` : model, 'x-pollenarch-token-usage': `${prompt + 172},${events * 6}`,
+				'x-soak-events': String(events), 'x-pollenarch-model': `${model}${adapter}`, 'x-pollenarch-token-usage': `${prompt + 172},${events * 6}`,
 				'x-pollenarch-prompt-prefix': `${hash(`${kind} ${subject % 3}`).toString(16)}:103,${hash(`${kind}/${subject}`).toString(16)}:69,${hash(name).toString(16)}:${prompt}`, ...(random.uniform() < 0.5 && {'x-pollenarch-length-hint': String(events * 6)}),
 			}),
 		},
@@ -273,17 +270,19 @@
 
 		if (isSlow) {
 			const size = Math.ceil(body.length / BODY_PARTS);
-			sent.write(body.subarray(0, size));
-			for (let part = 1; part < BODY_PARTS; part++) {
-				after(slowMs * part / (BODY_PARTS - 1), () => {
-					const bytes = body.subarray(part * size, (part + 1) * size);
-					if (part === BODY_PARTS - 1) {
-						finish(bytes);
-					} else {
-						sent.write(bytes);
-					}
-				});
-			}
+			const sendPart = (part: number) => {
+				const bytes = body.subarray(part * size, (part + 1) * size);
+				if (part === BODY_PARTS - 1) {
+					finish(bytes);
+				} else {
+					sent.write(bytes);
+					after(slowMs / (BODY_PARTS - 1), () => {
+						sendPart(part + 1);
+					});
+				}
+			};
+
+			sendPart(0);
 		} else {
 			finish(body);
 		}
@@ -315,7 +314,7 @@
 	const clients = Array.from({length: zone.clients}, (_, number): Client => ({
 		name: `${zone.name}-${number}`, zone: zone.name, number, agents: new Map(),
 	}));
-	const open = new Set<Promise<void>>();
+	const open: Array<Promise<void>> = [];
 	for (let nextMs = nowMs(); nextMs < options.endAtMs;) {
 		const factor = 1 + (SWING * Math.sin((nextMs / SWING_PERIOD_MS * 2 * Math.PI) + zone.clients));
 		nextMs += random.exponential(1000 / (zone.perSecond * options.scale * factor));
@@ -325,11 +324,7 @@
 		}
 
 		const kind = kindNames[random.pick(kindNames.map(name => kindShapes[name].weight))]!;
-		const asking = ask(draw(kind, clients[Math.floor(random.uniform() * clients.length)]!));
-		open.add(asking);
-		void asking.finally(() => {
-			open.delete(asking);
-		});
+		open.push(ask(draw(kind, clients[Math.floor(random.uniform() * clients.length)]!)));
 	}
 
 	await Promise.all(open);
--- a/test/soak/shape/soak.ts
+++ b/test/soak/shape/soak.ts
@@ -2,13 +2,15 @@
 One soak of the deployment's shape: its instances as processes with a share of a core each,
 its targets here, its callers in a process of their own, and planned work only.
 */
-import {type ChildProcess, fork} from 'node:child_process';
+import {fork, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {FakeStore} from '../../standins/fake-store-and-runner.js';
 import {type PlatformBundle} from '../../standins/platform-process.js';
-import {Fleet, GRACE_MS, hostAddress, type SoakInstance} from '../fleet.js';
+import {
+	Fleet, GRACE_MS, hostAddress, type SoakInstance,
+} from '../fleet.js';
 import {type SentVersion} from '../lost.js';
 import {type Attempt, SoakRecord} from '../record.js';
 import {createRandom} from '../seeded-random.js';
@@ -19,7 +21,7 @@
 } from './data.js';
 import {createShapeJudges} from './judges.js';
 import {type ShareMessage} from './processor-share.js';
-import {ShapeTarget} from './targets.js';
+import {ShapeTarget, type ShapeTargetOptions} from './targets.js';
 
 export type ShapeOptions = {
 	readonly seed: number;
@@ -87,7 +89,7 @@
 		this.store.put('op', 'config', document);
 	}
 
-	async addTarget({service, zone, version, models}: {service: 'assistant' | 'desk'; zone: string; version: string; models: readonly string[]}): Promise<void> {
+	async addTarget({service, zone, version, models}: Pick<ShapeTargetOptions, 'service' | 'zone' | 'version' | 'models'>): Promise<void> {
 		this._targets++;
 		const {seed, unframedShare} = this.options;
 		this.targets.push(await new ShapeTarget({
@@ -148,10 +150,14 @@
 		await Promise.all(open);
 	}
 
-	/** Stops one after the other; a weight under a half pauses between them. */
+	/** Stops one after the other; a weight under a half pauses between them, and none stops nothing. */
 	private async _stopInTurn(instances: readonly SoakInstance[], weight: number): Promise<void> {
+		if (weight === 0) {
+			return;
+		}
+
 		let index = Math.floor(this._random.uniform() * instances.length);
-		while (weight > 0 && this.record.nowMs() < this.endMs - QUIET_END_MS) {
+		while (this.record.nowMs() < this.endMs - QUIET_END_MS) {
 			const instance = instances[index % instances.length]!;
 			index++;
 			if (instance.isSound) {
@@ -174,9 +180,14 @@
 
 		const {service, zone, version} = target.options;
 		target.leave(this._random.uniform() < ANNOUNCED_SHARE);
-		const arriving = delay(pauseMs + (this._random.uniform() * 1000)).then(async () => this.addTarget({
-			service, zone, version: pauseMs === 0 ? `v${Number(version.slice(1)) + 1}` : version, models: pauseMs === 0 ? target.models : [],
-		}));
+		const arrive = async () => {
+			await delay(pauseMs + (this._random.uniform() * 1000));
+			await this.addTarget({
+				service, zone, version: pauseMs === 0 ? `v${Number(version.slice(1)) + 1}` : version, models: pauseMs === 0 ? target.models : [],
+			});
+		};
+
+		const arriving = arrive();
 		await delay(DRAIN_MS + Math.min(LINGER_MAX_MS, this._random.exponential(LINGER_MEAN_MS)));
 		target.end();
 		await arriving;
--- a/test/soak/shape/targets.ts
+++ b/test/soak/shape/targets.ts
@@ -189,7 +189,12 @@
 		const parts: string[] = [];
 		request.setEncoding('utf8').on('data', (text: string) => parts.push(text)).on('error', () => undefined);
 		response.on('error', () => undefined);
-		await once(request, 'end').catch(() => undefined);
+		try {
+			await once(request, 'end');
+		} catch {
+			return;
+		}
+
 		response.setHeader('X-Pollenarch-Request-Id', id);
 		if (this._random.uniform() < CLOSE_SHARE || (this.isLeaving && this._random.uniform() < 0.5)) {
 			response.setHeader('Connection', 'close');
@@ -343,7 +348,7 @@
 		}
 
 		let stepMs = STEPS_PER_EVENT * (STEP_MS + (STEP_PER_RUN_MS * this._running.length));
-		for (const run of [...this._running]) {
+		for (const run of this._running) {
 			if (nowMs < run.pausedUntilMs) {
 				continue;
 			}
@@ -357,7 +362,6 @@
 			this._sendEvent(run, nowMs);
 		}
 
-		this._stepAtMs = Math.max(nowMs, this._stepAtMs + stepMs);
 		this._stepAtMs = nowMs + stepMs;
 	}
 
