Soak: LOST is no milder than the users' rule

The judge passed over what had used nine tenths of its time, over everything within 4 s after any start of its instance, so over what a process cuts that is back after a planned stop, and over what is cut by the SIGKILL at the end of the grace period. Now a request is excused only if its own time is over, counted from its last byte, if its target broke off, if an unplanned impairment lies in the 3 s before it (until the start that ends it), or if its target was at work on it in the last sixth of the grace period and it was sent within 3 s of SIGTERM. What was found at any time still is. Four cases show what the judge now finds, two what it passes over.

--- a/test/unit/soak-judges.test.ts
+++ b/test/unit/soak-judges.test.ts
@@ -64,6 +64,10 @@
 		['passed on', {attempts: [attempt(cutOff)]}],
 		['broken off', {attempts: [attempt({isWhole: false})]}],
 		['not passed on, by an instance that stops', {attempts: [attempt(cutOff)], arrivals: [], faults: [fault('e-0', 'stop', 9000)]}],
+		['cut when nearly all of its time was used', {attempts: [attempt({...cutOff, endedAtMs: 12_900})]}],
+		['at the end of the grace period', {attempts: [attempt({...cutOff, sentAtMs: 12_100, endedAtMs: 15_000})], arrivals: [arrival({ranAtMs: 12_200, atMs: 12_200, cutAtMs: 12_800})], faults: [fault('e-0', 'stop', 7000), fault('e-0', 'grace-end', 15_000)]}],
+		['by the process that is back after a planned stop', {attempts: [attempt(cutOff)], faults: [fault('e-0', 'stop', 6000), fault('e-0', 'exit', 8000), fault('e-0', 'start', 9000)]}],
+		['by its deadline, counted from its head', {attempts: [attempt({...cutOff, endedAtMs: 13_000, lastByteAtMs: 10_200})]}],
 	],
 	EARLY: [
 		['a sound target is given up, and the next one fails', {attempts: [attempt({kind: 'stream-resumable', isWhole: false})], arrivals: [arrival({cutAtMs: 10_300}), arrival({target: 't-1', atMs: 10_300, isBrokenOff: true})]}],
@@ -79,6 +83,14 @@
 	},
 	'a repeatable request that ran twice': {attempts: [attempt({kind: 'repeatable'})], arrivals: [arrival(), arrival({target: 't-1'})]},
 	'an answer that its target broke off': {attempts: [attempt({isWhole: false})], faults: [fault('t-0', 'kill', 10_200)]},
+	'what its target still runs when the grace period ends': {
+		attempts: [attempt({
+			...cutOff, kind: 'stream-once', endedAtMs: 14_900, deadlineMs: 12_000,
+		})],
+		arrivals: [arrival({cutAtMs: 14_900})],
+		faults: [fault('e-0', 'stop', 7000)],
+	},
+	'a request whose time is over': {attempts: [attempt({...cutOff, kind: 'stream-once', endedAtMs: 13_000})]},
 	'a connection of an instance that was killed': {attempts: [attempt(cutOff)], faults: [fault('e-0', 'kill', 10_400)]},
 	'a stream that a target takes up again and breaks off, when another was sent it meanwhile': {
 		attempts: [attempt({kind: 'stream-resumable', isWhole: false})],
