--- a/test/soak/lost.ts
+++ b/test/soak/lost.ts
@@ -4,12 +4,9 @@
 its last byte. Its time counts from that byte, the latest moment from which it can count.
 */
 import {
-	type Arrival, type Attempt, type FaultRecord, groupBy, type SoakRecord,
+	type Arrival, type Attempt, type FaultRecord, groupBy, type SentVersion, type SoakRecord,
 } from './record.js';
 
-/** When a version of the configuration was sent, and the time-outs of its routes by their name. */
-export type SentVersion = {readonly atMs: number; readonly timeouts: Readonly<Record<string, number>>};
-
 export type LostOptions = {
 	/** Time limit of attempts that state none. */
 	readonly deadlineMs: number;
--- a/test/soak/record.ts
+++ b/test/soak/record.ts
@@ -76,11 +76,16 @@
 	readonly what: 'kill' | 'stop' | 'grace-end' | 'exit' | 'freeze' | 'thaw' | 'pause' | 'go-on' | 'fail' | 'serve' | 'start' | 'ready' | 'refuse' | 'accept' | 'reset' | 'leave' | 'hang-up' | 'change' | 'silent' | 'busy' | 'sound' | 'own-end';
 };
 
+/** When a version of the configuration was sent, and the time-outs of its routes by their name. */
+export type SentVersion = {readonly atMs: number; readonly timeouts: Readonly<Record<string, number>>};
+
 export class SoakRecord {
 	readonly attempts: Attempt[] = [];
 	readonly arrivals: Arrival[] = [];
 	readonly copies: Copy[] = [];
 	readonly faults: FaultRecord[] = [];
+	/** Versions of the configuration that have other time-outs. */
+	readonly versions: SentVersion[] = [];
 	/** When all machines were back after the last kill of the whole fleet, and when that kill was. */
 	fleetKill: {readonly killedAtMs: number; backAtMs: number} | undefined;
 	/** How late the soak's own process was at most: it is callers, targets and store at once. */
--- a/test/soak/shape/judges.ts
+++ b/test/soak/shape/judges.ts
@@ -1,9 +1,9 @@
 /**
 Judges of the deployment's shape: what callers and targets see around planned work.
 */
-import {describeLost, findLost, type SentVersion} from '../lost.js';
+import {describeLost, findLost} from '../lost.js';
 import {type Judge, type Seen} from '../judges.js';
-import {groupBy} from '../record.js';
+import {groupBy, type SentVersion} from '../record.js';
 
 /** Requests over kept connections that may be closed without an answer in a soak. */
 const CLOSED_MAX = 3;
--- a/test/soak/shape/soak.ts
+++ b/test/soak/shape/soak.ts
@@ -11,7 +11,6 @@
 import {
 	Fleet, GRACE_MS, hostAddress, type SoakInstance,
 } from '../fleet.js';
-import {type SentVersion} from '../lost.js';
 import {type Attempt, SoakRecord} from '../record.js';
 import {createRandom} from '../seeded-random.js';
 import {type SoakResult, waitUntilReady} from '../soak.js';
@@ -69,9 +68,7 @@
 };
 
 class ShapeField {
-	readonly versions: SentVersion[] = [];
 	readonly targets: ShapeTarget[] = [];
-	readonly lateness: Array<readonly [number, number]> = [];
 	endMs = Number.POSITIVE_INFINITY;
 	private readonly _random;
 	private _version = 0;
@@ -84,7 +81,7 @@
 	change(): void {
 		this._version++;
 		const {document, timeouts} = createVersion(this._version, this.options.seed);
-		this.versions.push({atMs: this.record.nowMs(), timeouts});
+		this.record.versions.push({atMs: this.record.nowMs(), timeouts});
 		this.record.noteFault('store', 'change');
 		this.store.put('op', 'config', document);
 	}
@@ -281,7 +278,7 @@
 		const [{attempts, lateness}] = await once(callers, 'message') as [CallersResult];
 		await carriedOut;
 		record.attempts.push(...attempts.map((attempt): Attempt => ({...attempt, status: attempt.status, lastByteAtMs: attempt.lastByteAtMs})));
-		const judges = createShapeJudges(field.versions);
+		const judges = createShapeJudges(record.versions);
 		const isLate = (atMs = Number.NaN) => [...record.lateness, ...lateness].some(([at, lateMs]) => lateMs > OWN_LATE_MS && Math.abs(at - atMs) < 3000);
 		return {
 			options: {...options, instances: fleet.instances.length}, faults: [], record, judges,
