--- a/test/unit/soak-shape.test.ts
+++ b/test/unit/soak-shape.test.ts
@@ -25,10 +25,14 @@
 	bundle.remove();
 });
 
+function check(name: string): void {
+	assert.ok(result.judges[name]!.count(result.record) > 0, 'the judge had nothing to look at');
+	assert.deepEqual(result.findings[name], [], createReport(result));
+}
+
 for (const [name, {promise}] of Object.entries(createShapeJudges([]))) {
 	// Guards against a break of the promise around stops in turn, releases, changes and SIGHUP.
 	test(`${name}: ${promise}`, () => {
-		assert.ok(result.judges[name]!.count(result.record) > 0, 'the judge had nothing to look at');
-		assert.deepEqual(result.findings[name], [], createReport(result));
+		check(name);
 	});
 }
