--- a/src/entry/log-output.ts
+++ b/src/entry/log-output.ts
@@ -9,6 +9,7 @@
 	fstatSync, write as writeLater, writeSync,
 } from 'node:fs';
 import {Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {errorCode} from '../daemon/gateways/connection-pool.js';
 
 const STANDARD_OUTPUT = 1;
@@ -110,9 +111,10 @@
 
 	/** Writes everything, and waits up to `waitMs` for a reader that is slow; for a process that is about to end. */
 	flushNow(waitMs: number): void {
-		const pause = new Int32Array(new SharedArrayBuffer(4));
-		for (let waitedMs = 0; !(this._writeUrgent() && this._writeAll(this._lines)) && waitedMs < waitMs; waitedMs++) {
-			Atomics.wait(pause, 0, 0, 1);
+		const endsAtMs = performance.now() + waitMs;
+		let isDone = false;
+		while (!isDone) {
+			isDone = (this._writeUrgent() && this._writeAll(this._lines)) || performance.now() >= endsAtMs;
 		}
 	}
 
