--- a/src/entry/kept-connections.ts
+++ b/src/entry/kept-connections.ts
@@ -64,11 +64,8 @@
 	readonly body: Dispatcher.ResponseData['body'];
 	/** Whether the connection had carried another response before. */
 	readonly isReused: boolean;
-	/**
-	Whether the connection was reset after the response headers arrived. undici takes a reset for the regular end of a
-	response without a length.
-	*/
-	readonly wasReset: () => boolean;
+	/** Whether the connection has ended with the response, in the regular way: where it is reset, the body fails. */
+	readonly endedConnection: () => boolean;
 	/** Closes the connection, whatever has been read of the response. */
 	readonly drop: () => void;
 	/** Closes the connection once the response has been read. */
@@ -89,7 +86,8 @@
 	sockets: number;
 	/** The socket that carried the last response, by its number. */
 	usedSocket: number;
-	resets: number;
+	/** Number of times that undici has closed its socket after a response, or given it up. */
+	ends: number;
 	idleSinceMs: number;
 	idleLimitMs: number;
 };
@@ -198,7 +196,7 @@
 		const wasUsed = isReused(connection);
 		connection.usedSocket = connection.sockets;
 		connection.carried++;
-		const resetsBefore = connection.resets;
+		const endsBefore = connection.ends;
 		let isRetired = false;
 		let isEnded = false;
 		const end = (isComplete: boolean) => {
@@ -228,7 +226,7 @@
 			headers,
 			body,
 			isReused: wasUsed,
-			wasReset: () => connection.resets > resetsBefore,
+			endedConnection: () => connection.ends > endsBefore,
 			drop: () => {
 				isRetired = true;
 				this._close(connection);
@@ -305,10 +303,9 @@
 						this._lastNumber++;
 						connection.number = this._lastNumber;
 						connection.carried = 0;
-						// undici also destroys a connection that ended a response in the regular way with an error, which counts: a target that
-						// goes down may close its connections in that way.
+						// undici destroys a connection that has ended a response with an error, also if it ended in the regular way.
 						socket.on('error', () => {
-							connection.resets++;
+							connection.ends++;
 						});
 					}
 
@@ -317,7 +314,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, unused: undefined, number: 0, carried: 0, carriedIds: new Set(), carriedIdChars: 0, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
+			client, unused: undefined, number: 0, carried: 0, carriedIds: new Set(), carriedIdChars: 0, sockets: 0, usedSocket: 0, ends: 0, idleSinceMs: 0, idleLimitMs: 0,
 		};
 		this._clients.add(client);
 		client.on('disconnect', () => {
