--- a/src/entry/kept-connections.ts
+++ b/src/entry/kept-connections.ts
@@ -64,8 +64,11 @@
 	readonly body: Dispatcher.ResponseData['body'];
 	/** Whether the connection had carried another response before. */
 	readonly isReused: boolean;
-	/** Whether the connection has ended with the response, in the regular way: where it is reset, the body fails. */
-	readonly endedConnection: () => boolean;
+	/**
+	Whether the connection was reset after the response headers arrived. undici takes a reset for the regular end of a
+	response without a length.
+	*/
+	readonly wasReset: () => boolean;
 	/** Closes the connection, whatever has been read of the response. */
 	readonly drop: () => void;
 	/** Closes the connection once the response has been read. */
@@ -86,8 +89,7 @@
 	sockets: number;
 	/** The socket that carried the last response, by its number. */
 	usedSocket: number;
-	/** Number of times that undici has closed its socket after a response, or given it up. */
-	ends: number;
+	resets: number;
 	idleSinceMs: number;
 	idleLimitMs: number;
 };
@@ -196,7 +198,7 @@
 		const wasUsed = isReused(connection);
 		connection.usedSocket = connection.sockets;
 		connection.carried++;
-		const endsBefore = connection.ends;
+		const resetsBefore = connection.resets;
 		let isRetired = false;
 		let isEnded = false;
 		const end = (isComplete: boolean) => {
@@ -226,7 +228,7 @@
 			headers,
 			body,
 			isReused: wasUsed,
-			endedConnection: () => connection.ends > endsBefore,
+			wasReset: () => connection.resets > resetsBefore,
 			drop: () => {
 				isRetired = true;
 				this._close(connection);
@@ -303,9 +305,10 @@
 						this._lastNumber++;
 						connection.number = this._lastNumber;
 						connection.carried = 0;
-						// undici destroys a connection that has ended a response with an error, also if it ended in the regular way.
+						// undici also destroys a connection that ended a response in the regular way with an error, which counts: a target that
+						// goes down may close its connections in that way.
 						socket.on('error', () => {
-							connection.ends++;
+							connection.resets++;
 						});
 					}
 
@@ -314,7 +317,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, unused: undefined, number: 0, carried: 0, carriedIds: new Set(), carriedIdChars: 0, sockets: 0, usedSocket: 0, ends: 0, idleSinceMs: 0, idleLimitMs: 0,
+			client, unused: undefined, number: 0, carried: 0, carriedIds: new Set(), carriedIdChars: 0, sockets: 0, usedSocket: 0, resets: 0, idleSinceMs: 0, idleLimitMs: 0,
 		};
 		this._clients.add(client);
 		client.on('disconnect', () => {
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -239,10 +239,10 @@
 		}
 
 		const held = await this._readAll({requestId: exchange.id, tryNumber: effect.tryNumber}, response, exchange.method === 'HEAD' ? 0 : statedLength(headers));
-		if (await this._isCutOff(effect, response)) {
+		if (isTruncated(response)) {
 			held.release();
 			return {
-				outcome: 'broken', status, load, ...describeFault('answer-unproven'),
+				outcome: 'broken', status, load, ...describeFault('answer-reset'),
 			};
 		}
 
@@ -269,14 +269,6 @@
 		return {outcome, status, load};
 	}
 
-	/**
-	Whether a response without a length, which ends when its connection is closed (RFC 9112, section 6.3), may lack its end. A target that
-	goes down closes its connections in the same way, and accepts none then.
-	*/
-	private async _isCutOff({address}: EntryEffectOf<'send'>, {headers, endedConnection}: TargetResponse): Promise<boolean> {
-		return !hasLength(headers) && endedConnection() && await this._options.connections.probe(address) !== 'accepted';
-	}
-
 	/** Reads a complete response into memory. */
 	private async _readAll(tryOf: TryName, {body}: TargetResponse, statedBytes: number): Promise<HeldBody> {
 		if (statedBytes > BODY_BYTES_MAX) {
@@ -400,12 +392,12 @@
 			return fault;
 		}
 
-		if (splitter.hasPartialEvent) {
-			return 'event-cut';
+		if (isTruncated(response)) {
+			return 'stream-reset';
 		}
 
-		if (await this._isCutOff(effect, response)) {
-			return 'stream-unproven';
+		if (splitter.hasPartialEvent) {
+			return 'event-cut';
 		}
 
 		// A complete stream may have no events. After a broken one the caller may still get another response.
@@ -497,6 +489,11 @@
 	return index === -1 ? 0 : Number(headers[index + 1]);
 }
 
+/** A response without a length ends when its connection closes (RFC 9112, section 6.3); it is complete only if there was no reset. */
+function isTruncated({headers, wasReset}: TargetResponse): boolean {
+	return !hasLength(headers) && wasReset();
+}
+
 function hasEncoding(headers: readonly string[]): boolean {
 	return headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-encoding');
 }
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -173,11 +173,11 @@
 
 /**
 How a runner handles one request; `answer` sends a complete response, `pause` one with a long pause after its first event,
-`close-delimited` one that ends with its connection, `close-inside` a stream that ends so inside an event, `close-down` a part of an
-answer, or some whole events, with which the runner ends. `decline-twice` turns the request away and writes that response once more where the next one on the connection is due. `408`, `429` and `503`
+`close-delimited` one that ends with its connection, `close-inside` a stream that ends so inside an event. `decline-twice`
+turns the request away and writes that response once more where the next one on the connection is due. `408`, `429` and `503`
 run the request and answer with that status, without a statement that it did not run.
 */
-export type RunnerBehaviour = 'answer' | 'decline' | 'decline-twice' | '408' | '429' | '503' | 'error' | 'unsigned-error' | 'nameless-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'close-down' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
+export type RunnerBehaviour = 'answer' | 'decline' | 'decline-twice' | '408' | '429' | '503' | 'error' | 'unsigned-error' | 'nameless-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
 
 export type ReceivedRequest = {
 	readonly method: string;
@@ -241,10 +241,6 @@
 
 	/** Starts again at the same address. */
 	async restart(): Promise<void> {
-		if (this._server.listening) {
-			return;
-		}
-
 		this.born++;
 		await listen(this._server, Number(this.address.split(':')[1]));
 	}
@@ -372,8 +368,7 @@
 			}
 
 			case 'close-delimited':
-			case 'close-inside':
-			case 'close-down': {
+			case 'close-inside': {
 				this._answerUntilClose(behaviour, {request, socket, headers});
 				break;
 			}
@@ -404,19 +399,11 @@
 	private _answerUntilClose(behaviour: RunnerBehaviour, {request, socket, headers}: {request: IncomingMessage; socket: Socket; headers: Record<string, string | string[]>}): void {
 		const isStream = request.headers['x-pollenarch-token-usage'] !== undefined;
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-		const last = behaviour === 'close-delimited' ? this.events : first + 1;
+		const last = behaviour === 'close-inside' ? first + 1 : this.events;
 		const events = Array.from({length: Math.max(0, last - first + 1)}, (_, index) => `id: ${first + index}\ndata: token ${first + index}\n\n`).join('');
 		const body = isStream ? events + (behaviour === 'close-inside' ? `id: ${last + 1}\ndata: tok` : '') : `answer of ${this.id} to ${String(headers['x-pollenarch-request-id'])}`;
 		const lines = Object.entries(headers).map(([name, value]) => `${name}: ${String(value)}\r\n`).join('');
-		const answer = `HTTP/1.1 200 OK\r\nConnection: close\r\n${isStream ? 'Content-Type: text/event-stream\r\n' : ''}${lines}\r\n`;
-		if (behaviour === 'close-down') {
-			socket.write(answer + (isStream ? body : body.slice(0, 6)), () => {
-				this.crash();
-			});
-			return;
-		}
-
-		socket.end(answer + body);
+		socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n${isStream ? 'Content-Type: text/event-stream\r\n' : ''}${lines}\r\n${body}`);
 	}
 
 	private async _sendWithoutEnd(socket: Socket, kind: EndlessKind, headers: Readonly<Record<string, string | string[]>>): Promise<void> {
