--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -542,8 +542,8 @@
 	Whether a request's end without a whole answer must have a line. Each such line costs a run at a target, which bounds their number. A
 	caller that leaves before its answer has begun gets nothing cut off, so that its line counts only while the instance stops.
 	*/
-	private _isUrgent({isPassedOn, headersSent}: Exchange): boolean {
-		return isPassedOn && (headersSent || this.state.lifecycle !== 'serving');
+	private _isUrgent({isPassedOn, isCutLogged, hasBegun}: Exchange): boolean {
+		return isPassedOn && ((isCutLogged && hasBegun) || this.state.lifecycle !== 'serving');
 	}
 
 	/** Undefined while the instance serves. */
@@ -565,14 +565,17 @@
 			return;
 		}
 
+		const hasLeft = fields.reason === 'caller-left';
+		if (event === 'request-ended' && exchange) {
+			exchange.isCutLogged = hasLeft || fields.isBrokenOff === true;
+		}
+
 		if (event !== 'request-ended' || !exchange?.isPassedOn) {
 			this.log.write(event, fields);
 			return;
 		}
 
 		const {requestId, reason, tookMs, leftMs, ...rest} = fields;
-		const hasLeft = reason === 'caller-left';
-		exchange.isCutLogged = hasLeft || fields.isBrokenOff === true;
 		const endReason = hasLeft ? exchange.cutReason : String(reason);
 		if (exchange.isCutLogged) {
 			this._countCut(exchange, endReason);
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -98,6 +98,7 @@
 	private _bufferedResponse: BufferedResponse | undefined;
 	readonly arrivedAtMs: number;
 	private _hasFailed = false;
+	private _isRefused = false;
 	private readonly _connection: CallerConnection | undefined;
 	private readonly _bodyMs: number;
 	private readonly _request: IncomingMessage;
@@ -149,6 +150,11 @@
 		return this.isFinished && this.isFlushed && !this.isBrokenOff;
 	}
 
+	/** Whether the head of a target's answer was sent. */
+	get hasBegun(): boolean {
+		return this.headersSent && !this._isRefused;
+	}
+
 	/** Why its connection was closed, or is being closed. */
 	get cutReason(): CutReason {
 		const {closingReason, socket} = this._connection ?? {};
@@ -176,7 +182,7 @@
 		return {
 			closedBy: socket?.closedBy ?? (this._leaving ? 'caller' : (this.isBrokenOff ? 'instance' : undefined)),
 			closeCode: socket?.errorCode === '' ? undefined : socket?.errorCode,
-			headSent: this.headersSent,
+			headSent: this.hasBegun,
 			unsentBytes: socket?.unsentBytes,
 			unreadBytes: socket?.unreadBytes,
 			bodyMs: Math.round(this._bodyMs),
@@ -284,6 +290,7 @@
 			headers.connection = 'close';
 		}
 
+		this._isRefused = true;
 		this._response.writeHead(problem.status, headers);
 		this._response.end(problem.body);
 	}
