--- a/test/unit/unanswered-requests.test.ts
+++ b/test/unit/unanswered-requests.test.ts
@@ -155,3 +155,30 @@
 	const line = linesOf(lines, 'first').find(({event}) => event === 'request-ended');
 	assert.deepEqual([line?.reason, line?.closedBy], ['input-overload', 'instance']);
 });
+
+// Guards against two lines for one end.
+test('a caller that leaves before its request is passed on has one line', async t => {
+	const {deployment, lines} = await start(t, () => undefined);
+	const {state} = deployment.daemon;
+	state.targets.clear();
+	const caller = deployment.connect();
+	caller.send('/sign/1', 'waiting');
+	await waitUntil(() => state.open.has('waiting'));
+	caller.socket.destroy();
+	await waitUntil(() => !state.open.has('waiting'));
+	await delay(50);
+	assert.deepEqual(linesOf(lines, 'waiting').map(({event, outcome}) => [event, outcome]), [['request-ended', 'caller-left']]);
+});
+
+// Guards against a refusal that counts as an answer that was cut off.
+test('a request that ends with a whole refusal after its target failed is said to have had no answer that began', async t => {
+	const {deployment, lines} = await start(t, socket => {
+		socket.resetAndDestroy();
+	});
+	const caller = deployment.connect();
+	caller.send('/sign/1', 'reset');
+	await caller.waitFor('\r\n\r\n');
+	const [line] = linesOf(lines, 'reset');
+	assert.deepEqual([line?.reason, line?.headSent, line?.isBrokenOff], ['may-have-run', false, false]);
+	assert.match(caller.text, /^HTTP\/1\.1 502 /v);
+});
