Lines of ends: those of requests that got a whole error answer keep their limit

What callers saw: nothing. The line 205 of a request that was passed on and then answered with 502 or 504 by this instance counted as one that no limit drops, since its answer's head had been sent by the time the line was written. With targets that cannot be reached such a line costs no run at a target, so that nothing bounded their number; they share the 2 MB of the lines that must not be lost.

Change: 205 is urgent only if the request ends with its connection, or the instance stops, as OPERATIONS.md and design 0016 say.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -581,7 +581,7 @@
 
 		this.log.write(event, {
 			requestId, reason: endReason, ...this._describeStop(), tookMs, leftMs, ...exchange.cutFacts, ...rest, lifecycle: this.state.lifecycle,
-		}, {isUrgent: this._isUrgent(exchange)});
+		}, {isUrgent: (exchange.isCutLogged || this.state.lifecycle !== 'serving') && this._isUrgent(exchange)});
 	}
 
 	private _countCut({isPassedOn, cutFacts}: Exchange, reason: string): void {
--- a/test/unit/unanswered-requests.test.ts
+++ b/test/unit/unanswered-requests.test.ts
@@ -155,3 +155,25 @@
 	const line = linesOf(lines, 'first').find(({event}) => event === 'request-ended');
 	assert.deepEqual([line?.reason, line?.closedBy], ['input-overload', 'instance']);
 });
+
+// Guards against lines without a limit, which leave no room for those that must not be lost: of requests whose targets fail, and that get a whole answer of this instance.
+test('the line of a request that got a whole answer of this instance keeps its limit while the instance serves', async t => {
+	const {deployment} = await start(t, socket => {
+		socket.destroy();
+	});
+	const limited = new Map<LogEventName, boolean>();
+	const write = deployment.daemon.log.write.bind(deployment.daemon.log);
+	deployment.daemon.log.write = (event, fields, options) => {
+		if (fields.requestId === 'failed') {
+			limited.set(event, options?.isUrgent !== true);
+		}
+
+		write(event, fields, options);
+	};
+
+	const caller = deployment.connect();
+	caller.send('/sign/1', 'failed');
+	await caller.waitFor('HTTP/1.1 502');
+	await waitUntil(() => limited.has('request-ended'));
+	assert.equal(limited.get('request-ended'), true);
+});
