Log: lines of errors of the instance are not dropped among others

What callers saw: nothing. An unexpected error of the process or of a task (103, 107), which may end several requests, had a line only while fewer than 150 others had been written in its second, though design 0016 says that it is told at once.

--- a/src/entry/log-output.test.ts
+++ b/src/entry/log-output.test.ts
@@ -56,6 +56,20 @@
 	assert.ok(reader.lines.length < 2500 + 600, `${reader.lines.length} lines`);
 });
 
+// Guards against an error of this instance, which may cut off several requests at once, that no line names since others took all lines of its second.
+test('a flood of lines of tries in the same second drops no line of an error of this instance', () => {
+	const reader = new Reader();
+	const log = createLog(reader);
+	for (let index = 0; index < 300; index++) {
+		log.write('try-ended', {requestId: `other-${index}`});
+	}
+
+	log.write('effect-failed', {effect: 'uncaughtException'});
+	log.write('task-failed', {task: 'some'});
+	log.flushNow();
+	assert.deepEqual(reader.lines.slice(-2).map(line => (JSON.parse(line) as {msg: string}).msg), ['effect-failed', 'task-failed']);
+});
+
 // Guards against an urgent line that waits behind others until the process is killed.
 test('an urgent line is written before the call returns, in the order of time while the reader takes all', () => {
 	const reader = new Reader();
