Stops: accepting what waits ends after 3 s

Cause: a stopping instance accepts until two rounds of the event loop accept nothing, which callers that go on connecting prevent where rounds are long. Test: caller-listener.test.ts, fails without the limit, passes with it; 5 of 5 of the file.

--- a/src/entry/caller-listener.test.ts
+++ b/src/entry/caller-listener.test.ts
@@ -12,11 +12,17 @@
 import {EventLoop} from './event-loop.js';
 
 const HELD_UP_MS = 200;
+/** Leaves a stopping process some seconds of its grace period after it has ended accepting. */
+const STOP_LIMIT_MS = 5000;
 const REQUEST = 'POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n\r\nx';
 
 /** Holds the process up while requests and the ends of their connections arrive. */
 function holdUp(): void {
-	const endsAtMs = performance.now() + HELD_UP_MS;
+	holdUpFor(HELD_UP_MS);
+}
+
+function holdUpFor(ms: number): void {
+	const endsAtMs = performance.now() + ms;
 	while (performance.now() < endsAtMs) {
 		// Busy.
 	}
@@ -126,3 +132,40 @@
 	assert.match(rejected ?? '400 ', /^400 /v);
 	assert.deepEqual(others, []);
 });
+
+// Guards against a stop that lasts until its process is killed, since callers go on opening connections to a process that accepts one in each of its long rounds.
+test('a stopping instance that is behind ends accepting, although connections keep coming', async t => {
+	const {listener, port} = await listenWith((_request, response) => {
+		response.end('x');
+	});
+	let isRefused = false;
+	const open = () => {
+		const socket = connect(port, '127.0.0.1', open);
+		socket.resume();
+		socket.once('error', () => {
+			isRefused = true;
+		});
+		t.after(() => {
+			socket.destroy();
+		});
+	};
+
+	for (let caller = 0; caller < 5; caller++) {
+		open();
+	}
+
+	const isBehind = setInterval(() => {
+		holdUpFor(20);
+	}, 22);
+	t.after(() => {
+		clearInterval(isBehind);
+	});
+	await delay(100);
+	const beganAtMs = performance.now();
+	listener.stopAccepting();
+	while (!isRefused && performance.now() - beganAtMs < STOP_LIMIT_MS) {
+		await delay(20);
+	}
+
+	assert.ok(isRefused, 'still accepting');
+});
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -36,6 +36,8 @@
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 /** Interval at which a stopping instance closes connections that have become idle. */
 const IDLE_CLOSE_INTERVAL_MS = 50;
+/** Limit for the time in which a stopping instance goes on accepting what waits; callers that do not know of the stop may go on connecting. */
+const ACCEPTING_MS_MAX = 3000;
 /** An answer may still be under way for so long after it was handed over. */
 const DELIVERY_MS = 1000;
 
@@ -211,12 +213,13 @@
 
 	/** Connections that wait to be accepted would be reset with the requests that were sent on them. Each round of the event loop accepts one. */
 	private async _endAccepting(): Promise<void> {
+		const endsAtMs = performance.now() + ACCEPTING_MS_MAX;
 		let accepted: number;
 		this._isEndingAccepting = true;
 		do {
 			accepted = this._accepted;
 			await readArrived();
-		} while (this._accepted > accepted && !this._isClosed);
+		} while (this._accepted > accepted && !this._isClosed && performance.now() < endsAtMs);
 
 		this._isEndingAccepting = false;
 		if (this._server?.listening) {
