--- a/src/entry/caller-listener.test.ts
+++ b/src/entry/caller-listener.test.ts
@@ -138,12 +138,12 @@
 	const {listener, port} = await listenWith((_request, response) => {
 		response.end('x');
 	});
-	let isRefused = false;
+	const refusals: Error[] = [];
 	const open = () => {
 		const socket = connect(port, '127.0.0.1', open);
 		socket.resume();
-		socket.once('error', () => {
-			isRefused = true;
+		socket.once('error', error => {
+			refusals.push(error);
 		});
 		t.after(() => {
 			socket.destroy();
@@ -163,9 +163,9 @@
 	await delay(100);
 	const beganAtMs = performance.now();
 	listener.stopAccepting();
-	while (!isRefused && performance.now() - beganAtMs < STOP_LIMIT_MS) {
+	while (refusals.length === 0 && performance.now() - beganAtMs < STOP_LIMIT_MS) {
 		await delay(20);
 	}
 
-	assert.ok(isRefused, 'still accepting');
+	assert.ok(refusals.length > 0, 'still accepting');
 });
