Exchange: a refusal that cannot be written leaves the answer begun

If writing the head of a refusal throws, since a head was sent, the line of the cut that follows counted as that of a whole refusal and lost its urgency.

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -290,8 +290,8 @@
 			headers.connection = 'close';
 		}
 
-		this._isRefused = true;
 		this._response.writeHead(problem.status, headers);
+		this._isRefused = true;
 		this._response.end(problem.body);
 	}
 
