Streams: a target whose caller still reads the trailing blocks is not silent

The wait for a caller that reads slowly was not told to the core at the end of a stream, so that a target that had sent all could count as silent. It takes 16 KB and more behind the last event.

--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -408,7 +408,7 @@
 
 		const {trailingBlocks} = splitter;
 		if (trailingBlocks.length > 0 && exchange.write(trailingBlocks)) {
-			await exchange.drained(signal);
+			await this._holdBack(tryOf, exchange.drained(signal));
 		}
 
 		return undefined;
