Callers: what is kept of an answered request is its id and its deadline

The headers of the last answered request, keys included, stayed with each idle connection, outside the account of callers' memory (16 MB for 1,024 connections with 16 KB of headers, reckoned by the review). They served a line that needs the id and the deadline. Tests: request-ends, unanswered-requests and src/entry pass (151 of 151).

--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -22,11 +22,16 @@
 export type ClosingReason = 'input-overload' | 'input-invalid' | 'idle' | 'stopping' | 'process-stopped';
 
 /** The last response of a connection that was handed over whole. */
-export type LastAnswer = {
-	readonly rawHeaders: readonly string[];
+export type LastAnswer = ServedRequest & {
 	readonly atMs: number;
 };
 
+/** What names a request that is served, once its headers have been read. */
+export type ServedRequest = {
+	readonly requestId: string;
+	readonly deadlineMs: number | undefined;
+};
+
 /** A request whose response is not flushed yet. */
 type OpenRequest = {
 	readonly request: IncomingMessage;
@@ -58,6 +63,8 @@
 	closingReason: ClosingReason | undefined;
 	/** Of a request that was served. */
 	lastAnswer: LastAnswer | undefined;
+	/** The request that is being served. */
+	served: ServedRequest | undefined;
 	/** In the order of their responses. */
 	private _open: OpenRequest[] = [];
 	/** Bytes that had been parsed when the last response was flushed; more that were received mean that another request has begun. */
@@ -108,7 +115,8 @@
 		});
 		response.once('close', () => {
 			const isServed = this._open.some(open => open.response === response && open.isPassedOn);
-			this.lastAnswer = isServed && response.writableFinished && !this.socket.destroyed ? {rawHeaders: request.rawHeaders, atMs: performance.now()} : undefined;
+			this.lastAnswer = isServed && this.served && response.writableFinished && !this.socket.destroyed ? {...this.served, atMs: performance.now()} : undefined;
+			this.served = undefined;
 			this._open = this._open.filter(open => open.response !== response);
 			this._answeredBytes = this.socket.parsedBytes;
 			this.socket.readOn();
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -447,6 +447,7 @@
 			return;
 		}
 
+		connection.served = {requestId: id, deadlineMs: metadata.deadlineMs};
 		this._requestsTaken++;
 		if (this._requestsTaken === 1) {
 			this.log.write('first-request', {
@@ -602,13 +603,12 @@
 	}
 
 	/** The core has counted the request as answered. */
-	private _reportLostAnswer({rawHeaders, atMs}: LastAnswer, {socket, closingReason}: CallerConnection): void {
+	private _reportLostAnswer({requestId, deadlineMs, atMs}: LastAnswer, {socket, closingReason}: CallerConnection): void {
 		if (this.state.lifecycle === 'serving' && socket.closedBy === 'caller') {
 			// Callers may end with a reset what they have read.
 			return;
 		}
 
-		const {requestId, deadlineMs} = this.deployment.headerCodec.parseRequest(rawHeaders);
 		this.log.write('request-unanswered', {
 			requestId,
 			reason: 'answer-cut',
