--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -50,8 +50,7 @@
 const LATE_PERIOD_TICKS = 100;
 /** Tick from which a process is not counted as one that has just started. */
 const SETTLED_TICKS = 100;
-/** Part of the grace period after which open requests are named, the interval at which they are again, and how many a line names. */
-const NAMED_FROM_SHARE = 0.5;
+/** Interval at which a stopping instance names its open requests, and how many a line names. */
 const NAMED_INTERVAL_MS = 1000;
 const NAMED_PER_LINE = 10;
 /** Seeds that are starting refuse connections at once. */
@@ -342,9 +341,9 @@
 
 	/** A process that is killed cannot name the requests that end with it. */
 	private _nameOpenRequests(): void {
-		const {lifecycle, drainSinceMs, bounds: {graceMs}} = this.state;
+		const {lifecycle} = this.state;
 		const nowMs = this._clock.monotonicMs();
-		if ((lifecycle !== 'draining' && lifecycle !== 'stopped') || nowMs < drainSinceMs + (graceMs * NAMED_FROM_SHARE) || nowMs < this._namedAtMs + NAMED_INTERVAL_MS) {
+		if ((lifecycle !== 'draining' && lifecycle !== 'stopped') || nowMs < this._namedAtMs + NAMED_INTERVAL_MS) {
 			return;
 		}
 
