--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -242,7 +242,7 @@
 		if (isTruncated(response)) {
 			held.release();
 			return {
-				outcome: 'broken', status, load, ...describeFault('answer-reset'),
+				outcome: 'broken', status, load, ...describeFault('answer-unproven'),
 			};
 		}
 
@@ -393,7 +393,7 @@
 		}
 
 		if (isTruncated(response)) {
-			return 'stream-reset';
+			return 'stream-unproven';
 		}
 
 		if (splitter.hasPartialEvent) {
