Move the reporting of ends out of the entry daemon

No change of behaviour: the lines 108, 205 and 218 and their counts are written by EndReports (src/entry/end-reports.ts).

Checked: npm run typecheck; test/unit/request-ends.test.ts, 12 of 12 pass.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -19,7 +19,6 @@
 import {createEntryState, type EntryContext, type EntryState} from '../core/entry/state.js';
 import {type EntryInstance} from '../core/entry/types.js';
 import {type CallerLimits} from '../core/entry/configuration.js';
-import {describeTry} from '../core/entry/closing.js';
 import {type LogEventName} from '../core/log-events.js';
 import {toEvent} from './datagram-codec.js';
 import {DatagramSocket} from './datagram-socket.js';
@@ -27,9 +26,9 @@
 import {countStoreCalls} from './counted-store.js';
 import {EntryLog} from './entry-log.js';
 import {EntryMetrics, type RequestStep} from './entry-metrics.js';
+import {EndReports} from './end-reports.js';
 import {EventLoop} from './event-loop.js';
-import {Exchange, type CutReason} from './exchange.js';
-import {type CallerConnection, type LastAnswer} from './caller-connection.js';
+import {Exchange} from './exchange.js';
 import {createHttpServer} from './http-server.js';
 import {CallerListener, type InputOrigin, type ReceivedBody} from './caller-listener.js';
 import {createEntryPeerServer, EntryPeerClient, type AdapterResult} from './peer-rpc.js';
@@ -50,9 +49,6 @@
 const LATE_PERIOD_TICKS = 100;
 /** Tick from which a process is not counted as one that has just started. */
 const SETTLED_TICKS = 100;
-/** Interval at which a stopping instance names its open requests, and how many a line names. */
-const NAMED_INTERVAL_MS = 1000;
-const NAMED_PER_LINE = 10;
 /** Seeds that are starting refuse connections at once. */
 const SEED_PULL_INTERVAL_MS = 200;
 /** The peer's own call has timed out by then. */
@@ -97,6 +93,7 @@
 	private readonly _effectHandlers: EntryEffectHandlers;
 	readonly connections: TargetConnections;
 	private readonly _metrics: EntryMetrics;
+	private readonly _ends: EndReports;
 	private readonly _servers: FastifyInstance[] = [];
 	private _tickTimer: NodeJS.Timeout | undefined;
 	private readonly _eventLoop = new EventLoop({
@@ -112,7 +109,6 @@
 	private _earlierLateMs = 0;
 	private _ticks = 0;
 	private _requestsTaken = 0;
-	private _namedAtMs = Number.NEGATIVE_INFINITY;
 	private _isStopped = false;
 	private _lastCallId = 0;
 	private _resolveStopped: () => void = () => undefined;
@@ -130,6 +126,9 @@
 			state: this.state, monotonicMs: () => clock.monotonicMs(), wallMs: () => clock.now().getTime(), droppedLines: () => this.log.droppedLines,
 		});
 		this._metrics = metrics;
+		this._ends = new EndReports({
+			log: this.log, metrics, state: this.state, exchanges: this.exchanges, monotonicMs: () => clock.monotonicMs(),
+		});
 		const {reuse} = settings.connections;
 		this.connections = new TargetConnections({
 			reuse,
@@ -177,7 +176,7 @@
 				metrics.recordClosedConnection(reason);
 			},
 			onAnswerCut: (answer, connection) => {
-				this._reportLostAnswer(answer, connection);
+				this._ends.reportLostAnswer(answer, connection);
 			},
 		});
 		this.datagramSocket = new DatagramSocket(datagram => {
@@ -245,7 +244,7 @@
 		this.storeWatcher.stop();
 		const load = this._describeLoad();
 		for (const exchange of this.exchanges.values()) {
-			this._reportStopped(exchange);
+			this._ends.reportStopped(exchange);
 			exchange.cancelAllTries();
 		}
 
@@ -257,7 +256,7 @@
 		await this.deployment.engines.close();
 		await this.deployment.store.close();
 		this.log.write('daemon-closed', {
-			...this._describeStop(), ...load, requests: this._requestsTaken, linesLeftOut: this.log.droppedLines,
+			...this._ends.describeStop(), ...load, requests: this._requestsTaken, linesLeftOut: this.log.droppedLines,
 		});
 		this.log.flushNow();
 		this._resolveStopped();
@@ -328,9 +327,9 @@
 		}
 
 		this.dispatch({kind: 'tick', lateMs, readUntilMs});
-		this._nameOpenRequests();
+		this._ends.nameOpenRequests();
 		if (this._ticks === SETTLED_TICKS) {
-			this.log.write('first-seconds', {requests: this._requestsTaken, ...this._describeLoad(), ...this._describeStop()});
+			this.log.write('first-seconds', {requests: this._requestsTaken, ...this._describeLoad(), ...this._ends.describeStop()});
 		}
 
 		if (this.state.lifecycle !== 'serving' || this._ticks % FLUSH_TICKS === 0) {
@@ -339,33 +338,6 @@
 		}
 	}
 
-	/** A process that is killed cannot name the requests that end with it. */
-	private _nameOpenRequests(): void {
-		const {lifecycle} = this.state;
-		const nowMs = this._clock.monotonicMs();
-		if ((lifecycle !== 'draining' && lifecycle !== 'stopped') || nowMs < this._namedAtMs + NAMED_INTERVAL_MS) {
-			return;
-		}
-
-		this._namedAtMs = nowMs;
-		const open = [...this.exchanges.values()].filter(({isPassedOn, isWhole}) => isPassedOn && !isWhole);
-		for (let from = 0; from < open.length; from += NAMED_PER_LINE) {
-			this.log.write('requests-open', {
-				...this._describeStop(),
-				open: open.length,
-				requests: open.slice(from, from + NAMED_PER_LINE).map(exchange => this._describeOpen(exchange)),
-			});
-		}
-	}
-
-	/** Id of a request, its state, the time since its arrival and to its deadline, and its tries. */
-	private _describeOpen({id, headersSent, isFinished, arrivedAtMs, tries}: Exchange): string {
-		const nowMs = this._clock.monotonicMs();
-		const request = this.state.open.get(id);
-		const state = isFinished ? 'decided' : (headersSent ? 'begun' : 'open');
-		return [id, state, Math.round(nowMs - arrivedAtMs), request ? Math.round(request.deadlineAtMs - nowMs) : '', ...request?.tries.map(attempt => describeTry(attempt)) ?? tries ?? []].join(' ');
-	}
-
 	private async _serve(server: FastifyInstance, endpoint: string): Promise<void> {
 		this._servers.push(server);
 		await server.listen(splitEndpoint(endpoint));
@@ -497,100 +469,26 @@
 		}
 
 		this.exchanges.delete(id);
-		if (!exchange.isWhole && !exchange.isCutLogged) {
-			this._logCut(exchange, exchange.cutReason);
-		}
+		this._ends.reportClosed(exchange);
 	}
 
 	/** For the end of the process, also one that nothing has stopped: names the requests that end with it, and hands over all lines. */
 	endLog(): void {
 		for (const exchange of this.exchanges.values()) {
-			this._reportStopped(exchange);
+			this._ends.reportStopped(exchange);
 		}
 
 		this.log.flushNow();
 	}
 
-	private _reportStopped(exchange: Exchange): void {
-		if (!exchange.isWhole && !exchange.isCutLogged) {
-			this._logCut(exchange, 'process-stopped');
-		}
-	}
-
-	/** For a request whose end without a whole answer no decision of the core tells. */
-	private _logCut(exchange: Exchange, reason: CutReason): void {
-		const {id, isFinished, arrivedAtMs, metadata: {deadlineMs}} = exchange;
-		const nowMs = this._clock.monotonicMs();
-		const open = this.state.open.get(id);
-		const facts = exchange.cutFacts;
-		exchange.isCutLogged = true;
-		this._countCut(exchange, reason);
-		this.log.write('request-unanswered', {
-			requestId: id,
-			reason,
-			...this._describeStop(),
-			openForMs: Math.round(nowMs - arrivedAtMs),
-			outcome: isFinished ? 'decided' : 'open',
-			leftMs: open ? Math.round(open.deadlineAtMs - nowMs) : (deadlineMs === undefined ? undefined : Math.round(arrivedAtMs + deadlineMs - nowMs)),
-			...facts,
-			tries: open?.tries.map(attempt => describeTry(attempt)) ?? exchange.tries,
-			delivered: exchange.delivered,
-			lifecycle: this.state.lifecycle,
-		}, {isUrgent: this._isUrgent(exchange)});
-	}
-
-	/**
-	Whether a request's end without a whole answer must have a line. Each such line costs a run at a target, which bounds their number. A
-	caller that leaves before its answer has begun gets nothing cut off, so that its line counts only while the instance stops.
-	*/
-	private _isUrgent({isPassedOn, isCutLogged, hasBegun}: Exchange): boolean {
-		return isPassedOn && ((isCutLogged && hasBegun) || this.state.lifecycle !== 'serving');
-	}
-
-	/** Undefined while the instance serves. */
-	private _describeStop(): {readonly sinceStopMs: number | undefined} {
-		const {lifecycle, drainSinceMs} = this.state;
-		const isStopping = lifecycle === 'draining' || lifecycle === 'stopped';
-		return {sinceStopMs: isStopping ? Math.round(this._clock.monotonicMs() - drainSinceMs) : undefined};
-	}
-
 	/** Writes a line that the core has decided on, with what only this daemon knows. */
 	writeDecision(event: LogEventName, fields: Readonly<Record<string, unknown>>): void {
-		const exchange = event === 'request-ended' || event === 'request-answered' ? this.exchanges.get(String(fields.requestId)) : undefined;
-		if (exchange) {
-			exchange.tries = fields.tries as readonly string[];
-		}
-
 		if (event === 'daemon-draining' || event === 'daemon-stopped') {
 			this.log.write(event, {...fields, ...this._describeLoad()});
 			return;
 		}
 
-		const hasLeft = fields.reason === 'caller-left';
-		if (event === 'request-ended' && exchange) {
-			exchange.isCutLogged = hasLeft || fields.isBrokenOff === true;
-		}
-
-		if (event !== 'request-ended' || !exchange?.isPassedOn) {
-			this.log.write(event, fields);
-			return;
-		}
-
-		const {requestId, reason, tookMs, leftMs, ...rest} = fields;
-		const endReason = hasLeft ? exchange.cutReason : String(reason);
-		if (exchange.isCutLogged) {
-			this._countCut(exchange, endReason);
-		}
-
-		this.log.write(event, {
-			requestId, reason: endReason, ...this._describeStop(), tookMs, leftMs, ...exchange.cutFacts, ...rest, lifecycle: this.state.lifecycle,
-		}, {isUrgent: this._isUrgent(exchange)});
-	}
-
-	private _countCut({isPassedOn, cutFacts}: Exchange, reason: string): void {
-		if (isPassedOn) {
-			this._metrics.recordCut(reason, cutFacts.closedBy ?? '');
-		}
+		this._ends.writeDecision(event, fields);
 	}
 
 	/** Connections and requests that are open, and how late this process was at most of late. */
@@ -601,30 +499,6 @@
 		};
 	}
 
-	/** The core has counted the request as answered. */
-	private _reportLostAnswer({requestId, deadlineMs, atMs}: LastAnswer, {socket, closingReason}: CallerConnection): void {
-		if (this.state.lifecycle === 'serving' && socket.closedBy === 'caller') {
-			// Callers may end with a reset what they have read.
-			return;
-		}
-
-		this.log.write('request-unanswered', {
-			requestId,
-			reason: 'answer-cut',
-			...this._describeStop(),
-			outcome: 'decided',
-			sinceAnswerMs: Math.round(performance.now() - atMs),
-			deadlineMs,
-			closedBy: socket.closedBy,
-			closeCode: socket.errorCode || undefined,
-			closingReason,
-			headSent: true,
-			unsentBytes: socket.unsentBytes,
-			unreadBytes: socket.unreadBytes,
-			lifecycle: this.state.lifecycle,
-		}, {isUrgent: true});
-	}
-
 	private _openForMs(id: string): number | undefined {
 		const request = this.state.open.get(id);
 		return request && Math.round(this._clock.monotonicMs() - request.arrivedAtMs);
