Peers log how a stop ended the requests that were passed on

Records show instances in the order of their names and are cut; only the log of the instance that stopped named the request, and it was never shown.

Change: an instance that stops announces each request that was passed on and ended without a whole answer (reason, tries, facts of its own line 205 or 218) at its next tick, and each second those that are still open; its last word goes out twice before the socket closes, also at the exit of the process. A peer writes one line for each: 226 (warn; the reason is the instance's own, or unknown) or 227 (info; a target, the caller or the deadline accounts for it). Of an instance that is silent for 3 s without a last word, or whose next process is heard from, it names those that were open as 'instance-lost'. Bounds: 32 ended (16 of those that others account for) and 20 open ones a stop, 228 counts the rest; 16 receivers, the first 8 by name and the 8 heard from last; ids of more than 200 characters are counted only. Each announcement has all of it with a number, so that doubled, late and lost ones are harmless. Builds without it ignore the datagram.

Limits: a request that became whole less than a second before its instance was killed may be named as instance-lost.

--- a/src/core/entry/effect.ts
+++ b/src/core/entry/effect.ts
@@ -7,7 +7,7 @@
 import {type RequestId, type TargetId} from '../types.js';
 import {type EntryConfiguration} from './configuration.js';
 import {
-	type Beacon, type KnownVersions, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant,
+	type Beacon, type KnownVersions, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant, type StopAnnouncement,
 } from './peer-messages.js';
 import {type ReleaseRecord} from './release-record.js';
 import {
@@ -79,6 +79,7 @@
 	| {readonly kind: 'grant-quota'; readonly address: string; readonly grant: QuotaGrant}
 	| {readonly kind: 'announce-origins'; readonly addresses: readonly string[]; readonly announcement: OriginAnnouncement}
 	| {readonly kind: 'ask-origin'; readonly addresses: readonly string[]; readonly query: OriginQuery}
+	| {readonly kind: 'announce-stop'; readonly addresses: readonly string[]; readonly announcement: StopAnnouncement}
 	/** Requests whatever is newer at a peer. */
 	| {readonly kind: 'pull'; readonly address: string; readonly known: KnownVersions}
 	| {readonly kind: 'adopt-configuration'; readonly configuration: EntryConfiguration}
--- a/src/core/entry/end-reasons.ts
+++ b/src/core/entry/end-reasons.ts
@@ -26,6 +26,18 @@
 
 export type EndReason = DecidedReason | ResultName;
 
+/**
+Reasons for which a target, the caller or its deadline accounts: metrics count them, and no single one is for the operator to
+look at. All others are, also those that are added and not listed here.
+*/
+const reasonsOfOthers: ReadonlySet<string> = new Set([
+	'deadline', 'attempts-used', 'budget-used', 'may-have-run', 'declined', 'targets-full', 'caller-left', 'caller-ended', 'connection-error',
+]);
+
+export function needsOperator(reason: string): boolean {
+	return !reasonsOfOthers.has(reason);
+}
+
 /** Why a request gets no further try after one has failed. */
 export type FinalReason = Extract<DecidedReason, 'deadline' | 'attempts-used' | 'budget-used' | 'may-have-run' | 'declined' | 'release-unknown'>;
 
--- a/src/core/entry/event.ts
+++ b/src/core/entry/event.ts
@@ -7,7 +7,7 @@
 import {type EnabledMechanisms} from './mechanisms.js';
 import {type PaceMode} from './pace.js';
 import {
-	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant, type StateTransfer,
+	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant, type StateTransfer, type AnnouncedCut, type AnnouncedOpen, type StopAnnouncement,
 } from './peer-messages.js';
 import {type ReleaseRow} from './release-record.js';
 import {
@@ -117,6 +117,13 @@
 	| {readonly kind: 'quota-granted'; readonly grant: QuotaGrant}
 	| {readonly kind: 'origins-announced'; readonly announcement: OriginAnnouncement}
 	| {readonly kind: 'origin-asked'; readonly query: OriginQuery}
+	| {readonly kind: 'stop-announced'; readonly announcement: StopAnnouncement}
+	/** A request that was passed on has ended without a whole answer here. */
+	| {readonly kind: 'request-cut'; readonly cut: AnnouncedCut}
+	/** While the instance stops: requests that were passed on and are not whole yet, and the number of those beyond them. */
+	| {readonly kind: 'requests-open'; readonly open: readonly AnnouncedOpen[]; readonly more: number}
+	/** The process is about to end. */
+	| {readonly kind: 'closing'}
 	| {readonly kind: 'pull-completed'; readonly transfer: StateTransfer | undefined}
 	/** The signal may have been sent up to `noticedWithinMs` before this process handled it. */
 	| {readonly kind: 'drain-requested'; readonly noticedWithinMs?: number};
--- a/src/core/entry/peer-messages.ts
+++ b/src/core/entry/peer-messages.ts
@@ -207,6 +207,41 @@
 	readonly replyTo: string;
 };
 
+/** A request that was passed on and ended without a whole answer at an instance that stops, in the order of the members of a log line. */
+export type AnnouncedCut = {
+	readonly requestId: RequestId;
+	readonly reason: string;
+	/** Targets and outcomes, with a space between them. */
+	readonly tries: string;
+	/** Members of the log line of the instance that it ended at. */
+	readonly [fact: string]: unknown;
+};
+
+/** A request that was passed on and has no whole answer yet. */
+export type AnnouncedOpen = {
+	readonly requestId: RequestId;
+	readonly tries: string;
+	/** `open`, `begun` (its answer has begun) or `decided`. */
+	readonly state: string;
+	readonly openForMs: number;
+	readonly leftMs?: number;
+};
+
+/** All that an instance that stops has to tell of its requests. Instances of an earlier release take it for a datagram of another program. */
+export type StopAnnouncement = {
+	readonly from: InstanceId;
+	readonly boot: string;
+	/** Grows with each announcement of the process. */
+	readonly sequence: number;
+	/** Whether it is the last word of the process. */
+	readonly isClosed: boolean;
+	readonly cuts: readonly AnnouncedCut[];
+	/** How many others there are that it does not name. */
+	readonly moreCuts: number;
+	readonly open: readonly AnnouncedOpen[];
+	readonly moreOpen: number;
+};
+
 /** How an instance's copy of the registry has changed since one with a certain digest. */
 export type AnnouncedRegistryChange = {
 	readonly sinceDigest: number;
--- a/src/core/entry/peer-sync.ts
+++ b/src/core/entry/peer-sync.ts
@@ -26,6 +26,7 @@
 import {leaseStatus} from './beacon-sender.js';
 import {adoptSlowness} from './slowness.js';
 import {logEvent, type EntryContext} from './state.js';
+import {endFormerStops} from './stop-announcements.js';
 import {adoptSpeeds} from './target-speeds.js';
 import {type EntryInstance} from './types.js';
 
@@ -86,6 +87,7 @@
 	const {from} = beacon;
 	const known = state.peers.get(from.id);
 	if (known?.instance.boot !== from.boot) {
+		endFormerStops(context, from);
 		logEvent(context, 'instance-joined', {instanceId: from.id, zone: from.zone, boot: from.boot});
 	} else if (beacon.isLeaving && !known?.isLeaving) {
 		logEvent(context, 'instance-leaving', {instanceId: from.id});
--- a/src/core/entry/reducer.ts
+++ b/src/core/entry/reducer.ts
@@ -38,6 +38,9 @@
 	logEvent, type Timer, type EntryContext, type EntryState,
 } from './state.js';
 import {handleSilence} from './silence.js';
+import {
+	announceCuts, handleClosing, handleRequestCut, handleRequestsOpen, handleStopAnnouncement, watchPeerStops,
+} from './stop-announcements.js';
 import {checkSpeeds} from './target-speeds.js';
 import {
 	continueProven, continueResolved, handleOriginAsked, handleOriginsAnnounced, handleOriginTimeout,
@@ -107,6 +110,10 @@
 		continueResolved(context);
 	},
 	'origin-asked': handleOriginAsked,
+	'stop-announced': handleStopAnnouncement,
+	'request-cut': handleRequestCut,
+	'requests-open': handleRequestsOpen,
+	closing: handleClosing,
 	'pull-completed': handlePullCompleted,
 	'drain-requested': beginDrain,
 };
@@ -142,6 +149,8 @@
 	runOrders,
 	runPlacement,
 	sendBeacons,
+	announceCuts,
+	watchPeerStops,
 	runQuotas,
 	runDrain,
 ];
--- a/src/core/entry/state.ts
+++ b/src/core/entry/state.ts
@@ -24,6 +24,7 @@
 import {createKnownReleases, type KnownReleases} from './release-record.js';
 import {createReleaseHistory, type ReleaseHistory} from './release-history.js';
 import {type RetryBudget} from './retry-budget.js';
+import {createOwnStop, type OwnStop, type PeerStop} from './stop-announcements.js';
 import {createTargetSpeeds, type TargetSpeeds} from './target-speeds.js';
 import {type Target} from './target.js';
 import {
@@ -199,6 +200,9 @@
 	readonly readingSpeeds: Map<string, ReadingSpeed>;
 	readonly targetSpeeds: TargetSpeeds;
 	readonly peers: Peers;
+	readonly ownStop: OwnStop;
+	/** By instance and boot. */
+	readonly peerStops: Map<string, PeerStop>;
 	/** Instances heard from recently, this one included, as of the last round of beacons. */
 	heardInstances: number;
 	beaconsSentAtMs: number;
@@ -293,6 +297,8 @@
 		readingSpeeds: new Map(),
 		targetSpeeds: createTargetSpeeds(),
 		peers: new Map(),
+		ownStop: createOwnStop(),
+		peerStops: new Map(),
 		heardInstances: 1,
 		loadsToAnnounce: new Set(),
 		beaconsSentAtMs: Number.NEGATIVE_INFINITY,
--- a/src/entry/datagram-codec.test.ts
+++ b/src/entry/datagram-codec.test.ts
@@ -54,3 +54,13 @@
 	};
 	assert.deepEqual([ask, grant].map(datagram => toEvent(decodeDatagram(encodeDatagram(datagram))!)), [{kind: 'quota-asked', ask}, {kind: 'quota-granted', grant}]);
 });
+
+// Guards against ends of requests at a stop that no peer hears of, since their message is dropped or taken for another.
+test('what a stop has to tell arrives as what it is', () => {
+	const announcement = {
+		from: 'a', boot: 'a-1', sequence: 2, isClosed: false, cuts: [{
+			requestId: 'r1', reason: 'instance-stopped', tries: 'i-1:canceled', closedBy: 'instance',
+		}], moreCuts: 0, open: [], moreOpen: 4,
+	};
+	assert.deepEqual(toEvent(decodeDatagram(encodeDatagram(announcement))!), {kind: 'stop-announced', announcement});
+});
--- a/src/entry/datagram-codec.ts
+++ b/src/entry/datagram-codec.ts
@@ -6,15 +6,15 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
 import {
-	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant,
+	type Beacon, type LoadAnnouncement, type OriginAnnouncement, type OriginQuery, type PermitGrant, type PermitRequest, type QuotaAsk, type QuotaGrant, type StopAnnouncement,
 } from '../core/entry/peer-messages.js';
 
-export type Datagram = Beacon | LoadAnnouncement | PermitRequest | PermitGrant | OriginAnnouncement | OriginQuery | QuotaAsk | QuotaGrant;
+export type Datagram = Beacon | LoadAnnouncement | PermitRequest | PermitGrant | OriginAnnouncement | OriginQuery | QuotaAsk | QuotaGrant | StopAnnouncement;
 
-export type DatagramEvent = Untimed<EntryEventOf<'beacon-received' | 'load-announced' | 'permits-requested' | 'permits-granted' | 'origins-announced' | 'origin-asked' | 'quota-asked' | 'quota-granted'>>;
+export type DatagramEvent = Untimed<EntryEventOf<'beacon-received' | 'load-announced' | 'permits-requested' | 'permits-granted' | 'origins-announced' | 'origin-asked' | 'quota-asked' | 'quota-granted' | 'stop-announced'>>;
 
 /** Members of which each kind of datagram has one: a list, or something else. */
-const listMembers = ['loads', 'inMs', 'origins'];
+const listMembers = ['loads', 'inMs', 'origins', 'cuts'];
 const otherMembers = ['wanted', 'streamId', 'askNumber', 'grantNumber'];
 /** Datagrams of other programs must not fill the memory when they are inflated. */
 const JSON_BYTES_MAX = 512 * 1024;
@@ -89,6 +89,10 @@
 		return {kind: 'origins-announced', announcement: datagram};
 	}
 
+	if ('cuts' in datagram) {
+		return {kind: 'stop-announced', announcement: datagram};
+	}
+
 	if ('streamId' in datagram) {
 		return {kind: 'origin-asked', query: datagram};
 	}
--- a/src/entry/effect-handlers.ts
+++ b/src/entry/effect-handlers.ts
@@ -116,6 +116,9 @@
 		'ask-origin'({addresses, query}) {
 			daemon.datagramSocket.send(addresses, query);
 		},
+		'announce-stop'({addresses, announcement}) {
+			daemon.datagramSocket.send(addresses, announcement);
+		},
 		pull({address, known}) {
 			void daemon.pull(address, known);
 		},
--- a/src/entry/end-reports.ts
+++ b/src/entry/end-reports.ts
@@ -4,7 +4,10 @@
 */
 import {performance} from 'node:perf_hooks';
 import {describeTry} from '../core/entry/closing.js';
+import {type Untimed} from '../core/entry/event.js';
+import {type AnnouncedOpen} from '../core/entry/peer-messages.js';
 import {type EntryState} from '../core/entry/state.js';
+import {MAX_OPEN_NAMED} from '../core/entry/stop-announcements.js';
 import {type LogEventName} from '../core/log-events.js';
 import {type CallerConnection, type LastAnswer} from './caller-connection.js';
 import {type EntryLog} from './entry-log.js';
@@ -21,6 +24,7 @@
 	readonly state: EntryState;
 	readonly exchanges: ReadonlyMap<string, Exchange>;
 	readonly monotonicMs: () => number;
+	readonly dispatch: (event: Untimed) => void;
 };
 
 export class EndReports {
@@ -29,14 +33,16 @@
 	private readonly _state: EntryState;
 	private readonly _exchanges: ReadonlyMap<string, Exchange>;
 	private readonly _monotonicMs: () => number;
+	private readonly _dispatch: (event: Untimed) => void;
 	private _namedAtMs = Number.NEGATIVE_INFINITY;
 
-	constructor({log, metrics, state, exchanges, monotonicMs}: EndReportsOptions) {
+	constructor({log, metrics, state, exchanges, monotonicMs, dispatch}: EndReportsOptions) {
 		this._log = log;
 		this._metrics = metrics;
 		this._state = state;
 		this._exchanges = exchanges;
 		this._monotonicMs = monotonicMs;
+		this._dispatch = dispatch;
 	}
 
 	/** For a request whose connection has closed, or whose response has been handed over. */
@@ -61,15 +67,18 @@
 		const facts = exchange.cutFacts;
 		exchange.isCutLogged = true;
 		this._countCut(exchange, reason);
+		const tries = open?.tries.map(attempt => describeTry(attempt)) ?? exchange.tries;
+		const openForMs = Math.round(nowMs - arrivedAtMs);
+		this._tell(exchange, {reason, tries, tookMs: openForMs});
 		this._log.write('request-unanswered', {
 			requestId: id,
 			reason,
 			...this.describeStop(),
-			openForMs: Math.round(nowMs - arrivedAtMs),
+			openForMs,
 			outcome: isFinished ? 'decided' : 'open',
 			leftMs: open ? Math.round(open.deadlineAtMs - nowMs) : (deadlineMs === undefined ? undefined : Math.round(arrivedAtMs + deadlineMs - nowMs)),
 			...facts,
-			tries: open?.tries.map(attempt => describeTry(attempt)) ?? exchange.tries,
+			tries,
 			delivered: exchange.delivered,
 			lifecycle: this._state.lifecycle,
 		}, {isUrgent: this._isUrgent(exchange)});
@@ -104,17 +113,28 @@
 			this._log.write('requests-open', {
 				...this.describeStop(),
 				open: open.length,
-				requests: open.slice(from, from + NAMED_PER_LINE).map(exchange => this._describeOpen(exchange)),
+				requests: open.slice(from, from + NAMED_PER_LINE).map(exchange => {
+					const {requestId, state, openForMs, leftMs, tries} = this._describeOpen(exchange);
+					return [requestId, state, openForMs, leftMs ?? '', tries].join(' ').trimEnd();
+				}),
 			});
 		}
+
+		const [begun, others] = [open.filter(({hasBegun}) => hasBegun), open.filter(({hasBegun}) => !hasBegun)];
+		this._dispatch({kind: 'requests-open', open: [...begun, ...others].slice(0, MAX_OPEN_NAMED).map(exchange => this._describeOpen(exchange)), more: Math.max(0, open.length - MAX_OPEN_NAMED)});
 	}
 
 	/** Id of a request, its state, the time since its arrival and to its deadline, and its tries. */
-	private _describeOpen({id, headersSent, isFinished, arrivedAtMs, tries}: Exchange): string {
+	private _describeOpen({id, headersSent, isFinished, arrivedAtMs, tries}: Exchange): AnnouncedOpen {
 		const nowMs = this._monotonicMs();
 		const request = this._state.open.get(id);
-		const state = isFinished ? 'decided' : (headersSent ? 'begun' : 'open');
-		return [id, state, Math.round(nowMs - arrivedAtMs), request ? Math.round(request.deadlineAtMs - nowMs) : '', ...request?.tries.map(attempt => describeTry(attempt)) ?? tries ?? []].join(' ');
+		return {
+			requestId: id,
+			tries: (request?.tries.map(attempt => describeTry(attempt)) ?? tries ?? []).join(' '),
+			state: isFinished ? 'decided' : (headersSent ? 'begun' : 'open'),
+			openForMs: Math.round(nowMs - arrivedAtMs),
+			leftMs: request && Math.round(request.deadlineAtMs - nowMs),
+		};
 	}
 
 	/** Writes a line that the core has decided on, with what only this daemon knows. */
@@ -140,11 +160,25 @@
 			this._countCut(exchange, endReason);
 		}
 
+		this._tell(exchange, {reason: endReason, tries: exchange.tries, tookMs: Number(tookMs)});
 		this._log.write(event, {
 			requestId, reason: endReason, ...this.describeStop(), tookMs, leftMs, ...exchange.cutFacts, ...rest, lifecycle: this._state.lifecycle,
 		}, {isUrgent: this._isUrgent(exchange)});
 	}
 
+	/** Has peers write a line as well while this instance stops. */
+	private _tell({id, isPassedOn, cutFacts}: Exchange, {reason, tries = [], tookMs}: {readonly reason: string; readonly tries: readonly string[] | undefined; readonly tookMs: number}): void {
+		if (isPassedOn) {
+			const {closedBy, closeCode, unsentBytes, bodyMs, headSent} = cutFacts;
+			this._dispatch({
+				kind: 'request-cut',
+				cut: {
+					requestId: id, reason, tries: tries.join(' '), ...this.describeStop(), closedBy, closeCode, unsentBytes, bodyMs, headSent, tookMs,
+				},
+			});
+		}
+	}
+
 	private _countCut({isPassedOn, cutFacts}: Exchange, reason: string): void {
 		if (isPassedOn) {
 			this._metrics.recordCut(reason, cutFacts.closedBy ?? '');
@@ -158,12 +192,19 @@
 			return;
 		}
 
+		const sinceAnswerMs = Math.round(performance.now() - atMs);
+		this._dispatch({
+			kind: 'request-cut',
+			cut: {
+				requestId, reason: 'answer-cut', tries: '', ...this.describeStop(), sinceAnswerMs, closedBy: socket.closedBy, closeCode: socket.errorCode || undefined, unsentBytes: socket.unsentBytes,
+			},
+		});
 		this._log.write('request-unanswered', {
 			requestId,
 			reason: 'answer-cut',
 			...this.describeStop(),
 			outcome: 'decided',
-			sinceAnswerMs: Math.round(performance.now() - atMs),
+			sinceAnswerMs,
 			deadlineMs,
 			closedBy: socket.closedBy,
 			closeCode: socket.errorCode || undefined,
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -127,7 +127,7 @@
 		});
 		this._metrics = metrics;
 		this._ends = new EndReports({
-			log: this.log, metrics, state: this.state, exchanges: this.exchanges, monotonicMs: () => clock.monotonicMs(),
+			log: this.log, metrics, state: this.state, exchanges: this.exchanges, monotonicMs: () => clock.monotonicMs(), dispatch,
 		});
 		const {reuse} = settings.connections;
 		this.connections = new TargetConnections({
@@ -239,12 +239,12 @@
 			return;
 		}
 
+		const load = this._describeLoad();
+		this._reportAllStopped();
 		this._isStopped = true;
 		clearInterval(this._tickTimer);
 		this.storeWatcher.stop();
-		const load = this._describeLoad();
 		for (const exchange of this.exchanges.values()) {
-			this._ends.reportStopped(exchange);
 			exchange.cancelAllTries();
 		}
 
@@ -474,11 +474,16 @@
 
 	/** For the end of the process, also one that nothing has stopped: names the requests that end with it, and hands over all lines. */
 	endLog(): void {
+		this._reportAllStopped();
+		this.log.flushNow();
+	}
+
+	private _reportAllStopped(): void {
 		for (const exchange of this.exchanges.values()) {
 			this._ends.reportStopped(exchange);
 		}
 
-		this.log.flushNow();
+		this.dispatch({kind: 'closing'});
 	}
 
 	/** Writes a line that the core has decided on, with what only this daemon knows. */
--- a/src/entry/entry-log.ts
+++ b/src/entry/entry-log.ts
@@ -17,7 +17,7 @@
 const ESSENTIAL_LINES_PER_SECOND = 500;
 /** Written once or twice per request. All other events are failures or changes in what the instance knows. */
 const routineEvents: ReadonlySet<LogEventName> = new Set(['try-sent', 'request-answered']);
-const essentialEvents: ReadonlySet<LogEventName> = new Set(['request-refused', 'request-ended', 'request-unanswered', 'relay-unrecognized', 'effect-failed', 'task-failed']);
+const essentialEvents: ReadonlySet<LogEventName> = new Set(['request-refused', 'request-ended', 'request-unanswered', 'relay-unrecognized', 'effect-failed', 'task-failed', 'peer-request-cut', 'peer-request-ended', 'peer-requests-unnamed']);
 /** Each written some times in a process, or a few times a second. */
 const urgentEvents: ReadonlySet<LogEventName> = new Set(['daemon-started', 'daemon-draining', 'daemon-stopped', 'daemon-closed', 'requests-open', 'process-late', 'first-request', 'first-seconds']);
 /** How long the end of the process waits for a reader that is slow. */
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -452,6 +452,9 @@
 		'ask-origin': (instance, {addresses, query}) => {
 			this._broadcast(instance, addresses, {kind: 'origin-asked', query}, query);
 		},
+		'announce-stop': (instance, {addresses, announcement}) => {
+			this._broadcast(instance, addresses, {kind: 'stop-announced', announcement}, announcement);
+		},
 		pull: (instance, {address, known}) => {
 			this._pull(instance, address, known);
 		},
--- a/test/standins/entry-group.ts
+++ b/test/standins/entry-group.ts
@@ -83,6 +83,14 @@
 					break;
 				}
 
+				case 'announce-stop': {
+					for (const to of this._reachable(from, effect.addresses, 'beaconAddress')) {
+						this._deliver(to, to.dispatch({kind: 'stop-announced', announcement: structuredClone(effect.announcement)}));
+					}
+
+					break;
+				}
+
 				case 'pull': {
 					for (const peer of this._reachable(from, [effect.address], 'address')) {
 						const transfer = transferFor({
--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -63,6 +63,9 @@
 	readonly readPauseMs?: number;
 	/** Ids of the runners. */
 	readonly runnerIds?: readonly string[];
+	readonly instanceId?: string;
+	/** Other instances of the same deployment, which take no requests. */
+	readonly peerIds?: readonly string[];
 	/** How fast the log is read; at once if absent. */
 	readonly logBytesPerSecond?: number;
 };
@@ -102,6 +105,8 @@
 	readonly store = new FakeStore();
 	readonly runs = new Map<string, Run[]>();
 	readonly lines: LogLine[] = [];
+	/** Lines of the other instances. */
+	readonly peerLines = new Map<string, LogLine[]>();
 	process!: ChildProcess;
 	/** When the process had gone. */
 	exitedAtMs = Number.POSITIVE_INFINITY;
@@ -110,6 +115,7 @@
 	private _settings!: DaemonSettings;
 	private _requests = 0;
 	private readonly _servers: Server[] = [];
+	private readonly _peers: ChildProcess[] = [];
 	private readonly _entries = new Map<string, object>();
 
 	private constructor(private readonly _options: StoppingProcessOptions) {}
@@ -127,6 +133,10 @@
 			await once(this.process, 'close');
 		}
 
+		for (const peer of this._peers) {
+			peer.kill('SIGKILL');
+		}
+
 		this.store.stop();
 		for (const server of this._servers) {
 			server.closeAllConnections();
@@ -232,7 +242,19 @@
 		}
 
 		this.store.put('op', 'config', {...configuration, limits: {...configuration.limits, ...limits}});
-		this._settings = await createDaemonSettings(storeAddress);
+		for (const id of this._options.peerIds ?? []) {
+			const {document, listen} = await createDaemonSettings(storeAddress, id);
+			const peer = bundle.start(document);
+			this._peers.push(peer);
+			peer.stderr!.resume();
+			this.peerLines.set(id, []);
+			readLines(peer, lines => {
+				this.peerLines.get(id)!.push(...lines);
+			});
+			await waitUntilReady(listen);
+		}
+
+		this._settings = await createDaemonSettings(storeAddress, this._options.instanceId);
 		this.callersPort = Number(this._settings.listen.callers.split(':')[1]);
 		this.startProcess(bundle);
 		await waitUntilReady(this._settings.listen);
@@ -266,12 +288,8 @@
 	}
 
 	private _readLog(started: ChildProcess): void {
-		let rest = '';
-		started.stdout!.setEncoding('utf8');
-		started.stdout!.on('data', (text: string) => {
-			const parts = (rest + text).split('\n');
-			rest = parts.pop()!;
-			this.lines.push(...parts.map(part => JSON.parse(part) as LogLine));
+		readLines(started, (lines, text) => {
+			this.lines.push(...lines);
 			const {logBytesPerSecond} = this._options;
 			if (logBytesPerSecond !== undefined) {
 				this.process.stdout!.pause();
@@ -333,3 +351,13 @@
 		response.end();
 	}
 }
+
+function readLines(started: ChildProcess, onLines: (lines: readonly LogLine[], text: string) => void): void {
+	let rest = '';
+	started.stdout!.setEncoding('utf8');
+	started.stdout!.on('data', (text: string) => {
+		const parts = (rest + text).split('\n');
+		rest = parts.pop()!;
+		onLines(parts.map(part => JSON.parse(part) as LogLine), text);
+	});
+}
