One line for a request that a failure of its target ends

What records showed: each plain failure of a target (a 504 at the only attempt) as two warnings, 207 try-ended and 205 request-ended, four of the lines that a record has room for. Cause: 207 was written for each try, 205 for the request that ended with it.

Change: 207 is written only for a try after which its request goes on. The members of the one that ends its request are in lastTry of 205 (status, fault, reason, connection, carriedBefore, contentHash, promptParts, delivered, tookMs), and tries names the status of a target's own error (i-:failed:504). pollenarch_failed_tries_total counts both; pollenarch_events_total counts fewer of try-ended.

--- a/src/core/entry/closing.ts
+++ b/src/core/entry/closing.ts
@@ -84,6 +84,7 @@
 		delivered: request.delivered,
 		// For a try that was in flight: whether anything came from its target since it was sent.
 		isTargetHeard: attempt && heardAtMs !== undefined && heardAtMs > attempt.startedAtMs,
+		lastTry: request.lastTry,
 		tookMs: Math.round(nowMs - request.arrivedAtMs),
 		...streamTimings(request),
 		objectiveMs: request.route.objectiveMs,
@@ -92,9 +93,9 @@
 	});
 }
 
-/** Target and outcome of a try, and what was wrong with it. */
-export function describeTry({targetId, outcome, fault}: EntryTry): string {
-	return [targetId, outcome ?? 'open', fault].filter(part => part !== undefined).join(':');
+/** Target and outcome of a try, and what was wrong with it: its fault, or the status that the target ended it with. */
+export function describeTry({targetId, outcome, fault, status}: EntryTry): string {
+	return [targetId, outcome ?? 'open', fault ?? (outcome === 'answered' || outcome === 'canceled' ? undefined : status)].filter(part => part !== undefined).join(':');
 }
 
 function recordAnswerTime({answerTimes}: EntryState, {route}: EntryRequest, tookMs: number): void {
--- a/src/core/entry/tries.test.ts
+++ b/src/core/entry/tries.test.ts
@@ -134,3 +134,50 @@
 
 	assert.equal(effectsOfKind(core.arrive('again', '/sign/1', {contentHash: 'innocent'}), 'send').length, 1);
 });
+
+/** Lines of tries and of the request's end. */
+function endLines(core: EntryHarness): Array<{readonly event: string; readonly fields: Readonly<Record<string, unknown>>}> {
+	return effectsOfKind(core.effects, 'log').filter(({event}) => event === 'try-ended' || event === 'request-ended');
+}
+
+// Guards against two warnings for one failure of a target, which fill records in place of what they are read for.
+test('a try that ends its request has no line of its own, and the line of the request has all that is known of it', () => {
+	const core = createCore();
+	core.arrive('r', '/sign/1');
+	core.nowMs += 300;
+	core.dispatch({
+		kind: 'try-ended', requestId: 'r', tryNumber: 1, outcome: 'failed', delivered: 0, status: 504, reason: 'the status of the target', connection: {number: 4, carried: 2},
+	});
+	const [line, ...others] = endLines(core);
+	assert.deepEqual([line?.event, others.length], ['request-ended', 0]);
+	const [targetId] = core.state.targets.keys();
+	assert.deepEqual(line?.fields.tries, [`${targetId}:failed:504`]);
+	assert.deepEqual(Object.fromEntries(Object.entries(line?.fields.lastTry ?? {}).filter(([, value]) => value !== undefined)), {
+		tryNumber: 1, targetId, outcome: 'failed', status: 504, reason: 'the status of the target', delivered: 0, connection: 4, carriedBefore: 2, tookMs: 300,
+	});
+});
+
+// Guards against facts of a try that are lost with its line: each try is told of once.
+test('a try after which its request goes on has a line of its own, before what follows from it', () => {
+	const core = createCore();
+	core.arrive('r');
+	const effects = core.dispatch({
+		kind: 'try-ended', requestId: 'r', tryNumber: 1, outcome: 'broken', delivered: 0, fault: 'ECONNRESET', connection: {number: 1, carried: 0},
+	});
+	assert.deepEqual(effects.filter(({kind}) => kind === 'log' || kind === 'send').map(effect => effect.kind === 'log' ? effect.event : effect.kind), ['try-ended', 'send', 'try-sent']);
+	core.dispatch({
+		kind: 'try-ended', requestId: 'r', tryNumber: 2, outcome: 'broken', delivered: 0, fault: 'event-cut', connection: {number: 2, carried: 0},
+	});
+	const [first, last, ...others] = endLines(core);
+	assert.deepEqual([first?.event, first?.fields.fault, first?.fields.contentHash, first?.fields.requestId], ['try-ended', 'ECONNRESET', 'hash r', 'r']);
+	const lastTry = last?.fields.lastTry as Record<string, unknown>;
+	assert.deepEqual([last?.event, lastTry.tryNumber, lastTry.fault, lastTry.contentHash, others.length], ['request-ended', 2, 'event-cut', 'hash r', 0]);
+});
+
+test('a request that ends without the end of a try names none as its last', () => {
+	const core = createCore();
+	core.arrive('r', '/records/1', {deadlineMs: 300});
+	core.advance(500);
+	const [line] = endLines(core);
+	assert.deepEqual([line?.event, line?.fields.reason, line?.fields.lastTry], ['request-ended', 'deadline', undefined]);
+});
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -164,6 +164,7 @@
 	attempt.firstEventAtMs = event.firstEventAtMs;
 	attempt.longestPauseMs = event.longestPauseMs;
 	attempt.fault = event.fault;
+	attempt.status = event.status;
 	if (target) {
 		recordLeaving(context, target, event);
 		recordLimits(context, target, {attempt, event});
@@ -188,13 +189,20 @@
 		return;
 	}
 
-	logTryEnded(context, {request, attempt}, event);
+	const end = describeEnd(context, {request, attempt}, event);
+	const effectsBefore = context.effects.length;
 	const usesMissing = attempt.isRelay === true || state.mechanisms.has('missing-copies');
+	request.lastTry = end;
 	handleFailure(context, {
 		request, attempt, outcome: event.outcome, details: {
 			wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs, status: event.status,
 		},
 	});
+	request.lastTry = undefined;
+	if (state.open.get(request.id) === request) {
+		// Else the line of the request's end has it.
+		context.effects.splice(effectsBefore, 0, {kind: 'log', event: 'try-ended', fields: {requestId: request.id, ...end}});
+	}
 }
 
 /** One try brings the answer; what the others would bring is not needed. */
@@ -209,9 +217,8 @@
 	}
 }
 
-function logTryEnded(context: EntryContext, {request, attempt}: Pick<FailedTry, 'request' | 'attempt'>, event: EntryEventOf<'try-ended'>): void {
-	logEvent(context, 'try-ended', {
-		requestId: request.id,
+function describeEnd(context: EntryContext, {request, attempt}: Pick<FailedTry, 'request' | 'attempt'>, event: EntryEventOf<'try-ended'>): NonNullable<EntryRequest['lastTry']> {
+	return {
 		tryNumber: attempt.number,
 		targetId: attempt.targetId,
 		outcome: event.outcome,
@@ -224,7 +231,7 @@
 		connection: event.connection?.number,
 		carriedBefore: event.connection?.carried,
 		tookMs: Math.round(context.nowMs - attempt.startedAtMs),
-	});
+	};
 }
 
 /** Records that the target leaves before its slot is freed, so that nothing that waits is sent there. One that has restarted since the try was sent does not. */
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -145,6 +145,8 @@
 	outcome: TryOutcome | undefined;
 	/** What was wrong with it: the code of a connection's error, or a name of the daemon's. */
 	fault?: string;
+	/** Of its response; undefined without the head of one. */
+	status?: number;
 	/** For streams: when the first event arrived, and the longest pause between two events. */
 	firstEventAtMs?: number;
 	longestPauseMs?: number;
@@ -181,6 +183,8 @@
 	/** When the caller is expected to give up if nothing more arrives. */
 	patienceEndsAtMs: number;
 	readonly tries: EntryTry[];
+	/** While the end of a try is handled: what the log tells of it. */
+	lastTry?: Readonly<Record<string, unknown>>;
 	phase: RequestPhase;
 	/** Present once it was charged to a quota. */
 	charge?: QuotaCharge;
--- a/src/entry/entry-metrics.test.ts
+++ b/src/entry/entry-metrics.test.ts
@@ -72,3 +72,17 @@
 	assert.ok(lines.some(line => line.includes('target-leaving')));
 	assert.ok(lines.length <= 61, `${lines.length} lines`);
 });
+
+// Guards against failures of targets that are not counted since no line of their own tells of them.
+test('a failed try is counted once, whether its own line or that of its request tells of it', async () => {
+	const {log, metrics} = setUp();
+	const failed = {outcome: 'failed', targetId: 't1'};
+	log.write('try-ended', {requestId: 'r', ...failed});
+	log.write('request-ended', {
+		requestId: 'r', route: 'r', outcome: 'target-error', tookMs: 1, tries: [], lastTry: failed,
+	});
+	log.write('request-ended', {
+		requestId: 'other', route: 'r', outcome: 'target-timeout', tookMs: 1, tries: [],
+	});
+	assert.match(await metrics.registry.metrics(), /pollenarch_failed_tries_total\{outcome="failed",target="t1"\} 2/v);
+});
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -69,6 +69,10 @@
 			if (fields.isBrokenOff === true) {
 				this._brokenOff.inc({outcome: toText(fields.outcome)});
 			}
+
+			if (fields.lastTry) {
+				this._recordFailedTry(fields.lastTry as Fields);
+			}
 		},
 		'request-refused': fields => {
 			this._requests.inc({outcome: toText(fields.code), route: ''});
@@ -80,7 +84,7 @@
 			this._tryWait.observe(Number(fields.waitedMs) * SECONDS_PER_MS);
 		},
 		'try-ended': fields => {
-			this._failedTries.inc({outcome: toText(fields.outcome), target: toText(fields.targetId)});
+			this._recordFailedTry(fields);
 		},
 		'quota-refused': fields => {
 			this._quotaRefusals.inc({workspace: this._labelOf(toText(fields.workspace))});
@@ -192,6 +196,10 @@
 		return this._workspaceLabels.has(workspace) ? workspace : OTHER_WORKSPACES;
 	}
 
+	private _recordFailedTry({outcome, targetId}: Fields): void {
+		this._failedTries.inc({outcome: toText(outcome), target: toText(targetId)});
+	}
+
 	private _recordRequestEnd(outcome: string, fields: Fields): void {
 		this._requests.inc({outcome, route: toText(fields.route)});
 		this._duration.observe({outcome}, Number(fields.tookMs) * SECONDS_PER_MS);
