Warnings of ended requests only where an operator has to act

What records showed: the few lines that fit were warnings of failures of targets, of deadlines and of callers that left, which no operator acts on one by one and which metrics count. Cause: 205, 207 and 218 were warnings whatever the reason.

Change: 205, 218 and 226 are warnings unless their reason is in the lookup table of end-reasons.ts (deadline, the failures of targets that end a request, a caller that left, a broken connection of a caller), else info; 207 is info. The limits of the rate of lines go by event and urgency and are as they were.

Limits: records that show lines of any level by words in them still show an info line in which a try 'failed'.

--- a/src/core/entry/end-reasons.ts
+++ b/src/core/entry/end-reasons.ts
@@ -31,7 +31,17 @@
 look at. All others are, also those that are added and not listed here.
 */
 const reasonsOfOthers: ReadonlySet<string> = new Set([
-	'deadline', 'attempts-used', 'budget-used', 'may-have-run', 'declined', 'targets-full', 'caller-left', 'caller-ended', 'connection-error',
+	'deadline',
+	'attempts-used',
+	'budget-used',
+	'may-have-run',
+	'declined',
+	'targets-full',
+	'caller-left',
+	'caller-ended',
+	'connection-error',
+	'deadline-unreachable',
+	'body-incomplete',
 ]);
 
 export function needsOperator(reason: string): boolean {
--- a/src/core/entry/stop-announcements.ts
+++ b/src/core/entry/stop-announcements.ts
@@ -185,7 +185,7 @@
 
 	named.add(requestId);
 	// Records may show only the beginnings of lines.
-	logEvent(context, needsOperator(reason) ? 'peer-request-cut' : 'peer-request-ended', {
+	logEvent(context, 'peer-request-cut', {
 		requestId, reason, by: shortName(context, instanceId), tries, ...facts, instanceId,
 	});
 }
--- a/src/core/log-events.ts
+++ b/src/core/log-events.ts
@@ -8,6 +8,8 @@
 export type LogEvent = {
 	readonly number: number;
 	readonly level: LogLevel;
+	/** Level of lines whose `reason` asks nothing of an operator (`needsOperator`); `level` if absent. */
+	readonly levelOfOthers?: LogLevel;
 };
 
 export const logEvents = {
@@ -28,9 +30,9 @@
 	'request-crash-refused': {number: 202, level: 'error'},
 	'answer-late': {number: 203, level: 'warn'},
 	'request-answered': {number: 204, level: 'info'},
-	'request-ended': {number: 205, level: 'warn'},
+	'request-ended': {number: 205, level: 'warn', levelOfOthers: 'info'},
 	'try-sent': {number: 206, level: 'info'},
-	'try-ended': {number: 207, level: 'warn'},
+	'try-ended': {number: 207, level: 'info'},
 	'adapter-missing': {number: 208, level: 'warn'},
 	'lines-left-out': {number: 209, level: 'warn'},
 	'claim-ambiguous': {number: 210, level: 'warn'},
@@ -41,16 +43,15 @@
 	'request-relayed': {number: 215, level: 'info'},
 	'relay-received': {number: 216, level: 'info'},
 	'try-held-up': {number: 217, level: 'warn'},
-	'request-unanswered': {number: 218, level: 'warn'},
+	'request-unanswered': {number: 218, level: 'warn', levelOfOthers: 'info'},
 	'relay-unrecognized': {number: 219, level: 'warn'},
 	'quota-refused': {number: 220, level: 'info'},
 	'quota-unanswered': {number: 221, level: 'warn'},
 	'quota-answered': {number: 222, level: 'info'},
 	'quota-account-opened': {number: 223, level: 'info'},
 	'request-delayed': {number: 224, level: 'warn'},
-	'peer-request-cut': {number: 226, level: 'warn'},
-	'peer-request-ended': {number: 227, level: 'info'},
-	'peer-requests-unnamed': {number: 228, level: 'info'},
+	'peer-request-cut': {number: 226, level: 'warn', levelOfOthers: 'info'},
+	'peer-requests-unnamed': {number: 227, level: 'info'},
 	'target-suspected': {number: 300, level: 'warn'},
 	'target-recovered': {number: 301, level: 'info'},
 	'target-restarted': {number: 302, level: 'warn'},
--- a/src/entry/entry-log.ts
+++ b/src/entry/entry-log.ts
@@ -6,7 +6,8 @@
 without a whole answer and what a stop does, are written at once whatever else is. Writing never blocks on the reader.
 */
 import {pino, type DestinationStream, type Logger} from 'pino';
-import {logEvents, type LogEventName} from '../core/log-events.js';
+import {needsOperator} from '../core/entry/end-reasons.js';
+import {logEvents, type LogEvent, type LogEventName} from '../core/log-events.js';
 import {type Clock} from '../core/clock.js';
 import {LogOutput} from './log-output.js';
 
@@ -17,7 +18,7 @@
 const ESSENTIAL_LINES_PER_SECOND = 500;
 /** Written once or twice per request. All other events are failures or changes in what the instance knows. */
 const routineEvents: ReadonlySet<LogEventName> = new Set(['try-sent', 'request-answered']);
-const essentialEvents: ReadonlySet<LogEventName> = new Set(['request-refused', 'request-ended', 'request-unanswered', 'relay-unrecognized', 'effect-failed', 'task-failed', 'peer-request-cut', 'peer-request-ended', 'peer-requests-unnamed']);
+const essentialEvents: ReadonlySet<LogEventName> = new Set(['request-refused', 'request-ended', 'request-unanswered', 'relay-unrecognized', 'effect-failed', 'task-failed', 'peer-request-cut', 'peer-requests-unnamed']);
 /** Each written some times in a process, or a few times a second. */
 const urgentEvents: ReadonlySet<LogEventName> = new Set(['daemon-started', 'daemon-draining', 'daemon-stopped', 'daemon-closed', 'requests-open', 'process-late', 'first-request', 'first-seconds']);
 /** How long the end of the process waits for a reader that is slow. */
@@ -78,7 +79,7 @@
 
 	write(event: LogEventName, fields: Fields, {isUrgent = urgentEvents.has(event)}: LineOptions = {}): void {
 		this._observer(event, fields);
-		const {number, level} = logEvents[event];
+		const {number, level, levelOfOthers = level}: LogEvent = logEvents[event];
 		if (!isUrgent && !this._consumeLineQuota(event)) {
 			this._droppedUnreported++;
 			this._droppedTotal++;
@@ -86,7 +87,8 @@
 		}
 
 		this._isUrgent = isUrgent;
-		this._logger[level]({event: number, ...fields}, event);
+		const needsNobody = typeof fields.reason === 'string' && !needsOperator(fields.reason);
+		this._logger[needsNobody ? levelOfOthers : level]({event: number, ...fields}, event);
 		this._isUrgent = false;
 	}
 
