--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -8,7 +8,7 @@
 import {
 	Agent, createServer, request as httpRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {connect, type AddressInfo, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {FakeStore} from './fake-store-and-runner.js';
@@ -209,6 +209,15 @@
 		});
 	}
 
+	/** Begins a stream without end on a connection of its own; resolves once its first bytes have arrived. */
+	async beginStream(id: string, deadlineMs = TIMEOUT_MS): Promise<Socket> {
+		const socket = connect(this.callersPort, '127.0.0.1');
+		socket.on('error', () => undefined);
+		socket.write(`POST /ask/never HTTP/1.1\r\nHost: a.example\r\nX-Pollenarch-Request-Id: ${id}\r\nX-Pollenarch-Request-Deadline: ${deadlineMs}\r\nContent-Length: 4\r\n\r\nbody`);
+		await once(socket, 'data');
+		return socket.resume();
+	}
+
 	/** Writes a newer version of the configuration, with a route more or less. */
 	changeConfiguration(change: number): void {
 		const more = {
--- a/test/unit/cut-requests-at-peers.test.ts
+++ b/test/unit/cut-requests-at-peers.test.ts
@@ -3,7 +3,6 @@
 named in the logs of other instances, over real sockets between processes.
 */
 import assert from 'node:assert/strict';
-import {connect, type Socket} from 'node:net';
 import {
 	after, before, test, type TestContext,
 } from 'node:test';
@@ -16,6 +15,9 @@
 const REQUEST_ID = '4f0c2a5e-skipper-query';
 /** Records show this much of a line. */
 const SHOWN_BYTES = 200;
+const POLL_INTERVAL_MS = 25;
+/** Longer than the grace period, and than a peer waits for one that is silent. */
+const POLLS_MAX = (GRACE_MS + 4000) / POLL_INTERVAL_MS;
 
 const bundle = new PlatformBundle();
 before(async () => {
@@ -25,20 +27,6 @@
 	bundle.remove();
 });
 
-/** Begins a stream that outlasts the grace period. */
-async function beginStream(stopping: StoppingProcess): Promise<Socket> {
-	const socket = connect(stopping.callersPort, '127.0.0.1');
-	socket.on('error', () => undefined);
-	socket.write(`POST /ask/never HTTP/1.1\r\nHost: a.example\r\nX-Pollenarch-Request-Id: ${REQUEST_ID}\r\nX-Pollenarch-Request-Deadline: 20000\r\nContent-Length: 4\r\n\r\nbody`);
-	await new Promise<void>(resolve => {
-		socket.once('data', () => {
-			resolve();
-		});
-	});
-	socket.resume();
-	return socket;
-}
-
 async function start(t: TestContext): Promise<StoppingProcess> {
 	const stopping = await StoppingProcess.start(bundle, {instanceId: STOPPING, peerIds: PEERS});
 	t.after(async () => {
@@ -49,8 +37,8 @@
 
 async function linesOfPeers(stopping: StoppingProcess): Promise<readonly LogLine[]> {
 	const lines = (): LogLine[][] => PEERS.map(id => stopping.peerLines.get(id)!.filter(({requestId}) => requestId === REQUEST_ID));
-	for (let polls = 0; polls < 300 && lines().some(({length}) => length === 0); polls++) {
-		await delay(25);
+	for (let polls = 0; polls < POLLS_MAX && lines().some(({length}) => length === 0); polls++) {
+		await delay(POLL_INTERVAL_MS);
 	}
 
 	await delay(200);
@@ -62,7 +50,7 @@
 // Guards against ends of requests at a stop (LOST) that are told only in a log that records do not reach.
 test('the logs of peers name a request that a stop cuts off, its reason and its tries in the first bytes of one line', async t => {
 	const stopping = await start(t);
-	const socket = await beginStream(stopping);
+	const socket = await stopping.beginStream(REQUEST_ID);
 	stopping.process.kill('SIGTERM');
 	for (const line of await linesOfPeers(stopping)) {
 		assert.match(JSON.stringify(line).slice(0, SHOWN_BYTES), /"level":40.*"requestId":"4f0c2a5e-skipper-query","reason":"instance-stopped","by":"okhotsk-coast-2","tries":"i-\d:canceled"/v);
@@ -76,7 +64,7 @@
 // Guards against requests that end with a killed process and that nothing outside of its own log names.
 test('the logs of peers name a request that was open when its instance was killed in its stop', async t => {
 	const stopping = await start(t);
-	const socket = await beginStream(stopping);
+	const socket = await stopping.beginStream(REQUEST_ID);
 	stopping.process.kill('SIGTERM');
 	await delay(GRACE_MS / 4);
 	stopping.process.kill('SIGKILL');
