--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -8,7 +8,7 @@
 import {
 	Agent, createServer, request as httpRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {connect, type AddressInfo, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {FakeStore} from './fake-store-and-runner.js';
@@ -63,6 +63,9 @@
 	readonly readPauseMs?: number;
 	/** Ids of the runners. */
 	readonly runnerIds?: readonly string[];
+	readonly instanceId?: string;
+	/** Other instances of the same deployment, which take no requests. */
+	readonly peerIds?: readonly string[];
 	/** How fast the log is read; at once if absent. */
 	readonly logBytesPerSecond?: number;
 };
@@ -102,6 +105,8 @@
 	readonly store = new FakeStore();
 	readonly runs = new Map<string, Run[]>();
 	readonly lines: LogLine[] = [];
+	/** Lines of the other instances. */
+	readonly peerLines = new Map<string, LogLine[]>();
 	process!: ChildProcess;
 	/** When the process had gone. */
 	exitedAtMs = Number.POSITIVE_INFINITY;
@@ -110,6 +115,7 @@
 	private _settings!: DaemonSettings;
 	private _requests = 0;
 	private readonly _servers: Server[] = [];
+	private readonly _peers: ChildProcess[] = [];
 	private readonly _entries = new Map<string, object>();
 
 	private constructor(private readonly _options: StoppingProcessOptions) {}
@@ -127,6 +133,10 @@
 			await once(this.process, 'close');
 		}
 
+		for (const peer of this._peers) {
+			peer.kill('SIGKILL');
+		}
+
 		this.store.stop();
 		for (const server of this._servers) {
 			server.closeAllConnections();
@@ -199,6 +209,15 @@
 		});
 	}
 
+	/** Begins a stream without end on a connection of its own; resolves once its first bytes have arrived. */
+	async beginStream(id: string, deadlineMs = TIMEOUT_MS): Promise<Socket> {
+		const socket = connect(this.callersPort, '127.0.0.1');
+		socket.on('error', () => undefined);
+		socket.write(`POST /ask/never HTTP/1.1\r\nHost: a.example\r\nX-Pollenarch-Request-Id: ${id}\r\nX-Pollenarch-Request-Deadline: ${deadlineMs}\r\nContent-Length: 4\r\n\r\nbody`);
+		await once(socket, 'data');
+		return socket.resume();
+	}
+
 	/** Writes a newer version of the configuration, with a route more or less. */
 	changeConfiguration(change: number): void {
 		const more = {
@@ -232,7 +251,19 @@
 		}
 
 		this.store.put('op', 'config', {...configuration, limits: {...configuration.limits, ...limits}});
-		this._settings = await createDaemonSettings(storeAddress);
+		for (const id of this._options.peerIds ?? []) {
+			const {document, listen} = await createDaemonSettings(storeAddress, id);
+			const peer = bundle.start(document);
+			this._peers.push(peer);
+			peer.stderr!.resume();
+			this.peerLines.set(id, []);
+			readLines(peer, lines => {
+				this.peerLines.get(id)!.push(...lines);
+			});
+			await waitUntilReady(listen);
+		}
+
+		this._settings = await createDaemonSettings(storeAddress, this._options.instanceId);
 		this.callersPort = Number(this._settings.listen.callers.split(':')[1]);
 		this.startProcess(bundle);
 		await waitUntilReady(this._settings.listen);
@@ -266,12 +297,8 @@
 	}
 
 	private _readLog(started: ChildProcess): void {
-		let rest = '';
-		started.stdout!.setEncoding('utf8');
-		started.stdout!.on('data', (text: string) => {
-			const parts = (rest + text).split('\n');
-			rest = parts.pop()!;
-			this.lines.push(...parts.map(part => JSON.parse(part) as LogLine));
+		readLines(started, (lines, text) => {
+			this.lines.push(...lines);
 			const {logBytesPerSecond} = this._options;
 			if (logBytesPerSecond !== undefined) {
 				this.process.stdout!.pause();
@@ -333,3 +360,13 @@
 		response.end();
 	}
 }
+
+function readLines(started: ChildProcess, onLines: (lines: readonly LogLine[], text: string) => void): void {
+	let rest = '';
+	started.stdout!.setEncoding('utf8');
+	started.stdout!.on('data', (text: string) => {
+		const parts = (rest + text).split('\n');
+		rest = parts.pop()!;
+		onLines(parts.map(part => JSON.parse(part) as LogLine), text);
+	});
+}
