Answer callers that close their sending side

What callers saw: a caller that sent FIN behind its request and read on got no answer; the run was canceled as if its caller had left (205 caller-ended). HTTP allows it (RFC 9112, 9.6).

Cause: the end of the input counted as the leaving of the caller, and Node.js's server ended its own side at it.

Change: only a connection that is closed in both directions has been left. A caller that has left resets the connection at the next write. Where no byte of an answer has gone out, that write is 102 Processing, at most four times, as some clients accept no more than five; not for HTTP/1.0. After the end of the input Node.js notices a reset by writes only, so the connection is probed with empty ones each 50 ms. A request that has not been passed on when the input ends waits up to 0.2 s for the reset. The connection is closed after the last answer.

--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -1,11 +1,14 @@
 /**
 A connection of a caller: the requests on it whose responses are not flushed, whether more
 has been received than these, and the memory that all of it takes. Its requests are served
-one after the other; while one is served, no further input is parsed.
+one after the other; while one is served, no further input is parsed. When the input ends,
+the caller may have left or may wait for its answers: a caller that has left resets the
+connection when something is written to it.
 */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {setImmediate, setTimeout as delay} from 'node:timers/promises';
 import {type CallerMemory, type MemoryAccount} from './caller-memory.js';
 import {CallerSocket} from './caller-socket.js';
 import {type IncomingBody} from './incoming-body.js';
@@ -18,6 +21,13 @@
 /** Framing that a body may bring along, beside as much as its content: chunks of five bytes and more never reach it. */
 const FRAMING_BYTES_MAX = 64 * 1024;
 
+/** Within this time after the end of the input, the reset of a caller that has left arrives. */
+const RESET_MS = 200;
+/** Interval at which a connection whose input has ended is looked at for a reset. */
+const PROBE_INTERVAL_MS = 50;
+/** Times from the end of the input at which an answer without bytes is preceded by an interim one. Some clients accept no more than five. */
+const INTERIM_MS: readonly number[] = [0, RESET_MS, 1200, 3200];
+
 /** Why this process closes a connection on which something may be under way. */
 export type ClosingReason = 'input-overload' | 'input-invalid' | 'idle' | 'stopping' | 'process-stopped';
 
@@ -70,6 +80,9 @@
 	/** Bytes that had been parsed when the last response was flushed; more that were received mean that another request has begun. */
 	private _answeredBytes = 0;
 	private readonly _acceptedAtMs = performance.now();
+	private _inputEndedAtMs = Number.NEGATIVE_INFINITY;
+	private _interims = 0;
+	private _probeTimer: NodeJS.Timeout | undefined;
 	private readonly _account: MemoryAccount;
 
 	constructor(socket: Socket, private readonly _options: CallerConnectionOptions) {
@@ -81,9 +94,14 @@
 			onChange: () => {
 				this._account.resize(this._heldBytes);
 			},
+			onEnd: () => {
+				this._inputEndedAtMs = performance.now();
+				this._probe();
+			},
 		});
 		this._account = _options.memory.open(this);
 		this.socket.once('close', () => {
+			clearTimeout(this._probeTimer);
 			_options.memory.close(this._account);
 		});
 	}
@@ -121,6 +139,9 @@
 			this._answeredBytes = this.socket.parsedBytes;
 			this.socket.readOn();
 		});
+		if (this.socket.hasInputEnded) {
+			this._probe();
+		}
 	}
 
 	/** Resolves once it is the turn of a request, after the responses to those that were sent ahead of it. */
@@ -134,6 +155,18 @@
 		}
 	}
 
+	/** Resolves with whether the caller may still take an answer; later if it has just closed its sending side, since it may have left. */
+	async mayTakeAnswer(): Promise<boolean> {
+		if (this.socket.hasInputEnded && !this.socket.isGone) {
+			await delay(Math.max(0, this._inputEndedAtMs + RESET_MS - performance.now()));
+			this.socket.probe();
+			// The error of a write is told in the next round.
+			await setImmediate();
+		}
+
+		return !this.socket.isGone;
+	}
+
 	/** Whether a request that is being served has no response yet, so that what is written next is taken for it. */
 	get owesResponse(): boolean {
 		return this._open.some(({response, isPassedOn}) => isPassedOn && !response.writableEnded);
@@ -220,6 +253,28 @@
 		}
 	}
 
+	/** Has a caller that has left reset the connection, and looks whether it has, until all answers are written. */
+	private _probe(): void {
+		clearTimeout(this._probeTimer);
+		const [first] = this._open;
+		if (!first || this.socket.isGone) {
+			return;
+		}
+
+		const {request, response} = first;
+		const isInterimDue = performance.now() - this._inputEndedAtMs >= (INTERIM_MS[this._interims] ?? Number.POSITIVE_INFINITY);
+		if (isInterimDue && !response.headersSent && request.httpVersion === '1.1') {
+			this._interims++;
+			response.writeProcessing();
+		} else {
+			this.socket.probe();
+		}
+
+		this._probeTimer = setTimeout(() => {
+			this._probe();
+		}, PROBE_INTERVAL_MS);
+	}
+
 	private get _isHeld(): boolean {
 		const last = this._open.at(-1);
 		return last !== undefined && last.request.complete && (last.isPassedOn || this._open.length > 1);
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -125,6 +125,8 @@
 					keepAlive: true,
 					noDelay: true,
 				}, handler);
+				// Without it, the server ends its side when the input ends.
+				Object.assign(this._server, {httpAllowHalfOpen: true});
 				this._limitInput(this._server);
 				this._server.prependListener('request', (request, response) => {
 					this._connections.get(request.socket)?.beginRequest(request, response);
@@ -358,21 +360,22 @@
 			default: {
 				// The caller may have left before its request was read: the end of what it sent is read a round of the event loop later.
 				await this._options.eventLoop.afterRead(async () => {
-					this._passOn(request, {response, origin}, {body, bodyMs, waitedMs: performance.now() - readAtMs});
+					await this._passOn(request, {response, origin}, {body, bodyMs}, readAtMs);
 				});
 			}
 		}
 	}
 
-	private _passOn(request: IncomingMessage, {response, origin}: Answerable, received: Omit<ReceivedBody, 'connection'>): void {
+	private async _passOn(request: IncomingMessage, {response, origin}: Answerable, received: Omit<ReceivedBody, 'connection' | 'waitedMs'>, readAtMs: number): Promise<void> {
 		const connection = this._connections.get(request.socket);
-		if (!connection || connection.socket.hasEnded) {
+		const mayTakeAnswer = connection?.socket.hasInputEnded ? await connection.mayTakeAnswer() : connection?.socket.isGone === false;
+		if (!connection || !mayTakeAnswer) {
 			this._options.onDropped('caller-left', origin);
 			return;
 		}
 
 		connection.passOn(response);
-		this._options.onRequest(request, response, {...received, connection});
+		this._options.onRequest(request, response, {...received, connection, waitedMs: performance.now() - readAtMs});
 	}
 
 	private _originOf(socket: Duplex, request?: IncomingMessage): InputOrigin {
--- a/src/entry/caller-socket.ts
+++ b/src/entry/caller-socket.ts
@@ -1,7 +1,8 @@
 /**
 A caller's connection as the HTTP server gets it: a socket that yields its input in turns,
 a chunk at a time, and none while the server holds it up. What is not yielded stays in the
-buffer of the socket, and the rest with the caller.
+buffer of the socket, and the rest with the caller. A caller that closes its sending side
+may still read, so that the end of the input does not end the output.
 */
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
@@ -22,6 +23,8 @@
 	readonly onYield: () => void;
 	/** Called after input was yielded or has arrived, and after output was written. */
 	readonly onChange: () => void;
+	/** Called when the end of the input was yielded. */
+	readonly onEnd: () => void;
 };
 
 /** Who closed a connection first, as far as this process knows. */
@@ -32,6 +35,8 @@
 	errorCode = '';
 	/** Undefined while it is open. */
 	closedBy: Closer | undefined;
+	/** Whether the caller has closed its sending side, as far as this process knows. */
+	hasInputEnded = false;
 	/** Output that the caller had not taken, and input that had arrived and was not parsed, when it ended. */
 	private _leftBytes: {readonly unsent: number; readonly unread: number} | undefined;
 	private _wantsInput = false;
@@ -47,6 +52,8 @@
 		});
 		_socket.once('end', () => {
 			this.push(null);
+			this.hasInputEnded = true;
+			_options.onEnd();
 		});
 		_socket.once('error', error => {
 			this._noteEnd('caller', error);
@@ -93,9 +100,9 @@
 		return this._leftBytes?.unread ?? this._socket.readableLength + this.readableLength;
 	}
 
-	/** Whether the caller has closed its side, as far as this process knows. */
-	get hasEnded(): boolean {
-		return this._socket.destroyed || this._socket.readableEnded;
+	/** Whether the connection is closed in both directions, as far as this process knows. */
+	get isGone(): boolean {
+		return this._socket.destroyed;
 	}
 
 	/** Yields input that has arrived, as far as it is this connection's turn. */
@@ -126,6 +133,13 @@
 		return this;
 	}
 
+	/** Writes nothing, which fails if the caller has reset the connection: after the end of the input, Node.js notices that by writes only. */
+	probe(): void {
+		if (this._socket.writable) {
+			this._socket.write('');
+		}
+	}
+
 	destroySoon(): void {
 		this.end();
 		if (this.writableFinished) {
@@ -190,7 +204,8 @@
 	}
 
 	override _destroy(error: Error | null, callback: Callback): void {
-		this._noteEnd(this.hasEnded ? 'caller' : 'instance', error);
+		const hasCallerClosed = this.isGone || (this.hasInputEnded && this.writableFinished);
+		this._noteEnd(hasCallerClosed ? 'caller' : 'instance', error);
 		this._socket.destroy();
 		callback(error);
 	}
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -44,7 +44,7 @@
 /**
 Why the connection of a request closes before its answer is whole, where the core has not decided it.
 
-- `caller-ended`: its caller has closed the connection, or its sending side; `connection-error`: the connection broke, with `closeCode`.
+- `caller-ended`: its caller has closed the connection, told by its reset (`closeCode`) after the end of its input; `connection-error`: the connection broke, with `closeCode`.
 - `answer-unread`: the answer was decided, and the connection ended, in one of these ways, before all of it was taken.
 - `answer-overload`: the memory of an answer that its caller did not take was needed.
 - `exception`: an unexpected error of this process.
@@ -193,11 +193,11 @@
 
 	private get _leaving(): 'connection-error' | 'caller-ended' | undefined {
 		const socket = this._connection?.socket;
-		if (socket?.closedBy === 'caller' && socket.errorCode !== '') {
-			return 'connection-error';
+		if (socket?.closedBy !== 'caller') {
+			return undefined;
 		}
 
-		return socket?.closedBy === 'caller' || socket?.hasEnded ? 'caller-ended' : undefined;
+		return socket.errorCode !== '' && !socket.hasInputEnded ? 'connection-error' : 'caller-ended';
 	}
 
 	beginTry(tryNumber: number): AbortSignal {
