Close connections lingeringly behind their last answer

What callers saw: where a caller still sends when the instance closes its connection behind the last answer (Connection: close, a stop), the operating system resets the connection, and the tail of the answer is lost with it.

Cause: CallerSocket.destroySoon closed the connection as soon as its output was handed over, with input unread or under way.

Change (RFC 9112, 9.6): the sending side is closed first; input is read and dropped until the caller closes its side, for at most LINGER_MS and 1 MB. Such connections go first when others need room. A stop waits for them, within the grace period; an idle connection is closed at once unless its last answer was handed over less than LINGER_MS before. Requests behind the last answer are not passed on.

The test of descriptors guards the new waiting, and cannot be red on the base.

Tests: caller-listener's callers that leave used end(), which is only the end of the sending side, and its wait was shorter than the time until such requests are passed on. They destroy their sockets now, with a longer wait, and callers that only close their sending side must be served.

--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -10,7 +10,7 @@
 import {performance} from 'node:perf_hooks';
 import {setImmediate, setTimeout as delay} from 'node:timers/promises';
 import {type CallerMemory, type MemoryAccount} from './caller-memory.js';
-import {CallerSocket} from './caller-socket.js';
+import {CallerSocket, LINGER_MS} from './caller-socket.js';
 import {type IncomingBody} from './incoming-body.js';
 
 /** Callers send as soon as their connection is open. */
@@ -113,17 +113,17 @@
 
 	/** Whether nothing is under way, as far as this process has read. */
 	get isIdle(): boolean {
-		return this.open === 0 && this.socket.bytesRead === this._answeredBytes;
+		return this.open === 0 && (this.socket.isClosing || this.socket.bytesRead === this._answeredBytes);
 	}
 
 	/** Bytes of a request whose head is not complete. */
 	get unansweredBytes(): number {
-		return this.open === 0 ? this.socket.bytesRead - this._answeredBytes : 0;
+		return this.open === 0 && !this.socket.isClosing ? this.socket.bytesRead - this._answeredBytes : 0;
 	}
 
-	/** Whether its caller may be about to send its first request, or has something under way; `nowMs` is that of `performance`. */
+	/** Whether its caller may be about to send its first request, has something under way, or may still take its last answer; `nowMs` is that of `performance`. */
 	isUsed(nowMs: number): boolean {
-		return !this.isIdle || (this.requests === 0 && nowMs - this._acceptedAtMs < FIRST_REQUEST_MS);
+		return this.socket.isClosing || !this.isIdle || (this.requests === 0 && nowMs - this._acceptedAtMs < FIRST_REQUEST_MS);
 	}
 
 	beginRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -157,14 +157,14 @@
 
 	/** Resolves with whether the caller may still take an answer; later if it has just closed its sending side, since it may have left. */
 	async mayTakeAnswer(): Promise<boolean> {
-		if (this.socket.hasInputEnded && !this.socket.isGone) {
+		if (this.socket.hasInputEnded && !this.socket.isGone && !this.socket.isClosing) {
 			await delay(Math.max(0, this._inputEndedAtMs + RESET_MS - performance.now()));
 			this.socket.probe();
 			// The error of a write is told in the next round.
 			await setImmediate();
 		}
 
-		return !this.socket.isGone;
+		return !this.socket.isGone && !this.socket.isClosing;
 	}
 
 	/** Whether a request that is being served has no response yet, so that what is written next is taken for it. */
@@ -188,6 +188,16 @@
 		}
 	}
 
+	/** Closes a connection on which nothing is under way. Its caller may still take an answer that was just handed over. */
+	closeIdle(nowMs: number): void {
+		const lingerMs = LINGER_MS - (nowMs - (this.lastAnswer?.atMs ?? Number.NEGATIVE_INFINITY));
+		if (lingerMs > 0) {
+			this.socket.destroySoon(lingerMs);
+		} else {
+			this.socket.destroy();
+		}
+	}
+
 	/** Whether the connection may be closed for others. A request that is served alone is left to its end, also where its response is large: the memory of responses has a limit of its own. */
 	get isExpendable(): boolean {
 		const [first, second] = this._open;
@@ -196,6 +206,11 @@
 
 	/** Leaves what the connection takes to others: refuses a request whose body has not arrived, else closes the connection. */
 	giveUp(): void {
+		if (this.socket.isClosing && this.open === 0) {
+			this.socket.destroy();
+			return;
+		}
+
 		const last = this._open.at(-1);
 		if (this._open.length === 1 && last?.body) {
 			last.body.giveUp();
--- a/src/entry/caller-listener.test.ts
+++ b/src/entry/caller-listener.test.ts
@@ -3,17 +3,21 @@
 */
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
+import {type Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
 import {after, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type CallerLimits} from '../core/entry/configuration.js';
 import {freePorts} from '../../test/standins/free-ports.js';
 import {CallerListener, defaultLimits, type CallerListenerOptions} from './caller-listener.js';
+import {LINGER_MS} from './caller-socket.js';
 import {EventLoop} from './event-loop.js';
 
 const HELD_UP_MS = 200;
 /** Leaves a stopping process some seconds of its grace period after it has ended accepting. */
 const STOP_LIMIT_MS = 5000;
+/** Within this time, also requests whose callers have closed their sending side are passed on. */
+const PASSED_ON_MS = 800;
 const REQUEST = 'POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n\r\nx';
 
 /** Holds the process up while requests and the ends of their connections arrive. */
@@ -30,9 +34,11 @@
 
 type Received = {readonly listener: CallerListener; readonly socket: Socket; readonly text: () => string};
 
-async function listenWith(onRequest: CallerListenerOptions['onRequest'], limits: CallerListenerOptions['limits'] = () => defaultLimits): Promise<{readonly listener: CallerListener; readonly port: number}> {
+type Listening = {readonly listener: CallerListener; readonly port: number};
+
+async function listenWith(onRequest: CallerListenerOptions['onRequest'], limits: CallerListenerOptions['limits'] = () => defaultLimits, maxConnections?: number): Promise<Listening> {
 	const listener = new CallerListener({
-		limits, eventLoop: new EventLoop(), onRejected: () => undefined, onDropped: () => undefined, onRequest,
+		limits, eventLoop: new EventLoop(), onRejected: () => undefined, onDropped: () => undefined, onRequest, maxConnections,
 	});
 	const [port] = await freePorts(1) as [number];
 	await listener.listen('127.0.0.1', port);
@@ -53,14 +59,17 @@
 	return {listener, socket, text: () => text};
 }
 
-async function receive({leaves}: {readonly leaves: boolean}): Promise<number> {
+/** What callers do behind their requests: close the connection, or their sending side only, or neither. */
+type Ending = 'leave' | 'end' | 'wait';
+
+async function receive(ending: Ending): Promise<number> {
 	let received = 0;
 	const {port} = await listenWith((_request, response) => {
 		received++;
 		response.end('x');
 	});
 	const sockets = await Promise.all(Array.from({length: 5}, async () => new Promise<Socket>(resolve => {
-		const socket = connect(port, '127.0.0.1', () => {
+		const socket = connect({port, host: '127.0.0.1', allowHalfOpen: true}, () => {
 			resolve(socket);
 		});
 		socket.on('error', () => undefined);
@@ -69,13 +78,15 @@
 	await delay(50);
 	for (const socket of sockets) {
 		socket.write(REQUEST);
-		if (leaves) {
+		if (ending === 'leave') {
+			socket.destroy();
+		} else if (ending === 'end') {
 			socket.end();
 		}
 	}
 
 	holdUp();
-	await delay(100);
+	await delay(PASSED_ON_MS);
 	for (const socket of sockets) {
 		socket.destroy();
 	}
@@ -85,11 +96,42 @@
 
 // Guards against work for callers that have left, which an instance short of processor time takes up before it reads that they have.
 test('a process that was held up drops requests whose callers have left meanwhile', async () => {
-	assert.equal(await receive({leaves: true}), 0);
+	assert.equal(await receive('leave'), 0);
 });
 
 test('it serves those of callers that wait', async () => {
-	assert.equal(await receive({leaves: false}), 5);
+	assert.equal(await receive('wait'), 5);
+});
+
+// Guards against requests that are dropped since their callers have closed their sending side (LOST).
+test('it serves those of callers that have closed their sending side only', async () => {
+	assert.equal(await receive('end'), 5);
+});
+
+// Guards against descriptors that are used up by callers that do not close their side after their last answer.
+test('connections that wait for their callers to close leave room for others, and are closed in time', async t => {
+	const {listener, port} = await listenWith((_request, response) => {
+		response.end('x');
+	}, undefined, 10);
+	const sockets: Socket[] = [];
+	t.after(() => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	for (let index = 0; index < 40; index++) {
+		const socket = connect({port, host: '127.0.0.1', allowHalfOpen: true});
+		sockets.push(socket);
+		socket.on('error', () => undefined);
+		socket.write(REQUEST.replace('Content-Length', 'Connection: close\r\nContent-Length'));
+		const [data] = await once(socket, 'data') as [Buffer];
+		assert.match(data.toString('latin1'), /^HTTP\/1\.1 200 /v);
+		assert.ok(listener.counts.connections <= 10, `${listener.counts.connections} connections`);
+	}
+
+	assert.equal(listener.counts.connections, 10);
+	await delay(LINGER_MS + 200);
+	assert.equal(listener.counts.connections, 0);
 });
 
 // Guards against proper requests that are refused with 413 or 431 by limits that no configuration states (DENIED).
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -278,7 +278,7 @@
 
 		// The map has them in the order in which they were accepted. Those that callers have kept go last.
 		const expendable = [...this._connections.values()].filter(({isExpendable}) => isExpendable);
-		const chosen = expendable.find(({isIdle}) => !isIdle) ?? expendable.find(({requests}) => requests === 0) ?? expendable[0];
+		const chosen = expendable.find(({socket}) => socket.isClosing) ?? expendable.find(({isIdle}) => !isIdle) ?? expendable.find(({requests}) => requests === 0) ?? expendable[0];
 		chosen?.giveUp();
 	}
 
@@ -294,7 +294,7 @@
 			if (connection.isIdle) {
 				connection.closingReason ??= 'stopping';
 				this._options.onClosing?.('stopping');
-				connection.socket.destroy();
+				connection.closeIdle(nowMs);
 			}
 		}
 	}
@@ -313,7 +313,8 @@
 		const connections = [...this._connections.values()];
 		this._server?.closeAllConnections();
 		for (const connection of connections) {
-			// The process may end before these connections tell of their end.
+			// Connections that are closing are none of the server's. The process may end before these connections tell of their end.
+			connection.socket.destroy();
 			this._reportCut(connection);
 		}
 
@@ -368,7 +369,8 @@
 
 	private async _passOn(request: IncomingMessage, {response, origin}: Answerable, received: Omit<ReceivedBody, 'connection' | 'waitedMs'>, readAtMs: number): Promise<void> {
 		const connection = this._connections.get(request.socket);
-		const mayTakeAnswer = connection?.socket.hasInputEnded ? await connection.mayTakeAnswer() : connection?.socket.isGone === false;
+		const {socket} = connection ?? {};
+		const mayTakeAnswer = socket?.hasInputEnded ? await connection!.mayTakeAnswer() : socket && !socket.isGone && !socket.isClosing;
 		if (!connection || !mayTakeAnswer) {
 			this._options.onDropped('caller-left', origin);
 			return;
--- a/src/entry/caller-socket.ts
+++ b/src/entry/caller-socket.ts
@@ -2,7 +2,10 @@
 A caller's connection as the HTTP server gets it: a socket that yields its input in turns,
 a chunk at a time, and none while the server holds it up. What is not yielded stays in the
 buffer of the socket, and the rest with the caller. A caller that closes its sending side
-may still read, so that the end of the input does not end the output.
+may still read, so that the end of the input does not end the output. After the last output,
+the sending side is closed first, and what still comes is read and dropped until the caller
+has closed its side (RFC 9112, section 9.6): closing a connection with input unread resets
+it, and the tail of an answer may be lost with that.
 */
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
@@ -14,6 +17,10 @@
 /** Input that is parsed at once. */
 const CHUNK_BYTES = 4 * 1024;
 
+/** Time for callers to close their side after the last answer, and input that is dropped meanwhile. */
+export const LINGER_MS = 1000;
+const LINGER_BYTES_MAX = 1024 * 1024;
+
 type Callback = (error?: Error | null) => void;
 
 export type CallerSocketOptions = {
@@ -40,6 +47,10 @@
 	/** Output that the caller had not taken, and input that had arrived and was not parsed, when it ended. */
 	private _leftBytes: {readonly unsent: number; readonly unread: number} | undefined;
 	private _wantsInput = false;
+	/** Set once nothing more is written, and no input taken. */
+	private _lingerMs: number | undefined;
+	private _lingerTimer: NodeJS.Timeout | undefined;
+	private _droppedBytes = 0;
 
 	constructor(private readonly _socket: Socket, private readonly _options: CallerSocketOptions) {
 		super({allowHalfOpen: true});
@@ -53,7 +64,11 @@
 		_socket.once('end', () => {
 			this.push(null);
 			this.hasInputEnded = true;
-			_options.onEnd();
+			if (this.isClosing && this.writableFinished) {
+				this.destroy();
+			} else {
+				_options.onEnd();
+			}
 		});
 		_socket.once('error', error => {
 			this._noteEnd('caller', error);
@@ -105,8 +120,18 @@
 		return this._socket.destroyed;
 	}
 
+	/** Whether all output has been written, and input is no longer parsed. */
+	get isClosing(): boolean {
+		return this._lingerMs !== undefined;
+	}
+
 	/** Yields input that has arrived, as far as it is this connection's turn. */
 	readOn(): void {
+		if (this.isClosing) {
+			this._dropInput();
+			return;
+		}
+
 		while (this._wantsInput && !this._socket.destroyed) {
 			// The end of the input only shows to a read of the empty buffer.
 			if (this._options.isHeld() && this._socket.readableLength > 0) {
@@ -140,17 +165,58 @@
 		}
 	}
 
-	destroySoon(): void {
+	/** Closes the sending side after what has been written, and the connection once the caller has closed its side, or after `lingerMs`. */
+	destroySoon(lingerMs = LINGER_MS): void {
+		if (this.isClosing || this.destroyed) {
+			return;
+		}
+
+		this._lingerMs = lingerMs;
+		this.removeAllListeners('data');
+		this._socket.setTimeout(0);
 		this.end();
 		if (this.writableFinished) {
-			this.destroy();
+			this._linger(lingerMs);
 		} else {
 			this.once('finish', () => {
-				this.destroy();
+				this._linger(lingerMs);
 			});
 		}
 	}
 
+	private _linger(lingerMs: number): void {
+		if (this.destroyed) {
+			return;
+		}
+
+		if (this.hasInputEnded) {
+			this.destroy();
+			return;
+		}
+
+		this._lingerTimer = setTimeout(() => {
+			this.destroy();
+		}, lingerMs);
+		this.readOn();
+	}
+
+	private _dropInput(): void {
+		for (;;) {
+			const chunk = this._socket.read() as Buffer | null;
+			if (chunk === null || this._socket.destroyed) {
+				break;
+			}
+
+			this._droppedBytes += chunk.length;
+			if (this._droppedBytes > LINGER_BYTES_MAX) {
+				this.destroy();
+				break;
+			}
+		}
+
+		this._options.onChange();
+	}
+
 	/** After this process was held up, a request may have arrived in time and only wait to be read. */
 	private async _endIdleTime(): Promise<void> {
 		const {bytesRead} = this._socket;
@@ -206,6 +272,7 @@
 	override _destroy(error: Error | null, callback: Callback): void {
 		const hasCallerClosed = this.isGone || (this.hasInputEnded && this.writableFinished);
 		this._noteEnd(hasCallerClosed ? 'caller' : 'instance', error);
+		clearTimeout(this._lingerTimer);
 		this._socket.destroy();
 		callback(error);
 	}
