--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -125,6 +125,8 @@
 					keepAlive: true,
 					noDelay: true,
 				}, handler);
+				// Without it, the server ends its side when the input ends.
+				Object.assign(this._server, {httpAllowHalfOpen: true});
 				this._limitInput(this._server);
 				this._server.prependListener('request', (request, response) => {
 					this._connections.get(request.socket)?.beginRequest(request, response);
@@ -276,7 +278,7 @@
 
 		// The map has them in the order in which they were accepted. Those that callers have kept go last.
 		const expendable = [...this._connections.values()].filter(({isExpendable}) => isExpendable);
-		const chosen = expendable.find(({isIdle}) => !isIdle) ?? expendable.find(({requests}) => requests === 0) ?? expendable[0];
+		const chosen = expendable.find(({socket}) => socket.isClosing) ?? expendable.find(({isIdle}) => !isIdle) ?? expendable.find(({requests}) => requests === 0) ?? expendable[0];
 		chosen?.giveUp();
 	}
 
@@ -292,7 +294,7 @@
 			if (connection.isIdle) {
 				connection.closingReason ??= 'stopping';
 				this._options.onClosing?.('stopping');
-				connection.socket.destroy();
+				connection.closeIdle(nowMs);
 			}
 		}
 	}
@@ -311,7 +313,8 @@
 		const connections = [...this._connections.values()];
 		this._server?.closeAllConnections();
 		for (const connection of connections) {
-			// The process may end before these connections tell of their end.
+			// Connections that are closing are none of the server's. The process may end before these connections tell of their end.
+			connection.socket.destroy();
 			this._reportCut(connection);
 		}
 
@@ -358,21 +361,23 @@
 			default: {
 				// The caller may have left before its request was read: the end of what it sent is read a round of the event loop later.
 				await this._options.eventLoop.afterRead(async () => {
-					this._passOn(request, {response, origin}, {body, bodyMs, waitedMs: performance.now() - readAtMs});
+					await this._passOn(request, {response, origin}, {body, bodyMs}, readAtMs);
 				});
 			}
 		}
 	}
 
-	private _passOn(request: IncomingMessage, {response, origin}: Answerable, received: Omit<ReceivedBody, 'connection'>): void {
+	private async _passOn(request: IncomingMessage, {response, origin}: Answerable, received: Omit<ReceivedBody, 'connection' | 'waitedMs'>, readAtMs: number): Promise<void> {
 		const connection = this._connections.get(request.socket);
-		if (!connection || connection.socket.hasEnded) {
+		const {socket} = connection ?? {};
+		const mayTakeAnswer = socket?.hasInputEnded ? await connection!.mayTakeAnswer() : socket && !socket.isGone && !socket.isClosing;
+		if (!connection || !mayTakeAnswer) {
 			this._options.onDropped('caller-left', origin);
 			return;
 		}
 
 		connection.passOn(response);
-		this._options.onRequest(request, response, {...received, connection});
+		this._options.onRequest(request, response, {...received, connection, waitedMs: performance.now() - readAtMs});
 	}
 
 	private _originOf(socket: Duplex, request?: IncomingMessage): InputOrigin {
--- a/src/entry/caller-socket.ts
+++ b/src/entry/caller-socket.ts
@@ -1,7 +1,11 @@
 /**
 A caller's connection as the HTTP server gets it: a socket that yields its input in turns,
 a chunk at a time, and none while the server holds it up. What is not yielded stays in the
-buffer of the socket, and the rest with the caller.
+buffer of the socket, and the rest with the caller. A caller that closes its sending side
+may still read, so that the end of the input does not end the output. After the last output,
+the sending side is closed first, and what still comes is read and dropped until the caller
+has closed its side (RFC 9112, section 9.6): closing a connection with input unread resets
+it, and the tail of an answer may be lost with that.
 */
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
@@ -13,6 +17,10 @@
 /** Input that is parsed at once. */
 const CHUNK_BYTES = 4 * 1024;
 
+/** Time for callers to close their side after the last answer, and input that is dropped meanwhile. */
+export const LINGER_MS = 1000;
+const LINGER_BYTES_MAX = 1024 * 1024;
+
 type Callback = (error?: Error | null) => void;
 
 export type CallerSocketOptions = {
@@ -22,6 +30,8 @@
 	readonly onYield: () => void;
 	/** Called after input was yielded or has arrived, and after output was written. */
 	readonly onChange: () => void;
+	/** Called when the end of the input was yielded. */
+	readonly onEnd: () => void;
 };
 
 /** Who closed a connection first, as far as this process knows. */
@@ -32,9 +42,15 @@
 	errorCode = '';
 	/** Undefined while it is open. */
 	closedBy: Closer | undefined;
+	/** Whether the caller has closed its sending side, as far as this process knows. */
+	hasInputEnded = false;
 	/** Output that the caller had not taken, and input that had arrived and was not parsed, when it ended. */
 	private _leftBytes: {readonly unsent: number; readonly unread: number} | undefined;
 	private _wantsInput = false;
+	/** Set once nothing more is written, and no input taken. */
+	private _lingerMs: number | undefined;
+	private _lingerTimer: NodeJS.Timeout | undefined;
+	private _droppedBytes = 0;
 
 	constructor(private readonly _socket: Socket, private readonly _options: CallerSocketOptions) {
 		super({allowHalfOpen: true});
@@ -47,6 +63,12 @@
 		});
 		_socket.once('end', () => {
 			this.push(null);
+			this.hasInputEnded = true;
+			if (this.isClosing && this.writableFinished) {
+				this.destroy();
+			} else {
+				_options.onEnd();
+			}
 		});
 		_socket.once('error', error => {
 			this._noteEnd('caller', error);
@@ -93,13 +115,23 @@
 		return this._leftBytes?.unread ?? this._socket.readableLength + this.readableLength;
 	}
 
-	/** Whether the caller has closed its side, as far as this process knows. */
-	get hasEnded(): boolean {
-		return this._socket.destroyed || this._socket.readableEnded;
+	/** Whether the connection is closed in both directions, as far as this process knows. */
+	get isGone(): boolean {
+		return this._socket.destroyed;
+	}
+
+	/** Whether all output has been written, and input is no longer parsed. */
+	get isClosing(): boolean {
+		return this._lingerMs !== undefined;
 	}
 
 	/** Yields input that has arrived, as far as it is this connection's turn. */
 	readOn(): void {
+		if (this.isClosing) {
+			this._dropInput();
+			return;
+		}
+
 		while (this._wantsInput && !this._socket.destroyed) {
 			// The end of the input only shows to a read of the empty buffer.
 			if (this._options.isHeld() && this._socket.readableLength > 0) {
@@ -126,17 +158,65 @@
 		return this;
 	}
 
-	destroySoon(): void {
+	/** Writes nothing, which fails if the caller has reset the connection: after the end of the input, Node.js notices that by writes only. */
+	probe(): void {
+		if (this._socket.writable) {
+			this._socket.write('');
+		}
+	}
+
+	/** Closes the sending side after what has been written, and the connection once the caller has closed its side, or after `lingerMs`. */
+	destroySoon(lingerMs = LINGER_MS): void {
+		if (this.isClosing || this.destroyed) {
+			return;
+		}
+
+		this._lingerMs = lingerMs;
+		this.removeAllListeners('data');
+		this._socket.setTimeout(0);
 		this.end();
 		if (this.writableFinished) {
-			this.destroy();
+			this._linger(lingerMs);
 		} else {
 			this.once('finish', () => {
-				this.destroy();
+				this._linger(lingerMs);
 			});
 		}
 	}
 
+	private _linger(lingerMs: number): void {
+		if (this.destroyed) {
+			return;
+		}
+
+		if (this.hasInputEnded) {
+			this.destroy();
+			return;
+		}
+
+		this._lingerTimer = setTimeout(() => {
+			this.destroy();
+		}, lingerMs);
+		this.readOn();
+	}
+
+	private _dropInput(): void {
+		for (;;) {
+			const chunk = this._socket.read() as Buffer | null;
+			if (chunk === null || this._socket.destroyed) {
+				break;
+			}
+
+			this._droppedBytes += chunk.length;
+			if (this._droppedBytes > LINGER_BYTES_MAX) {
+				this.destroy();
+				break;
+			}
+		}
+
+		this._options.onChange();
+	}
+
 	/** After this process was held up, a request may have arrived in time and only wait to be read. */
 	private async _endIdleTime(): Promise<void> {
 		const {bytesRead} = this._socket;
@@ -190,7 +270,9 @@
 	}
 
 	override _destroy(error: Error | null, callback: Callback): void {
-		this._noteEnd(this.hasEnded ? 'caller' : 'instance', error);
+		const hasCallerClosed = this.isGone || (this.hasInputEnded && this.writableFinished);
+		this._noteEnd(hasCallerClosed ? 'caller' : 'instance', error);
+		clearTimeout(this._lingerTimer);
 		this._socket.destroy();
 		callback(error);
 	}
