A passed-on request goes to the next instance where one has just started or stops

Cause (class: a start that is taken for a steady state): an instance that has no configuration yet, or no longer takes requests, answered a request that a cut-off instance had passed on with 503, which the sender takes for the final word and gives to its caller, although any other instance would serve. It also stayed a candidate after it had said in a beacon that it holds no configuration.

Instances that have said within 3 s that they hold no configuration are not asked.

--- a/src/core/entry/admission.ts
+++ b/src/core/entry/admission.ts
@@ -32,12 +32,12 @@
 	const {state, nowMs} = context;
 	if (hasClosed(context)) {
 		// A keep-alive connection that was busy until now; there is no time left for new requests on it.
-		refuseArrival(context, arrival, {code: 'stopping', retryAfterMs: STOPPING_RETRY_AFTER_MS});
+		refuseArrival(context, arrival, askNext(arrival, {code: 'stopping', retryAfterMs: STOPPING_RETRY_AFTER_MS}));
 		return;
 	}
 
 	if (!state.configuration) {
-		refuseArrival(context, arrival, {code: 'no-configuration', retryAfterMs: NO_CONFIGURATION_RETRY_MS});
+		refuseArrival(context, arrival, askNext(arrival, {code: 'no-configuration', retryAfterMs: NO_CONFIGURATION_RETRY_MS}));
 		return;
 	}
 
@@ -75,7 +75,7 @@
 	}
 
 	if (!isTaken(context, route, remainingMs)) {
-		refuseArrival(context, arrival, {code: 'stopping', retryAfterMs: STOPPING_RETRY_AFTER_MS, detail: 'it may outlast the stop of the instance, and may not be repeated'});
+		refuseArrival(context, arrival, askNext(arrival, {code: 'stopping', retryAfterMs: STOPPING_RETRY_AFTER_MS, detail: 'it may outlast the stop of the instance, and may not be repeated'}));
 		return;
 	}
 
@@ -198,6 +198,11 @@
 		: refusal;
 }
 
+/** What rests on the start or the stop of this instance says nothing of the others, which one that has passed the request on can ask. */
+function askNext({relayed}: EntryArrival, refusal: Refusal): Refusal {
+	return relayed ? {code: 'targets-unreached', detail: refusal.detail ?? refusal.code} : refusal;
+}
+
 /** Refuses an arrival before it becomes an open request. */
 function refuseArrival(context: EntryContext, arrival: EntryArrival, refusal: Refusal): void {
 	context.effects.push({kind: 'refuse', requestId: arrival.id, ...refusal});
--- a/src/core/entry/relay.test.ts
+++ b/src/core/entry/relay.test.ts
@@ -170,6 +170,26 @@
 	assert.equal(effectsOfKind(effects, 'refuse')[0]?.code, 'targets-unreached');
 });
 
+// Guards against callers of a cut-off instance that are refused since the instance that was asked has just started or stops.
+test('a request that was passed on to an instance that knows no configuration, or stops, is left to others', () => {
+	const starting = new EntryHarness();
+	const stopping = createCore();
+	stopping.dispatch({kind: 'drain-requested', noticedWithinMs: 0});
+	stopping.advance(4000);
+	for (const [core, code] of [[starting, 'no-configuration'], [stopping, 'stopping']] as const) {
+		assert.deepEqual(effectsOfKind(core.arrive('r', '/sign/1', relayed), 'refuse').map(refusal => refusal.code), ['targets-unreached']);
+		assert.deepEqual(effectsOfKind(core.arrive('own', '/sign/1'), 'refuse').map(refusal => refusal.code), [code]);
+	}
+});
+
+test('an instance that has just said that it knows no configuration gets nothing, for as long as it has said nothing else', () => {
+	const core = createCutOff();
+	core.dispatch({kind: 'beacon-received', beacon: beacon({from: near, configurationVersion: 0})});
+	assert.equal(relaysOf(core.arrive('r'))[0]?.address, far.callerAddress);
+	core.dispatch({kind: 'beacon-received', beacon: beacon({from: near})});
+	assert.equal(relaysOf(core.arrive('later'))[0]?.address, near.callerAddress);
+});
+
 // Guards against counting a request at two instances, each of which would allow retries for it.
 test('a request that was passed on runs once here and counts in no budget or demand', () => {
 	const core = createCore();
--- a/src/core/entry/relay.ts
+++ b/src/core/entry/relay.ts
@@ -94,7 +94,12 @@
 }
 
 function isEligible({nowMs}: EntryContext, peer: Peer): boolean {
-	return peer.instance.callerAddress !== undefined && !peer.isLeaving && !peer.isCutOff && nowMs >= peer.avoidedUntilMs;
+	return peer.instance.callerAddress !== undefined && !peer.isLeaving && !peer.isCutOff && !isStarting(peer, nowMs) && nowMs >= peer.avoidedUntilMs;
+}
+
+/** Whether it has just said that it knows no configuration yet. What it says later reaches instances of other zones rarely. */
+function isStarting({configurationVersion, beaconReceivedAtMs}: Peer, nowMs: number): boolean {
+	return configurationVersion === 0 && nowMs - beaconReceivedAtMs < PEER_SILENT_MS;
 }
 
 function relayCost(context: EntryContext, peer: Peer): number {
