An instance that reaches no target of one service probes a few of each other one

What callers saw: at an instance that had just started while it was cut off, or that was cut off and gets few requests, the first requests of each service waited out connections that hang, and ended with 504 or 503, also later than three seconds after the cut: each service was found out by itself, at the expense of its own requests. Peers learned late, too, since a beacon says "cut off" only once all targets of all services are unreached, and otherwise names 20 of them.

Class of fault: a local view; what one service had shown was not used for the others.

Change: when the last target of a service turns out unreached, three of each other service are probed, unless one of it was heard from since; the rest of it only if none of the three is reached, as before.

relay.test.ts: 22 of 22; without the change the new one fails (no target of the other service is probed). dark-targets.test.ts 8 of 8, crash-suspects.test.ts 13 of 13, lease.test.ts 13 of 13, cut-off-instances.test.ts 4 of 4.

--- a/src/core/entry/reachability.ts
+++ b/src/core/entry/reachability.ts
@@ -4,7 +4,8 @@
 meanwhile, since requests go elsewhere. If one target is unreached, a few others of its
 service are probed at once, and the rest if none of these is reached, so that a network
 partition of this instance shows before requests have tried them all, and a target that is
-down does not make every instance probe every other one.
+down does not make every instance probe every other one. If all targets of a service are
+unreached, a few of each other service are probed, too.
 */
 import {type TargetId} from '../types.js';
 import {recordFound, reportUnreached} from './dark-targets.js';
@@ -58,15 +59,35 @@
 		state.unreachedServices.add(target.entry.service);
 		// Peers that look for an instance that reaches the service learn of it at the next tick.
 		state.beaconsSentAtMs = Number.NEGATIVE_INFINITY;
+		probeOtherServices(context, target.entry.service, sinceMs);
 	}
 }
 
+/** The partition that separates this instance from all targets of one service probably separates it from those of the others. */
+function probeOtherServices(context: EntryContext, unreached: string, sinceMs: number): void {
+	const {state, nowMs} = context;
+	const services = new Set(Array.from(state.targets.values(), ({entry}) => entry.service));
+	services.delete(unreached);
+	for (const service of services) {
+		const targets = targetsOf(state, service).filter(target => isListed(target, nowMs));
+		const isKnown = targets.some(target => target.unreachedSinceMs !== undefined || target.probe.isWanted || wasReached(target, sinceMs));
+		for (const target of isKnown ? [] : sampleOf(context, targets)) {
+			target.probe.isWanted = true;
+			state.probedTargets.add(target.id);
+		}
+	}
+}
+
+function wasReached({heardAtMs, probe}: Target, sinceMs: number): boolean {
+	return Math.max(heardAtMs, probe.answeredAtMs) > sinceMs;
+}
+
 /** Which other targets of a service show whether this instance is cut off from it, after a connection to one, begun at `sinceMs`, could not be opened. */
 function targetsToProbe(context: EntryContext, unreached: Target, service: readonly Target[], sinceMs: number): readonly Target[] {
-	const {state, nowMs} = context;
+	const {nowMs} = context;
 	const others = service.filter(({unreachedSinceMs}) => unreachedSinceMs === undefined);
 	const isSampled = others.some(({probe}) => probe.isWanted);
-	if (isSampled || others.some(other => Math.max(other.heardAtMs, other.probe.answeredAtMs) > sinceMs)) {
+	if (isSampled || others.some(other => wasReached(other, sinceMs))) {
 		// The answers of the sample are awaited, or another target has been reached meanwhile.
 		return [];
 	}
@@ -77,9 +98,15 @@
 		return candidates;
 	}
 
-	return candidates
+	return sampleOf(context, candidates);
+}
+
+/** A few targets, of the own zone first and those heard longest ago. */
+function sampleOf(context: EntryContext, targets: readonly Target[]): readonly Target[] {
+	const {self} = context.state;
+	return targets
 		.map(target => ({
-			target, zoneRank: target.entry.zone === state.self.zone ? 0 : 1, heardAtMs: target.heardAtMs, tieBreak: randomFraction(context),
+			target, zoneRank: target.entry.zone === self.zone ? 0 : 1, heardAtMs: target.heardAtMs, tieBreak: randomFraction(context),
 		}))
 		.toSorted((a, b) => a.zoneRank - b.zoneRank || compare(a.heardAtMs, b.heardAtMs) || a.tieBreak - b.tieBreak)
 		.slice(0, SAMPLE_TARGETS)
--- a/src/core/entry/relay.test.ts
+++ b/src/core/entry/relay.test.ts
@@ -80,6 +80,34 @@
 	assert.equal(relaysOf(core.arrive('next')).length, 1, 'at once');
 });
 
+// Guards against finding out service by service, each of which costs its first requests their time, and against peers that do not learn that nothing is reached.
+test('no target of one service is reached: a few of each other service are probed, and the first request there is passed on at once', () => {
+	const core = createCore().readRegistry([...targetIds.map(id => targetEntry(id)), ...Array.from({length: 12}, (_, index) => engineEntry(`e${index}`, ['m0']))]);
+	failTargets(core, core.arrive('first'), 'unanswered');
+	const probed = effectsOfKind(failTargets(core, core.advance(100), 'unanswered'), 'probe-target').map(({targetId}) => targetId);
+	assert.equal(probed.filter(id => id.startsWith('e')).length, 3);
+	failTargets(core, core.advance(600), 'unanswered');
+	assert.equal(relaysOf(core.arrive('r', '/ask/1', {model: 'm0'})).length, 1);
+	const beacons = effectsOfKind(core.advance(400), 'beacon');
+	assert.ok(beacons.at(-1)?.beacon.isCutOff, 'told to peers');
+});
+
+test('no target of one service is reached, those of another are: nothing more is probed there', () => {
+	const core = createCore().readRegistry([...targetIds.map(id => targetEntry(id)), ...Array.from({length: 12}, (_, index) => engineEntry(`e${index}`, ['m0']))]);
+	failTargets(core, core.arrive('first'), 'unanswered');
+	const probed: string[] = [];
+	for (const {targetId, incarnation} of effectsOfKind(core.advance(2000), 'probe-target')) {
+		probed.push(targetId);
+		const outcome = targetId.startsWith('e') ? 'accepted' : 'unanswered';
+		core.dispatch({
+			kind: 'target-probed', targetId, incarnation, outcome,
+		});
+	}
+
+	assert.ok(probed.filter(id => id.startsWith('e')).length <= 3, probed.join(' '));
+	assert.equal(relaysOf(core.arrive('r', '/ask/1', {model: 'm0'})).length, 0);
+});
+
 test('a request is passed on to an instance of the own zone as the caller sent it, with the time that is left', () => {
 	const core = createCutOff();
 	const [relay] = relaysOf(core.arrive('r', '/sign/1', {deadlineMs: 800}));
