Requests of a zone that is cut off go on beyond three instances that reach nothing either

Cause: a request ended with 503 (`declined`) after three instances had answered 421, "reaches none of the targets". The count was made for targets that are full. Instances of the own zone are asked first, and where most of a zone is cut off the first three are, too, until their beacons say so: those reach 8 of a zone each 300 ms, and instances of other zones rarely.

Change: up to eight instances may answer 421 before the request is refused; what targets decline is counted as before.

--- a/src/core/entry/relay.test.ts
+++ b/src/core/entry/relay.test.ts
@@ -149,6 +149,24 @@
 	}
 });
 
+// Guards against refusing requests while most instances of a zone are cut off, and have not said so yet.
+test('several instances do not reach the targets either: others are asked, up to a limit', () => {
+	const peers = Array.from({length: 20}, (_, index) => ({...instance(`p${index}`), callerAddress: `p${index}:3`}));
+	const core = createCutOff(peers);
+	core.arrive('r', '/sign/1');
+	const asked = new Set<string>();
+	for (let declined = 1; declined <= 8; declined++) {
+		const [next] = relaysOf(endRelay(core, 'r', 'not-run', {isMissing: true}));
+		assert.ok(next, `${declined} have declined`);
+		asked.add(next.address);
+	}
+
+	assert.equal(asked.size, 8, 'none is asked twice');
+	const effects = endRelay(core, 'r', 'not-run', {isMissing: true});
+	assert.deepEqual(relaysOf(effects), []);
+	assert.equal(effectsOfKind(effects, 'refuse')[0]?.code, 'no-target');
+});
+
 test('the other instance refuses it: the caller gets the refusal with its time, and no third instance is asked', () => {
 	const core = createCutOff();
 	core.arrive('r');
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -42,6 +42,8 @@
 const MAX_CLOSED_MS = 3_600_000;
 /** Tries that targets may decline before the caller gets a Retry-After response. */
 const MAX_DECLINED = 2;
+/** Other instances that may say that they reach none of the targets either. Asking one takes some milliseconds, and most of a zone may be cut off. */
+const MAX_RELAYS_DECLINED = 8;
 /** A slot at a full target becomes free in about this time. */
 const MIN_RETRY_AFTER_MS = 200;
 
@@ -285,7 +287,7 @@
 		return;
 	}
 
-	if (outcome === 'not-run') {
+	if (outcome === 'not-run' && !attempt.isRelay) {
 		request.declined++;
 	}
 
@@ -357,7 +359,7 @@
 		return 'attempts-used';
 	}
 
-	if (request.declined > MAX_DECLINED) {
+	if (request.declined > MAX_DECLINED || countDeclinedRelays(request) > MAX_RELAYS_DECLINED) {
 		return 'declined';
 	}
 
@@ -374,6 +376,10 @@
 	return undefined;
 }
 
+function countDeclinedRelays({tries}: EntryRequest): number {
+	return tries.filter(({isRelay, outcome}) => isRelay && outcome === 'not-run').length;
+}
+
 /** Ends a try that would arrive too late, and retries its request or gives it its final response, as after any try that may have run. */
 export function cancelTry(context: EntryContext, request: EntryRequest, attempt: EntryTry): void {
 	context.effects.push({kind: 'cancel', requestId: request.id, tryNumber: attempt.number});
