--- a/src/core/entry/relay.test.ts
+++ b/src/core/entry/relay.test.ts
@@ -80,6 +80,34 @@
 	assert.equal(relaysOf(core.arrive('next')).length, 1, 'at once');
 });
 
+// Guards against finding out service by service, each of which costs its first requests their time, and against peers that do not learn that nothing is reached.
+test('no target of one service is reached: a few of each other service are probed, and the first request there is passed on at once', () => {
+	const core = createCore().readRegistry([...targetIds.map(id => targetEntry(id)), ...Array.from({length: 12}, (_, index) => engineEntry(`e${index}`, ['m0']))]);
+	failTargets(core, core.arrive('first'), 'unanswered');
+	const probed = effectsOfKind(failTargets(core, core.advance(100), 'unanswered'), 'probe-target').map(({targetId}) => targetId);
+	assert.equal(probed.filter(id => id.startsWith('e')).length, 3);
+	failTargets(core, core.advance(600), 'unanswered');
+	assert.equal(relaysOf(core.arrive('r', '/ask/1', {model: 'm0'})).length, 1);
+	const beacons = effectsOfKind(core.advance(400), 'beacon');
+	assert.ok(beacons.at(-1)?.beacon.isCutOff, 'told to peers');
+});
+
+test('no target of one service is reached, those of another are: nothing more is probed there', () => {
+	const core = createCore().readRegistry([...targetIds.map(id => targetEntry(id)), ...Array.from({length: 12}, (_, index) => engineEntry(`e${index}`, ['m0']))]);
+	failTargets(core, core.arrive('first'), 'unanswered');
+	const probed: string[] = [];
+	for (const {targetId, incarnation} of effectsOfKind(core.advance(2000), 'probe-target')) {
+		probed.push(targetId);
+		const outcome = targetId.startsWith('e') ? 'accepted' : 'unanswered';
+		core.dispatch({
+			kind: 'target-probed', targetId, incarnation, outcome,
+		});
+	}
+
+	assert.ok(probed.filter(id => id.startsWith('e')).length <= 3, probed.join(' '));
+	assert.equal(relaysOf(core.arrive('r', '/ask/1', {model: 'm0'})).length, 0);
+});
+
 test('a request is passed on to an instance of the own zone as the caller sent it, with the time that is left', () => {
 	const core = createCutOff();
 	const [relay] = relaysOf(core.arrive('r', '/sign/1', {deadlineMs: 800}));
@@ -121,6 +149,24 @@
 	}
 });
 
+// Guards against refusing requests while most instances of a zone are cut off, and have not said so yet.
+test('several instances do not reach the targets either: others are asked, up to a limit', () => {
+	const peers = Array.from({length: 20}, (_, index) => ({...instance(`p${index}`), callerAddress: `p${index}:3`}));
+	const core = createCutOff(peers);
+	core.arrive('r', '/sign/1');
+	const asked = new Set<string>();
+	for (let declined = 1; declined <= 8; declined++) {
+		const [next] = relaysOf(endRelay(core, 'r', 'not-run', {isMissing: true}));
+		assert.ok(next, `${declined} have declined`);
+		asked.add(next.address);
+	}
+
+	assert.equal(asked.size, 8, 'none is asked twice');
+	const effects = endRelay(core, 'r', 'not-run', {isMissing: true});
+	assert.deepEqual(relaysOf(effects), []);
+	assert.equal(effectsOfKind(effects, 'refuse')[0]?.code, 'no-target');
+});
+
 test('the other instance refuses it: the caller gets the refusal with its time, and no third instance is asked', () => {
 	const core = createCutOff();
 	core.arrive('r');
@@ -170,6 +216,26 @@
 	assert.equal(effectsOfKind(effects, 'refuse')[0]?.code, 'targets-unreached');
 });
 
+// Guards against callers of a cut-off instance that are refused since the instance that was asked has just started or stops.
+test('a request that was passed on to an instance that knows no configuration, or stops, is left to others', () => {
+	const starting = new EntryHarness();
+	const stopping = createCore();
+	stopping.dispatch({kind: 'drain-requested', noticedWithinMs: 0});
+	stopping.advance(4000);
+	for (const [core, code] of [[starting, 'no-configuration'], [stopping, 'stopping']] as const) {
+		assert.deepEqual(effectsOfKind(core.arrive('r', '/sign/1', relayed), 'refuse').map(refusal => refusal.code), ['targets-unreached']);
+		assert.deepEqual(effectsOfKind(core.arrive('own', '/sign/1'), 'refuse').map(refusal => refusal.code), [code]);
+	}
+});
+
+test('an instance that has just said that it knows no configuration gets nothing, for as long as it has said nothing else', () => {
+	const core = createCutOff();
+	core.dispatch({kind: 'beacon-received', beacon: beacon({from: near, configurationVersion: 0})});
+	assert.equal(relaysOf(core.arrive('r'))[0]?.address, far.callerAddress);
+	core.dispatch({kind: 'beacon-received', beacon: beacon({from: near})});
+	assert.equal(relaysOf(core.arrive('later'))[0]?.address, near.callerAddress);
+});
+
 // Guards against counting a request at two instances, each of which would allow retries for it.
 test('a request that was passed on runs once here and counts in no budget or demand', () => {
 	const core = createCore();
