--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -22,6 +22,7 @@
 import {createHttpServer} from './http-server.js';
 import {IncomingBody} from './incoming-body.js';
 import {readArrived} from './read-arrived.js';
+import {setTarget} from './request-target.js';
 
 /** Bound what is held in memory until a configuration has been read; it may allow more. */
 export const defaultLimits: CallerLimits = {
@@ -154,7 +155,7 @@
 			const {raw} = request;
 			// A request whose reading is given up has no socket any more.
 			const origin = this._originOf(raw.socket, raw);
-			raw.url = request.originalUrl;
+			setTarget(raw, request.originalUrl);
 			try {
 				await this._handleRequest(raw, {response: reply.raw, origin});
 			} catch (error) {
