SIGINT stops the platform's process as SIGTERM does; tests of signals, standard output and addresses

Callers lost every request that was open (10 of 10: six without any answer, four streams cut) within 26 ms when the process got SIGINT, alone or during a stop, as a terminal or a supervisor sends it to a group of processes: it had the default action.

Did not fail before or after: a stop without a reader of standard output, and with a full pipe that nobody reads; a process that follows another at once at the same addresses (first answer some 400 ms after the exit, 10 refused connections of 18 ms each); a process that starts while another one serves or drains at its addresses: it does not retry, it ends with EADDRINUSE on standard error, and disturbs nothing.

--- a/deploy/bundle.ts
+++ b/deploy/bundle.ts
@@ -74,11 +74,13 @@
 const {setFlagsFromString} = require('node:v8');
 const {Script} = require('node:vm');
 
-// Until the program has handlers of its own: the default action of SIGHUP ends the process, and of SIGTERM ends it with an error.
+// Until the program has handlers of its own: the default action of SIGHUP ends the process, and of SIGTERM and SIGINT ends it with an error.
 process.on('SIGHUP', () => {});
-process.on('SIGTERM', () => {
-	process.exit(0);
-});
+for (const signal of ['SIGTERM', 'SIGINT']) {
+	process.on(signal, () => {
+		process.exit(0);
+	});
+}
 const script = new Script(readFileSync(join(__dirname, 'pollenarch.source.js'), 'latin1'), {
 	filename: join(__dirname, 'pollenarch.cjs'),
 	cachedData: readFileSync(join(__dirname, 'pollenarch.cache')),
--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -257,6 +257,11 @@
 		});
 	}
 
+	/** Starts another process at the same addresses; the caller reads what it writes. */
+	startSecond(bundle: PlatformBundle): ChildProcess {
+		return bundle.start(this._settings.document);
+	}
+
 	/** Starts a runner that is ready. */
 	async addRunner(id: string): Promise<void> {
 		this._entries.set(id, {
