--- a/test/standins/caller-proxy.ts
+++ b/test/standins/caller-proxy.ts
@@ -71,6 +71,8 @@
 	readonly connections: number;
 	/** Time after which it closes a connection on which nothing is sent; never if absent. */
 	readonly idleTimeoutMs?: number;
+	/** Of its callers. */
+	readonly deadlineMs?: number;
 	/** Of the ids of its requests. */
 	readonly idPrefix?: string;
 };
@@ -117,7 +119,7 @@
 			const connection = await this._take();
 			const wasKept = connection.answers > 0 || connection.isAhead;
 			connection.isAhead = false;
-			await connection.send(outcome, forms[form]!);
+			await connection.send(outcome, forms[form]!, this._options.deadlineMs);
 			connection.isBusy = false;
 			if (connection.isClosed) {
 				this._connections.delete(connection);
@@ -206,14 +208,14 @@
 	}
 
 	/** Sends a request and reads its answer; `status` stays undefined if the connection closes before any byte of it. */
-	async send(outcome: ProxiedOutcome, form: Form): Promise<void> {
+	async send(outcome: ProxiedOutcome, form: Form, deadlineMs = DEADLINE_MS): Promise<void> {
 		clearTimeout(this._idleTimer);
 		const {version = '1.1', isAbsolute = false, headers = [], chunkBytes, trailers = [], expectsContinue = false, closes = false} = form;
 		const lines = [
 			`POST ${isAbsolute ? 'http://a.example' : ''}${outcome.path} HTTP/${version}`,
 			'Host: a.example',
 			`X-Pollenarch-Request-Id: ${outcome.id}`,
-			`X-Pollenarch-Request-Deadline: ${DEADLINE_MS}`,
+			`X-Pollenarch-Request-Deadline: ${deadlineMs}`,
 			...headers,
 			...(closes ? ['Connection: close'] : []),
 			...(expectsContinue ? ['Expect: 100-continue'] : []),
--- a/test/unit/real-sockets-time.test.ts
+++ b/test/unit/real-sockets-time.test.ts
@@ -18,6 +18,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type ShareMessage} from '../soak/shape/processor-share.js';
+import {CallerProxy, type ProxiedOutcome} from '../standins/caller-proxy.js';
 import {PlatformBundle} from '../standins/platform-process.js';
 import {GRACE_MS, StoppingProcess, type Outcome} from '../standins/stopping-process.js';
 
@@ -26,6 +27,8 @@
 const CUT_FROM_MS = GRACE_MS * 5 / 6;
 const REQUESTS_PER_S = 55;
 const DEADLINE_MS = 4000;
+/** More than requests are open at once. */
+const PROXY_CONNECTIONS = 200;
 /** A connection that is closed sooner crosses the request. */
 const CROSSING_MS = 500;
 const SHARES = [0.46, 0.3, 0.2];
@@ -49,7 +52,7 @@
 	return {stopping, agent};
 }
 
-function describe(outcomes: readonly Outcome[], sinceMs: number): string[] {
+function describe(outcomes: ReadonlyArray<Outcome | ProxiedOutcome>, sinceMs: number): string[] {
 	return outcomes.map(({path: target, sentAtMs, endedAtMs, status, isWhole, error}) => `${target} sent ${Math.round(sentAtMs - sinceMs)} ended ${Math.round(endedAtMs - sinceMs)}: ${status ?? error}${isWhole ? '' : ', not whole'}`);
 }
 
@@ -165,15 +168,18 @@
 	await once(shares, 'message');
 }
 
-/** Sends streams and requests whose bodies arrive in pieces at a constant rate until `signal` aborts. */
-async function keepCalling(stopping: StoppingProcess, agent: Agent, signal: AbortSignal): Promise<Outcome[]> {
+/** Sends streams and other requests, whose bodies arrive whole, late or in chunks, at a constant rate until `signal` aborts. */
+async function keepCalling(stopping: StoppingProcess, agent: Agent, proxy: CallerProxy, signal: AbortSignal): Promise<Array<Outcome | ProxiedOutcome>> {
 	const random = xoroshiro128plus(SEED);
 	const draw = (below: number): number => Math.floor(uniformFloat64(random) * below);
-	const calls: Array<Promise<Outcome>> = [];
+	const calls: Array<Promise<Outcome | ProxiedOutcome>> = [];
 	for (let dueAtMs = performance.now(); !signal.aborted; dueAtMs += 1000 / REQUESTS_PER_S) {
 		await delay(Math.max(0, dueAtMs - performance.now()));
 		const [name, durationMs] = ([['ask', 100 + draw(2500)], ['late', draw(1500)], ['read', draw(300)], ['sign', draw(300)]] as const)[draw(4)]!;
-		calls.push(stopping.call(draw(3) === 0 ? new Agent() : agent, `/${name}/${durationMs}`, draw(3) === 0 ? draw(400) : 0, DEADLINE_MS));
+		const target = `/${name}/${durationMs}`;
+		calls.push(draw(2) === 0
+			? proxy.call(target, 'in chunks that arrive one after the other')
+			: stopping.call(draw(3) === 0 ? new Agent() : agent, target, draw(3) === 0 ? draw(400) : 0, DEADLINE_MS));
 	}
 
 	return Promise.all(calls);
@@ -185,7 +191,11 @@
 		const {stopping, agent} = await start(subtest);
 		await limit(subtest, stopping, share);
 		const calling = new AbortController();
-		const called = keepCalling(stopping, agent, calling.signal);
+		const proxy = new CallerProxy({port: stopping.callersPort, connections: PROXY_CONNECTIONS, deadlineMs: DEADLINE_MS});
+		subtest.after(() => {
+			proxy.close();
+		});
+		const called = keepCalling(stopping, agent, proxy, calling.signal);
 		await delay(2500);
 		const signalledAtMs = performance.now();
 		stopping.process.kill('SIGTERM');
@@ -193,7 +203,7 @@
 		calling.abort();
 		const outcomes = await called;
 		const passedOn = outcomes.filter(({id}) => stopping.runs.has(id));
-		subtest.diagnostic(`${outcomes.length} requests, ${passedOn.length} passed on, ${passedOn.filter(({status, isWhole}) => isWhole && status === 200).length} served, gone after ${Math.round(stopping.exitedAtMs - signalledAtMs)} ms, ${stopping.lines.filter(({event}) => event === 106).length} times late`);
+		subtest.diagnostic(`${outcomes.length} requests, ${passedOn.length} passed on, ${passedOn.filter(({status, isWhole}) => isWhole && status === 200).length} served, gone after ${Math.round(stopping.exitedAtMs - signalledAtMs)} ms, at most ${String(stopping.lines.findLast(({event}) => event === 109)?.worstLateMs)} ms late`);
 		const cut = outcomes.filter(({id, isWhole, sentAtMs, endedAtMs}) => !isWhole && (stopping.runs.has(id) ? endedAtMs - sentAtMs < DEADLINE_MS : endedAtMs - sentAtMs > CROSSING_MS));
 		assert.deepEqual(describe(cut, signalledAtMs), []);
 		assert.ok(passedOn.length > 0);
