Soak: links between callers and instances, and callers with habits

The shape scenario had callers that always behave, over loopback, which loses nothing.

Without these options a soak draws the same as before.

The two scenarios share how a fleet is started, how lateness is watched and how heads are noted.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -11,7 +11,7 @@
 import {createRandom} from './seeded-random.js';
 import {DEADLINE_MS, tenants} from './configuration.js';
 import {type Fleet, type SoakInstance, zones} from './fleet.js';
-import {type Attempt, type RequestKind, type SoakRecord} from './record.js';
+import {type Attempt, noteHead, type RequestKind, type SoakRecord} from './record.js';
 import {EVENTS, modelNames} from './target.js';
 
 /** A caller that has got no answer gives up this long after its deadline. */
@@ -188,10 +188,7 @@
 			const sent = httpRequest({
 				...address, agent, method: 'POST', path: request.path, headers: headersOf(request, attempt),
 			}, response => {
-				attempt.status = response.statusCode;
-				attempt.answeredId = headerOf(response, 'x-pollenarch-request-id');
-				attempt.signature = headerOf(response, 'x-pollenarch-server-signature');
-				retryAfterMs = Number(response.headers['retry-after'] ?? 0) * 1000;
+				retryAfterMs = noteHead(attempt, response);
 				let text = '';
 				response.setEncoding('utf8');
 				response.on('data', (part: string) => {
@@ -265,11 +262,6 @@
 	};
 }
 
-function headerOf({headers}: IncomingMessage, name: string): string | undefined {
-	const value = headers[name];
-	return Array.isArray(value) ? value[0] : value;
-}
-
 function readAnswer(text: string, {key, isWhole}: Attempt): string {
 	return !isWhole || text === `${key} ran` ? '' : `body "${text.slice(0, 80)}"`;
 }
--- a/test/soak/fleet.ts
+++ b/test/soak/fleet.ts
@@ -63,8 +63,10 @@
 	readonly pollMs?: number;
 	/** Readiness polls in a row that fail before an instance counts as not ready. */
 	readonly missesMax?: number;
+	/** What an instance is started with before its program. */
+	readonly nodeArguments?: (instance: SoakInstance) => readonly string[];
 	/** Is told of each process as it starts and once it has ended. */
-	readonly onProcess?: (pid: number, isRunning: boolean) => void;
+	readonly onProcess?: (pid: number, isRunning: boolean, host: string) => void;
 	readonly onRotation?: () => void;
 };
 
@@ -101,17 +103,17 @@
 			return;
 		}
 
-		const {bundle, record, onProcess} = this._options;
+		const {bundle, record, nodeArguments, onProcess} = this._options;
 		if (isMoved) {
 			instance.host = this._nextHost();
 		}
 
-		const child = bundle.start(this._document(instance));
+		const child = bundle.start(this._document(instance), nodeArguments?.(instance));
 		instance.child = child;
 		instance.isStopping = false;
 		instance.isFrozen = false;
 		record.noteFault(instance.name, 'start');
-		onProcess?.(child.pid!, true);
+		onProcess?.(child.pid!, true, instance.host);
 		let rest = '';
 		const read = (text: string) => {
 			const parts = (rest + text).split('\n');
@@ -121,10 +123,12 @@
 
 		child.stdout!.setEncoding('utf8').on('data', read);
 		child.stderr!.setEncoding('utf8').on('data', read);
+		child.once('exit', () => {
+			onProcess?.(child.pid!, false, instance.host);
+		});
 		child.once('close', () => {
 			instance.child = undefined;
 			instance.isReady &&= this._options.missesMax !== undefined;
-			onProcess?.(child.pid!, false);
 			record.noteFault(instance.name, instance.isStopping || this._isClosed ? 'exit' : 'own-end');
 		});
 	}
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -10,9 +10,11 @@
 import {PlatformBundle} from '../standins/platform-process.js';
 import {createReport} from './report.js';
 import {faultKinds, type FaultKind} from './schedule.js';
-import {planKinds, type PlanKind} from './shape/data.js';
-import {runShape} from './shape/soak.js';
-import {runSoak, type SoakResult} from './soak.js';
+import {
+	habits, planKinds,
+} from './shape/data.js';
+import {runShape, type ShapeOptions} from './shape/soak.js';
+import {runSoak, type SoakOptions, type SoakResult} from './soak.js';
 
 const EXIT_BROKEN = 1;
 const EXIT_NOT_RUN = 2;
@@ -23,19 +25,9 @@
 /** Drawn faults, or planned work at the shape of a deployment. */
 const scenarios = {faults: runSoak, shape: runShape} as const satisfies Readonly<Record<string, Scenario>>;
 
-type Options = {
-	readonly seed: number;
+type Options = Omit<SoakOptions & ShapeOptions, 'bundle' | 'onProgress'> & {
 	readonly seeds: number;
-	readonly seconds: number;
-	readonly instances: number;
-	readonly kinds?: readonly FaultKind[];
 	readonly scenario: keyof typeof scenarios;
-	readonly share: number;
-	readonly scale: number;
-	readonly focus: number;
-	readonly bodyMaxMs: number;
-	readonly unframedShare?: number;
-	readonly plan?: readonly PlanKind[];
 	readonly commit?: string;
 	readonly keep?: string;
 };
@@ -58,24 +50,16 @@
 	return value;
 }
 
-function parsePlan(text: string): PlanKind[] {
-	const kinds = text.split(',');
-	const unknown = kinds.filter(kind => !(planKinds as readonly string[]).includes(kind));
-	if (unknown.length > 0) {
-		throw new InvalidArgumentError(`there is no ${unknown.join(', ')}; known are ${planKinds.join(', ')}`);
-	}
-
-	return kinds as PlanKind[];
-}
-
-function parseKinds(text: string): FaultKind[] {
-	const kinds = text.split(',');
-	const unknown = kinds.filter(kind => !faultKinds.has(kind));
-	if (unknown.length > 0) {
-		throw new InvalidArgumentError(`there is no ${unknown.join(', ')}; known are ${[...faultKinds].join(', ')}`);
-	}
+function parseList<Kind extends string>(known: readonly Kind[]): (text: string) => Kind[] {
+	return text => {
+		const kinds = text.split(',');
+		const unknown = kinds.filter(kind => !(known as readonly string[]).includes(kind));
+		if (unknown.length > 0) {
+			throw new InvalidArgumentError(`there is no ${unknown.join(', ')}; known are ${known.join(', ')}`);
+		}
 
-	return kinds as FaultKind[];
+		return kinds as Kind[];
+	};
 }
 
 async function run({seed, seeds, commit, keep, ...sizes}: Options): Promise<void> {
@@ -142,13 +126,16 @@
 	.option('--seeds <number>', 'number of soaks, with seeds that follow each other', parseCount, 1)
 	.option('--seconds <number>', 'length; from 23 s on it ends with a kill of all instances', parseCount, 60)
 	.option('--instances <number>', 'number of instances', parseCount, 6)
-	.option('--kinds <list>', 'kinds of faults, separated by commas; all if absent', parseKinds)
+	.option('--kinds <list>', 'kinds of faults, separated by commas; all if absent', parseList([...faultKinds] as FaultKind[]))
 	.option('--share <number>', 'shape: part of a core that each instance gets; 1 for all that it wants', parsePositive, 0.459)
 	.option('--scale <number>', 'shape: factor on the rates of requests', parsePositive, 1)
 	.option('--focus <number>', 'shape: weight of the stops at the zone with two instances; 0 for none, above 0.5 for the closest series', parsePositive, 0.7)
 	.option('--body-max-ms <number>', 'shape: longest time of bodies in several writes', parsePositive, 300)
 	.option('--unframed-share <number>', 'shape: share of answers that end with their connection', parsePositive)
-	.option('--plan <list>', 'shape: kinds of planned work, separated by commas; all if absent', parsePlan)
+	.option('--links', 'shape: callers reach instances over links that delay what they carry and may lose it')
+	.option('--habits <list>', `shape: what callers do, separated by commas, of ${habits.join(', ')}; nothing if absent`, parseList(habits))
+	.option('--cut-off <list>', 'shape: names of instances that reach no target, separated by commas, as south-1', text => text.split(','))
+	.option('--plan <list>', 'shape: kinds of planned work, separated by commas; all if absent', parseList(planKinds))
 	.option('--commit <commit>', 'soak the build of this commit rather than of the working tree')
 	.option('--keep <directory>', 'write the report, the record and the logs of all instances there')
 	.exitOverride()
--- a/test/soak/record.ts
+++ b/test/soak/record.ts
@@ -2,6 +2,8 @@
 What callers and targets saw in a soak, and the faults that it was put through. Judges
 read nothing else.
 */
+import {type IncomingMessage} from 'node:http';
+import {type Lateness} from './lateness.js';
 
 /** How often a request may run, and whether its answer is a stream. */
 export type RequestKind = 'once' | 'repeatable' | 'stream-once' | 'stream-resumable';
@@ -88,10 +90,8 @@
 	readonly versions: SentVersion[] = [];
 	/** When all machines were back after the last kill of the whole fleet, and when that kill was. */
 	fleetKill: {readonly killedAtMs: number; backAtMs: number} | undefined;
-	/** How late the soak's own process was at most: it is callers, targets and store at once. */
-	ownLatenessMs = 0;
-	/** Moments at which a process of the soak's own was late, and by how much. */
-	readonly lateness: Array<readonly [atMs: number, lateMs: number]> = [];
+	/** How late the soak's own process was: it is targets and store, and callers where these have no process. */
+	readonly lateness: Lateness[] = [];
 	private readonly _startMs = performance.now();
 	/** Time of day at the start by the steady clock, which other processes of the soak go by. */
 	readonly epochMs = performance.timeOrigin + this._startMs;
@@ -107,6 +107,19 @@
 	}
 }
 
+function headerOf({headers}: IncomingMessage, name: string): string | undefined {
+	const value = headers[name];
+	return Array.isArray(value) ? value[0] : value;
+}
+
+/** Notes the head of an answer; returns after how many milliseconds it wants its caller to come back. */
+export function noteHead(attempt: Attempt, response: IncomingMessage): number {
+	attempt.status = response.statusCode;
+	attempt.answeredId = headerOf(response, 'x-pollenarch-request-id');
+	attempt.signature = headerOf(response, 'x-pollenarch-server-signature');
+	return Number(response.headers['retry-after'] ?? 0) * 1000;
+}
+
 export function groupBy<Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> {
 	const groups = new Map<string, Item[]>();
 	for (const item of items) {
--- a/test/soak/report.ts
+++ b/test/soak/report.ts
@@ -3,6 +3,7 @@
 and for each finding the trace of its request with the log lines that name it.
 */
 import {type Finding} from './judges.js';
+import {longest} from './lateness.js';
 import {groupBy} from './record.js';
 import {type SoakResult} from './soak.js';
 
@@ -64,7 +65,7 @@
 		`Attempts: ${attempts.length}; ${countBy(attempts.map(({status, isWhole, hasLeft, error}) => hasLeft ? 'left' : (status === undefined ? (error || 'closed') : `${status}${isWhole ? '' : ' cut'}`)))}.`,
 		`Arrivals at targets: ${arrivals.length}, of which ${arrivals.filter(({ranAtMs}) => ranAtMs !== undefined).length} ran.`,
 		`Refusals written once more: ${copies.length}, ${copies.filter(({aheadOf}) => aheadOf !== undefined).length} of them while a request was under way on the connection, ${ownId} while the same id was.`,
-		`The soak's own process was at most ${record.ownLatenessMs.toFixed(0)} ms late.`,
+		`The soak's own process was at most ${longest(record.lateness)} ms late.`,
 		...notes,
 		`Faults: ${countBy(faults.map(({kind}) => kind))}.`,
 		'',
--- a/test/soak/shape/callers.ts
+++ b/test/soak/shape/callers.ts
@@ -5,16 +5,17 @@
 client's zone by a hash, as the platform's balancer chooses.
 */
 import {Buffer} from 'node:buffer';
-import {Agent, request as httpRequest, type IncomingMessage} from 'node:http';
+import {Agent, request as httpRequest} from 'node:http';
 import {type Socket} from 'node:net';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import fnv1a from '@sindresorhus/fnv1a';
 import {type RandomSource} from '../../../src/experiment/random-source.js';
-import {type Attempt} from '../record.js';
+import {type Lateness, watchLateness} from '../lateness.js';
+import {type Attempt, noteHead} from '../record.js';
 import {createRandom} from '../seeded-random.js';
 import {
-	hostOf, kindNames, kindShapes, type ShapeKind, zoneShapes,
+	FIRST_LINK_PORT, type Habit, hostOf, kindNames, kindShapes, linkKinds, type ShapeKind, zoneShapes,
 } from './data.js';
 
 export type CallersOptions = {
@@ -25,11 +26,14 @@
 	readonly epochMs: number;
 	/** Longest time that a body takes which is sent in several writes. */
 	readonly bodyMaxMs: number;
+	/** Whether they reach instances over links. */
+	readonly hasLinks: boolean;
+	readonly habits: readonly Habit[];
 	readonly instances: ReadonlyArray<{readonly name: string; readonly zone: string; readonly host: string; readonly port: number}>;
 };
 
 export type CallersMessage = {readonly options: CallersOptions} | {readonly inRotation: readonly string[]};
-export type CallersResult = {readonly attempts: readonly Attempt[]; readonly lateness: ReadonlyArray<readonly [number, number]>};
+export type CallersResult = {readonly attempts: readonly Attempt[]; readonly lateness: readonly Lateness[]};
 
 const STAY_SHARE = 0.83;
 const CHUNKED_SHARE = 0.5;
@@ -44,11 +48,17 @@
 const REFUSALS: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const SWING = 0.15;
 const SWING_PERIOD_MS = 11_000;
-const LATE_MS = 20;
-const POLL_MS = 10;
+/** Longest time between the end of a request and what a habit has its caller do then. */
+const HABIT_SHARE = 0.6;
+const HABIT_MAX_MS = 300;
+const SLOW_READ_MS = 150;
+/** Each third client sends over the connections of its zone's proxy, which closes them when they are idle for this long. */
+const PROXY_EACH = 3;
+const PROXY_IDLE_MS = 700;
+const ENDING_OF_CHUNKS = '0\r\n\r\n';
 
 type Instance = CallersOptions['instances'][number];
-type Client = {readonly name: string; readonly zone: string; readonly number: number; readonly agents: Map<string, Agent>};
+type Client = {readonly name: string; readonly zone: string; readonly number: number; readonly agents: Map<string, Agent>; readonly isProxied: boolean; readonly link: number};
 type Asked = {
 	readonly name: string;
 	readonly kind: ShapeKind;
@@ -63,9 +73,10 @@
 let options: CallersOptions;
 let inRotation: ReadonlySet<string> = new Set();
 let random: RandomSource;
+let habitRandom: RandomSource;
 let sequence = 0;
 const attempts: Attempt[] = [];
-const lateness: Array<[number, number]> = [];
+const lateness: Lateness[] = [];
 
 function nowMs(): number {
 	return performance.timeOrigin + performance.now() - options.epochMs;
@@ -91,8 +102,8 @@
 	return name === undefined ? undefined : options.instances.find(instance => instance.name === name);
 }
 
-function agentOf({agents}: Client, {name}: Instance): Agent {
-	const agent = agents.get(name) ?? new Agent({keepAlive: true});
+function agentOf({agents, isProxied}: Client, {name}: Instance): Agent {
+	const agent = agents.get(name) ?? new Agent({keepAlive: true, ...(isProxied && {timeout: PROXY_IDLE_MS})});
 	agents.set(name, agent);
 	return agent;
 }
@@ -158,7 +169,10 @@
 	const slowMs = random.uniform() * options.bodyMaxMs;
 	const leavesAfterMs = random.uniform() < LEAVING_SHARE ? random.uniform() * 1500 : undefined;
 	const isAbrupt = random.uniform() < ABRUPT_SHARE;
-	attempt.note = `${body.length} bytes, ${isChunked ? 'in chunks' : 'with a length'}${isSlow ? `, within ${slowMs.toFixed(0)} ms` : ''}`;
+	const drawn = options.habits.length > 0 && habitRandom.uniform() < HABIT_SHARE ? options.habits[Math.floor(habitRandom.uniform() * options.habits.length)]! : 'none';
+	const habit = drawn.endsWith('-ending') && !isChunked ? 'none' : drawn;
+	const habitMs = drawn === 'none' ? 0 : habitRandom.uniform() * HABIT_MAX_MS;
+	attempt.note = [`${body.length} bytes, ${isChunked ? 'in chunks' : 'with a length'}${isSlow ? `, within ${slowMs.toFixed(0)} ms` : ''}`, ...(options.hasLinks ? [`link ${linkKinds[client.link]!.name}`] : []), ...(options.habits.length > 0 ? [`habit ${habit} ${habitMs.toFixed(0)} ms`] : []), ...(client.isProxied ? ['proxy'] : [])].join(', ');
 	return new Promise(resolve => {
 		const timers = new Set<NodeJS.Timeout>();
 		let retryAfterMs = 0;
@@ -174,7 +188,7 @@
 				clearTimeout(timer);
 			}
 
-			if (!stays) {
+			if (!(stays || client.isProxied) || habit === 'ahead') {
 				socketOf?.destroy();
 			}
 
@@ -206,14 +220,11 @@
 			leave('gap');
 		});
 		const sent = httpRequest({
-			host: instance.host, port: instance.port, agent, method, path: `/${kind}/${asked.name}`, headers: {
+			host: instance.host, port: options.hasLinks ? FIRST_LINK_PORT + client.link : instance.port, agent, method, path: `/${kind}/${asked.name}`, headers: {
 				host: hostOf(kind), 'x-pollenarch-request-id': id, 'x-pollenarch-request-deadline': String(Math.round(leftMs)), ...asked.headers, ...(asked.last > 0 && {'last-event-id': String(asked.last)}), ...(method === 'POST' && !isChunked && {'content-length': String(body.length)}), ...(isChunked && {'transfer-encoding': 'chunked'}),
 			},
 		}, response => {
-			attempt.status = response.statusCode;
-			attempt.answeredId = headerOf(response, 'x-pollenarch-request-id');
-			attempt.signature = headerOf(response, 'x-pollenarch-server-signature');
-			retryAfterMs = Number(response.headers['retry-after'] ?? 0) * 1000;
+			retryAfterMs = noteHead(attempt, response);
 			let rest = '';
 			response.setEncoding('utf8');
 			response.on('data', (text: string) => {
@@ -225,10 +236,24 @@
 					});
 					rest = readEvents(rest + text, asked, attempt);
 				}
+
+				if (habit === 'slow-reader') {
+					response.pause();
+					after(SLOW_READ_MS, () => {
+						response.resume();
+					});
+				}
+			});
+			response.on('end', () => {
+				// The request's own end was never called.
+				if (habit === 'split-ending') {
+					socketOf?.destroy();
+				}
 			});
 			response.on('error', () => undefined);
 			response.on('close', () => {
-				attempt.isWhole = response.complete;
+				// What a slow reader has not read when it leaves is dropped.
+				attempt.isWhole = response.complete && !attempt.hasLeft;
 				if (attempt.isWhole && stream && attempt.status === 200 && asked.last < events) {
 					attempt.mismatch = `complete after ${asked.last} of ${events} events`;
 				}
@@ -260,14 +285,43 @@
 			end(error.code ?? error.message);
 		});
 		sent.on('close', () => {
-			end();
+			if (attempt.status === undefined) {
+				end();
+			}
 		});
-		const finish = (rest: Buffer) => {
+		const sendEnd = (rest?: Buffer) => {
 			sent.end(rest, () => {
 				attempt.lastByteAtMs ??= nowMs();
+				behind[habit]?.();
 			});
 		};
 
+		const behind: Partial<Record<Habit | 'none', () => void>> = {
+			'half-close': () => socketOf?.end(),
+			'half-close-later': () => after(habitMs, () => socketOf?.end()),
+			'empty-line': () => socketOf?.write('\r\n'),
+			ahead: () => socketOf?.write(`GET /check/${asked.name}-ahead HTTP/1.1\r\nhost: ${hostOf('check')}\r\n\r\n`),
+		};
+		const endings: Partial<Record<Habit | 'none', () => void>> = {
+			'late-ending': sendEnd,
+			'split-ending'() {
+				socketOf?.write(ENDING_OF_CHUNKS.slice(0, 2));
+				after(habitMs / 2, () => {
+					socketOf?.write(ENDING_OF_CHUNKS.slice(2));
+					attempt.lastByteAtMs ??= nowMs();
+				});
+			},
+		};
+		const finish = (rest: Buffer) => {
+			const ending = endings[habit];
+			if (ending) {
+				sent.write(rest);
+				after(habitMs, ending);
+			} else {
+				sendEnd(rest);
+			}
+		};
+
 		if (isSlow) {
 			const size = Math.ceil(body.length / BODY_PARTS);
 			const sendPart = (part: number) => {
@@ -289,11 +343,6 @@
 	});
 }
 
-function headerOf({headers}: IncomingMessage, name: string): string | undefined {
-	const value = headers[name];
-	return Array.isArray(value) ? value[0] : value;
-}
-
 /** Takes over the whole events; returns the rest. */
 function readEvents(text: string, asked: Asked, attempt: Attempt): string {
 	const blocks = text.split('\n\n');
@@ -311,8 +360,9 @@
 }
 
 async function runZone(zone: typeof zoneShapes[number]): Promise<void> {
+	const proxy = {agents: new Map<string, Agent>(), isProxied: true, link: habitRandom.pick(linkKinds.map(() => 1))};
 	const clients = Array.from({length: zone.clients}, (_, number): Client => ({
-		name: `${zone.name}-${number}`, zone: zone.name, number, agents: new Map(),
+		name: `${zone.name}-${number}`, zone: zone.name, number, ...(options.habits.includes('proxy') && number % PROXY_EACH === 0 ? proxy : {agents: new Map(), isProxied: false, link: number % linkKinds.length}),
 	}));
 	const open: Array<Promise<void>> = [];
 	for (let nextMs = nowMs(); nextMs < options.endAtMs;) {
@@ -337,16 +387,10 @@
 
 async function run(): Promise<void> {
 	random = createRandom(options.seed);
-	let lastMs = nowMs();
-	const watch = setInterval(() => {
-		const lateMs = nowMs() - lastMs - POLL_MS;
-		lastMs = nowMs();
-		if (lateMs > LATE_MS) {
-			lateness.push([lastMs, lateMs]);
-		}
-	}, POLL_MS);
+	habitRandom = createRandom(options.seed + 1000);
+	const stopWatch = watchLateness(nowMs, lateness);
 	await Promise.all(zoneShapes.map(async zone => runZone(zone)));
-	clearInterval(watch);
+	stopWatch();
 	const result: CallersResult = {attempts: attempts.map(attempt => ({...attempt, endedAtMs: Number.isFinite(attempt.endedAtMs) ? attempt.endedAtMs : nowMs()})), lateness};
 	process.send!(result, () => {
 		process.disconnect();
--- a/test/soak/shape/data.ts
+++ b/test/soak/shape/data.ts
@@ -145,3 +145,23 @@
 export const paces: Readonly<Record<Exclude<PlanKind, 'stop'>, number>> = {
 	release: 5000, move: 20_000, change: 1500, 'hang-up': 3000,
 };
+
+export type LinkKind = {
+	readonly name: string;
+	readonly delayMs: readonly [min: number, max: number];
+	/** Whether it loses what it holds once the process of the instance is gone. */
+	readonly isLossy: boolean;
+};
+
+/** By the number that is added to the first port. */
+export const linkKinds: readonly LinkKind[] = [
+	{name: 'near', delayMs: [0.5, 3], isLossy: false},
+	{name: 'near, lossy', delayMs: [0.5, 3], isLossy: true},
+	{name: 'far', delayMs: [40, 100], isLossy: false},
+	{name: 'far, lossy', delayMs: [40, 100], isLossy: true},
+];
+export const FIRST_LINK_PORT = 8101;
+
+/** What a caller does behind its request, or with its answer; `proxy`: some callers share connections. */
+export const habits = ['half-close', 'half-close-later', 'empty-line', 'ahead', 'late-ending', 'split-ending', 'slow-reader', 'proxy'] as const;
+export type Habit = typeof habits[number];
--- a/test/soak/shape/soak.ts
+++ b/test/soak/shape/soak.ts
@@ -4,6 +4,8 @@
 */
 import {fork, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
+import {writeFileSync} from 'node:fs';
+import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {FakeStore} from '../../standins/fake-store-and-runner.js';
@@ -11,16 +13,18 @@
 import {
 	Fleet, GRACE_MS, hostAddress, type SoakInstance,
 } from '../fleet.js';
+import {type Lateness, longest} from '../lateness.js';
 import {type Attempt, SoakRecord} from '../record.js';
 import {createRandom} from '../seeded-random.js';
-import {type SoakResult, waitUntilReady} from '../soak.js';
+import {type SoakResult, startFleet, watchOwnLateness} from '../soak.js';
 import {type CallersMessage, type CallersOptions, type CallersResult} from './callers.js';
 import {
-	createVersion, paces, placement, type PlanKind, planKinds, zoneShapes,
+	createVersion, type Habit, paces, placement, type PlanKind, planKinds, zoneShapes,
 } from './data.js';
 import {createShapeJudges} from './judges.js';
+import {type LinksMessage, type LinksResult} from './links.js';
 import {type ShareMessage} from './processor-share.js';
-import {ShapeTarget, type ShapeTargetOptions} from './targets.js';
+import {PORT, ShapeTarget, type ShapeTargetOptions} from './targets.js';
 
 export type ShapeOptions = {
 	readonly seed: number;
@@ -34,6 +38,12 @@
 	/** Longest time of a body in several writes. */
 	readonly bodyMaxMs?: number;
 	readonly unframedShare?: number;
+	/** Whether callers reach instances over links that delay and may lose. */
+	readonly links?: boolean;
+	/** What callers do that others do not; nothing if absent. */
+	readonly habits?: readonly Habit[];
+	/** Names of instances that reach no target, so that they pass requests on to others. */
+	readonly cutOff?: readonly string[];
 	readonly plan?: readonly PlanKind[];
 	readonly bundle: PlatformBundle;
 	readonly onProgress?: (elapsedMs: number) => void;
@@ -52,8 +62,6 @@
 const LINGER_MEAN_MS = 1500;
 const LINGER_MAX_MS = 10_000;
 const ANNOUNCED_SHARE = 0.8;
-const LATE_MS = 20;
-const LATENESS_POLL_MS = 10;
 /** A finding near a moment at which the soak itself was this late is marked. */
 const OWN_LATE_MS = 200;
 /** What the platform's template yields besides addresses. */
@@ -191,12 +199,28 @@
 	}
 }
 
+/** Writes a module that lets no connection to a target be opened. */
+function writeRefusal(folder: string): string {
+	const file = path.join(folder, 'no-targets.cjs');
+	writeFileSync(file, `const {Socket} = require('node:net');
+const {connect} = Socket.prototype;
+Socket.prototype.connect = function (...args) {
+	const [options] = args.flat();
+	if (Number(options.port) === ${PORT}) {
+		options.port = 1;
+	}
+
+	return connect.apply(this, args);
+};`);
+	return file;
+}
+
 function forkProgram(name: string): ChildProcess {
 	return fork(fileURLToPath(new URL(`${name}.ts`, import.meta.url)), {execArgv: ['--import', 'tsx']});
 }
 
 export async function runShape(options: ShapeOptions): Promise<SoakResult> {
-	const {seed, seconds, share = 0.459, scale = 1, bodyMaxMs = 300, bundle, onProgress} = options;
+	const {seed, seconds, share = 0.459, scale = 1, bodyMaxMs = 300, links: hasLinks = false, habits = [], cutOff = [], bundle, onProgress} = options;
 	const store = new FakeStore();
 	const closers: Array<() => Promise<void> | void> = [];
 	try {
@@ -207,24 +231,41 @@
 		const record = new SoakRecord();
 		const shares = forkProgram('processor-share');
 		const callers = forkProgram('callers');
+		const links = hasLinks ? forkProgram('links') : undefined;
+		const linksLateness: Lateness[] = [];
+		links?.on('message', ({lateness}: LinksResult) => {
+			linksLateness.push(...lateness);
+		});
+		const tellLinks = (message: LinksMessage) => {
+			if (links?.connected) {
+				links.send(message);
+			}
+		};
+
 		closers.unshift(() => {
-			shares.kill('SIGKILL');
-			callers.kill('SIGKILL');
+			for (const program of [shares, callers, links]) {
+				program?.kill('SIGKILL');
+			}
 		});
 		let sharesLateMs = 0;
 		shares.on('message', ({latenessMs}: {latenessMs: number}) => {
 			sharesLateMs = latenessMs;
 		});
 		let isShared = false;
-		const limit = (pid: number, isRunning: boolean) => {
+		const limit = (pid: number, isRunning: boolean, host = '') => {
 			const message: ShareMessage = isRunning ? {pid, share} : {pid};
 			if (share < 1 && isShared && shares.connected) {
 				shares.send(message);
 			}
+
+			if (!isRunning) {
+				tellLinks({gone: host});
+			}
 		};
 
+		const refusing = writeRefusal(bundle.folder);
 		const fleet: Fleet = new Fleet({
-			bundle, count: 0, layout: zoneShapes.flatMap(({name, instances}) => Array.from({length: instances}, (_, index) => ({name: `${name}-${index + 1}`, zone: name}))), storeAddress, record, hasRelays: false, settings, pollMs: POLL_MS, missesMax: MISSES_MAX, onProcess: limit,
+			bundle, count: 0, layout: zoneShapes.flatMap(({name, instances}) => Array.from({length: instances}, (_, index) => ({name: `${name}-${index + 1}`, zone: name}))), storeAddress, record, hasRelays: false, settings, pollMs: POLL_MS, missesMax: MISSES_MAX, nodeArguments: ({name}) => cutOff.includes(name) ? ['--require', refusing] : [], onProcess: limit,
 			onRotation() {
 				const message: CallersMessage = {inRotation: fleet.instances.filter(({isReady}) => isReady).map(({name}) => name)};
 				if (callers.connected) {
@@ -240,14 +281,7 @@
 		});
 		field.change();
 		await field.startTargets();
-		closers.unshift(async () => fleet.close());
-		await fleet.startAll();
-		const watching = fleet.watch();
-		closers.unshift(async () => {
-			await fleet.close();
-			await watching;
-		});
-		await waitUntilReady(fleet);
+		closers.unshift(await startFleet(fleet));
 		isShared = true;
 		for (const {child} of fleet.instances) {
 			limit(child!.pid!, true);
@@ -255,23 +289,16 @@
 
 		const beginMs = record.nowMs();
 		field.endMs = beginMs + (seconds * 1000);
-		let lastMs = beginMs;
-		const watch = setInterval(() => {
-			const lateMs = record.nowMs() - lastMs - LATENESS_POLL_MS;
-			lastMs = record.nowMs();
-			record.ownLatenessMs = Math.max(record.ownLatenessMs, lateMs);
-			if (lateMs > LATE_MS) {
-				record.lateness.push([lastMs, lateMs]);
-			}
+		closers.unshift(watchOwnLateness(record, onProgress));
+		const {epochMs} = record;
+		const instances = fleet.instances.map(({name, zone, host}) => ({name, zone, ...fleet.callersAddress({host} as SoakInstance)}));
+		if (links) {
+			tellLinks({seed, epochMs, instances});
+			await once(links, 'message');
+		}
 
-			onProgress?.(lastMs - beginMs);
-		}, LATENESS_POLL_MS);
-		closers.unshift(() => {
-			clearInterval(watch);
-		});
 		const callersOptions: CallersOptions = {
-			seed, scale, endAtMs: field.endMs, epochMs: record.epochMs, bodyMaxMs,
-			instances: fleet.instances.map(({name, zone, host}) => ({name, zone, ...fleet.callersAddress({host} as SoakInstance)})),
+			seed, scale, endAtMs: field.endMs, epochMs, bodyMaxMs, hasLinks, habits, instances,
 		};
 		callers.send({options: callersOptions} satisfies CallersMessage);
 		const carriedOut = field.carryOut();
@@ -279,12 +306,12 @@
 		await carriedOut;
 		record.attempts.push(...attempts.map((attempt): Attempt => ({...attempt, status: attempt.status, lastByteAtMs: attempt.lastByteAtMs})));
 		const judges = createShapeJudges(record.versions);
-		const isLate = (atMs = Number.NaN) => [...record.lateness, ...lateness].some(([at, lateMs]) => lateMs > OWN_LATE_MS && Math.abs(at - atMs) < 3000);
+		const isLate = (atMs = Number.NaN) => [...record.lateness, ...lateness, ...linksLateness].some(([at, lateMs]) => lateMs > OWN_LATE_MS && Math.abs(at - atMs) < 3000);
 		return {
 			options: {...options, instances: fleet.instances.length}, faults: [], record, judges,
 			notes: [
 				`Each instance has ${share >= 1 ? 'as much of a core as it wants' : `${share} of a core`}; rates times ${scale}.`,
-				`The callers' process was at most ${Math.max(0, ...lateness.map(([, ms]) => ms)).toFixed(0)} ms late, that which shares out the processor ${sharesLateMs.toFixed(0)} ms.`,
+				`The callers' process was at most ${longest(lateness)} ms late, the links' ${longest(linksLateness)} ms, that which shares out the processor ${sharesLateMs.toFixed(0)} ms.`,
 				`Stops: ${record.faults.filter(({what}) => what === 'stop').length}, ended at the end of the grace period: ${record.faults.filter(({what}) => what === 'grace-end').length}.`,
 			],
 			lines: new Map(fleet.instances.map(({name, lines}) => [name, lines])),
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -9,6 +9,7 @@
 import {createConfiguration, FIRST_VERSION} from './configuration.js';
 import {inject} from './faults.js';
 import {Fleet, hostAddress, zones} from './fleet.js';
+import {watchLateness} from './lateness.js';
 import {judges, type Finding, type Judge} from './judges.js';
 import {SoakRecord} from './record.js';
 import {drawSchedule, type Fault, type FaultKind} from './schedule.js';
@@ -42,7 +43,6 @@
 const FIRST_TARGET_HOST = 100;
 const READY_TIMEOUT_MS = 30_000;
 const POLL_MS = 100;
-const PROGRESS_MS = 200;
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
 	const {seed, seconds, instances, targets: targetCount = 8, callers = 40, kinds, bundle, onProgress} = options;
@@ -72,25 +72,9 @@
 		const fleet = new Fleet({
 			bundle, count: instances, storeAddress, record,
 		});
-		closers.unshift(async () => fleet.close());
-		await fleet.startAll();
-
-		const watching = fleet.watch();
-		closers.unshift(async () => {
-			await fleet.close();
-			await watching;
-		});
-		await waitUntilReady(fleet);
+		closers.unshift(await startFleet(fleet));
 		const endMs = record.nowMs() + lengthMs;
-		let lastMs = record.nowMs();
-		const progress = setInterval(() => {
-			record.ownLatenessMs = Math.max(record.ownLatenessMs, record.nowMs() - lastMs - PROGRESS_MS);
-			lastMs = record.nowMs();
-			onProgress?.(lengthMs - (endMs - record.nowMs()));
-		}, PROGRESS_MS);
-		closers.unshift(() => {
-			clearInterval(progress);
-		});
+		closers.unshift(watchOwnLateness(record, onProgress));
 		const injected = inject({
 			fleet, targets, store, record,
 		}, faults);
@@ -109,7 +93,35 @@
 	}
 }
 
-export async function waitUntilReady({instances}: Fleet): Promise<void> {
+/** Starts all and waits until they are ready; returns what ends them. */
+export async function startFleet(fleet: Fleet): Promise<() => Promise<void>> {
+	let watching: Promise<void> | undefined;
+	const close = async () => {
+		await fleet.close();
+		await watching;
+	};
+
+	try {
+		await fleet.startAll();
+		watching = fleet.watch();
+		await waitUntilReady(fleet);
+	} catch (error) {
+		await close();
+		throw error;
+	}
+
+	return close;
+}
+
+/** Keeps noting in the record how late this process is, until the returned function is called. */
+export function watchOwnLateness(record: SoakRecord, onProgress?: (elapsedMs: number) => void): () => void {
+	const beginMs = record.nowMs();
+	return watchLateness(() => record.nowMs(), record.lateness, nowMs => {
+		onProgress?.(nowMs - beginMs);
+	});
+}
+
+async function waitUntilReady({instances}: Fleet): Promise<void> {
 	for (let waitedMs = 0; instances.some(({isReady}) => !isReady); waitedMs += POLL_MS) {
 		if (waitedMs > READY_TIMEOUT_MS) {
 			throw new Error(`not ready in time: ${instances.filter(({isReady}) => !isReady).map(({name, lines}) => `${name}: ${lines.slice(-3).join(' ')}`).join('; ')}`);
