--- a/test/unit/links-at-a-stop.test.ts
+++ b/test/unit/links-at-a-stop.test.ts
@@ -1,15 +1,17 @@
 /**
-Planned stops of the deployed process behind links that end with it: what a response's last
-bytes need to arrive is waited for before the process ends.
+Planned stops of the deployed process whose callers are some way off: what is on its way when
+the process ends is lost where its host, and with it the link, goes with the process.
 */
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {Agent} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {after, before, test} from 'node:test';
+import {
+	after, before, test, type TestContext,
+} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
+import {Link} from '../standins/link.js';
 import {PlatformBundle} from '../standins/platform-process.js';
-import {SlowLink} from '../standins/slow-link.js';
 import {StoppingProcess} from '../standins/stopping-process.js';
 
 const STREAMS = 30;
@@ -25,26 +27,53 @@
 	bundle.remove();
 });
 
-// Guards against responses whose last bytes are lost with the link of a stopped process that has ended (LOST).
+type LinkedOptions = {
+	readonly delayMs: number;
+	/** Whether what the link holds is lost with the process. */
+	readonly isLost: boolean;
+};
+
+async function startBehindLink(t: TestContext, {delayMs, isLost}: LinkedOptions): Promise<StoppingProcess> {
+	const stopping = await StoppingProcess.start(bundle);
+	const link = await Link.start({from: {host: '127.0.0.1', port: 0}, to: {host: '127.0.0.1', port: stopping.callersPort}, delayMs: () => delayMs});
+	t.after(async () => {
+		link.close();
+		await stopping.close();
+	});
+	stopping.callersPort = link.port;
+	stopping.process.once('exit', () => {
+		if (isLost) {
+			link.lose();
+		}
+	});
+	return stopping;
+}
+
+for (const isLost of [false, true]) {
+	// Guards against a process that ends while the last bytes of its last answers are on their way (LOST).
+	test(`the last answers of a stop reach callers that are 100 ms away${isLost ? ' over links that go with the process' : ''}`, async t => {
+		const stopping = await startBehindLink(t, {delayMs: 100, isLost});
+		const calls = ['/ask/3500', '/sign/3500', '/ask/3600'].map(async path => stopping.call(new Agent({keepAlive: true}), path));
+		await delay(500);
+		const signalledAtMs = performance.now();
+		stopping.process.kill('SIGTERM');
+		await stopping.exit(signalledAtMs);
+		const outcomes = await Promise.all(calls);
+		assert.deepEqual(outcomes.map(({status, isWhole, error}) => `${status ?? error}${isWhole ? '' : ', not whole'}`), ['200', '200', '200']);
+	});
+}
+
+// Guards against streams whose last bytes are lost with the link of a stopped process that has ended (LOST).
 for (const delayMs of [3, 100]) {
-	test(`streams that end during a stop arrive whole over a link of ${delayMs} ms that ends with the process`, {todo: delayMs === 100 ? 'KNOWN-RED.txt, issue 82' : false}, async t => {
-		const stopping = await StoppingProcess.start(bundle);
-		const link = await SlowLink.start({port: stopping.callersPort, delayMs});
-		const directPort = stopping.callersPort;
-		stopping.callersPort = link.port;
+	test(`streams that end one after the other during a stop arrive whole over a link of ${delayMs} ms that goes with the process`, async t => {
+		const stopping = await startBehindLink(t, {delayMs, isLost: true});
 		const agent = new Agent({keepAlive: true});
-		t.after(async () => {
+		t.after(() => {
 			agent.destroy();
-			link.close();
-			stopping.callersPort = directPort;
-			await stopping.close();
 		});
 		const calls = Array.from({length: STREAMS}, async (_, index) => stopping.call(agent, `/ask/${FIRST_LENGTH_MS + (index * STREAM_GAP_MS)}`));
 		await delay(500);
 		const signalledAtMs = performance.now();
-		stopping.process.once('exit', () => {
-			link.cut();
-		});
 		const exited = once(stopping.process, 'exit');
 		stopping.process.kill('SIGTERM');
 		await exited;
