A stop waits for the last answers of callers that have closed their sending side

What callers saw: the tail of the last stream of a stop is lost with a link that goes with the process, where the caller had closed its sending side. Cause: the stop waits until callers have closed their side behind their last answer, which shows that they have taken it. One that had closed it before shows nothing, and its connection was closed, and the process ended, at once.

--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -80,7 +80,9 @@
 	/** Bytes that had been parsed when the last response was flushed; more that were received mean that another request has begun. */
 	private _answeredBytes = 0;
 	private readonly _acceptedAtMs = performance.now();
-	private _inputEndedAtMs = Number.NEGATIVE_INFINITY;
+	private _inputEndedAtMs = Number.POSITIVE_INFINITY;
+	/** When the last response was handed over. */
+	private _answeredAtMs = Number.NEGATIVE_INFINITY;
 	private _interims = 0;
 	private _probeTimer: NodeJS.Timeout | undefined;
 	private readonly _account: MemoryAccount;
@@ -121,6 +123,11 @@
 		return this.open === 0 && !this.socket.isClosing ? this.socket.bytesRead - this._answeredBytes : 0;
 	}
 
+	/** Until when the last answer may be on its way to a caller that had closed its sending side before, and so cannot show that it has taken it. */
+	get deliveredAtMs(): number {
+		return this.socket.errorCode === '' && this._inputEndedAtMs <= this._answeredAtMs ? this._answeredAtMs + LINGER_MS : Number.NEGATIVE_INFINITY;
+	}
+
 	/** Whether its caller may be about to send its first request, has something under way, or may still take its last answer; `nowMs` is that of `performance`. */
 	isUsed(nowMs: number): boolean {
 		return this.socket.isClosing || !this.isIdle || (this.requests === 0 && nowMs - this._acceptedAtMs < FIRST_REQUEST_MS);
@@ -131,6 +138,9 @@
 		this._open.push({
 			request, response, parsedBytes: this.socket.parsedBytes, body: undefined, keptBytes: 0, isPassedOn: false,
 		});
+		response.once('finish', () => {
+			this._answeredAtMs = performance.now();
+		});
 		response.once('close', () => {
 			const isServed = this._open.some(open => open.response === response && open.isPassedOn);
 			this.lastAnswer = isServed && this.served && response.writableFinished && !this.socket.destroyed ? {...this.served, atMs: performance.now()} : undefined;
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -114,6 +114,8 @@
 	/** Whether connections that wait are still accepted, although the instance stops. */
 	private _isEndingAccepting = false;
 	private _isClosed = false;
+	/** When the last answer on a connection that has closed has arrived. */
+	private _deliveredAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly _options: CallerListenerOptions) {
 		this._memory = new CallerMemory({maxBytes: _options.memoryBytes ?? Number.POSITIVE_INFINITY});
@@ -180,7 +182,7 @@
 
 		await readArrived();
 		const nowMs = performance.now();
-		return [...this._connections.values()].every(connection => !connection.isUsed(nowMs));
+		return nowMs >= this._deliveredAtMs && [...this._connections.values()].every(connection => !connection.isUsed(nowMs));
 	}
 
 	get counts(): ConnectionCounts {
@@ -255,6 +257,7 @@
 			this._connections.set(socket, connection);
 			socket.once('close', () => {
 				this._connections.delete(socket);
+				this._deliveredAtMs = Math.max(this._deliveredAtMs, connection.deliveredAtMs);
 				this._reportCut(connection);
 			});
 			for (const listener of listeners) {
--- a/test/unit/links-at-a-stop.test.ts
+++ b/test/unit/links-at-a-stop.test.ts
@@ -12,6 +12,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Link} from '../standins/link.js';
 import {PlatformBundle} from '../standins/platform-process.js';
+import {SocketCaller} from '../standins/socket-caller.js';
 import {StoppingProcess} from '../standins/stopping-process.js';
 
 const STREAMS = 30;
@@ -84,3 +85,22 @@
 		assert.deepEqual(broken.map(({path, status, error}) => `${path} ${status} ${error}`), []);
 	});
 }
+
+// Guards against the same for callers that have closed their sending side, and so cannot show that they have read the end (LOST).
+test('streams of callers that have closed their sending side arrive whole over a link of 100 ms that goes with the process', async t => {
+	const stopping = await startBehindLink(t, {delayMs: 100, isLost: true});
+	const callers = Array.from({length: STREAMS}, (_, index) => new SocketCaller(stopping.callersPort).send({path: `/ask/${FIRST_LENGTH_MS + (index * STREAM_GAP_MS)}`, id: `half-${index}`}));
+	await delay(300);
+	for (const caller of callers) {
+		caller.end();
+	}
+
+	await delay(200);
+	const exited = once(stopping.process, 'exit');
+	stopping.process.kill('SIGTERM');
+	await exited;
+	await delay(100);
+	const broken = callers.filter(({answers}) => answers !== 1);
+	t.diagnostic(`${broken.length} of ${STREAMS} not whole`);
+	assert.deepEqual(broken.map(({text, error}) => `${text.slice(-40)} ${error}`), []);
+});
