Log: answers of a stop whose arrival nothing shows have a line

Change: 218 with the new reason `answer-unconfirmed` where the caller had not closed its side within the linger time of a stop, and peers are told as of other ends (226). Level info: nothing of it is for the operator to act on one by one. Not written while the instance serves, as the process and its connections go on. Evidence: lingering-close.test.ts, ten callers that never close their side: no line before (red), one each after; none for idle connections whose answers are older.

--- a/src/core/entry/end-reasons.ts
+++ b/src/core/entry/end-reasons.ts
@@ -40,6 +40,7 @@
 	'caller-left',
 	'caller-ended',
 	'connection-error',
+	'answer-unconfirmed',
 	'deadline-unreachable',
 	'body-incomplete',
 ]);
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -268,7 +268,9 @@
 
 	private _reportCut(connection: CallerConnection): void {
 		const {lastAnswer, socket} = connection;
-		if (lastAnswer && performance.now() - lastAnswer.atMs < DELIVERY_MS && (socket.errorCode !== '' || (socket.closedBy === 'instance' && socket.unreadBytes > 0))) {
+		const wasJustAnswered = lastAnswer !== undefined && performance.now() - lastAnswer.atMs < DELIVERY_MS;
+		const isCut = wasJustAnswered && (socket.errorCode !== '' || (socket.closedBy === 'instance' && socket.unreadBytes > 0));
+		if (lastAnswer && (isCut || socket.isUnconfirmed)) {
 			connection.lastAnswer = undefined;
 			this._options.onAnswerCut?.(lastAnswer, connection);
 		}
--- a/src/entry/caller-socket.ts
+++ b/src/entry/caller-socket.ts
@@ -50,6 +50,7 @@
 	/** Set once nothing more is written, and no input taken. */
 	private _lingerMs: number | undefined;
 	private _lingerTimer: NodeJS.Timeout | undefined;
+	private _isUnconfirmed = false;
 	private _droppedBytes = 0;
 
 	constructor(private readonly _socket: Socket, private readonly _options: CallerSocketOptions) {
@@ -125,6 +126,11 @@
 		return this._lingerMs !== undefined;
 	}
 
+	/** Whether the connection was closed by this process before the caller had closed its side, which shows that it has taken the last answer. */
+	get isUnconfirmed(): boolean {
+		return this._isUnconfirmed;
+	}
+
 	/** Yields input that has arrived, as far as it is this connection's turn. */
 	readOn(): void {
 		if (this.isClosing) {
@@ -270,6 +276,7 @@
 	}
 
 	override _destroy(error: Error | null, callback: Callback): void {
+		this._isUnconfirmed = this.isClosing && !this.hasInputEnded && this.closedBy === undefined;
 		const hasCallerClosed = this.isGone || (this.hasInputEnded && this.writableFinished);
 		this._noteEnd(hasCallerClosed ? 'caller' : 'instance', error);
 		clearTimeout(this._lingerTimer);
--- a/src/entry/end-reports.ts
+++ b/src/entry/end-reports.ts
@@ -187,21 +187,23 @@
 
 	/** The core has counted the request as answered. */
 	reportLostAnswer({requestId, deadlineMs, atMs}: LastAnswer, {socket, closingReason}: CallerConnection): void {
-		if (this._state.lifecycle === 'serving' && socket.closedBy === 'caller') {
-			// Callers may end with a reset what they have read.
+		if (this._state.lifecycle === 'serving' && (socket.closedBy === 'caller' || socket.isUnconfirmed)) {
+			// Callers may end with a reset what they have read, or keep their side open; the process goes on.
 			return;
 		}
 
+		const reason = socket.isUnconfirmed ? 'answer-unconfirmed' : 'answer-cut';
+
 		const sinceAnswerMs = Math.round(performance.now() - atMs);
 		this._dispatch({
 			kind: 'request-cut',
 			cut: {
-				requestId, reason: 'answer-cut', tries: '', ...this.describeStop(), sinceAnswerMs, closedBy: socket.closedBy, closeCode: socket.errorCode || undefined, unsentBytes: socket.unsentBytes,
+				requestId, reason, tries: '', ...this.describeStop(), sinceAnswerMs, closedBy: socket.closedBy, closeCode: socket.errorCode || undefined, unsentBytes: socket.unsentBytes,
 			},
 		});
 		this._log.write('request-unanswered', {
 			requestId,
-			reason: 'answer-cut',
+			reason,
 			...this.describeStop(),
 			outcome: 'decided',
 			sinceAnswerMs,
--- a/src/entry/entry-log.test.ts
+++ b/src/entry/entry-log.test.ts
@@ -32,6 +32,7 @@
 	'deadline-unreachable': INFO,
 	'caller-left': INFO,
 	'caller-ended': INFO,
+	'answer-unconfirmed': INFO,
 	'connection-error': INFO,
 	'body-incomplete': INFO,
 	'instance-stopped': WARN,
--- a/test/unit/lingering-close.test.ts
+++ b/test/unit/lingering-close.test.ts
@@ -148,6 +148,12 @@
 		t.diagnostic(`stopped after ${Math.round(stopping.exitedAtMs - signalledAtMs)} ms, ${Math.round(stopping.exitedAtMs - endedAtMs)} ms after the connections were closed`);
 		assert.equal(stopping.exitCode, 0);
 		assert.ok(stopping.exitedAtMs - endedAtMs < (isIdle ? 0 : LINGER_MS) + STOP_MS);
+		// Whether the last bytes of these answers have arrived is not known when the process ends.
+		for (const index of callers.keys()) {
+			const ends = stopping.linesOf(`open-${index}`).filter(({event}) => event === 218);
+			assert.deepEqual(ends.map(({reason}) => reason), isIdle ? [] : ['answer-unconfirmed']);
+		}
+
 		for (const caller of callers) {
 			caller.leave();
 		}
