Requests go to targets that are reached rather than to those known not to be

What callers saw: at an instance that has lost the path to some targets of a service, requests waited for connections that hang, again and again, and ended at their deadline.

Cause: a target that is known to be unreached, and is probed for that, got requests again whenever its backoff (150 ms to 1.5 s) had passed, also while others of its service were reached.

Change: among the targets that can serve a request, those that are reached go first; only where none is, the others are tried as before. A target that has missed one connection is probed at the next tick, so that it is left out for about a round trip.

relay.test.ts 24 of 24; without the change the new case fails: 8 of 37 requests go to targets that probes find unreached.

dark-targets.test.ts of the core 8 of 8, tries 12, crash-suspects 13, pace 13, overload 6, brittle-services 4, held-up-tries 8, silence 22, configuration-age 22, cut-off-instances 4, planned-stop 14, restarted-process 1, workspaces-process 4, two-builds 2: all pass.

--- a/src/core/entry/relay.test.ts
+++ b/src/core/entry/relay.test.ts
@@ -108,6 +108,34 @@
 	assert.equal(relaysOf(core.arrive('r', '/ask/1', {model: 'm0'})).length, 0);
 });
 
+// Guards against requests that wait for connections to targets that are known to be unreached, although others are reached.
+test('one target of a service is reached: requests go there, not to those that probes find unreached, also once these are tried again', () => {
+	const core = createCore();
+	const answer = (effects: readonly EntryEffect[]) => {
+		for (const effect of effects) {
+			if (effect.kind === 'probe-target') {
+				core.dispatch({
+					kind: 'target-probed', targetId: effect.targetId, incarnation: effect.incarnation, outcome: effect.targetId === 't3' ? 'accepted' : 'unanswered',
+				});
+			} else if (effect.kind === 'send') {
+				answer(core.endTry(effect.requestId, effect.tryNumber, effect.targetId === 't3' ? 'answered' : 'not-sent'));
+			}
+		}
+	};
+
+	answer(core.arrive('first'));
+	answer(core.advance(100));
+	const sent: string[] = [];
+	for (let index = 0; index < 40; index++) {
+		answer(core.advance(100));
+		const effects = core.arrive(`r${index}`, '/sign/1');
+		sent.push(...effectsOfKind(effects, 'send').map(({targetId}) => targetId));
+		answer(effects);
+	}
+
+	assert.deepEqual([...new Set(sent)], ['t3'], sent.join(' '));
+});
+
 test('a request is passed on to an instance of the own zone as the caller sent it, with the time that is left', () => {
 	const core = createCutOff();
 	const [relay] = relaysOf(core.arrive('r', '/sign/1', {deadlineMs: 800}));
--- a/src/core/entry/selection.ts
+++ b/src/core/entry/selection.ts
@@ -60,7 +60,10 @@
 		return {kind: 'full'};
 	}
 
-	const usable = candidates.filter(target => canServe(target, request, context.nowMs));
+	const serving = candidates.filter(target => canServe(target, request, context.nowMs));
+	// Probes show when one that is unreached accepts connections again. Where all are, a request may find out sooner.
+	const reached = serving.filter(({unreachedSinceMs}) => unreachedSinceMs === undefined);
+	const usable = reached.length > 0 ? reached : serving;
 	if (usable.length === 0) {
 		return {kind: 'none'};
 	}
