--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -5,13 +5,15 @@
 again; some callers leave in the middle.
 */
 import {Buffer} from 'node:buffer';
-import {Agent, request as httpRequest, type IncomingMessage} from 'node:http';
+import {Agent, request as httpRequest} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type RandomSource} from '../../src/experiment/random-source.js';
 import {createRandom} from './seeded-random.js';
 import {DEADLINE_MS, tenants} from './configuration.js';
 import {type Fleet, type SoakInstance, zones} from './fleet.js';
-import {type Attempt, noteHead, type RequestKind, type SoakRecord} from './record.js';
+import {
+	type Attempt, noteHead, type RequestKind, type SoakRecord,
+} from './record.js';
 import {EVENTS, modelNames} from './target.js';
 
 /** A caller that has got no answer gives up this long after its deadline. */
