Callers that have left are noticed right after the first interim response

Cause: the reset that answers an interim response was looked for 50 ms later, and a request that was not passed on yet waited its 0.2 s although the reset was known. In a process that is behind each such caller costs memory and timers for that long. Change: the connection is looked at 2 ms after an interim response, and the wait ends with the connection.

--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -8,7 +8,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import {setImmediate, setTimeout as delay} from 'node:timers/promises';
+import {setImmediate} from 'node:timers/promises';
 import {type CallerMemory, type MemoryAccount} from './caller-memory.js';
 import {CallerSocket, LINGER_MS} from './caller-socket.js';
 import {type IncomingBody} from './incoming-body.js';
@@ -23,6 +23,8 @@
 
 /** Within this time after the end of the input, the reset of a caller that has left arrives. */
 const RESET_MS = 200;
+/** Time after which the reset of a caller nearby is looked for. */
+const NEAR_RESET_MS = 2;
 /** Interval at which a connection whose input has ended is looked at for a reset. */
 const PROBE_INTERVAL_MS = 50;
 /** Times from the end of the input at which an answer without bytes is preceded by an interim one. Some clients accept no more than five. */
@@ -168,7 +170,7 @@
 	/** Resolves with whether the caller may still take an answer; later if it has just closed its sending side, since it may have left. */
 	async mayTakeAnswer(): Promise<boolean> {
 		if (this.socket.hasInputEnded && !this.socket.isGone && !this.socket.isClosing) {
-			await delay(Math.max(0, this._inputEndedAtMs + RESET_MS - performance.now()));
+			await this._resetOr(this._inputEndedAtMs + RESET_MS - performance.now());
 			this.socket.probe();
 			// The error of a write is told in the next round.
 			await setImmediate();
@@ -297,7 +299,21 @@
 
 		this._probeTimer = setTimeout(() => {
 			this._probe();
-		}, PROBE_INTERVAL_MS);
+		}, isInterimDue ? NEAR_RESET_MS : PROBE_INTERVAL_MS);
+	}
+
+	/** Resolves once the connection has closed, at the latest after a time. */
+	private async _resetOr(ms: number): Promise<void> {
+		return new Promise(resolve => {
+			const end = () => {
+				clearTimeout(timer);
+				this.socket.off('close', end);
+				resolve();
+			};
+
+			const timer = setTimeout(end, Math.max(0, ms));
+			this.socket.once('close', end);
+		});
 	}
 
 	private get _isHeld(): boolean {
