A stop waits for the last answer on a connection that is not closed as idle yet

What callers saw: the tail of the last stream of a stop is lost with a link that goes with the process, now and then still. Cause: a kept connection whose stream has just ended is neither in use nor closing until the next round in which idle ones are closed (50 ms); if the process looked in between whether all is done, it ended. Change: the instance counts as idle only once each connection's last answer counts as delivered: its caller has closed its side behind it, or 1 s has passed.

--- a/src/entry/caller-connection.ts
+++ b/src/entry/caller-connection.ts
@@ -125,9 +125,14 @@
 		return this.open === 0 && !this.socket.isClosing ? this.socket.bytesRead - this._answeredBytes : 0;
 	}
 
-	/** Until when the last answer may be on its way to a caller that had closed its sending side before, and so cannot show that it has taken it. */
-	get deliveredAtMs(): number {
-		return this.socket.errorCode === '' && this._inputEndedAtMs <= this._answeredAtMs ? this._answeredAtMs + LINGER_MS : Number.NEGATIVE_INFINITY;
+	/** When the last answer counts as delivered, unless the caller shows before, by closing its side, that it has taken it. */
+	get deliveredByMs(): number {
+		return this._answeredAtMs + LINGER_MS;
+	}
+
+	/** Whether the caller had closed its sending side before its last answer, and so cannot show that it has taken it. */
+	get isDeliveryUnshown(): boolean {
+		return this.socket.errorCode === '' && this._inputEndedAtMs <= this._answeredAtMs;
 	}
 
 	/** Whether its caller may be about to send its first request, has something under way, or may still take its last answer; `nowMs` is that of `performance`. */
--- a/src/entry/caller-listener.test.ts
+++ b/src/entry/caller-listener.test.ts
@@ -4,6 +4,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {type Buffer} from 'node:buffer';
+import {type ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {after, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -211,3 +212,27 @@
 
 	assert.ok(refusals.length > 0, 'still accepting');
 });
+
+// Guards against a stop that ends the process right after the last answer on a connection that is kept (LOST).
+test('a stop waits for the last answer on a kept connection that is not closed as idle yet', async t => {
+	const responses: ServerResponse[] = [];
+	const {listener, port} = await listenWith((_request, response) => {
+		responses.push(response);
+		response.writeHead(200, {'content-type': 'text/event-stream'}).write('data: x\n\n');
+	});
+	const socket = connect({port, host: '127.0.0.1', allowHalfOpen: true});
+	t.after(() => {
+		socket.destroy();
+	});
+	socket.write(REQUEST);
+	await once(socket, 'data');
+	listener.stopAccepting();
+	await delay(120);
+	assert.equal(await listener.isIdle(), false, 'while the stream is open');
+	const [response] = responses;
+	response!.end();
+	await once(response!, 'close');
+	assert.equal(await listener.isIdle(), false, 'right after its end');
+	await delay(LINGER_MS + 200);
+	assert.equal(await listener.isIdle(), true);
+});
--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -114,8 +114,8 @@
 	/** Whether connections that wait are still accepted, although the instance stops. */
 	private _isEndingAccepting = false;
 	private _isClosed = false;
-	/** When the last answer on a connection that has closed has arrived. */
-	private _deliveredAtMs = Number.NEGATIVE_INFINITY;
+	/** When the last answers on connections that have closed count as delivered. */
+	private _deliveredByMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly _options: CallerListenerOptions) {
 		this._memory = new CallerMemory({maxBytes: _options.memoryBytes ?? Number.POSITIVE_INFINITY});
@@ -174,7 +174,7 @@
 		this.applyLimits();
 	}
 
-	/** Whether nothing is under way on any connection, once everything that had arrived was read. */
+	/** Whether nothing is under way on any connection, and last answers count as delivered, once everything that had arrived was read. */
 	async isIdle(): Promise<boolean> {
 		if (this._isEndingAccepting) {
 			return false;
@@ -182,7 +182,7 @@
 
 		await readArrived();
 		const nowMs = performance.now();
-		return nowMs >= this._deliveredAtMs && [...this._connections.values()].every(connection => !connection.isUsed(nowMs));
+		return nowMs >= this._deliveredByMs && [...this._connections.values()].every(connection => !connection.isUsed(nowMs) && nowMs >= connection.deliveredByMs);
 	}
 
 	get counts(): ConnectionCounts {
@@ -257,7 +257,10 @@
 			this._connections.set(socket, connection);
 			socket.once('close', () => {
 				this._connections.delete(socket);
-				this._deliveredAtMs = Math.max(this._deliveredAtMs, connection.deliveredAtMs);
+				if (connection.isDeliveryUnshown) {
+					this._deliveredByMs = Math.max(this._deliveredByMs, connection.deliveredByMs);
+				}
+
 				this._reportCut(connection);
 			});
 			for (const listener of listeners) {
@@ -305,6 +308,16 @@
 		}
 	}
 
+	/** Closes the connections that only wait for their callers to close their side, and reports their answers. */
+	endLingering(): void {
+		for (const connection of this._connections.values()) {
+			if (connection.socket.isClosing) {
+				connection.socket.destroy();
+				this._reportCut(connection);
+			}
+		}
+	}
+
 	async close(): Promise<void> {
 		this._isClosed = true;
 		clearInterval(this._idleCloseTimer);
