The last word of a stop names answers whose arrival nothing shows

Cause (found by the review): lingering connections were closed after the last word had gone out, so that what their closing found reached the instance's own log only. Change: they are closed, and reported, before it.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -240,6 +240,8 @@
 		}
 
 		const load = this._describeLoad();
+		// What this finds still reaches peers.
+		this.callerListener.endLingering();
 		this._reportAllStopped();
 		this._isStopped = true;
 		clearInterval(this._tickTimer);
--- a/test/unit/cut-requests-at-peers.test.ts
+++ b/test/unit/cut-requests-at-peers.test.ts
@@ -3,11 +3,13 @@
 named in the logs of other instances, over real sockets between processes.
 */
 import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
 import {
 	after, before, test, type TestContext,
 } from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {PlatformBundle} from '../standins/platform-process.js';
+import {SocketCaller} from '../standins/socket-caller.js';
 import {GRACE_MS, StoppingProcess, type LogLine} from '../standins/stopping-process.js';
 
 const PEERS = ['edge-funka-bay-1', 'edge-funka-bay-2'];
@@ -74,3 +76,24 @@
 
 	socket.destroy();
 });
+
+// Guards against ends at a stop that only the log of the instance that stops tells of, since its last word goes out before its listener closes.
+test('the logs of peers name an answer whose arrival nothing shows when the grace ends', async t => {
+	const stopping = await StoppingProcess.start(bundle, {instanceId: 'a-1', peerIds: ['a-2']});
+	t.after(async () => {
+		await stopping.close();
+	});
+	await delay(1500);
+	// The stream ends less than the linger time before the end of the grace, and its caller keeps its side open.
+	const caller = new SocketCaller(stopping.callersPort).send({path: '/ask/7500', id: 'kept-open'});
+	await delay(400);
+	const signalledAtMs = performance.now();
+	stopping.process.kill('SIGTERM');
+	await stopping.exit(signalledAtMs);
+	// Lines that are not urgent are handed over each second.
+	await delay(1500);
+	assert.equal(caller.answers, 1);
+	for (const lines of [stopping.lines, stopping.peerLines.get('a-2')!]) {
+		assert.deepEqual(lines.filter(({requestId, reason}) => requestId === 'kept-open' && reason !== undefined).map(({reason}) => reason), ['answer-unconfirmed']);
+	}
+});
