Announcements of stops that have their form only in part are ignored

Cause (found by the review): a datagram with a list of cuts and other members missing or odd threw, on arrival or in a later tick. Datagrams come from the network. Change: the codec takes them for datagrams of another program.

--- a/src/entry/datagram-codec.test.ts
+++ b/src/entry/datagram-codec.test.ts
@@ -64,3 +64,14 @@
 	};
 	assert.deepEqual(toEvent(decodeDatagram(encodeDatagram(announcement))!), {kind: 'stop-announced', announcement});
 });
+
+// Guards against a datagram of another program whose handling throws, on arrival or in a later tick.
+test('what has the form of a stop only in part is taken for a datagram of another program', () => {
+	const stop = {
+		from: 'b', boot: 'b-1', sequence: 1, isClosed: false, cuts: [], moreCuts: 0, open: [], moreOpen: 0,
+	};
+	assert.ok(decodeDatagram(Buffer.from(JSON.stringify(stop))));
+	for (const odd of [{from: undefined}, {boot: 1}, {sequence: undefined}, {open: undefined}, {cuts: [null]}, {open: [null]}, {cuts: [{requestId: 'r'}]}, {open: [{tries: ''}]}, {cuts: 'x'}]) {
+		assert.equal(decodeDatagram(Buffer.from(JSON.stringify({...stop, ...odd}))), undefined, JSON.stringify(odd));
+	}
+});
--- a/src/entry/datagram-codec.ts
+++ b/src/entry/datagram-codec.ts
@@ -69,12 +69,26 @@
 	try {
 		const json = message[0] === OPENING_BRACE ? message : inflateRawSync(message, inflateOptions);
 		const datagram = JSON.parse(json.toString('utf8')) as Datagram;
+		if ('cuts' in datagram && !isStopAnnouncement(datagram)) {
+			return undefined;
+		}
+
 		return listMembers.some(name => Array.isArray((datagram as Record<string, unknown>)[name])) || otherMembers.some(name => name in datagram) ? datagram : undefined;
 	} catch {
 		return undefined;
 	}
 }
 
+function isStopAnnouncement({from, boot, sequence, cuts, open}: Partial<StopAnnouncement>): boolean {
+	return typeof from === 'string' && typeof boot === 'string' && typeof sequence === 'number'
+		&& Array.isArray(cuts) && cuts.every(cut => hasTexts(cut, ['requestId', 'reason', 'tries']))
+		&& Array.isArray(open) && open.every(request => hasTexts(request, ['requestId', 'tries']));
+}
+
+function hasTexts(value: unknown, names: readonly string[]): boolean {
+	return typeof value === 'object' && value !== null && names.every(name => typeof (value as Record<string, unknown>)[name] === 'string');
+}
+
 /** The event that a datagram is for the core. */
 export function toEvent(datagram: Datagram): DatagramEvent {
 	if ('registry' in datagram) {
