--- a/src/entry/caller-listener.ts
+++ b/src/entry/caller-listener.ts
@@ -16,7 +16,7 @@
 import {type ResultName} from '../core/result-codes.js';
 import {CallerConnection, type LastAnswer} from './caller-connection.js';
 import {CallerMemory} from './caller-memory.js';
-import {type CallerSocket} from './caller-socket.js';
+import {LINGER_MS, type CallerSocket} from './caller-socket.js';
 import {type RawHeaders} from './deployment.js';
 import {type EventLoop} from './event-loop.js';
 import {createHttpServer} from './http-server.js';
@@ -39,8 +39,6 @@
 const IDLE_CLOSE_INTERVAL_MS = 50;
 /** Limit for the time in which a stopping instance goes on accepting what waits; callers that do not know of the stop may go on connecting. */
 const ACCEPTING_MS_MAX = 3000;
-/** An answer may still be under way for so long after it was handed over. */
-const DELIVERY_MS = 1000;
 
 export type CallerListenerOptions = {
 	/** Undefined until a configuration states them. */
@@ -271,7 +269,7 @@
 
 	private _reportCut(connection: CallerConnection): void {
 		const {lastAnswer, socket} = connection;
-		const wasJustAnswered = lastAnswer !== undefined && performance.now() - lastAnswer.atMs < DELIVERY_MS;
+		const wasJustAnswered = lastAnswer !== undefined && performance.now() - lastAnswer.atMs < LINGER_MS;
 		const isCut = wasJustAnswered && (socket.errorCode !== '' || (socket.closedBy === 'instance' && socket.unreadBytes > 0));
 		if (lastAnswer && (isCut || socket.isUnconfirmed)) {
 			connection.lastAnswer = undefined;
--- a/src/entry/caller-socket.ts
+++ b/src/entry/caller-socket.ts
@@ -17,7 +17,7 @@
 /** Input that is parsed at once. */
 const CHUNK_BYTES = 4 * 1024;
 
-/** Time for callers to close their side after the last answer, and input that is dropped meanwhile. */
+/** Time for which an answer may be on its way after it was handed over, and callers have to close their side behind it; and input that is dropped meanwhile. */
 export const LINGER_MS = 1000;
 const LINGER_BYTES_MAX = 1024 * 1024;
 
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -242,7 +242,7 @@
 		const load = this._describeLoad();
 		// What this finds still reaches peers.
 		this.callerListener.endLingering();
-		this._reportAllStopped();
+		this._reportEnd();
 		this._isStopped = true;
 		clearInterval(this._tickTimer);
 		this.storeWatcher.stop();
@@ -476,11 +476,12 @@
 
 	/** For the end of the process, also one that nothing has stopped: names the requests that end with it, and hands over all lines. */
 	endLog(): void {
-		this._reportAllStopped();
+		this._reportEnd();
 		this.log.flushNow();
 	}
 
-	private _reportAllStopped(): void {
+	/** Names the requests that end with this process, in its log and to peers. */
+	private _reportEnd(): void {
 		for (const exchange of this.exchanges.values()) {
 			this._ends.reportStopped(exchange);
 		}
