Tests of lines at peers wait for the lines, not for a fixed time

Trace: the stopping instance ended the stream 1,612 ms after SIGTERM and one peer had its line; the other's was still in its buffer, which is handed over in each 20th tick, 1 s and more in a process that is late, while the test read the logs 2,500 ms after SIGTERM. So the test's wait was too short, not the line late. Change: it waits until each peer has a line, 10 s at most, and then for a second one for as long as before at least. What is asserted is the same, and duplicates have longer to show.

--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -24,6 +24,10 @@
 /** Time-out of the route whose requests are answered at it. */
 export const BRIEF_TIMEOUT_MS = 1000;
 
+/** Lines that are not urgent are handed over in this interval, later by a process that is behind. */
+const LINES_INTERVAL_MS = 1000;
+const PEER_LINE_POLLS = 100;
+
 /** Answered at once; shows that the registry has been read. */
 const PROBE_PATH = '/read/0';
 
@@ -243,6 +247,16 @@
 		return this.lines.filter(line => line.requestId === requestId);
 	}
 
+	/** Waits until each other instance has written a line of a request, and for another round of lines, which may hold a second one. */
+	async waitForPeerLines(requestId: string): Promise<void> {
+		const lacksLine = (): boolean => [...this.peerLines.values()].some(lines => !lines.some(line => line.requestId === requestId));
+		for (let polls = 0; polls < PEER_LINE_POLLS && lacksLine(); polls++) {
+			await delay(EVENT_INTERVAL_MS);
+		}
+
+		await delay(LINES_INTERVAL_MS);
+	}
+
 	private async _start(bundle: PlatformBundle): Promise<void> {
 		const {limits, runnerIds = ['i-1', 'i-2']} = this._options;
 		const storeAddress = await this.store.start();
--- a/test/unit/cut-requests-at-peers.test.ts
+++ b/test/unit/cut-requests-at-peers.test.ts
@@ -90,8 +90,7 @@
 	const signalledAtMs = performance.now();
 	stopping.process.kill('SIGTERM');
 	await stopping.exit(signalledAtMs);
-	// Lines that are not urgent are handed over each second.
-	await delay(1500);
+	await stopping.waitForPeerLines('kept-open');
 	assert.equal(caller.answers, 1);
 	for (const lines of [stopping.lines, stopping.peerLines.get('a-2')!]) {
 		assert.deepEqual(lines.filter(({requestId, reason}) => requestId === 'kept-open' && reason !== undefined).map(({reason}) => reason), ['answer-unconfirmed']);
--- a/test/unit/shown-record.test.ts
+++ b/test/unit/shown-record.test.ts
@@ -99,6 +99,7 @@
 		stopping.process.kill('SIGTERM');
 		await cut(stopping, socket);
 		socket.destroy();
+		await stopping.waitForPeerLines(REQUEST_ID);
 		const record = showRecord(logsOf(stopping), REQUEST_ID);
 		assert.ok(record.length <= 40);
 		assert.ok(!record.includes(`${STOPPING}:`), 'the instance that cut it is shown');
