--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -44,6 +44,8 @@
 	error: string;
 	/** Events of a stream that have arrived. */
 	events: number;
+	/** Length of the body that has arrived. */
+	bytes: number;
 	retryAfter: string | undefined;
 };
 
@@ -95,6 +97,9 @@
 		{
 			...route, name: 'ask', prefix: '/ask/', kind: 'streaming', maxAttempts: 2, resumable: true, gapAimMs: 150,
 		},
+		{
+			...route, name: 'tell', prefix: '/tell/', kind: 'streaming', maxAttempts: 2, gapAimMs: 150,
+		},
 		{
 			...route, name: 'late', prefix: '/late/', kind: 'streaming', maxAttempts: 2, resumable: true, gapAimMs: 150,
 		},
@@ -164,7 +169,7 @@
 	async call(agent: Agent, path: string, bodyDelayMs = 0, deadlineMs = TIMEOUT_MS): Promise<Outcome> {
 		this._requests++;
 		const outcome: Outcome = {
-			id: `r${this._requests}`, path, sentAtMs: performance.now(), endedAtMs: 0, status: undefined, isWhole: false, error: '', events: 0, retryAfter: undefined,
+			id: `r${this._requests}`, path, sentAtMs: performance.now(), endedAtMs: 0, status: undefined, isWhole: false, error: '', events: 0, bytes: 0, retryAfter: undefined,
 		};
 		return new Promise(resolve => {
 			const end = (): void => {
@@ -182,6 +187,7 @@
 				response.setEncoding('utf8');
 				response.on('data', (text: string) => {
 					outcome.events += text.split('data:').length - 1;
+					outcome.bytes += text.length;
 				});
 				if (this._options.readPauseMs !== undefined) {
 					response.once('data', () => {
