A reset that Node.js reports as the end fails the response

What callers saw: with the embedded daemon, a short answer that looks complete, where its target sends neither a length nor chunks and is reset with the last bytes. Cause: libuv reads the last bytes, sees that they fill its buffer only in part and that the connection is hung up, and reports the end of the input without asking for the error. undici takes that for the end of a response without a length. A reset that arrives later than the bytes is an error, and was noticed. The connection is in the state of one that was reset: getpeername fails, so that `remoteAddress` is undefined, and is set after a regular end. Ruled out: responses with a length or in chunks, whose ends the parser checks; they fail before and after. Change: GuardedClient, which targets, engines, the store and the embedded daemon share, fails a response that ends with such a connection.

--- a/src/daemon/gateways/guarded-client.ts
+++ b/src/daemon/gateways/guarded-client.ts
@@ -1,15 +1,16 @@
 /**
-HTTP client that guards against five things that undici leaves open. It closes its
-connection when a server sends bytes that bring no content: a head, interim responses,
-chunk framing or trailers without end. And it resets the connection of a request that is
-aborted: closed in the regular way, the kernel would go on sending bytes that the server
-has not acknowledged, and a request that nobody waits for any more would still arrive
-once a broken path has healed. And it closes an idle connection on which anything arrives:
-undici does so only once a complete head has arrived, so that the rest of a response that
-nobody asked for could be taken for the response to the next request. And it fails each
-response whose connection is reset before its end. And it reads from all its connections in
-turns, so that one that sends fast does not take the process for itself, and joins small
-pieces of a body, which would take many times their length in a list.
+HTTP client that guards against what undici leaves open. It closes its connection when a
+server sends bytes that bring no content: a head, interim responses, chunk framing or
+trailers without end. And it resets the connection of a request that is aborted: closed in
+the regular way, the kernel would go on sending bytes that the server has not acknowledged,
+and a request that nobody waits for any more would still arrive once a broken path has
+healed. And it closes an idle connection on which anything arrives: undici does so only
+once a complete head has arrived, so that the rest of a response that nobody asked for
+could be taken for the response to the next request. And it fails each response whose
+connection is reset before its end, also where Node.js reports the reset as the regular
+end. And it reads from all its connections in turns, so that one that sends fast does not
+take the process for itself, and joins small pieces of a body, which would take many times
+their length in a list.
 */
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
@@ -38,7 +39,11 @@
 */
 function markResets(socket: Socket): void {
 	const destroy = socket.destroy.bind(socket);
-	socket.destroy = error => destroy(errorCodeOf(error) === RESET_CODE ? new Error('the server has reset the connection', {cause: error}) : error);
+	socket.destroy = error => destroy(errorCodeOf(error) === RESET_CODE ? createResetError(error) : error);
+}
+
+function createResetError(cause: Error = Object.assign(new Error('reset behind the last bytes'), {code: RESET_CODE})): Error {
+	return new Error('the server has reset the connection', {cause});
 }
 
 function errorCodeOf(error: Error | undefined): unknown {
@@ -53,11 +58,20 @@
 	/** Bytes received when the last response was complete; undefined while a request runs, and before the first one. */
 	private _idleBytes: number | undefined;
 
+	/** Whether the connection was reset, although its end was reported as the regular one. */
+	endedByReset = false;
+
 	watch(socket: Socket): void {
 		this._socket = socket;
 		this._startBytes = 0;
 		this._contentBytes = 0;
 		this._idleBytes = undefined;
+		this.endedByReset = false;
+		// Registered before undici's listener, which takes the end of the input for the end of a response without a length.
+		socket.once('end', () => {
+			// libuv reports a reset that arrives with unread bytes as the end of the input. Such a connection has no other end any more.
+			this.endedByReset = socket.remoteAddress === undefined;
+		});
 		socket.on('readable', () => {
 			this._checkIdle(socket);
 		});
@@ -165,6 +179,11 @@
 	}
 
 	onComplete(trailers: Buffer[]): void {
+		if (this._meter.endedByReset) {
+			this.onError(createResetError());
+			return;
+		}
+
 		this._passOn();
 		this._isEnded = true;
 		this._meter.endResponse();
--- a/src/daemon/gateways/http-gateway.test.ts
+++ b/src/daemon/gateways/http-gateway.test.ts
@@ -31,6 +31,16 @@
 	};
 }
 
+/** Resets the connection in the same turn in which it writes, so that the client reads both at once. */
+function resetBehind(text: string): SocketHandler {
+	return socket => {
+		socket.once('data', () => {
+			socket.write(text);
+			socket.resetAndDestroy();
+		});
+	};
+}
+
 /** Runs one try against a raw TCP server; `'nothing'` stands for a port without a listener. */
 async function runTryAgainst(handleSocket: SocketHandler | 'nothing', options: {forwardsServerErrors?: boolean; abortAfterRequest?: boolean} = {}): Promise<TryEnd> {
 	const server = createServer(socket => {
@@ -99,6 +109,7 @@
 	['connection closed inside the response head: the request may have run', respondWith('HTTP/1.1 200 OK\r\ncontent-le'), 'reset'],
 	['body shorter than its content length', respondWith('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nshort'), 'truncated'],
 	['chunked body without its last chunk', respondWith('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n'), 'truncated'],
+	['body without a length, reset behind its last bytes', resetBehind('HTTP/1.1 200 OK\r\n\r\nshort'), 'truncated'],
 	['status by which the target says that the request did not run', respondWith('HTTP/1.1 429 Too Many\r\ncontent-length: 0\r\n\r\n', false), 'refused'],
 	['server error', respondWith('HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n', false), 'target-error'],
 	['complete response', respondWith('HTTP/1.1 201 Created\r\ncontent-length: 5\r\n\r\nwhole', false), 'completed'],
--- a/src/entry/ends-of-answers.test.ts
+++ b/src/entry/ends-of-answers.test.ts
@@ -17,8 +17,12 @@
 const READ_AFTER_MS = 150;
 /** Many times what an end takes to show. */
 const WAIT_LIMIT_MS = 3000;
+/** Fewer than Node.js reads at once. */
+const LAST_BYTES = 'y'.repeat(100);
+/** More than any of the answers has. */
+const STATED_BYTES = BODY_BYTES + LAST_BYTES.length + 1;
 
-type End = 'reset' | 'close';
+type End = 'reset' | 'close' | 'reset behind the last bytes';
 
 const ends: Readonly<Record<End, (socket: Socket) => void>> = {
 	reset(socket) {
@@ -27,13 +31,18 @@
 	close(socket) {
 		socket.end();
 	},
+	'reset behind the last bytes'(socket) {
+		// Written and reset before the reader has its turn, so that both arrive at once.
+		socket.write(LAST_BYTES);
+		socket.resetAndDestroy();
+	},
 };
 
 /** Answers that are not whole. */
 const cutOff = {
 	'without a length': body,
-	'with a length': `Content-Length: ${BODY_BYTES + 1}\r\n\r\n${body}`,
-	'with a length, the last on its connection': `Connection: close\r\nContent-Length: ${BODY_BYTES + 1}\r\n\r\n${body}`,
+	'with a length': `Content-Length: ${STATED_BYTES}\r\n\r\n${body}`,
+	'with a length, the last on its connection': `Connection: close\r\nContent-Length: ${STATED_BYTES}\r\n\r\n${body}`,
 	'in chunks': `Transfer-Encoding: chunked\r\n\r\n${BODY_BYTES.toString(16)}\r\n${body}\r\n`,
 	'in chunks, the last on its connection': `Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n${BODY_BYTES.toString(16)}\r\n${body}\r\n`,
 };
@@ -60,7 +69,7 @@
 }
 
 for (const [framing, answer] of Object.entries(cutOff)) {
-	for (const end of ['reset', 'close'] as const) {
+	for (const end of ['reset', 'close', 'reset behind the last bytes'] as const) {
 		if (framing === 'without a length' && end === 'close') {
 			continue;
 		}
