What a former lifetime of a target did is not held against the next one

What callers saw: fewer requests at a target that has just come back, whose predecessor's connections broke a moment after the registry listed the new lifetime. Cause: the end of a try counts against the target that now has the id: its failure rate and pace, and the request's content becomes suspect of a crash of the new lifetime. Ruled out: the evidence of a crash itself, which the restart blames on what was unanswered then, before. Change: a try whose target has been listed as another lifetime since counts against none. Figures: tries.test.ts, 'a try that breaks after its target has started anew counts against nothing of the new lifetime', failed before; 16 of 16 pass.

--- a/src/core/entry/tries.test.ts
+++ b/src/core/entry/tries.test.ts
@@ -135,6 +135,17 @@
 	assert.equal(effectsOfKind(core.arrive('again', '/sign/1', {contentHash: 'innocent'}), 'send').length, 1);
 });
 
+// Guards against a target that has just started and is blamed for what its former lifetime did: it was slowed down, and its content suspected of a crash.
+test('a try that breaks after its target has started anew counts against nothing of the new lifetime', () => {
+	const core = createCore().readRegistry([targetEntry('t1', {incarnation: 1})]);
+	core.arrive('r', '/sign/1');
+	core.readRegistry([targetEntry('t1', {incarnation: 2})]);
+	core.endTry('r', 1, 'broken');
+	const target = core.state.targets.get('t1')!;
+	assert.deepEqual([target.failureRate, target.suspects], [0, []]);
+	assert.equal(core.state.suspectedTargets.size, 0);
+});
+
 /** Lines of tries and of the request's end. */
 function endLines(core: EntryHarness): Array<{readonly event: string; readonly fields: Readonly<Record<string, unknown>>}> {
 	return effectsOfKind(core.effects, 'log').filter(({event}) => event === 'try-ended' || event === 'request-ended');
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -162,6 +162,7 @@
 	}
 
 	const target = state.targets.get(attempt.targetId);
+	const wasFormerLifetime = target !== undefined && !target.inFlight.has(request.id);
 	request.delivered = Math.max(request.delivered, event.delivered);
 	attempt.firstEventAtMs = event.firstEventAtMs;
 	attempt.longestPauseMs = event.longestPauseMs;
@@ -197,7 +198,7 @@
 	request.lastTry = end;
 	handleFailure(context, {
 		request, attempt, outcome: event.outcome, details: {
-			wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs, status: event.status,
+			wasFormerLifetime, wasMissing: event.isMissing && usesMissing, wasRefused: event.isRefused, retryAfterMs: event.retryAfterMs, status: event.status,
 		},
 	});
 	request.lastTry = undefined;
--- a/src/core/entry/try-outcomes.ts
+++ b/src/core/entry/try-outcomes.ts
@@ -17,6 +17,8 @@
 export type FailureDetails = {
 	/** Whether a target that did not run the request lacks its model or adapter. */
 	readonly wasMissing?: boolean;
+	/** Whether the target has started anew since the try was sent. */
+	readonly wasFormerLifetime?: boolean;
 	/** Whether a target that was not reached refused the connection. */
 	readonly wasRefused?: boolean;
 	/** When another instance that refused the request would take it. */
@@ -108,7 +110,7 @@
 	}
 
 	const target = context.state.targets.get(attempt.targetId);
-	if (!target) {
+	if (!target || details?.wasFormerLifetime) {
 		return;
 	}
 
