A target that has gone makes its last answer unproven, also if it leaves; one with another connection open goes on

Cause: that a target leaves was taken for proof that it ends what it runs first. Ruled out: treating each refused connection as the end of the process: a server that leaves often closes its listener first and finishes what it has. Change (design 0019): after a refused connection the other connections of this instance to the target decide, 50 ms later: one that is open shows that the process goes on, and the answer is whole; without one it is unproven, and fails as a broken one does. A target that has announced its leaving is still not blamed. Conclusion: what is left undecided is a single last answer behind a closed listener.

--- a/src/core/entry/tries.test.ts
+++ b/src/core/entry/tries.test.ts
@@ -158,18 +158,15 @@
 	assert.equal(effectsOfKind(core.endTry('again', 2, 'unproven'), 'refuse')[0]?.code, 'target-failed');
 });
 
-// Guards against a whole answer that is replaced by an error, or a sound target that is blamed, since the target has left as planned right behind it.
-test('an answer without a length whose target leaves and has gone is taken from another target, or passed on where none may run it', () => {
+// Guards against a target, or the content of a request, that is blamed for a crash since the target has left as announced.
+test('an answer without a length whose target leaves and has gone is taken from another target where it may, and blames nothing', () => {
 	const core = createCore().readRegistry([targetEntry('t1')]);
 	core.arrive('once', '/sign/1');
 	core.arrive('again');
 	core.readRegistry([targetEntry('t1', {isLeaving: true}), targetEntry('t2')]);
-	const once = core.endTry('once', 1, 'unproven');
-	assert.deepEqual([effectsOfKind(once, 'deliver').length, effectsOfKind(once, 'refuse').length], [1, 0]);
+	assert.equal(effectsOfKind(core.endTry('once', 1, 'unproven'), 'refuse')[0]?.code, 'target-failed');
 	assert.equal(effectsOfKind(core.endTry('again', 1, 'unproven'), 'send')[0]?.targetId, 't2');
 	assert.deepEqual([core.state.targets.get('t1')!.failureRate, core.state.suspectedTargets.size], [0, 0]);
-	core.readRegistry([targetEntry('t2', {isLeaving: true})]);
-	assert.equal(effectsOfKind(core.endTry('again', 2, 'unproven'), 'deliver').length, 1);
 });
 
 /** Lines of tries and of the request's end. */
--- a/src/core/entry/tries.ts
+++ b/src/core/entry/tries.ts
@@ -32,7 +32,7 @@
 import {addSpeedSample} from './target-speeds.js';
 import {recordLoad, type Target, type TargetLoad} from './target.js';
 import {
-	countRuns, hasAnnouncedLeaving, outcomeRules, recordAgainstTarget, type FailedTry, type FailureDetails, type OutcomeRule,
+	countRuns, outcomeRules, recordAgainstTarget, type FailedTry, type FailureDetails, type OutcomeRule,
 } from './try-outcomes.js';
 import {type EntryRequest, type EntryTry} from './types.js';
 
@@ -317,12 +317,6 @@
 		return;
 	}
 
-	if (outcome === 'unproven' && (request.hasHead || !request.route.isStream) && hasAnnouncedLeaving(context, attempt)) {
-		// Nothing was seen to be cut off, and a target that leaves as planned ends what it runs first.
-		completeRequest(context, request, {target: undefined, status: undefined});
-		return;
-	}
-
 	if (outcome === 'failed' && !request.hasHead) {
 		// The target's own error is the final response.
 		context.effects.push({kind: 'deliver', requestId: request.id});
--- a/src/core/entry/try-outcomes.ts
+++ b/src/core/entry/try-outcomes.ts
@@ -116,8 +116,9 @@
 	}
 
 	const target = context.state.targets.get(attempt.targetId);
-	// A target that leaves may be gone right behind its last answer.
-	if (!target || details?.wasFormerLifetime === true || (outcome === 'unproven' && hasAnnouncedLeaving(context, attempt))) {
+	// A target that leaves as announced is gone in the end.
+	const hasLeft = outcome === 'unproven' && target?.leavingSinceMs !== undefined;
+	if (!target || details?.wasFormerLifetime === true || hasLeft) {
 		return;
 	}
 
@@ -134,11 +135,6 @@
 	pace(context, target, {outcome, wasMissing: details?.wasMissing ?? false});
 }
 
-/** Whether the target of a try has announced that it leaves. One that was removed from the registry without that may have crashed. */
-export function hasAnnouncedLeaving({state}: EntryContext, {targetId}: EntryTry): boolean {
-	return state.targets.get(targetId)?.leavingSinceMs !== undefined;
-}
-
 /** Failures and shed requests slow a target's pace; one that fails often begins to have one. */
 function pace(context: EntryContext, target: Target, {outcome, wasMissing}: {readonly outcome: FailedOutcome; readonly wasMissing: boolean}): void {
 	if (outcome === 'not-sent' || wasMissing) {
--- a/src/core/entry/types.ts
+++ b/src/core/entry/types.ts
@@ -106,8 +106,8 @@
 - `answered`: the response arrived complete and is not a server error.
 - `failed`: the response arrived complete and is a server error of the target.
 - `broken`: the connection or the response was cut off; the request may have been executed.
-- `unproven`: the response has no length, ended with its connection in the regular way, and its target has gone; where the target
-  leaves as planned, nothing shows whether the response is complete.
+- `unproven`: the response has no length, ended with its connection in the regular way, and its target has gone, so that the end of
+  its process may have cut it off.
 - `canceled`: this instance canceled the try.
 */
 export type TryOutcome = 'not-sent' | 'not-run' | 'answered' | 'failed' | 'broken' | 'unproven' | 'canceled';
--- a/src/entry/kept-connections.ts
+++ b/src/entry/kept-connections.ts
@@ -140,6 +140,12 @@
 		return this._peers.get(address)?.idle.some(connection => isUsable(connection)) ?? false;
 	}
 
+	/** Whether a connection is open, idle or with a response under way. */
+	hasOpen(address: string): boolean {
+		const peer = this._peers.get(address);
+		return peer !== undefined && (peer.busy > 0 || peer.idle.some(({client}) => client.stats.connected));
+	}
+
 	async request(address: string, request: KeptRequest): Promise<KeptResponse> {
 		const peer = this._peer(address);
 		const kept = request.mayReuse ? takeIdle(peer, request) : undefined;
--- a/src/entry/target-connections.ts
+++ b/src/entry/target-connections.ts
@@ -85,6 +85,11 @@
 		return this._connections.hasIdle(address);
 	}
 
+	/** Whether a connection is open, idle or in use. */
+	hasOpen(address: string): boolean {
+		return this._connections.hasOpen(address);
+	}
+
 	async request(address: string, {usesFreshConnection, followsFailure = false, maxIdleConnections = Number.POSITIVE_INFINITY, ...request}: TargetRequest): Promise<TargetResponse> {
 		const reusesAll = this._reusesAll;
 		const mayReuse = reusesAll ? !followsFailure : !usesFreshConnection;
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -5,6 +5,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type EntryEffectOf} from '../core/entry/effect.js';
 import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
 import {type StatedRateLimit} from '../core/entry/target.js';
@@ -36,6 +37,9 @@
 /** Statuses by which callers are promised that a request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Well above the time in which the connections of a process that ends are closed. */
+const CLOSING_MS = 50;
+
 /** Statuses of responses that have no body. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
@@ -280,7 +284,7 @@
 
 	/**
 	Whether the target of a response that ended with its connection has gone as well: the operating system closes the
-	connections of a process that dies in the regular way, too.
+	connections of a process that ends in the regular way, too. One that only accepts no more has others open.
 	*/
 	private async _hasTargetGone({id, method}: Exchange, {targetId, address, relayed}: EntryEffectOf<'send'>, response: TargetResponse): Promise<boolean> {
 		if (relayed !== undefined || !endsWithConnection(method, response)) {
@@ -288,7 +292,16 @@
 		}
 
 		const {isSameLifetime, connections} = this._options;
-		return !isSameLifetime(targetId, id) || await connections.probe(address) === 'refused';
+		if (!isSameLifetime(targetId, id)) {
+			return true;
+		}
+
+		if (await connections.probe(address) !== 'refused') {
+			return false;
+		}
+
+		await delay(CLOSING_MS);
+		return !connections.hasOpen(address);
 	}
 
 	/** Reads a complete response into memory. */
--- a/test/standins/fake-store-and-runner.ts
+++ b/test/standins/fake-store-and-runner.ts
@@ -174,12 +174,12 @@
 /**
 How a runner handles one request; `answer` sends a complete response, `pause` one with a long pause after its first event,
 `close-delimited` one that ends with its connection, `close-inside` a stream that ends so inside an event, `close-down` a part of an
-answer, or some whole events, with which the runner ends. `decline-twice` turns the request away and writes that response once more where the next one on the connection is due. `408`, `429` and `503`
+answer, or some whole events, with which the runner ends; `close-listener` as `close-delimited`, at a runner that accepts no more connections. `decline-twice` turns the request away and writes that response once more where the next one on the connection is due. `408`, `429` and `503`
 run the request and answer with that status, without a statement that it did not run.
 */
-export type RunnerBehaviour = 'answer' | 'decline' | 'decline-twice' | '408' | '429' | '503' | 'error' | 'unsigned-error' | 'nameless-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'close-down' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
+export type RunnerBehaviour = 'answer' | 'decline' | 'decline-twice' | '408' | '429' | '503' | 'error' | 'unsigned-error' | 'nameless-error' | 'reset' | 'truncate' | 'foreign' | 'unsigned' | 'break-event' | 'unframed' | 'close-delimited' | 'close-inside' | 'close-down' | 'close-listener' | 'hang' | 'pause' | 'comment-stream' | EndlessKind;
 
-const connectionEnds: ReadonlySet<RunnerBehaviour> = new Set(['close-delimited', 'close-inside', 'close-down']);
+const connectionEnds: ReadonlySet<RunnerBehaviour> = new Set(['close-delimited', 'close-inside', 'close-down', 'close-listener']);
 
 export type ReceivedRequest = {
 	readonly method: string;
@@ -404,7 +404,8 @@
 	private _answerUntilClose(behaviour: RunnerBehaviour, {request, socket, headers}: {request: IncomingMessage; socket: Socket; headers: Record<string, string | string[]>}): void {
 		const isStream = request.headers['x-pollenarch-token-usage'] !== undefined;
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-		const last = behaviour === 'close-delimited' ? this.events : first + 1;
+		const isWhole = behaviour === 'close-delimited' || behaviour === 'close-listener';
+		const last = isWhole ? this.events : first + 1;
 		const events = Array.from({length: Math.max(0, last - first + 1)}, (_, index) => `id: ${first + index}\ndata: token ${first + index}\n\n`).join('');
 		const body = isStream ? events + (behaviour === 'close-inside' ? `id: ${last + 1}\ndata: tok` : '') : `answer of ${this.id} to ${String(headers['x-pollenarch-request-id'])}`;
 		const lines = Object.entries(headers).map(([name, value]) => `${name}: ${String(value)}\r\n`).join('');
@@ -416,6 +417,10 @@
 			return;
 		}
 
+		if (behaviour === 'close-listener') {
+			this._server.close();
+		}
+
 		socket.end(answer + body);
 	}
 
--- a/test/unit/close-delimited-answers.test.ts
+++ b/test/unit/close-delimited-answers.test.ts
@@ -90,9 +90,9 @@
 	}
 });
 
-/** Sends a request whose first target goes down in the middle of an answer without a length, and has that target come back. */
-async function sendToTargetThatEnds(path: string): Promise<Awaited<ReturnType<typeof send>>> {
-	const sent = await send(path, 'close-down');
+/** Sends a request whose first target ends with an answer without a length, and has that target come back. */
+async function sendToTargetThatEnds(path: string, behaviour: RunnerBehaviour = 'close-down'): Promise<Awaited<ReturnType<typeof send>>> {
+	const sent = await send(path, behaviour);
 	for (const runner of runners) {
 		await runner.restart();
 	}
@@ -100,6 +100,22 @@
 	return sent;
 }
 
+// Guards against whole answers of a target that leaves and only accepts no more, taken for cut off.
+test('a stream without a length whose target accepts no more, but has another connection open, is whole', async () => {
+	const others = [send('/once/1', 'pause')];
+	await delay(100);
+	others.push(send('/once/2', 'pause'));
+	await delay(100);
+	const stream = await sendToTargetThatEnds('/once/3', 'close-listener');
+	assert.equal(idsOf(stream.text), '1 2 3 4 5');
+	for (const other of await Promise.all(others)) {
+		assert.equal(idsOf(other.text), '1 2 3 4 5');
+	}
+
+	const alone = await sendToTargetThatEnds('/once/4', 'close-listener');
+	assert.equal(alone.text, undefined, 'nothing shows that it is whole');
+});
+
 // Guards against a short answer that looks whole, since its target went down and closed the connection in the regular way.
 test('an answer without a length whose target goes down is taken from another one', async () => {
 	const answer = await sendToTargetThatEnds('/read/1');
