The end of an answer without a length waits for a reader that is slow

Cause: undici's parser pauses when the reader has enough, and asserts that it is not paused when the input ends. Change: while the parser waits for its reader, the input reports no end; it does once the reader goes on.

--- a/src/daemon/gateways/guarded-client.ts
+++ b/src/daemon/gateways/guarded-client.ts
@@ -8,7 +8,8 @@
 once a complete head has arrived, so that the rest of a response that nobody asked for
 could be taken for the response to the next request. And it fails each response whose
 connection is reset before its end, also where Node.js reports the reset as the regular
-end. And it reads from all its connections in turns, so that one that sends fast does not
+end. And it has the end of a connection wait for a reader that is slow, which undici does
+not expect. And it reads from all its connections in turns, so that one that sends fast does not
 take the process for itself, and joins small pieces of a body, which would take many times
 their length in a list.
 */
@@ -58,6 +59,9 @@
 	/** Bytes received when the last response was complete; undefined while a request runs, and before the first one. */
 	private _idleBytes: number | undefined;
 
+	/** Whether undici's parser waits until the reader of the response goes on. */
+	isPaused = false;
+
 	/** Whether the connection was reset, although its end was reported as the regular one. */
 	endedByReset = false;
 
@@ -66,6 +70,7 @@
 		this._startBytes = 0;
 		this._contentBytes = 0;
 		this._idleBytes = undefined;
+		this.isPaused = false;
 		this.endedByReset = false;
 		// Registered before undici's listener, which takes the end of the input for the end of a response without a length.
 		socket.once('end', () => {
@@ -75,6 +80,7 @@
 		socket.on('readable', () => {
 			this._checkIdle(socket);
 		});
+		this._holdEnd(socket);
 		readInTurns(socket, () => this._limitChunk(socket));
 		markResets(socket);
 	}
@@ -100,6 +106,19 @@
 		this._contentBytes += bytes;
 	}
 
+	/** The end of the input waits until the parser goes on: undici fails an assertion if it comes while the parser is paused. */
+	private _holdEnd(socket: Socket): void {
+		const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
+		socket.read = size => {
+			if (socket.readableLength === 0) {
+				return this.isPaused ? null : read(size);
+			}
+
+			// Without a size, a read of all that is left would report the end as well.
+			return read(size ?? socket.readableLength);
+		};
+	}
+
 	private _checkIdle(socket: Socket): void {
 		if (this._idleBytes !== undefined && socket.bytesRead > this._idleBytes) {
 			// An informational error, after which undici sends a request that waits for this connection over a new one.
@@ -122,7 +141,7 @@
 type ParserHandler = {
 	onConnect(abort: (error?: Error) => void): void;
 	onResponseStarted?(): void;
-	onHeaders(status: number, headers: Buffer[], resume: () => void, statusText: string): boolean;
+	onHeaders(status: number, headers: Buffer[], resume: () => void, statusText: string): boolean | undefined;
 	onData(chunk: Buffer): boolean;
 	onComplete(trailers: Buffer[]): void;
 	onUpgrade?(status: number, headers: Buffer[], socket: Duplex): void;
@@ -155,11 +174,14 @@
 		this._handler.onResponseStarted?.();
 	}
 
-	onHeaders(status: number, headers: Buffer[], resume: () => void, statusText: string): boolean {
-		return this._handler.onHeaders(status, headers, () => {
+	onHeaders(status: number, headers: Buffer[], resume: () => void, statusText: string): boolean | undefined {
+		const goesOn = this._handler.onHeaders(status, headers, () => {
 			this._isFull = false;
+			this._meter.isPaused = false;
 			resume();
 		}, statusText);
+		this._meter.isPaused = goesOn === false;
+		return goesOn;
 	}
 
 	onData(chunk: Buffer): boolean {
@@ -175,6 +197,7 @@
 			this._passOn();
 		}
 
+		this._meter.isPaused = this._isFull;
 		return !this._isFull;
 	}
 
--- a/src/entry/ends-of-answers.test.ts
+++ b/src/entry/ends-of-answers.test.ts
@@ -3,6 +3,7 @@
 for readers that take them at once and for such as let them wait.
 */
 import assert from 'node:assert/strict';
+import {type Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
@@ -15,6 +16,7 @@
 /** Until then what was sent has been read, as far as a reader that takes nothing allows. */
 const ENDS_AFTER_MS = 50;
 const READ_AFTER_MS = 150;
+const PAUSE_MS = 20;
 /** Many times what an end takes to show. */
 const WAIT_LIMIT_MS = 3000;
 /** Fewer than Node.js reads at once. */
@@ -47,14 +49,19 @@
 	'in chunks, the last on its connection': `Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n${BODY_BYTES.toString(16)}\r\n${body}\r\n`,
 };
 
-async function receive(t: TestContext, answer: string, end: End): Promise<TargetResponse> {
+async function receive(t: TestContext, answer: string, end: End, endsAfterMs = ENDS_AFTER_MS): Promise<TargetResponse> {
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
 			socket.write(`HTTP/1.1 200 OK\r\n${answer}`);
+			if (endsAfterMs === 0) {
+				ends[end](socket);
+				return;
+			}
+
 			setTimeout(() => {
 				ends[end](socket);
-			}, ENDS_AFTER_MS);
+			}, endsAfterMs);
 		});
 	}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -84,3 +91,31 @@
 		}
 	}
 }
+
+for (const bytes of [1000, 16_384, 20_000, 60_000]) {
+	for (const endsAfterMs of [0, ENDS_AFTER_MS]) {
+		// Guards against an uncaught error, and a request that ends at its deadline only: the end of the connection came while undici's parser was paused.
+		test(`an answer of ${bytes} bytes without a length whose connection ends ${endsAfterMs} ms later is whole for a reader that begins late and pauses`, {timeout: WAIT_LIMIT_MS}, async t => {
+			const response = await receive(t, `\r\n${'x'.repeat(bytes)}`, 'close', endsAfterMs);
+			await delay(READ_AFTER_MS);
+			let read = 0;
+			for await (const chunk of response.body) {
+				read += (chunk as Buffer).length;
+				await delay(PAUSE_MS);
+			}
+
+			assert.equal(read, bytes);
+		});
+
+		test(`an answer of ${bytes} bytes without a length whose connection is reset ${endsAfterMs} ms later fails for a reader that begins late and pauses`, {timeout: WAIT_LIMIT_MS}, async t => {
+			const response = await receive(t, `\r\n${'x'.repeat(bytes)}`, 'reset', endsAfterMs);
+			await delay(READ_AFTER_MS);
+			await assert.rejects(async () => {
+				for await (const chunk of response.body) {
+					assert.ok((chunk as Buffer).length <= bytes);
+					await delay(PAUSE_MS);
+				}
+			});
+		});
+	}
+}
