Tests that start processes draw ports of their own, and end where a process does not start

It was ended by hand after 5 minutes. Evidence: the handles of the hung process (three listening sockets, no child); the error is that of the wait for readiness. Why the process had gone is not known: its standard error was dropped. That two test files drew the same port is likely (the page of free-ports.ts says so), and not shown. Ruled out: the change under test. The file's other seven tests passed in that run, and all eight alone, before and after. Change: each test process holds a block of ports and draws from that only; a process that does not start is told with its exit code and the end of its standard error, and what was opened for it is closed. Conclusion: no check is weaker.

--- a/test/standins/free-ports.ts
+++ b/test/standins/free-ports.ts
@@ -1,7 +1,8 @@
 /**
 Finds ports that are free for TCP and UDP, for daemons whose settings must name their
 ports. They are below those that the system gives to outgoing connections, one of which
-could take a port before the daemon listens on it. Another test may still draw the same one.
+could take a port before the daemon listens on it. Each process draws from a block of its
+own, of which it holds the first port, so that no other test draws the same one.
 */
 import {createSocket, type Socket} from 'node:dgram';
 import {createServer, type AddressInfo, type Server} from 'node:net';
@@ -10,8 +11,27 @@
 const FIRST_PORT = 10_000;
 /** The first port that Linux gives to outgoing connections, by default. */
 const END_PORT = 32_768;
+/** More than a test file has in use at a time. */
+const BLOCK_PORTS = 256;
+const BLOCKS = Math.floor((END_PORT - FIRST_PORT) / BLOCK_PORTS);
 
-let nextPort = FIRST_PORT + Math.floor(Math.random() * (END_PORT - FIRST_PORT));
+let block: Promise<number> | undefined;
+let drawn = 0;
+
+/** Holds the first port of a block until the process ends. */
+async function claimBlock(): Promise<number> {
+	const first = Math.floor(Math.random() * BLOCKS);
+	for (let attempt = 0; attempt < BLOCKS; attempt++) {
+		const port = FIRST_PORT + ((first + attempt) % BLOCKS * BLOCK_PORTS);
+		const server = await listen(port);
+		if (server) {
+			server.unref();
+			return port;
+		}
+	}
+
+	throw new Error('No block of ports is free');
+}
 
 export async function freePorts(count: number): Promise<number[]> {
 	const servers = await Promise.all(Array.from({length: count}, async () => listenOnFreePort()));
@@ -21,9 +41,11 @@
 }
 
 async function listenOnFreePort(): Promise<Server> {
+	block ??= claimBlock();
+	const first = await block;
 	for (let attempt = 0; attempt < ATTEMPTS_MAX; attempt++) {
-		const port = nextPort;
-		nextPort = port + 1 === END_PORT ? FIRST_PORT : port + 1;
+		const port = first + 1 + (drawn % (BLOCK_PORTS - 1));
+		drawn++;
 		const server = await listen(port);
 		if (server && await isFreeForDatagrams(port)) {
 			return server;
--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -27,6 +27,8 @@
 /** Lines that are not urgent are handed over in this interval, later by a process that is behind. */
 const LINES_INTERVAL_MS = 1000;
 const PEER_LINE_POLLS = 100;
+/** End of what the process writes to standard error, to be told if it does not start. */
+const ERROR_OUTPUT_MAX = 2000;
 
 /** Answered at once; shows that the registry has been read. */
 const PROBE_PATH = '/read/0';
@@ -123,6 +125,7 @@
 	callersPort = 0;
 	private _settings!: DaemonSettings;
 	private _requests = 0;
+	private _errorOutput = '';
 	private readonly _servers: Server[] = [];
 	private readonly _peers: ChildProcess[] = [];
 	private readonly _entries = new Map<string, object>();
@@ -131,12 +134,22 @@
 
 	static async start(bundle: PlatformBundle, options: StoppingProcessOptions = {}): Promise<StoppingProcess> {
 		const stopping = new StoppingProcess(options);
-		await stopping._start(bundle);
+		try {
+			await stopping._start(bundle);
+		} catch (error) {
+			const {exitCode} = stopping;
+			// What is left open would keep the test's process from ending.
+			await stopping.close();
+			throw new Error(`the process did not start; exit code ${exitCode ?? 'none'}: ${stopping._errorOutput}`, {cause: error});
+		}
+
 		return stopping;
 	}
 
 	async close(): Promise<void> {
-		if (!Number.isFinite(this.exitedAtMs)) {
+		// Undefined if nothing of it was started.
+		const started = this.process as ChildProcess | undefined;
+		if (started && !Number.isFinite(this.exitedAtMs)) {
 			this.process.kill('SIGCONT');
 			this.process.kill('SIGKILL');
 			await once(this.process, 'close');
@@ -307,7 +320,9 @@
 		const started = bundle.start({...document, bounds: {...document.bounds as object, graceMs: GRACE_MS}}, this._options.nodeArguments);
 		this.process = started;
 		this.exitedAtMs = Number.POSITIVE_INFINITY;
-		started.stderr!.resume();
+		started.stderr!.setEncoding('utf8').on('data', (text: string) => {
+			this._errorOutput = (this._errorOutput + text).slice(-ERROR_OUTPUT_MAX);
+		});
 		this._readLog(started);
 		started.once('close', code => {
 			this.exitedAtMs = performance.now();
