The embedded daemon takes no answer of a target that has gone for whole

What callers would see: a short plain answer that looks complete, where a target that sends neither a length nor chunks dies in the middle of it. Cause: the operating system closes the connections of a process that dies in the regular way; the entry instances ask the target for a connection behind such an answer (design 0019), the embedded daemon did not. Ruled out: its event streams, which end with a terminator. Change: behind such an answer the target is probed, and the try is truncated if it refuses connections.

--- a/src/daemon/gateways/http-gateway.test.ts
+++ b/src/daemon/gateways/http-gateway.test.ts
@@ -42,7 +42,7 @@
 }
 
 /** Runs one try against a raw TCP server; `'nothing'` stands for a port without a listener. */
-async function runTryAgainst(handleSocket: SocketHandler | 'nothing', options: {forwardsServerErrors?: boolean; abortAfterRequest?: boolean} = {}): Promise<TryEnd> {
+async function runTryAgainst(handleSocket: SocketHandler | 'nothing', options: {forwardsServerErrors?: boolean; abortAfterRequest?: boolean; endsWithAnswer?: boolean} = {}): Promise<TryEnd> {
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		if (handleSocket !== 'nothing') {
@@ -57,6 +57,14 @@
 		await once(server, 'close');
 	}
 
+	if (options.endsWithAnswer) {
+		server.once('connection', (socket: Socket) => {
+			socket.once('data', () => {
+				server.close();
+			});
+		});
+	}
+
 	const gateway = createPlainGateway({address: `http://127.0.0.1:${port}`});
 	const abortController = new AbortController();
 	if (options.abortAfterRequest) {
@@ -133,6 +141,15 @@
 	});
 }
 
+// Guards against a short answer that looks whole, since the operating system closes the connections of a process that dies in the regular way.
+test('a response without a length is complete if its target goes on, and truncated if that refuses connections', async () => {
+	const handleSocket = respondWith('HTTP/1.1 200 OK\r\n\r\nwhole');
+	const {failure} = await runTryAgainst(handleSocket);
+	assert.equal(failure, 'completed');
+	const {failure: failureAtEnd, response} = await runTryAgainst(handleSocket, {endsWithAnswer: true});
+	assert.deepEqual([failureAtEnd, response], ['truncated', undefined]);
+});
+
 test('a server error is forwarded if the request must not be sent again', async () => {
 	const {failure, response} = await runTryAgainst(respondWith('HTTP/1.1 500 No\r\ncontent-length: 2\r\n\r\nno', false), {forwardsServerErrors: true});
 	assert.equal(failure, 'completed');
--- a/src/daemon/gateways/http-gateway.ts
+++ b/src/daemon/gateways/http-gateway.ts
@@ -6,7 +6,7 @@
 import {type Order, type OrderOutcome} from '../../core/placement/types.js';
 import {type Failure} from '../../core/request/types.js';
 import {isFinalStatus} from './final-status.js';
-import {forwardEvents, readResponse} from './responses.js';
+import {endsWithConnection, forwardEvents, readResponse} from './responses.js';
 import {
 	ConnectionPool, isUnwritten, classifyProbeError, classifyFailure, type HttpRequest,
 } from './connection-pool.js';
@@ -53,6 +53,12 @@
 			}
 
 			const bufferedResponse = await readResponse(response, sink);
+			if (endsWithConnection(request.method, response) && await this._hasGone()) {
+				// The end of its process may have cut the response off.
+				sink.failed('truncated', undefined);
+				return;
+			}
+
 			endTry(sink, failureOfStatus(tryRequest, response.statusCode), bufferedResponse);
 		} catch (error) {
 			sink.failed(hasResponseHeaders && !signal.aborted ? 'truncated' : classifyFailure(error, signal), undefined);
@@ -107,6 +113,12 @@
 		await this._connectionPool.close();
 	}
 
+	/** Whether the target refuses connections. */
+	private async _hasGone(): Promise<boolean> {
+		const {result} = await this.probe();
+		return result === 'refused';
+	}
+
 	private async _readReportOnFreshConnection(): Promise<TargetReport | undefined> {
 		try {
 			return await this._readReport({mayReuse: false, timeoutMs: REPORT_TIMEOUT_MS});
--- a/src/daemon/gateways/responses.ts
+++ b/src/daemon/gateways/responses.ts
@@ -20,6 +20,14 @@
 	return (Array.isArray(value) ? value[0] : value) ?? 'application/octet-stream';
 }
 
+/** Statuses of responses that have no body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether a response has a body with neither a length nor chunks, which ends with its connection (RFC 9112, section 6.3). */
+export function endsWithConnection(method: string, {statusCode, headers}: Dispatcher.ResponseData): boolean {
+	return method !== 'HEAD' && !bodilessStatuses.has(statusCode) && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 /** Reads a response to its end. One above the limit is forwarded to the sink as it arrives, and the result is undefined. */
 export async function readResponse(response: Dispatcher.ResponseData, sink: TrySink): Promise<BufferedResponse | undefined> {
 	const contentType = contentTypeOf(response.headers);
