The body of an unproven answer is released; statuses without a body stand in one place

Cause (found while reading the diff): a plain answer of a target that has gone was kept until the request's end, although it is never passed on. Change: it is released at once, as that of a broken try. The statuses 204 and 304 stand beside the final ones, for both daemons; the head of guarded-client.ts is wrapped again.

--- a/src/daemon/gateways/guarded-client.ts
+++ b/src/daemon/gateways/guarded-client.ts
@@ -9,9 +9,9 @@
 could be taken for the response to the next request. And it fails each response whose
 connection is reset before its end, also where Node.js reports the reset as the regular
 end. And it has the end of a connection wait for a reader that is slow, which undici does
-not expect. And it reads from all its connections in turns, so that one that sends fast does not
-take the process for itself, and joins small pieces of a body, which would take many times
-their length in a list.
+not expect. And it reads from all its connections in turns, so that one that sends fast
+does not take the process for itself, and joins small pieces of a body, which would take
+many times their length in a list.
 */
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
--- a/src/daemon/gateways/responses.ts
+++ b/src/daemon/gateways/responses.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {createParser} from 'eventsource-parser';
+import {bodilessStatuses} from './final-status.js';
 import {type TrySink, type BufferedResponse} from './types.js';
 
 /** Responses up to this size are buffered until they are complete, so that the caller sees nothing of a failed try. */
@@ -20,9 +21,6 @@
 	return (Array.isArray(value) ? value[0] : value) ?? 'application/octet-stream';
 }
 
-/** Statuses of responses that have no body. */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
-
 /** Whether a response has a body with neither a length nor chunks, which ends with its connection (RFC 9112, section 6.3). */
 export function endsWithConnection(method: string, {statusCode, headers}: Dispatcher.ResponseData): boolean {
 	return method !== 'HEAD' && !bodilessStatuses.has(statusCode) && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
--- a/src/entry/try-runner.ts
+++ b/src/entry/try-runner.ts
@@ -10,7 +10,7 @@
 import {type EntryEventOf, type Untimed} from '../core/entry/event.js';
 import {type StatedRateLimit} from '../core/entry/target.js';
 import {type TryOutcome} from '../core/entry/types.js';
-import {isFinalStatus} from '../daemon/gateways/final-status.js';
+import {bodilessStatuses, isFinalStatus} from '../daemon/gateways/final-status.js';
 import {readChunks} from './body-chunks.js';
 import {BufferBudget} from './buffer-budget.js';
 import {mediaTypeOf, type Exchange, withoutHopByHopHeaders} from './exchange.js';
@@ -40,9 +40,6 @@
 /** Well above the time in which the connections of a process that ends are closed. */
 const CLOSING_MS = 50;
 
-/** Statuses of responses that have no body. */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
-
 /** Outcomes of tries that a target answered, which say nothing against other connections. */
 const soundOutcomes: ReadonlySet<TryOutcome> = new Set(['answered', 'failed', 'not-run']);
 
@@ -262,24 +259,21 @@
 			};
 		}
 
-		exchange.keep({status, headers, body: held});
-		// A stream that has begun can only be completed by the rest of its events.
-		if (exchange.headersSent) {
-			return {outcome: 'failed', status, load};
-		}
-
 		if (hasTargetGone) {
+			held.release();
 			return {
 				outcome: 'unproven', status, load, ...describeFault('target-gone'),
 			};
 		}
 
-		if (status >= 500) {
-			return {outcome: 'failed', status, load};
+		// A stream that has begun can only be completed by the rest of its events.
+		const outcome = status >= 500 || exchange.headersSent ? 'failed' : 'answered';
+		if (outcome === 'answered') {
+			exchange.claim(effect.tryNumber);
 		}
 
-		exchange.claim(effect.tryNumber);
-		return {outcome: 'answered', status, load};
+		exchange.keep({status, headers, body: held});
+		return {outcome, status, load};
 	}
 
 	/**
