Test of answers without a length: planned work begins once all requests are under way

Change: connections are opened before, the planned work waits until each request has reached a target, and runs end behind it. The check is the same. Conclusion: no fixed time is left in it but that of runs.

--- a/test/standins/stopping-process.ts
+++ b/test/standins/stopping-process.ts
@@ -31,7 +31,7 @@
 const ERROR_OUTPUT_MAX = 2000;
 
 /** Answered at once; shows that the registry has been read. */
-const PROBE_PATH = '/read/0';
+export const PROBE_PATH = '/read/0';
 
 /** How a request ended for its caller. */
 export type Outcome = {
--- a/test/unit/answers-without-a-length.test.ts
+++ b/test/unit/answers-without-a-length.test.ts
@@ -13,14 +13,15 @@
 } from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {PlatformBundle} from '../standins/platform-process.js';
-import {StoppingProcess, type Outcome, type RunHandler} from '../standins/stopping-process.js';
+import {
+	PROBE_PATH, StoppingProcess, type Outcome, type RunHandler,
+} from '../standins/stopping-process.js';
 
 const EVENTS = 8;
 const INTERVAL_MS = 100;
-/** When the planned work comes: all requests are under way. */
-const WORK_AT_MS = 200;
-/** How long runs take behind that, well within the time after which a sound target would seem silent. */
+/** How long runs take behind the begin of the planned work. */
 const REST_MS = 60;
+const POLL_MS = 5;
 const BODY = 'a whole answer';
 const REQUESTS = 4;
 /** More than the sockets of a caller, the instance and a target hold together. */
@@ -107,8 +108,8 @@
 	}
 }
 
-/** Answers each run of a request as its form says; the requests of a form name its index in their path. */
-function createHandler(runsOf: Map<string, number>): RunHandler {
+/** Answers each run of a request as its form says, once the planned work has begun; the requests of a form name its index in their path. */
+function createHandler(runsOf: Map<string, number>, workBegins: Promise<void>): RunHandler {
 	return async (request: IncomingMessage, response: ServerResponse, headers) => {
 		const [, name, index] = (request.url ?? '').split('/');
 		const id = String(request.headers['x-pollenarch-request-id']);
@@ -130,7 +131,8 @@
 		const head = `HTTP/1.1 ${run === 'error' ? '500 Error' : '200 OK'}\r\n${lines}\r\n`;
 		const {socket} = request;
 		if (!isStream) {
-			await delay(WORK_AT_MS + REST_MS);
+			await workBegins;
+			await delay(REST_MS);
 			if (run === 'reset-at-once') {
 				socket.write(head + BODY.slice(0, 5));
 				socket.resetAndDestroy();
@@ -147,7 +149,8 @@
 
 		const first = events.shift() ?? '';
 		socket.write(head + first);
-		await delay(WORK_AT_MS + REST_MS);
+		await workBegins;
+		await delay(REST_MS);
 		endStream(socket, run, events);
 	};
 }
@@ -160,19 +163,29 @@
 
 async function send(t: TestContext, work: string): Promise<{readonly sent: Sent[]; readonly stopping: StoppingProcess}> {
 	const runsOf = new Map<string, number>();
-	const handler = createHandler(runsOf);
+	let beginWork: () => void = () => undefined;
+	const handler = createHandler(runsOf, new Promise(resolve => {
+		beginWork = resolve;
+	}));
 	const stopping = await StoppingProcess.start(bundle, {handlers: {'i-1': handler, 'i-2': handler}});
 	const agent = new Agent({keepAlive: true});
 	t.after(async () => {
 		agent.destroy();
 		await stopping.close();
 	});
+	const count = Object.keys(forms).length * REQUESTS;
+	// Opens the connections, so that all requests are under way soon after they are sent.
+	await Promise.all(Array.from({length: count}, async () => stopping.call(agent, PROBE_PATH)));
 	const calls = Promise.all(Object.entries(forms).flatMap(([form, {path}], index) => Array.from({length: REQUESTS}, async () => {
 		const outcome = await stopping.call(agent, `${path}${index}`);
 		return {form, outcome, runs: runsOf.get(outcome.id) ?? 0};
 	})));
-	await delay(WORK_AT_MS);
+	while (runsOf.size < count) {
+		await delay(POLL_MS);
+	}
+
 	plannedWork[work]!(stopping);
+	beginWork();
 	const sent = await calls;
 	if (work === 'SIGTERM') {
 		await stopping.exit(performance.now());
